--- /dev/null
+++ b/crates/agent/src/runtime.rs
@@ -0,0 +1,249 @@
+//! Starting and stopping an agent.
+
+use crate::{
+    engine::{EngineControl, HttpEngine},
+    follower,
+    gate::GateHandler,
+    keys::KeyTable,
+    reporter,
+    shared::{AgentMetrics, AgentShared},
+};
+use egretseam_http::{
+    ClientOptions, DaemonMetrics, SecretToken, ServerHandle, ServerOptions, http_client,
+    spawn_server,
+};
+use egretseam_proto::{GroupName, Incarnation, InstanceName, Revision, TargetState, ZoneName};
+use egretseam_rpc::PeerSecret;
+use egretseam_swarm::{ChunkHandler, LinkBudget, TransferOptions, WeightStore, WeightStoreError};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::TcpListener,
+    path::PathBuf,
+    rc::Rc,
+    time::Duration,
+};
+use thiserror::Error;
+use tokio::{sync::watch, time::Instant};
+
+/// Why an agent could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The weights' folder cannot be used.
+    #[error(transparent)]
+    Weights(#[from] WeightStoreError),
+    /// A listener cannot be used.
+    #[error("agent listener: {0}")]
+    Listener(#[from] io::Error),
+}
+
+/// What stands behind the agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetKind {
+    /// A model engine, which loads weights.
+    Model,
+    /// A plain service.
+    Plain,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentOptions {
+    /// The target's name.
+    pub name: InstanceName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// The target's group.
+    pub group: GroupName,
+    /// What stands behind it.
+    pub kind: TargetKind,
+    /// This run.
+    pub incarnation: Incarnation,
+    /// Shared secret of our processes.
+    pub secret: PeerSecret,
+    /// Token that peers present for chunks.
+    pub chunk_token: SecretToken,
+    /// `host:port` of entries to begin with; others are learned.
+    pub entries: Vec<String>,
+    /// Most entries that this agent reports to.
+    pub report_fanout: usize,
+    /// How long a report may wait for news; its reciprocal is the rate of reports.
+    pub report_wait: Duration,
+    /// `host:port` that entries send requests to.
+    pub gate_address: String,
+    /// `host:port` that peers fetch chunks from.
+    pub chunk_address: String,
+    /// `host:port` of the target.
+    pub target_address: String,
+    /// `host:port` of the origin.
+    pub origin_address: String,
+    /// `host:port` of the weight store, if there is one.
+    pub store_address: Option<String>,
+    /// Folder for weights.
+    pub folder: PathBuf,
+    /// Bytes of weights that may lie on disk beside those wanted.
+    pub disk_budget: u64,
+    /// Bytes a second that transfers and live answers may use together.
+    pub link_bytes_per_second: Option<u64>,
+    /// Most chunks given to peers at a time.
+    pub upload_slots: usize,
+    /// Limits of transfers.
+    pub transfer: TransferOptions,
+    /// How long a switch may take, from its grant to the engine's report.
+    pub switch_limit: Duration,
+    /// How long requests in progress may take to end before a switch or stop.
+    pub drain_limit: Duration,
+}
+
+impl AgentOptions {
+    /// Options with the usual limits.
+    pub fn new(
+        name: InstanceName,
+        zone: ZoneName,
+        group: GroupName,
+        kind: TargetKind,
+        incarnation: Incarnation,
+        token: &str,
+        folder: PathBuf,
+    ) -> Self {
+        Self {
+            name,
+            zone,
+            group,
+            kind,
+            incarnation,
+            secret: PeerSecret::derive(token),
+            chunk_token: SecretToken::from_text(&PeerSecret::derive(token).chunk_token()),
+            entries: Vec::new(),
+            report_fanout: 9,
+            report_wait: Duration::from_millis(500),
+            gate_address: String::new(),
+            chunk_address: String::new(),
+            target_address: String::new(),
+            origin_address: String::new(),
+            store_address: None,
+            folder,
+            disk_budget: 0,
+            link_bytes_per_second: None,
+            upload_slots: 6,
+            transfer: TransferOptions::default(),
+            switch_limit: Duration::from_secs(600),
+            drain_limit: Duration::from_secs(600),
+        }
+    }
+}
+
+/// Bound listeners of an agent.
+#[derive(Debug)]
+pub struct AgentListeners {
+    /// For entries' requests.
+    pub gate: TcpListener,
+    /// For peers' chunks.
+    pub chunks: TcpListener,
+}
+
+/// A running agent.
+pub struct AgentRuntime {
+    shared: Rc<AgentShared>,
+    gate: ServerHandle,
+    chunks: ServerHandle,
+    tasks: Vec<actix_rt::task::JoinHandle<()>>,
+}
+
+impl AgentRuntime {
+    /// Starts serving and following the profile.
+    ///
+    /// # Errors
+    /// See [`StartError`].
+    pub fn start(
+        mut options: AgentOptions,
+        listeners: AgentListeners,
+        metrics: &DaemonMetrics,
+    ) -> Result<Self, StartError> {
+        if options.gate_address.is_empty() {
+            options.gate_address = listeners.gate.local_addr()?.to_string();
+        }
+        if options.chunk_address.is_empty() {
+            options.chunk_address = listeners.chunks.local_addr()?.to_string();
+        }
+        let client = http_client(ClientOptions::default());
+        let engine: Rc<dyn EngineControl> =
+            Rc::new(HttpEngine::new(client.clone(), &options.target_address));
+        let budget = Rc::new(LinkBudget::new(options.link_bytes_per_second));
+        let token = options.chunk_token.clone();
+        let chunks = Rc::new(ChunkHandler::new(token, budget.clone(), options.upload_slots));
+        let shared = Rc::new(AgentShared {
+            client,
+            metrics: metrics.clone(),
+            counters: AgentMetrics::new(metrics),
+            engine,
+            store: WeightStore::open(&options.folder)?,
+            budget,
+            chunks: chunks.clone(),
+            view: RefCell::default(),
+            revision: watch::Sender::new(Revision(0)),
+            clock: Cell::default(),
+            confirmed_at: Cell::new(None),
+            peer_lists: RefCell::default(),
+            peers_changed: watch::Sender::new(0),
+            state: Cell::new(TargetState::Preparing),
+            serving: RefCell::default(),
+            engine_state: RefCell::default(),
+            in_flight: Cell::new(0),
+            idle: watch::Sender::new(true),
+            transfer: Cell::default(),
+            past_transfers: Cell::default(),
+            sequence: Cell::new(0),
+            changed: watch::Sender::new(0),
+            keys: RefCell::new(KeyTable::default()),
+            stopping: Cell::new(false),
+            options,
+        });
+        let gate = Rc::new(GateHandler::new(shared.clone()));
+        let gate = spawn_server(listeners.gate, gate, ServerOptions::default())?;
+        let chunks = spawn_server(listeners.chunks, chunks, ServerOptions::default())?;
+        let tasks = vec![
+            actix_rt::spawn(reporter::report_to_entries(shared.clone())),
+            actix_rt::spawn(follower::watch_target(shared.clone())),
+            actix_rt::spawn(follower::follow_profile(shared.clone())),
+        ];
+        Ok(Self { shared, gate, chunks, tasks })
+    }
+
+    /// The agent's state, for status pages.
+    pub fn shared(&self) -> &Rc<AgentShared> {
+        &self.shared
+    }
+
+    /// Stops without cutting anything off: tells the entries, refuses what is new, finishes what is
+    /// in progress. Returns whether everything had ended within `limit`.
+    pub async fn stop(mut self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        self.shared.stopping.set(true);
+        self.shared.set_state(TargetState::Leaving);
+        // Entries are told at once; one that was just cut off stops by itself when reports end.
+        const TELL: Duration = Duration::from_millis(200);
+        tokio::time::sleep(TELL.min(limit)).await;
+        let left = || deadline.saturating_duration_since(Instant::now());
+        let ended = self.shared.drained(left()).await;
+        let closed = self.gate.drain(left()).await;
+        self.chunks.stop();
+        self.abort();
+        ended && closed
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn abort(&mut self) {
+        self.gate.stop();
+        self.chunks.stop();
+        for task in self.tasks.drain(..) {
+            task.abort();
+        }
+    }
+}
+
+impl Drop for AgentRuntime {
+    fn drop(&mut self) {
+        self.abort();
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/catalog/src/state.rs
@@ -0,0 +1,188 @@
+//! The replicated state and its single entry point, [`CatalogState::apply`].
+
+mod claims;
+mod edits;
+mod switches;
+
+pub use claims::CLAIM_WINDOW_MILLIS;
+
+use crate::{
+    LogTime,
+    claim::ClaimRecord,
+    command::{CatalogCommand, CatalogReply, StampedCommand},
+    config_view::{ConfigChange, ConfigUpdate, ConfigView, EntryRecord},
+    spec::ProfileSpec,
+    switch::SwitchRecord,
+};
+use egretseam_proto::{
+    FencingNumber, Incarnation, InstanceName, OperationId, OrganisationName, ProfileName,
+    RequestKey, Revision,
+};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use thiserror::Error;
+
+/// How many operations' replies are remembered for resends. At 11,000 changes a day this is more
+/// than a day and a half.
+const MAX_OPERATIONS: usize = 20_000;
+/// How many changes are kept for holders that are a little behind.
+const MAX_CHANGES: usize = 2_048;
+/// How many changes of one profile its history shows.
+const MAX_HISTORY: usize = 64;
+
+/// A snapshot that could not be read.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("the snapshot is not a catalog: {0}")]
+pub struct DecodeError(String);
+
+/// One accepted change of a profile.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryRecord {
+    /// Revision that the change made.
+    pub revision: Revision,
+    /// Who asked.
+    pub actor: String,
+    /// Specification from then on; `None` when retired.
+    pub spec: Option<ProfileSpec>,
+}
+
+/// A key and its owner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct ClaimId {
+    organisation: OrganisationName,
+    key: RequestKey,
+}
+
+/// How far the rollout of one profile revision is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct RolloutProgress {
+    revision: Revision,
+    loaded: u32,
+}
+
+/// Everything that must survive. See the crate's text.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogState {
+    clock: LogTime,
+    view: ConfigView,
+    histories: IndexMap<ProfileName, VecDeque<HistoryRecord>>,
+    operations: IndexMap<OperationId, CatalogReply>,
+    fences: IndexMap<InstanceName, FencingNumber>,
+    switches: IndexMap<InstanceName, SwitchRecord>,
+    rollouts: IndexMap<ProfileName, RolloutProgress>,
+    claims: IndexMap<ClaimId, ClaimRecord>,
+    /// Derived: recent changes, for holders a little behind. A member that restored a snapshot has
+    /// none and sends the whole view instead.
+    #[serde(skip)]
+    changes: VecDeque<(Revision, ConfigChange)>,
+}
+
+impl CatalogState {
+    /// An empty state.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Reads a snapshot made by [`CatalogState::encode`].
+    ///
+    /// # Errors
+    /// Fails on bytes that are not a snapshot.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        match postcard::take_from_bytes(bytes) {
+            Ok((state, [])) => Ok(state),
+            Ok((_, rest)) => Err(DecodeError(format!("{} bytes too many", rest.len()))),
+            Err(error) => Err(DecodeError(error.to_string())),
+        }
+    }
+
+    /// A snapshot of the state.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("in-memory encoding does not fail")
+    }
+
+    /// The log's clock.
+    pub fn clock(&self) -> LogTime {
+        self.clock
+    }
+
+    /// The configuration in force.
+    pub fn view(&self) -> &ConfigView {
+        &self.view
+    }
+
+    /// Changes of a profile, oldest first; outlives its retirement.
+    pub fn history(&self, name: &ProfileName) -> impl Iterator<Item = &HistoryRecord> {
+        self.histories.get(name).into_iter().flatten()
+    }
+
+    /// Grants in force or not yet cleared away.
+    pub fn switches(&self) -> &IndexMap<InstanceName, SwitchRecord> {
+        &self.switches
+    }
+
+    /// How many keys are claimed.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// What brings a holder at `held` to the present.
+    pub fn update_since(&self, held: Revision) -> ConfigUpdate {
+        if held >= self.view.revision {
+            return ConfigUpdate::Current;
+        }
+        let oldest = self.changes.front().map(|(revision, _)| *revision);
+        if held == Revision(0) || oldest.is_none_or(|oldest| oldest.0 > held.0 + 1) {
+            return ConfigUpdate::Whole(Box::new(self.view.clone()));
+        }
+        let newer = self.changes.iter().filter(|(revision, _)| *revision > held).cloned();
+        ConfigUpdate::Changes(newer.collect())
+    }
+
+    /// Applies one command.
+    pub fn apply(&mut self, stamped: &StampedCommand) -> CatalogReply {
+        self.clock = self.clock.max(stamped.at);
+        match &stamped.command {
+            CatalogCommand::Edit(request) => self.apply_edit(request),
+            CatalogCommand::AnnounceEntry(record) => self.announce_entry(record),
+            CatalogCommand::ExpireEntry { name, incarnation } => {
+                self.expire_entry(name, *incarnation)
+            }
+            CatalogCommand::BeginSwitch(request) => self.begin_switch(request),
+            CatalogCommand::EndSwitch { target, fence, outcome } => {
+                self.end_switch(target, *fence, outcome)
+            }
+            CatalogCommand::Claim(requests) => self.claim(requests),
+            CatalogCommand::Rebind(request) => self.rebind(request),
+        }
+    }
+
+    fn announce_entry(&mut self, record: &EntryRecord) -> CatalogReply {
+        if self.view.entries.get(&record.name) != Some(record) {
+            self.commit_change(ConfigChange::Entry(record.name.clone(), Some(record.clone())));
+        }
+        CatalogReply::Done
+    }
+
+    fn expire_entry(&mut self, name: &InstanceName, incarnation: Incarnation) -> CatalogReply {
+        let same = |record: &EntryRecord| record.incarnation == incarnation;
+        if self.view.entries.get(name).is_some_and(same) {
+            self.commit_change(ConfigChange::Entry(name.clone(), None));
+        }
+        CatalogReply::Done
+    }
+
+    fn next_revision(&self) -> Revision {
+        Revision(self.view.revision.0 + 1)
+    }
+
+    fn commit_change(&mut self, change: ConfigChange) -> Revision {
+        let revision = self.next_revision();
+        self.view.apply(revision, change.clone());
+        self.changes.push_back((revision, change));
+        if self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        revision
+    }
+}
--- /dev/null
+++ b/crates/config/src/reader.rs
@@ -0,0 +1,197 @@
+//! Reads one JSON object field by field and collects every mistake.
+
+use egretseam_proto::{GroupName, InstanceName, ZoneName};
+use serde_json::{Map, Value};
+use std::{fmt, path::PathBuf};
+use thiserror::Error;
+
+/// One mistake.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsMistake {
+    /// Where, as a JSON path such as `$.entry.lease_millis`.
+    pub path: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for SettingsMistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.message)
+    }
+}
+
+/// Settings that cannot be used, with all mistakes.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub struct SettingsError {
+    /// At least one mistake.
+    pub mistakes: Vec<SettingsMistake>,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.mistakes.iter().map(ToString::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+/// A value that a setting can have.
+pub(crate) trait SettingValue: Sized {
+    /// Reads the value, or says what was expected.
+    fn read(value: &Value) -> Result<Self, String>;
+}
+
+impl SettingValue for String {
+    fn read(value: &Value) -> Result<Self, String> {
+        value.as_str().map(str::to_owned).ok_or_else(|| "expected text".to_owned())
+    }
+}
+
+impl SettingValue for u64 {
+    fn read(value: &Value) -> Result<Self, String> {
+        value.as_u64().ok_or_else(|| "expected a whole number of 0 or more".to_owned())
+    }
+}
+
+impl SettingValue for PathBuf {
+    fn read(value: &Value) -> Result<Self, String> {
+        let text = String::read(value)?;
+        if text.is_empty() { Err("expected a path".to_owned()) } else { Ok(text.into()) }
+    }
+}
+
+macro_rules! name_value {
+    ($($name:ty),*) => {$(
+        impl SettingValue for $name {
+            fn read(value: &Value) -> Result<Self, String> {
+                Self::try_from(String::read(value)?).map_err(|error| error.to_string())
+            }
+        }
+    )*};
+}
+
+name_value!(InstanceName, ZoneName, GroupName);
+
+/// An address by IP number and port.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AddressText(pub(crate) String);
+
+impl SettingValue for AddressText {
+    fn read(value: &Value) -> Result<Self, String> {
+        let text = String::read(value)?;
+        let parsed: Result<std::net::SocketAddr, _> = text.parse();
+        match parsed {
+            Ok(_) => Ok(Self(text)),
+            Err(_) => Err(format!("{text:?} is not an IP number and port, like 10.0.0.1:7101")),
+        }
+    }
+}
+
+/// A list of addresses, at least one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AddressList(pub(crate) Vec<String>);
+
+impl SettingValue for AddressList {
+    fn read(value: &Value) -> Result<Self, String> {
+        let items = value.as_array().ok_or_else(|| "expected a list of addresses".to_owned())?;
+        if items.is_empty() {
+            return Err("expected at least one address".to_owned());
+        }
+        let read = |item| AddressText::read(item).map(|address| address.0);
+        Ok(Self(items.iter().map(read).collect::<Result<_, _>>()?))
+    }
+}
+
+/// Reads the fields of one object.
+pub(crate) struct SectionReader<'a> {
+    path: String,
+    fields: Map<String, Value>,
+    mistakes: &'a mut Vec<SettingsMistake>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// A reader of `value`, which must be an object.
+    pub(crate) fn new(
+        path: &str,
+        value: &Value,
+        mistakes: &'a mut Vec<SettingsMistake>,
+    ) -> Option<Self> {
+        match value.as_object() {
+            Some(fields) => Some(Self { path: path.to_owned(), fields: fields.clone(), mistakes }),
+            None => {
+                let message = "expected an object".to_owned();
+                mistakes.push(SettingsMistake { path: path.to_owned(), message });
+                None
+            }
+        }
+    }
+
+    /// A field that must be there.
+    pub(crate) fn required<T: SettingValue>(&mut self, name: &str) -> Option<T> {
+        if !self.fields.contains_key(name) {
+            self.mistake(name, "is missing".to_owned());
+            return None;
+        }
+        self.optional(name)
+    }
+
+    /// A field that may be absent.
+    pub(crate) fn optional<T: SettingValue>(&mut self, name: &str) -> Option<T> {
+        let value = self.fields.remove(name)?;
+        match T::read(&value) {
+            Ok(value) => Some(value),
+            Err(message) => {
+                self.mistake(name, message);
+                None
+            }
+        }
+    }
+
+    /// A number within limits.
+    pub(crate) fn number(&mut self, name: &str, default: u64, low: u64, high: u64) -> u64 {
+        let Some(value) = self.optional::<u64>(name) else { return default };
+        if !(low..=high).contains(&value) {
+            self.mistake(name, format!("{value} is not between {low} and {high}"));
+            return default;
+        }
+        value
+    }
+
+    /// A word out of a list.
+    pub(crate) fn word(&mut self, name: &str, words: &[&'static str]) -> Option<&'static str> {
+        let text: String = self.optional(name)?;
+        let found = words.iter().copied().find(|word| *word == text);
+        if found.is_none() {
+            self.mistake(name, format!("{text:?} is not one of {}", words.join(", ")));
+        }
+        found
+    }
+
+    /// A nested object.
+    pub(crate) fn section<T>(
+        &mut self,
+        name: &str,
+        read: impl FnOnce(&mut SectionReader<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.fields.remove(name)?;
+        let path = format!("{}.{name}", self.path);
+        let mut section = SectionReader::new(&path, &value, self.mistakes)?;
+        let result = read(&mut section);
+        section.finish();
+        result
+    }
+
+    /// Notes a mistake in the field `name`.
+    pub(crate) fn mistake(&mut self, name: &str, message: String) {
+        let path = format!("{}.{name}", self.path);
+        self.mistakes.push(SettingsMistake { path, message });
+    }
+
+    /// Notes every field that nobody read.
+    pub(crate) fn finish(self) {
+        for name in self.fields.keys() {
+            let path = format!("{}.{name}", self.path);
+            let message = "is not a known field".to_owned();
+            self.mistakes.push(SettingsMistake { path, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/handler.rs
@@ -0,0 +1,125 @@
+//! Answers calls of peers and entries.
+
+use crate::{driver::ControlInput, runtime::ControlShared};
+use egretseam_catalog::{CatalogCommand, HistoryRecord};
+use egretseam_proto::{ProfileName, Revision};
+use egretseam_replica::{Envelope, LogIndex};
+use egretseam_rpc::{
+    ControlService, MemberCall, MemberReply, MembersReply, SubmitReply, WatchCall, WatchReply,
+    WatcherReport,
+};
+use std::{rc::Rc, time::Duration};
+use tarpc::context::Context;
+use tokio::sync::oneshot;
+
+/// How long a command may wait for its quorum before the caller is told that nobody knows.
+const COMMIT_LIMIT: Duration = Duration::from_millis(1_800);
+/// How long a read may wait for its confirmation.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(1_500);
+/// Longest wait for a change that a watch may ask for.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// Answers one control member's calls.
+#[derive(Clone)]
+pub struct ControlHandler {
+    shared: Rc<ControlShared>,
+}
+
+impl ControlHandler {
+    pub(crate) fn new(shared: Rc<ControlShared>) -> Self {
+        Self { shared }
+    }
+
+    /// Confirms that this member's state covers everything accepted before now.
+    async fn confirm(&self) -> Option<LogIndex> {
+        let (reply, confirmed) = oneshot::channel();
+        self.shared.inbox.try_send(ControlInput::Read { reply }).ok()?;
+        let confirm = async {
+            let index = confirmed.await.ok().flatten()?;
+            let mut applied = self.shared.applied.subscribe();
+            applied.wait_for(|applied| *applied >= index).await.ok()?;
+            Some(index)
+        };
+        tokio::time::timeout(CONFIRM_LIMIT, confirm).await.ok().flatten()
+    }
+
+    async fn wait_for_change(&self, held: Revision, wait: Duration) {
+        let mut revision = self.shared.revision.subscribe();
+        let change = revision.wait_for(|revision| *revision > held);
+        tokio::time::timeout(wait.min(MAX_WAIT), change).await.ok();
+    }
+}
+
+impl ControlService for ControlHandler {
+    async fn deliver(self, _: Context, reply_to: String, batch: Vec<Envelope>) {
+        // A full inbox drops messages, which the log tolerates; waiting would stall the peer.
+        if self.shared.inbox.try_send(ControlInput::Messages { reply_to, batch }).is_err() {
+            self.shared.metrics.dropped.inc();
+        }
+    }
+
+    async fn submit(self, _: Context, command: CatalogCommand) -> SubmitReply {
+        let (reply, outcome) = oneshot::channel();
+        let input = ControlInput::Submit { command, reply };
+        if self.shared.inbox.try_send(input).is_err() {
+            return SubmitReply::Busy;
+        }
+        match tokio::time::timeout(COMMIT_LIMIT, outcome).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) | Err(_) => SubmitReply::Unknown,
+        }
+    }
+
+    async fn watch(self, _: Context, call: WatchCall) -> WatchReply {
+        self.shared.watchers.borrow_mut().note(&call);
+        self.wait_for_change(call.held, Duration::from_millis(call.wait_millis)).await;
+        self.shared.watchers.borrow_mut().note(&call);
+        if self.confirm().await.is_none() {
+            return WatchReply::Unconfirmed;
+        }
+        let state = self.shared.state.borrow();
+        let update = state.update_since(call.held);
+        WatchReply::Confirmed { update, clock: state.clock() }
+    }
+
+    async fn note_watchers(self, _: Context, reports: Vec<WatcherReport>) {
+        self.shared.watchers.borrow_mut().merge(reports);
+    }
+
+    async fn change_members(self, _: Context, call: MemberCall) -> MemberReply {
+        let (reply, outcome) = oneshot::channel();
+        let input = ControlInput::ChangeMembers { change: call.change, reply };
+        if self.shared.inbox.try_send(input).is_err() {
+            return MemberReply::Refused("the member is busy".to_owned());
+        }
+        match tokio::time::timeout(COMMIT_LIMIT, outcome).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) | Err(_) => MemberReply::Unknown,
+        }
+    }
+
+    async fn members(self, _: Context) -> MembersReply {
+        let status = self.shared.status.borrow().clone();
+        let answered_by = self.shared.options.name.clone();
+        let revision = *self.shared.revision.borrow();
+        let watchers = self.shared.watchers.borrow().reports();
+        let Some(status) = status else {
+            let (members, leader, term, commit) = (Vec::new(), None, 0, 0);
+            return MembersReply { members, leader, term, commit, answered_by, revision, watchers };
+        };
+        let leader = status.leader.and_then(|id| status.membership.get(id));
+        MembersReply {
+            members: status.membership.members().cloned().collect(),
+            leader: leader.map(|member| member.name.clone()),
+            term: status.term.0,
+            commit: status.commit.0,
+            answered_by,
+            revision,
+            watchers,
+        }
+    }
+
+    async fn history(self, _: Context, profile: ProfileName) -> Vec<HistoryRecord> {
+        self.shared.state.borrow().history(&profile).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,20 @@
+//! A control member: drives one [`egretseam_replica::ReplicaNode`] over TCP and disk, applies
+//! committed commands to the catalog, and answers entries and operators.
+//!
+//! [`ControlRuntime`] owns the driver task; [`ControlHandler`] is what the peer listener calls;
+//! [`OperatorHandler`] is the HTTP interface for operators, which any of our processes can serve
+//! because it reaches control as a client.
+
+mod clock;
+mod driver;
+mod handler;
+mod operator;
+mod outbox;
+mod runtime;
+mod watchers;
+
+pub use crate::{
+    handler::ControlHandler,
+    operator::{HealthSource, OperatorHandler, TargetsSource},
+    runtime::{ControlOptions, ControlRuntime, StartError},
+};
--- /dev/null
+++ b/crates/control/src/operator.rs
@@ -0,0 +1,227 @@
+//! HTTP with JSON for operators, and health, readiness and metrics of the process.
+
+use actix_http::{HttpMessage, Method, Request, StatusCode};
+use egretseam_catalog::{CatalogCommand, CatalogReply, ConfigUpdate, EditRequest};
+use egretseam_http::{
+    DaemonMetrics, HttpHandler, HttpReply, SecretToken, bearer_token, failure_reply, json_reply,
+    read_json, text_reply,
+};
+use egretseam_proto::{
+    FailureReport, Incarnation, InstanceName, ProfileName, RefusalReason, Revision,
+};
+use egretseam_replica::MembershipChange;
+use egretseam_rpc::{ControlClient, MemberCall, MemberReply, SubmitError, WatchCall, WatchReply};
+use futures::future::LocalBoxFuture;
+use serde::{Deserialize, Serialize};
+use std::{rc::Rc, time::Duration};
+
+/// Largest accepted operator's body.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// How long an operator's call may take.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// What the process knows of targets; only an entry knows any.
+pub trait TargetsSource {
+    /// All known targets as JSON, or `None` if this process routes nothing.
+    fn targets(&self) -> Option<serde_json::Value>;
+}
+
+/// Whether the process can do its work.
+pub trait HealthSource {
+    /// Why it is not ready, or nothing.
+    fn not_ready(&self) -> Option<String>;
+}
+
+/// Answers operators.
+pub struct OperatorHandler {
+    client: Rc<ControlClient>,
+    token: SecretToken,
+    metrics: DaemonMetrics,
+    health: Rc<dyn HealthSource>,
+    targets: Rc<dyn TargetsSource>,
+}
+
+#[derive(Serialize)]
+struct AcceptedReply {
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct ConflictReply {
+    current: Revision,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MemberRequest {
+    change: MembershipChange,
+}
+
+impl OperatorHandler {
+    /// A handler that reaches control through `client`.
+    pub fn new(
+        client: Rc<ControlClient>,
+        token: SecretToken,
+        metrics: DaemonMetrics,
+        health: Rc<dyn HealthSource>,
+        targets: Rc<dyn TargetsSource>,
+    ) -> Self {
+        Self { client, token, metrics, health, targets }
+    }
+
+    async fn answer(&self, mut request: Request) -> Result<HttpReply, FailureReport> {
+        let path = request.path().to_owned();
+        let method = request.method().clone();
+        match (&method, path.as_str()) {
+            (&Method::GET, "/healthz") => return Ok(text_reply(StatusCode::OK, "ok\n")),
+            (&Method::GET, "/readyz") => return Ok(self.readiness()),
+            (&Method::GET, "/metrics") => {
+                return Ok(text_reply(StatusCode::OK, self.metrics.render()));
+            }
+            _ => {}
+        }
+        self.authorise(&request)?;
+        match (&method, path.as_str()) {
+            (&Method::POST, "/v1/edits") => {
+                let edit = read_json(&mut request.take_payload(), MAX_BODY_BYTES).await?;
+                self.edit(edit).await
+            }
+            (&Method::GET, "/v1/config") => self.config().await,
+            (&Method::GET, "/v1/targets") => self.list_targets(),
+            (&Method::GET, "/v1/members") => self.members().await,
+            (&Method::POST, "/v1/members") => {
+                let call: MemberRequest =
+                    read_json(&mut request.take_payload(), MAX_BODY_BYTES).await?;
+                self.change_members(call.change).await
+            }
+            (&Method::GET, path) if path.starts_with("/v1/history/") => self.history(path).await,
+            (
+                _,
+                "/healthz" | "/readyz" | "/metrics" | "/v1/edits" | "/v1/config" | "/v1/targets"
+                | "/v1/members",
+            ) => Err(FailureReport::not_run(RefusalReason::MethodNotAllowed, format!("{method}"))),
+            _ => Err(FailureReport::not_run(RefusalReason::NotFound, path)),
+        }
+    }
+
+    fn authorise(&self, request: &Request) -> Result<(), FailureReport> {
+        match bearer_token(request.headers()) {
+            Some(offered) if self.token.matches(offered) => Ok(()),
+            _ => Err(FailureReport::not_run(
+                RefusalReason::Unauthorized,
+                "an operator's token is needed",
+            )),
+        }
+    }
+
+    fn readiness(&self) -> HttpReply {
+        match self.health.not_ready() {
+            None => text_reply(StatusCode::OK, "ready\n"),
+            Some(why) => text_reply(StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {why}\n")),
+        }
+    }
+
+    async fn edit(&self, request: EditRequest) -> Result<HttpReply, FailureReport> {
+        let command = CatalogCommand::Edit(request);
+        let reply = self.client.submit(&command, CALL_LIMIT).await.map_err(control_failure)?;
+        Ok(match reply {
+            CatalogReply::Accepted { revision } => {
+                json_reply(StatusCode::OK, &AcceptedReply { revision })
+            }
+            CatalogReply::Conflict { current } => {
+                json_reply(StatusCode::CONFLICT, &ConflictReply { current })
+            }
+            CatalogReply::Refused(detail) if detail.missing => {
+                json_reply(StatusCode::NOT_FOUND, &detail)
+            }
+            CatalogReply::Refused(detail) => json_reply(StatusCode::UNPROCESSABLE_ENTITY, &detail),
+            other => {
+                let detail = format!("unexpected reply {other:?}");
+                return Err(FailureReport::may_have_run(RefusalReason::OutcomeUnknown, detail));
+            }
+        })
+    }
+
+    async fn config(&self) -> Result<HttpReply, FailureReport> {
+        let entry = InstanceName::try_from("operator").expect("a valid name");
+        let call =
+            WatchCall { entry, incarnation: Incarnation(0), held: Revision(0), wait_millis: 0 };
+        const TRIES: usize = 5;
+        for _ in 0..TRIES {
+            match self.client.watch(call.clone()).await {
+                Ok(WatchReply::Confirmed { update: ConfigUpdate::Whole(view), .. }) => {
+                    return Ok(json_reply(StatusCode::OK, &view));
+                }
+                Ok(WatchReply::Confirmed { .. }) => {
+                    let view = egretseam_catalog::ConfigView::default();
+                    return Ok(json_reply(StatusCode::OK, &view));
+                }
+                Ok(WatchReply::Unconfirmed) | Err(_) => {}
+            }
+        }
+        Err(FailureReport::not_run(RefusalReason::NoQuorum, "no member could confirm a read"))
+    }
+
+    fn list_targets(&self) -> Result<HttpReply, FailureReport> {
+        match self.targets.targets() {
+            Some(targets) => Ok(json_reply(StatusCode::OK, &targets)),
+            None => Err(FailureReport::not_run(
+                RefusalReason::NotFound,
+                "this process routes nothing; ask an entry instance",
+            )),
+        }
+    }
+
+    async fn members(&self) -> Result<HttpReply, FailureReport> {
+        let reply = self.client.members(CALL_LIMIT).await.map_err(control_failure)?;
+        Ok(json_reply(StatusCode::OK, &reply))
+    }
+
+    async fn change_members(&self, change: MembershipChange) -> Result<HttpReply, FailureReport> {
+        let call = MemberCall { change };
+        let reply = self.client.change_members(&call, CALL_LIMIT).await.map_err(control_failure)?;
+        match reply {
+            MemberReply::Done => Ok(json_reply(StatusCode::OK, &"done")),
+            MemberReply::Refused(why) => Err(FailureReport::not_run(RefusalReason::Conflict, why)),
+            MemberReply::NotLeader { .. } => {
+                Err(FailureReport::not_run(RefusalReason::NoQuorum, "no member leads"))
+            }
+            MemberReply::Unknown => Err(FailureReport::may_have_run(
+                RefusalReason::OutcomeUnknown,
+                "look at the members before trying again",
+            )),
+        }
+    }
+
+    async fn history(&self, path: &str) -> Result<HttpReply, FailureReport> {
+        let name = path.trim_start_matches("/v1/history/");
+        let name = ProfileName::try_from(name).map_err(|error| {
+            FailureReport::not_run(RefusalReason::BadRequest, error.to_string())
+        })?;
+        let records = self.client.history(&name, CALL_LIMIT).await.map_err(control_failure)?;
+        Ok(json_reply(StatusCode::OK, &records))
+    }
+}
+
+fn control_failure(error: SubmitError) -> FailureReport {
+    match error {
+        SubmitError::NotRun(detail) => FailureReport::not_run(RefusalReason::NoQuorum, detail),
+        SubmitError::Unknown(detail) => {
+            FailureReport::may_have_run(RefusalReason::NoQuorum, detail)
+        }
+    }
+}
+
+impl HttpHandler for OperatorHandler {
+    fn handle(self: Rc<Self>, request: Request) -> LocalBoxFuture<'static, HttpReply> {
+        Box::pin(async move {
+            match self.answer(request).await {
+                Ok(reply) => reply,
+                Err(report) => {
+                    self.metrics.count_refusal(&report);
+                    failure_reply(&report)
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/addresses.rs
@@ -0,0 +1,59 @@
+//! `GET /v1/addresses`: which of our addresses a caller should use.
+
+use crate::shared::EntryShared;
+use egretseam_catalog::EntryRecord;
+use egretseam_proto::{OrganisationName, ZoneName};
+use serde::Serialize;
+
+/// Most addresses in one answer; a caller needs a few, not hundreds.
+const MAX_ADDRESSES: usize = 6;
+
+/// One address.
+#[derive(Debug, Serialize)]
+pub(crate) struct AddressItem {
+    address: String,
+    zone: ZoneName,
+}
+
+/// The answer.
+#[derive(Debug, Serialize)]
+pub(crate) struct AddressList {
+    /// In the order in which to try them.
+    addresses: Vec<AddressItem>,
+    /// How long the list may be kept.
+    lifetime_seconds: u64,
+}
+
+/// Addresses for one caller: those of the zone it names first, otherwise those of this entry's
+/// zone; within a zone in an order that differs from caller to caller, so that callers spread.
+pub(crate) fn list_for(
+    shared: &EntryShared,
+    organisation: &OrganisationName,
+    zone: Option<&str>,
+    salt: u64,
+) -> AddressList {
+    let view = shared.view();
+    let near = zone.unwrap_or(shared.options.zone.as_str());
+    let mut entries: Vec<&EntryRecord> = view.entries.values().filter(|e| !e.leaving).collect();
+    entries.sort_by_key(|entry| {
+        let spread = rank(organisation.as_str(), entry.name.as_str(), salt);
+        (entry.zone.as_str() != near, spread)
+    });
+    let item = |entry: &&EntryRecord| AddressItem {
+        address: entry.caller_address.clone(),
+        zone: entry.zone.clone(),
+    };
+    AddressList {
+        addresses: entries.iter().take(MAX_ADDRESSES).map(item).collect(),
+        lifetime_seconds: shared.options.address_lifetime.as_secs(),
+    }
+}
+
+fn rank(organisation: &str, entry: &str, salt: u64) -> u64 {
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let bytes = organisation.bytes().chain(entry.bytes());
+    let hash = bytes.fold(salt ^ 0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    });
+    hash ^ hash >> 29
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,296 @@
+//! Takes callers' requests in: who asks, for what, by when, and whether it may be repeated.
+
+use crate::{addresses, forward, shared::EntryShared};
+use actix_http::{HttpMessage, Method, Request, StatusCode, header::HeaderMap};
+use bytes::Bytes;
+use egretseam_http::{
+    HttpHandler, HttpReply, bearer_token, failure_reply, header_text, json_reply, read_body,
+    text_reply,
+};
+use egretseam_proto::{
+    ChunkDigest, DEADLINE_HEADER, FailureReport, IDEMPOTENCY_HEADER, OrganisationName,
+    REQUEST_ID_HEADER, RefusalReason, RequestKey, ServiceName,
+};
+use egretseam_routing::PrefixKey;
+use futures::future::LocalBoxFuture;
+use serde::{Deserialize, Serialize};
+use std::{rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// Longest deadline that a caller may name.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3_600);
+/// Longest request id taken over from a caller.
+const MAX_REQUEST_ID: usize = 64;
+
+/// One request, read and checked.
+pub(crate) struct CallerCall {
+    pub(crate) id: String,
+    pub(crate) organisation: OrganisationName,
+    pub(crate) service: ServiceName,
+    pub(crate) method: Method,
+    /// Path and query at the target.
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: Instant,
+    pub(crate) key: Option<RequestKey>,
+    /// Whether running it twice does no harm.
+    pub(crate) repeatable: bool,
+    /// Whether a model engine answers it.
+    pub(crate) is_model: bool,
+    pub(crate) prefix: PrefixKey,
+    pub(crate) arrived: Instant,
+}
+
+impl CallerCall {
+    /// Digest that tells one request from another under the same key.
+    pub(crate) fn digest(&self) -> ChunkDigest {
+        let head = format!("{} {} {}\n", self.method, self.service, self.path);
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        ChunkDigest::of(&bytes)
+    }
+}
+
+/// The part of a model request that routing reads; the rest passes through.
+#[derive(Deserialize)]
+struct ModelRequest {
+    model: String,
+    #[serde(default)]
+    prompt: Option<serde_json::Value>,
+    #[serde(default)]
+    messages: Option<Vec<ChatMessage>>,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    #[serde(default)]
+    role: String,
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+#[derive(Serialize)]
+struct ModelItem {
+    id: String,
+    object: &'static str,
+}
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelItem>,
+}
+
+/// Answers callers.
+pub(crate) struct CallerHandler {
+    shared: Rc<EntryShared>,
+}
+
+impl CallerHandler {
+    pub(crate) fn new(shared: Rc<EntryShared>) -> Self {
+        Self { shared }
+    }
+
+    async fn answer(&self, mut request: Request) -> Result<HttpReply, FailureReport> {
+        let path = request.path().to_owned();
+        match path.as_str() {
+            "/healthz" => return Ok(text_reply(StatusCode::OK, "ok\n")),
+            "/readyz" => return Ok(self.readiness()),
+            _ => {}
+        }
+        let organisation = self.authenticate(request.headers())?;
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/v1/addresses") => Ok(self.addresses(&request, &organisation)),
+            (&Method::GET, "/v1/models") => Ok(self.models()),
+            (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
+                let call = self.read_model_call(&mut request, organisation).await?;
+                forward::forward(&self.shared, call).await
+            }
+            (_, "/v1/addresses" | "/v1/models" | "/v1/completions" | "/v1/chat/completions") => {
+                let detail = request.method().to_string();
+                Err(FailureReport::not_run(RefusalReason::MethodNotAllowed, detail))
+            }
+            (_, path) if path.starts_with("/services/") => {
+                let call = self.read_service_call(&mut request, organisation).await?;
+                forward::forward(&self.shared, call).await
+            }
+            _ => Err(FailureReport::not_run(RefusalReason::NotFound, path)),
+        }
+    }
+
+    fn readiness(&self) -> HttpReply {
+        if self.shared.is_stopping() {
+            return text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready: stopping\n");
+        }
+        if self.shared.lease_left().is_zero() {
+            let text = "not ready: the configuration is unconfirmed\n";
+            return text_reply(StatusCode::SERVICE_UNAVAILABLE, text);
+        }
+        text_reply(StatusCode::OK, "ready\n")
+    }
+
+    /// Finds the organisation by its key's digest. Digests of random keys are looked up, never
+    /// keys compared, so the time it takes says nothing about any key.
+    fn authenticate(&self, headers: &HeaderMap) -> Result<OrganisationName, FailureReport> {
+        let refused = || FailureReport::not_run(RefusalReason::Unauthorized, "no valid API key");
+        let key = bearer_token(headers).ok_or_else(refused)?;
+        let digest = ChunkDigest::of(key.as_bytes());
+        let view = self.shared.view();
+        if view.organisations.is_empty() && self.shared.lease_left().is_zero() {
+            let detail = "the configuration is unconfirmed";
+            return Err(FailureReport::not_run(RefusalReason::LeaseExpired, detail));
+        }
+        let owner =
+            view.organisations.iter().find(|(_, record)| record.spec.key_digests.contains(&digest));
+        owner.map(|(name, _)| name.clone()).ok_or_else(refused)
+    }
+
+    fn addresses(&self, request: &Request, organisation: &OrganisationName) -> HttpReply {
+        let query = request.uri().query().unwrap_or_default();
+        let zone = query.split('&').find_map(|pair| pair.strip_prefix("zone="));
+        let port = request.peer_addr().map_or(0, |peer| u64::from(peer.port()));
+        let list = addresses::list_for(&self.shared, organisation, zone, port);
+        json_reply(StatusCode::OK, &list)
+    }
+
+    fn models(&self) -> HttpReply {
+        let view = self.shared.view();
+        let is_model = |profile: &_| {
+            view.profiles.get(profile).is_some_and(|record| record.spec.weights.is_some())
+        };
+        let bound = view.services.iter().filter(|(_, binding)| is_model(&binding.profile));
+        let data =
+            bound.map(|(name, _)| ModelItem { id: name.to_string(), object: "model" }).collect();
+        json_reply(StatusCode::OK, &ModelList { object: "list", data })
+    }
+
+    async fn read_model_call(
+        &self,
+        request: &mut Request,
+        organisation: OrganisationName,
+    ) -> Result<CallerCall, FailureReport> {
+        let path = request.path().to_owned();
+        let mut call = self.read_call(request, organisation, path).await?;
+        let bad = |detail: String| FailureReport::not_run(RefusalReason::BadRequest, detail);
+        let parsed: ModelRequest =
+            serde_json::from_slice(&call.body).map_err(|e| bad(e.to_string()))?;
+        call.service = ServiceName::try_from(parsed.model.as_str())
+            .map_err(|error| bad(format!("model: {error}")))?;
+        call.prefix = PrefixKey::of(&prompt_text(&parsed));
+        call.is_model = true;
+        // Generating text changes nothing, so without a key it may be done again.
+        call.repeatable = call.key.is_none();
+        Ok(call)
+    }
+
+    async fn read_service_call(
+        &self,
+        request: &mut Request,
+        organisation: OrganisationName,
+    ) -> Result<CallerCall, FailureReport> {
+        let rest = request.path().trim_start_matches("/services/").to_owned();
+        let (service, path) = rest.split_once('/').unwrap_or((rest.as_str(), ""));
+        let service = ServiceName::try_from(service)
+            .map_err(|error| FailureReport::not_run(RefusalReason::NotFound, error.to_string()))?;
+        let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
+        let mut call = self.read_call(request, organisation, format!("/{path}{query}")).await?;
+        call.service = service;
+        // Only methods that by definition change nothing; a PUT or DELETE that is idempotent at
+        // one service may not be at another.
+        call.repeatable = matches!(call.method, Method::GET | Method::HEAD | Method::OPTIONS)
+            && call.key.is_none();
+        Ok(call)
+    }
+
+    async fn read_call(
+        &self,
+        request: &mut Request,
+        organisation: OrganisationName,
+        path: String,
+    ) -> Result<CallerCall, FailureReport> {
+        let arrived = Instant::now();
+        let headers = request.headers().clone();
+        let deadline = arrived + self.deadline_of(&headers)?;
+        let key = header_text(&headers, IDEMPOTENCY_HEADER).map(RequestKey::try_from).transpose();
+        let key = key.map_err(|error| {
+            FailureReport::not_run(RefusalReason::BadRequest, error.to_string())
+        })?;
+        let limit = self.shared.options.max_body_bytes;
+        let method = request.method().clone();
+        let body = read_body(&mut request.take_payload(), limit).await?;
+        Ok(CallerCall {
+            id: self.request_id(&headers),
+            organisation,
+            service: ServiceName::try_from("none").expect("a valid name"),
+            method,
+            path,
+            headers,
+            body,
+            deadline,
+            key,
+            repeatable: false,
+            is_model: false,
+            prefix: PrefixKey::default(),
+            arrived,
+        })
+    }
+
+    fn deadline_of(&self, headers: &HeaderMap) -> Result<Duration, FailureReport> {
+        let Some(text) = header_text(headers, DEADLINE_HEADER) else {
+            return Ok(self.shared.options.default_deadline);
+        };
+        let millis: u64 = text.parse().map_err(|_| {
+            let detail = format!("{DEADLINE_HEADER} is not a number of milliseconds");
+            FailureReport::not_run(RefusalReason::BadRequest, detail)
+        })?;
+        Ok(Duration::from_millis(millis).min(LONGEST_DEADLINE))
+    }
+
+    /// The caller's id for the request if it is a plain one, else one of ours.
+    fn request_id(&self, headers: &HeaderMap) -> String {
+        let plain = |id: &&str| {
+            !id.is_empty() && id.len() <= MAX_REQUEST_ID && id.chars().all(|c| c.is_ascii_graphic())
+        };
+        if let Some(id) = header_text(headers, REQUEST_ID_HEADER).filter(plain) {
+            return id.to_owned();
+        }
+        let number = self.shared.next_request.get() + 1;
+        self.shared.next_request.set(number);
+        format!("{}-{:x}-{number}", self.shared.options.name, self.shared.options.incarnation.0)
+    }
+}
+
+/// The text that an engine computes first: equal beginnings can share its cache.
+fn prompt_text(request: &ModelRequest) -> Vec<u8> {
+    let mut text = Vec::new();
+    if let Some(prompt) = &request.prompt {
+        push_value(&mut text, prompt);
+    }
+    for message in request.messages.iter().flatten() {
+        text.extend_from_slice(message.role.as_bytes());
+        push_value(&mut text, &message.content);
+    }
+    text
+}
+
+fn push_value(text: &mut Vec<u8>, value: &serde_json::Value) {
+    match value {
+        serde_json::Value::String(string) => text.extend_from_slice(string.as_bytes()),
+        other => text.extend_from_slice(other.to_string().as_bytes()),
+    }
+}
+
+impl HttpHandler for CallerHandler {
+    fn handle(self: Rc<Self>, request: Request) -> LocalBoxFuture<'static, HttpReply> {
+        Box::pin(async move {
+            match self.answer(request).await {
+                Ok(reply) => reply,
+                Err(report) => {
+                    self.shared.metrics.count_refusal(&report);
+                    failure_reply(&report)
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/claims.rs
@@ -0,0 +1,123 @@
+//! Claims of keys, batched: while one command is under way, further claims wait and share the next.
+
+use egretseam_catalog::{CatalogCommand, CatalogReply, ClaimOutcome, ClaimRequest, RebindRequest};
+use egretseam_proto::{FailureReport, RefusalReason};
+use egretseam_rpc::{ControlClient, SubmitError};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::sync::oneshot;
+
+/// How long a claim may take.
+const CLAIM_LIMIT: Duration = Duration::from_secs(4);
+/// Most claims in one command.
+const BATCH_LENGTH: usize = 256;
+
+type ClaimReply = Result<ClaimOutcome, FailureReport>;
+
+struct WaitingClaim {
+    request: ClaimRequest,
+    reply: oneshot::Sender<ClaimReply>,
+}
+
+#[derive(Default)]
+struct BatchQueue {
+    waiting: RefCell<Vec<WaitingClaim>>,
+    sending: Cell<bool>,
+    batches: Cell<u64>,
+}
+
+/// Claims of one entry.
+pub(crate) struct ClaimBatcher {
+    control: Rc<ControlClient>,
+    queue: Rc<BatchQueue>,
+}
+
+impl ClaimBatcher {
+    pub(crate) fn new(control: Rc<ControlClient>) -> Self {
+        Self { control, queue: Rc::default() }
+    }
+
+    /// Commands sent so far.
+    pub(crate) fn batches(&self) -> u64 {
+        self.queue.batches.get()
+    }
+
+    /// Binds a key, or finds what it is bound to.
+    ///
+    /// # Errors
+    /// Fails with `not-run` in every case: the request is sent only after a claim has succeeded.
+    /// That holds although the claim itself may have been committed, because nothing but the
+    /// request itself has an effect, and a resend finds the claim and goes on from it.
+    pub(crate) async fn claim(&self, request: ClaimRequest) -> ClaimReply {
+        let (reply, outcome) = oneshot::channel();
+        self.queue.waiting.borrow_mut().push(WaitingClaim { request, reply });
+        if !self.queue.sending.replace(true) {
+            actix_rt::spawn(send_batches(self.control.clone(), self.queue.clone()));
+        }
+        outcome.await.unwrap_or_else(|_| Err(not_claimed("the entry is stopping")))
+    }
+
+    /// Moves a claim away from an agent run that refused the key for good.
+    ///
+    /// # Errors
+    /// As [`ClaimBatcher::claim`].
+    pub(crate) async fn rebind(&self, request: RebindRequest) -> ClaimReply {
+        let command = CatalogCommand::Rebind(request);
+        let reply = self.control.submit(&command, CLAIM_LIMIT).await;
+        match reply.map_err(claim_failure)? {
+            CatalogReply::Claims(mut outcomes) if outcomes.len() == 1 => Ok(outcomes.remove(0)),
+            other => Err(not_claimed(&format!("unexpected reply {other:?}"))),
+        }
+    }
+}
+
+async fn send_batches(control: Rc<ControlClient>, queue: Rc<BatchQueue>) {
+    loop {
+        let batch: Vec<WaitingClaim> = {
+            let mut waiting = queue.waiting.borrow_mut();
+            let count = waiting.len().min(BATCH_LENGTH);
+            waiting.drain(..count).collect()
+        };
+        if batch.is_empty() {
+            queue.sending.set(false);
+            return;
+        }
+        queue.batches.set(queue.batches.get() + 1);
+        let requests = batch.iter().map(|claim| claim.request.clone()).collect();
+        let reply = control.submit(&CatalogCommand::Claim(requests), CLAIM_LIMIT).await;
+        answer_batch(batch, reply);
+    }
+}
+
+fn answer_batch(batch: Vec<WaitingClaim>, reply: Result<CatalogReply, SubmitError>) {
+    match reply {
+        Ok(CatalogReply::Claims(outcomes)) if outcomes.len() == batch.len() => {
+            for (claim, outcome) in batch.into_iter().zip(outcomes) {
+                claim.reply.send(Ok(outcome)).ok();
+            }
+        }
+        Ok(other) => {
+            let failure = not_claimed(&format!("unexpected reply {other:?}"));
+            for claim in batch {
+                claim.reply.send(Err(failure.clone())).ok();
+            }
+        }
+        Err(error) => {
+            let failure = claim_failure(error);
+            for claim in batch {
+                claim.reply.send(Err(failure.clone())).ok();
+            }
+        }
+    }
+}
+
+fn claim_failure(error: SubmitError) -> FailureReport {
+    not_claimed(&error.to_string())
+}
+
+fn not_claimed(detail: &str) -> FailureReport {
+    FailureReport::not_run(RefusalReason::NoQuorum, detail)
+}
--- /dev/null
+++ b/crates/entry/src/runtime.rs
@@ -0,0 +1,208 @@
+//! Starting and stopping an entry.
+
+use crate::{
+    caller::CallerHandler,
+    claims::ClaimBatcher,
+    config_keeper,
+    peers::PeerHandler,
+    shared::{EntryMetrics, EntryShared},
+};
+use egretseam_http::{
+    ClientOptions, DaemonMetrics, ServerHandle, ServerOptions, http_client, spawn_server,
+};
+use egretseam_proto::{Incarnation, InstanceName, Revision, ZoneName};
+use egretseam_routing::{
+    AdmissionOptions, AdmissionTable, PrefixIndex, RetryBudget, RoutingOptions, TargetTable,
+};
+use egretseam_rpc::{ControlClient, LinkOptions, PeerSecret, RpcOptions, RpcServer, serve_entry};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::TcpListener,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::watch, time::Instant};
+
+/// How often time-driven systems run.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntryOptions {
+    /// Instance name.
+    pub name: InstanceName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// This run.
+    pub incarnation: Incarnation,
+    /// Shared secret of our processes.
+    pub secret: PeerSecret,
+    /// `host:port` of the control members.
+    pub control_members: Vec<String>,
+    /// `host:port` that callers are told.
+    pub caller_address: String,
+    /// `host:port` that agents are told.
+    pub peer_address: String,
+    /// How long a confirmed configuration is used.
+    pub lease: Duration,
+    /// How long a watch may wait for a change; a fraction of the lease.
+    pub watch_wait: Duration,
+    /// How long callers may keep the list of addresses.
+    pub address_lifetime: Duration,
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// Largest request body in bytes.
+    pub max_body_bytes: usize,
+    /// Limits of routing.
+    pub routing: RoutingOptions,
+    /// Limits of admission.
+    pub admission: AdmissionOptions,
+}
+
+impl EntryOptions {
+    /// Options with the usual limits.
+    pub fn new(
+        name: InstanceName,
+        zone: ZoneName,
+        incarnation: Incarnation,
+        secret: PeerSecret,
+        control_members: Vec<String>,
+    ) -> Self {
+        Self {
+            name,
+            zone,
+            incarnation,
+            secret,
+            control_members,
+            caller_address: String::new(),
+            peer_address: String::new(),
+            lease: Duration::from_secs(6),
+            watch_wait: Duration::from_secs(2),
+            address_lifetime: Duration::from_secs(10),
+            default_deadline: Duration::from_secs(60),
+            max_body_bytes: 8 * 1024 * 1024,
+            routing: RoutingOptions::default(),
+            admission: AdmissionOptions::default(),
+        }
+    }
+}
+
+/// Bound listeners of an entry.
+#[derive(Debug)]
+pub struct EntryListeners {
+    /// For callers.
+    pub caller: TcpListener,
+    /// For agents.
+    pub peer: TcpListener,
+}
+
+/// A running entry.
+pub struct EntryRuntime {
+    shared: Rc<EntryShared>,
+    callers: ServerHandle,
+    _peers: RpcServer,
+}
+
+impl EntryRuntime {
+    /// Starts serving.
+    ///
+    /// # Errors
+    /// Fails if a listener cannot be used.
+    pub fn start(
+        mut options: EntryOptions,
+        listeners: EntryListeners,
+        metrics: &DaemonMetrics,
+    ) -> io::Result<Self> {
+        if options.caller_address.is_empty() {
+            options.caller_address = listeners.caller.local_addr()?.to_string();
+        }
+        if options.peer_address.is_empty() {
+            options.peer_address = listeners.peer.local_addr()?.to_string();
+        }
+        let seed = options.incarnation.0;
+        let control = ControlClient::new(
+            &options.control_members,
+            options.secret,
+            LinkOptions::default(),
+            seed,
+        );
+        let control = Rc::new(control);
+        let secret = options.secret;
+        let shared = Rc::new(EntryShared {
+            client: http_client(ClientOptions::default()),
+            claims: ClaimBatcher::new(control.clone()),
+            control,
+            metrics: metrics.clone(),
+            counters: EntryMetrics::new(metrics),
+            started: Instant::now(),
+            view: RefCell::default(),
+            revision: watch::Sender::new(Revision(0)),
+            lease_until: Cell::new(None),
+            clock: Cell::default(),
+            targets: RefCell::new(TargetTable::new(options.routing, seed)),
+            admission: RefCell::new(AdmissionTable::new(options.admission)),
+            waiters: RefCell::default(),
+            budget: RefCell::new(RetryBudget::new()),
+            prefixes: RefCell::new(PrefixIndex::new()),
+            peers_number: Cell::new(seed << 20),
+            stopping: Cell::new(false),
+            next_request: Cell::new(0),
+            options,
+        });
+        let peers = serve_entry(
+            listeners.peer,
+            secret,
+            RpcOptions::default(),
+            PeerHandler::new(shared.clone()),
+        )?;
+        let handler = Rc::new(CallerHandler::new(shared.clone()));
+        let callers = spawn_server(listeners.caller, handler, ServerOptions::default())?;
+        actix_rt::spawn(config_keeper::watch_config(Rc::downgrade(&shared)));
+        actix_rt::spawn(config_keeper::stay_announced(Rc::downgrade(&shared)));
+        actix_rt::spawn(tick(Rc::downgrade(&shared)));
+        Ok(Self { shared, callers, _peers: peers })
+    }
+
+    /// The tables, for status pages.
+    pub fn shared(&self) -> &Rc<EntryShared> {
+        &self.shared
+    }
+
+    /// Where callers connect.
+    pub fn caller_address(&self) -> std::net::SocketAddr {
+        self.callers.address()
+    }
+
+    /// Stops without cutting anything off: leaves the addresses that callers are given, serves on
+    /// until every answer that still named it has expired, finishes what is in progress.
+    pub async fn stop(self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        self.shared.stopping.set(true);
+        config_keeper::announce_leaving(&self.shared).await;
+        let lifetime = self.shared.options.address_lifetime;
+        let grace = lifetime.min(deadline.saturating_duration_since(Instant::now()));
+        tokio::time::sleep(grace).await;
+        self.callers.drain(deadline.saturating_duration_since(Instant::now())).await
+    }
+}
+
+async fn tick(shared: std::rc::Weak<EntryShared>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let Some(shared) = shared.upgrade() else { return };
+        let now = shared.now();
+        if shared.targets.borrow_mut().tick(now) {
+            shared.peers_number.set(shared.peers_number.get() + 1);
+        }
+        shared.refresh_limits();
+        shared.admission.borrow_mut().tick();
+        let view = shared.view();
+        shared.budget.borrow_mut().retain(|name| view.organisations.contains_key(name));
+        let counters = &shared.counters;
+        counters.lease_millis.set(shared.lease_left().as_millis() as i64);
+        counters.queued.set(shared.admission.borrow().queued() as i64);
+        counters.in_progress.set(shared.admission.borrow().in_progress() as i64);
+        counters.prefix_rows.set(shared.prefixes.borrow().len() as i64);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,169 @@
+//! The tables of one entry, shared by its tasks on one thread.
+
+use crate::{claims::ClaimBatcher, runtime::EntryOptions};
+use awc::Client;
+use egretseam_catalog::{CatalogCommand, CatalogReply, ConfigView, LogTime, ProfileRecord};
+use egretseam_http::DaemonMetrics;
+use egretseam_proto::{FailureReport, RefusalReason, Revision};
+use egretseam_routing::{
+    AdmissionTable, PrefixIndex, QueueTicket, RetryBudget, TargetTable, TargetView,
+};
+use egretseam_rpc::{ControlClient, SubmitError};
+use indexmap::IndexMap;
+use prometheus::{Histogram, IntCounter, IntGauge};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::{oneshot, watch},
+    time::Instant,
+};
+
+/// Counters of an entry beside refusals and retries.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryMetrics {
+    pub(crate) requests: IntCounter,
+    pub(crate) answered: IntCounter,
+    pub(crate) resumed: IntCounter,
+    pub(crate) broken: IntCounter,
+    pub(crate) cross_zone: IntCounter,
+    pub(crate) claims: IntCounter,
+    pub(crate) claim_batches: IntCounter,
+    pub(crate) reports: IntCounter,
+    pub(crate) first_byte: Histogram,
+    pub(crate) revision: IntGauge,
+    pub(crate) lease_millis: IntGauge,
+    pub(crate) queued: IntGauge,
+    pub(crate) in_progress: IntGauge,
+    pub(crate) prefix_rows: IntGauge,
+}
+
+impl EntryMetrics {
+    pub(crate) fn new(metrics: &DaemonMetrics) -> Self {
+        Self {
+            requests: metrics.counter("egretseam_entry_requests_total", "Requests of callers."),
+            answered: metrics.counter("egretseam_entry_answered_total", "Whole answers given."),
+            resumed: metrics
+                .counter("egretseam_entry_resumed_total", "Streams that went on elsewhere."),
+            broken: metrics
+                .counter("egretseam_entry_broken_total", "Answers ended visibly broken."),
+            cross_zone: metrics
+                .counter("egretseam_entry_cross_zone_total", "Sends to another zone."),
+            claims: metrics.counter("egretseam_entry_claims_total", "Keys claimed or looked up."),
+            claim_batches: metrics
+                .counter("egretseam_entry_claim_batches_total", "Commands that carried them."),
+            reports: metrics.counter("egretseam_entry_reports_total", "Reports of agents."),
+            first_byte: metrics
+                .seconds("egretseam_entry_first_byte_seconds", "Arrival to first byte."),
+            revision: metrics.gauge("egretseam_entry_revision", "Configuration revision held."),
+            lease_millis: metrics.gauge("egretseam_entry_lease_millis", "Lease left."),
+            queued: metrics.gauge("egretseam_entry_queued", "Requests waiting."),
+            in_progress: metrics.gauge("egretseam_entry_in_progress", "Requests in progress."),
+            prefix_rows: metrics.gauge("egretseam_entry_prefix_rows", "Prompt blocks remembered."),
+        }
+    }
+}
+
+/// The tables of one entry.
+pub struct EntryShared {
+    pub(crate) options: EntryOptions,
+    pub(crate) client: Client,
+    pub(crate) control: Rc<ControlClient>,
+    pub(crate) metrics: DaemonMetrics,
+    pub(crate) counters: EntryMetrics,
+    pub(crate) started: Instant,
+    pub(crate) view: RefCell<Rc<ConfigView>>,
+    pub(crate) revision: watch::Sender<Revision>,
+    pub(crate) lease_until: Cell<Option<Instant>>,
+    pub(crate) clock: Cell<LogTime>,
+    pub(crate) targets: RefCell<TargetTable>,
+    pub(crate) admission: RefCell<AdmissionTable>,
+    pub(crate) waiters: RefCell<IndexMap<QueueTicket, oneshot::Sender<()>>>,
+    pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) prefixes: RefCell<PrefixIndex>,
+    pub(crate) claims: ClaimBatcher,
+    pub(crate) peers_number: Cell<u64>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) next_request: Cell<u64>,
+}
+
+impl EntryShared {
+    /// Time since this entry started, as the tables measure it.
+    pub(crate) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The configuration held; possibly outdated if the lease ran out.
+    pub fn view(&self) -> Rc<ConfigView> {
+        self.view.borrow().clone()
+    }
+
+    /// Targets as this entry sees them.
+    pub fn target_views(&self) -> Vec<TargetView> {
+        self.targets.borrow().views(self.now())
+    }
+
+    /// What is left of the configuration's lease.
+    pub fn lease_left(&self) -> Duration {
+        let until = self.lease_until.get();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Whether the entry is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Refuses to route by a configuration that may have been replaced.
+    ///
+    /// Failure guarded: an entry behind a silent cut keeps sending requests by a profile that was
+    /// changed or retired. It shows as two entries that answer from different versions for as long
+    /// as the cut lasts. Every confirmed watch covers all changes accepted before it was sent, so
+    /// an entry that has had none for one lease may have missed one, and says `not-run`.
+    pub(crate) fn confirm_lease(&self, profile: &ProfileRecord) -> Result<(), FailureReport> {
+        if !self.lease_left().is_zero() {
+            return Ok(());
+        }
+        // The operator chose to serve on; but an entry that never held any configuration cannot.
+        if profile.spec.serve_without_lease && self.view.borrow().revision > Revision(0) {
+            return Ok(());
+        }
+        Err(FailureReport::not_run(RefusalReason::LeaseExpired, "the configuration is unconfirmed"))
+    }
+
+    /// Recomputes what depends on configuration and targets.
+    pub(crate) fn refresh_limits(&self) {
+        let view = self.view();
+        let limit_of = |group: &egretseam_proto::GroupName| {
+            view.profile_of_group(group).map_or(0, |(_, record)| record.spec.max_in_flight)
+        };
+        let entries = view.entries.len();
+        let capacity = self.targets.borrow().capacity(limit_of, entries, self.now());
+        let mut admission = self.admission.borrow_mut();
+        admission.set_capacity(capacity);
+        let weights = view.organisations.iter();
+        admission.set_weights(weights.map(|(n, r)| (n.clone(), r.spec.weight)).collect());
+        let admitted = admission.admit_waiting(self.now());
+        drop(admission);
+        self.wake(&admitted);
+    }
+
+    pub(crate) fn wake(&self, admitted: &[QueueTicket]) {
+        for ticket in admitted {
+            if let Some(waiter) = self.waiters.borrow_mut().shift_remove(ticket) {
+                waiter.send(()).ok();
+            }
+        }
+    }
+
+    /// Sends a command to control.
+    pub(crate) async fn submit(
+        &self,
+        command: &CatalogCommand,
+        limit: Duration,
+    ) -> Result<CatalogReply, SubmitError> {
+        self.control.submit(command, limit).await
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,17 @@
+//! Small stand-ins for what egretseam meets: a model engine, a plain service, an origin or store.
+//!
+//! They speak the interfaces of `docs/interfaces.md` over real sockets and can be told to misbehave.
+//! A fake engine's answers are a function of the bytes it loaded, so an answer from partial or
+//! mixed weights, or from another prompt, cannot pass for a right one.
+
+mod answer;
+mod engine;
+mod origin;
+mod plain;
+
+pub use crate::{
+    answer::{ExpectedAnswer, synthetic_weights},
+    engine::{EngineCounters, EngineFaults, EngineOptions, FakeEngine},
+    origin::{FakeOrigin, OriginCounters, OriginFaults, OriginOptions},
+    plain::{FakePlain, PlainLedger},
+};
--- /dev/null
+++ b/crates/fakes/src/plain.rs
@@ -0,0 +1,111 @@
+//! A plain service some of whose calls must not be repeated: `POST /orders` books, `GET` reads.
+
+use actix_http::{Method, Request, StatusCode};
+use egretseam_http::{
+    HttpHandler, HttpReply, ServerHandle, ServerOptions, json_reply, read_body, spawn_server,
+    text_reply,
+};
+use futures::future::LocalBoxFuture;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::{
+    io,
+    net::TcpListener,
+    rc::Rc,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+/// Largest request body in bytes.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// How often each order was booked, over all instances of the service.
+#[derive(Clone, Debug, Default)]
+pub struct PlainLedger {
+    runs: Arc<Mutex<IndexMap<String, u32>>>,
+}
+
+impl PlainLedger {
+    /// How often `id` was booked.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.runs.lock().expect("no holder panics").get(id).copied().unwrap_or(0)
+    }
+
+    /// Orders booked more than once.
+    pub fn doubled(&self) -> usize {
+        self.runs.lock().expect("no holder panics").values().filter(|runs| **runs > 1).count()
+    }
+
+    /// Orders booked at all.
+    pub fn booked(&self) -> usize {
+        self.runs.lock().expect("no holder panics").len()
+    }
+
+    fn book(&self, id: &str) -> u32 {
+        let mut runs = self.runs.lock().expect("no holder panics");
+        let count = runs.entry(id.to_owned()).or_insert(0);
+        *count += 1;
+        *count
+    }
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct OrderBody {
+    id: String,
+}
+
+#[derive(Debug, Serialize)]
+struct OrderReply {
+    id: String,
+    run: u32,
+}
+
+/// A fake plain service.
+pub struct FakePlain {
+    ledger: PlainLedger,
+    work_time: Duration,
+}
+
+impl FakePlain {
+    /// Starts a service on `listener`, on the current thread.
+    ///
+    /// # Errors
+    /// Fails if the listener cannot be used.
+    pub fn start(
+        ledger: PlainLedger,
+        work_time: Duration,
+        listener: TcpListener,
+    ) -> io::Result<ServerHandle> {
+        let service = Rc::new(Self { ledger, work_time });
+        spawn_server(listener, service, ServerOptions::default())
+    }
+
+    async fn answer(&self, mut request: Request) -> HttpReply {
+        let body = match read_body(&mut request.take_payload(), MAX_BODY_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        match (request.method(), request.path()) {
+            (&Method::POST, "/orders") => match serde_json::from_slice::<OrderBody>(&body) {
+                Ok(order) => {
+                    let run = self.ledger.book(&order.id);
+                    tokio::time::sleep(self.work_time).await;
+                    json_reply(StatusCode::CREATED, &OrderReply { id: order.id, run })
+                }
+                Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+            },
+            (&Method::GET, path) if path.starts_with("/orders/") => {
+                let id = path.trim_start_matches("/orders/").to_owned();
+                let run = self.ledger.runs(&id);
+                json_reply(StatusCode::OK, &OrderReply { id, run })
+            }
+            _ => text_reply(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+}
+
+impl HttpHandler for FakePlain {
+    fn handle(self: Rc<Self>, request: Request) -> LocalBoxFuture<'static, HttpReply> {
+        Box::pin(async move { self.answer(request).await })
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,24 @@
+//! What every daemon of ours needs around its HTTP listeners: an accept loop on the daemon's own
+//! thread, limits on bodies and connections, problem documents (RFC 9457) that carry the verdict,
+//! token checks in constant time, and the metrics registry behind `/metrics`.
+//!
+//! `actix-server` is not used: it moves connections to worker threads, and a daemon of ours is one
+//! thread that owns its tables without locks. The HTTP itself is `actix-http` and `awc`.
+
+mod body;
+mod client;
+mod headers;
+mod metrics;
+mod reply;
+mod server;
+mod token;
+
+pub use crate::{
+    body::{read_body, read_json},
+    client::{ClientOptions, http_client, send_failure},
+    headers::{forwarded_headers, header_text},
+    metrics::DaemonMetrics,
+    reply::{failure_reply, json_reply, reported_failure, text_reply},
+    server::{HttpHandler, HttpReply, ServerHandle, ServerOptions, spawn_server},
+    token::{SecretToken, TokenError, bearer_token},
+};
--- /dev/null
+++ b/crates/http/src/reply.rs
@@ -0,0 +1,75 @@
+//! Answers: JSON, text, and problem documents with the verdict.
+
+use crate::server::HttpReply;
+use actix_http::{
+    Response, ResponseBuilder, StatusCode,
+    header::{HeaderMap, HeaderName},
+};
+use egretseam_proto::{
+    FailureReport, REASON_HEADER, RefusalReason, RequestVerdict, VERDICT_HEADER,
+};
+use serde::Serialize;
+
+/// RFC 9457's media type.
+const PROBLEM_TYPE: &str = "application/problem+json";
+/// Prefix of the `type` member, followed by the reason's slug.
+const PROBLEM_BASE: &str = "urn:egretseam:refusal:";
+
+#[derive(Serialize)]
+struct ProblemDocument<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+    reason: &'a str,
+    verdict: &'a str,
+}
+
+/// The answer for a failure.
+pub fn failure_reply(report: &FailureReport) -> HttpReply {
+    let document = ProblemDocument {
+        r#type: format!("{PROBLEM_BASE}{}", report.reason),
+        title: report.reason.title(),
+        status: report.reason.status(),
+        detail: &report.detail,
+        reason: report.reason.slug(),
+        verdict: report.verdict.as_str(),
+    };
+    let status = StatusCode::from_u16(report.reason.status()).expect("a fixed valid status");
+    let mut builder = Response::build(status);
+    builder.insert_header(("content-type", PROBLEM_TYPE));
+    builder.insert_header((VERDICT_HEADER, report.verdict.as_str()));
+    builder.insert_header((REASON_HEADER, report.reason.slug()));
+    if let Some(seconds) = report.reason.retry_after_seconds() {
+        builder.insert_header(("retry-after", seconds.to_string()));
+    }
+    finish_json(builder, &document)
+}
+
+/// A JSON answer.
+pub fn json_reply<T: Serialize>(status: StatusCode, value: &T) -> HttpReply {
+    let mut builder = Response::build(status);
+    builder.insert_header(("content-type", "application/json"));
+    finish_json(builder, value)
+}
+
+/// A plain text answer.
+pub fn text_reply(status: StatusCode, text: impl Into<String>) -> HttpReply {
+    let mut builder = Response::build(status);
+    builder.insert_header(("content-type", "text/plain; charset=utf-8"));
+    builder.body(text.into()).map_into_boxed_body()
+}
+
+/// The failure that an answer of one of our processes reports, if it reports one. An answer of a
+/// target, whatever its status, has no verdict header and is an answer.
+pub fn reported_failure(headers: &HeaderMap) -> Option<FailureReport> {
+    let text = |name| headers.get(HeaderName::from_static(name))?.to_str().ok();
+    let verdict: RequestVerdict = text(VERDICT_HEADER)?.parse().ok()?;
+    let reason: RefusalReason = text(REASON_HEADER)?.parse().ok()?;
+    Some(FailureReport { reason, verdict, detail: "reported by the next process".to_owned() })
+}
+
+fn finish_json<T: Serialize>(mut builder: ResponseBuilder, value: &T) -> HttpReply {
+    let body = serde_json::to_vec(value).expect("our own types encode to JSON");
+    builder.body(body).map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/rpc/src/link.rs
@@ -0,0 +1,268 @@
+//! Client ends: one connection to one address, made on demand and remade after it breaks.
+
+use crate::{
+    preface::PeerSecret,
+    server::codec,
+    wire::{
+        ControlServiceClient, EntryServiceClient, MemberCall, MemberReply, MembersReply,
+        ReportCall, ReportReply, SubmitReply, WatchCall, WatchReply, WatcherReport,
+    },
+};
+use egretseam_catalog::{CatalogCommand, HistoryRecord};
+use egretseam_proto::ProfileName;
+use egretseam_replica::Envelope;
+use std::{
+    cell::RefCell,
+    io,
+    time::{Duration, Instant},
+};
+use tarpc::{
+    client::{self, RpcError},
+    context,
+    serde_transport::Transport,
+    tokio_serde::formats::Bincode,
+};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// Why a call has no reply.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No connection; the call was certainly not made.
+    #[error("connect to {address}: {source}")]
+    Connect {
+        /// Whom.
+        address: String,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The connection broke or the deadline passed; the call may have been carried out.
+    #[error("call to {address}: {source}")]
+    Call {
+        /// Whom.
+        address: String,
+        /// What broke.
+        source: RpcError,
+    },
+}
+
+impl CallError {
+    /// Whether the callee may have carried out the call.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Call { .. })
+    }
+}
+
+/// Limits of a client end.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkOptions {
+    /// How long a connection may take.
+    pub connect_timeout: Duration,
+    /// How long a call may take, besides the time it asks the callee to wait.
+    pub call_timeout: Duration,
+    /// Largest frame in bytes.
+    pub max_frame_bytes: usize,
+    /// Most calls waiting on the connection.
+    pub max_calls: usize,
+}
+
+impl Default for LinkOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(2),
+            max_frame_bytes: 16 * 1024 * 1024,
+            max_calls: 1_024,
+        }
+    }
+}
+
+type PeerTransport<I, O> = Transport<TcpStream, I, O, Bincode<I, O>>;
+
+async fn connect<I, O>(
+    address: &str,
+    secret: &PeerSecret,
+    options: &LinkOptions,
+) -> Result<PeerTransport<I, O>, CallError>
+where
+    I: for<'de> serde::Deserialize<'de>,
+    O: serde::Serialize,
+{
+    let open = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        secret.offer(&mut stream).await?;
+        Ok(stream)
+    };
+    let opened = tokio::time::timeout(options.connect_timeout, open).await;
+    let opened = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+    let stream =
+        opened.map_err(|source| CallError::Connect { address: address.to_owned(), source })?;
+    let framed = Framed::new(stream, codec(options.max_frame_bytes));
+    Ok(tarpc::serde_transport::new(framed, Bincode::default()))
+}
+
+macro_rules! link {
+    ($(#[$doc:meta])* $name:ident, $client:ident) => {
+        $(#[$doc])*
+        #[derive(Debug)]
+        pub struct $name {
+            address: String,
+            secret: PeerSecret,
+            options: LinkOptions,
+            client: RefCell<Option<$client>>,
+        }
+
+        impl $name {
+            /// A link to `host:port`; connects with the first call.
+            pub fn new(address: &str, secret: PeerSecret, options: LinkOptions) -> Self {
+                let address = address.to_owned();
+                Self { address, secret, options, client: RefCell::new(None) }
+            }
+
+            /// The other end.
+            pub fn address(&self) -> &str {
+                &self.address
+            }
+
+            async fn client(&self) -> Result<$client, CallError> {
+                if let Some(client) = self.client.borrow().as_ref() {
+                    return Ok(client.clone());
+                }
+                let transport = connect(&self.address, &self.secret, &self.options).await?;
+                let mut config = client::Config::default();
+                config.max_in_flight_requests = self.options.max_calls;
+                config.pending_request_buffer = self.options.max_calls;
+                let created = $client::new(config, transport);
+                actix_rt::spawn(async move {
+                    if let Err(error) = created.dispatch.await {
+                        tracing::debug!(%error, "peer connection ended");
+                    }
+                });
+                *self.client.borrow_mut() = Some(created.client.clone());
+                Ok(created.client)
+            }
+
+            fn context(&self, wait: Duration) -> context::Context {
+                let mut context = context::current();
+                context.deadline = Instant::now() + self.options.call_timeout + wait;
+                context
+            }
+
+            fn settle<T>(&self, result: Result<T, RpcError>) -> Result<T, CallError> {
+                result.map_err(|source| {
+                    // Any failure drops the connection, also a deadline: a peer behind a silent
+                    // cut looks exactly like that, and only a new connection finds it again.
+                    self.client.borrow_mut().take();
+                    CallError::Call { address: self.address.clone(), source }
+                })
+            }
+        }
+    };
+}
+
+link! {
+    /// Calls to one control member.
+    ControlLink, ControlServiceClient
+}
+link! {
+    /// An agent's calls to one entry.
+    EntryLink, EntryServiceClient
+}
+
+impl ControlLink {
+    /// See [`crate::ControlService::deliver`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn deliver(&self, reply_to: &str, batch: Vec<Envelope>) -> Result<(), CallError> {
+        let client = self.client().await?;
+        let reply = client.deliver(self.context(Duration::ZERO), reply_to.to_owned(), batch).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::ControlService::submit`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn submit(&self, command: CatalogCommand) -> Result<SubmitReply, CallError> {
+        let client = self.client().await?;
+        let reply = client.submit(self.context(Duration::ZERO), command).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::ControlService::watch`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn watch(&self, call: WatchCall) -> Result<WatchReply, CallError> {
+        let client = self.client().await?;
+        let wait = Duration::from_millis(call.wait_millis);
+        let reply = client.watch(self.context(wait), call).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::ControlService::note_watchers`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn note_watchers(&self, reports: Vec<WatcherReport>) -> Result<(), CallError> {
+        let client = self.client().await?;
+        let reply = client.note_watchers(self.context(Duration::ZERO), reports).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::ControlService::change_members`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn change_members(&self, call: MemberCall) -> Result<MemberReply, CallError> {
+        let client = self.client().await?;
+        let reply = client.change_members(self.context(Duration::ZERO), call).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::ControlService::members`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn members(&self) -> Result<MembersReply, CallError> {
+        let client = self.client().await?;
+        let reply = client.members(self.context(Duration::ZERO)).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::ControlService::history`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn history(&self, profile: ProfileName) -> Result<Vec<HistoryRecord>, CallError> {
+        let client = self.client().await?;
+        let reply = client.history(self.context(Duration::ZERO), profile).await;
+        self.settle(reply)
+    }
+}
+
+impl EntryLink {
+    /// See [`crate::EntryService::report`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn report(&self, call: ReportCall) -> Result<ReportReply, CallError> {
+        let client = self.client().await?;
+        let wait = Duration::from_millis(call.wait_millis);
+        let reply = client.report(self.context(wait), call).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::EntryService::submit`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn submit(&self, command: CatalogCommand) -> Result<SubmitReply, CallError> {
+        let client = self.client().await?;
+        let reply = client.submit(self.context(Duration::ZERO), command).await;
+        self.settle(reply)
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/lib.rs
@@ -0,0 +1,36 @@
+//! Bringing one version of weights to many instances: verified chunk by chunk, drawn from the
+//! origin about once, passed on between peers, and visible to an engine only when whole.
+//!
+//! The invariant: a folder under `whole/` holds exactly the bytes that its manifest names. Chunks
+//! are written under `staging/`, each checked against the manifest's digest; when all are there
+//! the whole file is read back and checked again, synced, and renamed. A manifest's id covers its
+//! chunk digests, so a version that changes at the origin is another manifest, and chunks of two
+//! versions can never meet in one file.
+//!
+//! [`SwarmPlanner`] decides which chunk to fetch from whom and is free of I/O; [`WeightTransfer`]
+//! carries its plans out; [`WeightStore`] is the disk; [`ChunkHandler`] gives chunks to peers.
+
+mod chunk_set;
+mod link_budget;
+mod manifest;
+mod planner;
+mod server;
+mod source;
+mod store;
+mod transfer;
+
+pub use crate::{
+    chunk_set::ChunkSet,
+    link_budget::LinkBudget,
+    manifest::{ManifestError, RawManifest, WeightManifest},
+    planner::{
+        ChunkIndex, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy, SourceChoice,
+        SwarmPlanner,
+    },
+    server::{ChunkHandler, ServerCounters},
+    source::{
+        ChunkRequest, ChunkStream, HttpOrigin, HttpPeer, PeerSource, SourceError, WeightSource,
+    },
+    store::{StagedWeights, WeightStore, WeightStoreError, WholeWeights},
+    transfer::{TransferError, TransferOptions, TransferReport, TransferSources, WeightTransfer},
+};
--- /dev/null
+++ b/crates/swarm/src/link_budget.rs
@@ -0,0 +1,58 @@
+//! Pacing of one instance's link, which both directions and live answers share.
+
+use std::{cell::Cell, time::Duration};
+use tokio::time::Instant;
+
+/// How far the schedule may lag behind real time and catch up: covers the timer's granularity.
+const CATCH_UP: Duration = Duration::from_millis(8);
+
+/// A token bucket kept as the time at which the link is next free.
+///
+/// Transfers wait for their turn with [`LinkBudget::take`]; live answers never wait but are
+/// charged with [`LinkBudget::charge`], so transfers yield to them.
+#[derive(Debug)]
+pub struct LinkBudget {
+    bytes_per_second: Option<f64>,
+    next_free: Cell<Instant>,
+    taken: Cell<u64>,
+}
+
+impl LinkBudget {
+    /// A link of so many bytes a second in both directions together; `None` paces nothing.
+    pub fn new(bytes_per_second: Option<u64>) -> Self {
+        Self {
+            bytes_per_second: bytes_per_second.map(|rate| rate.max(1) as f64),
+            next_free: Cell::new(Instant::now()),
+            taken: Cell::new(0),
+        }
+    }
+
+    /// Waits until `bytes` may pass.
+    pub async fn take(&self, bytes: usize) {
+        let start = self.reserve(bytes);
+        if start > Instant::now() {
+            tokio::time::sleep_until(start).await;
+        }
+    }
+
+    /// Notes bytes of live answers, which have passed without waiting.
+    pub fn charge(&self, bytes: usize) {
+        self.reserve(bytes);
+    }
+
+    /// Bytes passed so far, of transfers and live answers.
+    pub fn taken(&self) -> u64 {
+        self.taken.get()
+    }
+
+    /// Books `bytes`; returns when they may start.
+    fn reserve(&self, bytes: usize) -> Instant {
+        self.taken.set(self.taken.get() + bytes as u64);
+        let now = Instant::now();
+        let Some(rate) = self.bytes_per_second else { return now };
+        let earliest = now.checked_sub(CATCH_UP).unwrap_or(now);
+        let start = self.next_free.get().max(earliest);
+        self.next_free.set(start + Duration::from_secs_f64(bytes as f64 / rate));
+        start
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/planner/choose.rs
@@ -0,0 +1,217 @@
+//! The systems that fill free fetch slots.
+
+use super::{
+    ActiveFetch, ChunkIndex, FetchOrder, PeerRow, PlannerPeer, SourceChoice, SwarmPlanner,
+};
+use egretseam_proto::InstanceName;
+use std::time::Duration;
+
+/// Ranks beyond this all count as last.
+const MAX_RANK: u32 = 8;
+/// A fetch this old may be doubled at another source when nothing else is left to fetch.
+const HEDGE_AFTER: Duration = Duration::from_millis(400);
+/// Most concurrent fetches of one chunk.
+const MAX_HEDGES: usize = 2;
+
+impl SwarmPlanner {
+    /// Fills free slots; the caller must report the end of every order.
+    pub fn plan(&mut self, now: Duration) -> Vec<FetchOrder> {
+        let mut orders = Vec::new();
+        while let Some(order) = self.next_upstream(now).or_else(|| self.next_peer(now)) {
+            self.start(&order, now);
+            orders.push(order);
+        }
+        orders
+    }
+
+    fn start(&mut self, order: &FetchOrder, now: Duration) {
+        let fetch = ActiveFetch { source: order.source.clone(), since: now };
+        self.chunks[order.chunk as usize].active.push(fetch);
+        match &order.source {
+            SourceChoice::Upstream => self.upstream_active += 1,
+            SourceChoice::Peer(name) => {
+                if let Some(row) = self.neighbours.get_mut(name) {
+                    row.active += 1;
+                }
+            }
+        }
+    }
+
+    /// A chunk that this instance may draw from the origin: the one fewest neighbours have, so
+    /// that what is drawn is news to the swarm.
+    fn next_upstream(&self, now: Duration) -> Option<FetchOrder> {
+        if self.upstream_active >= self.policy.origin_fetches || now < self.upstream_until {
+            return None;
+        }
+        let allowed = self.allowed_rank(now);
+        let wanted = |chunk: &ChunkIndex| {
+            let row = &self.chunks[*chunk as usize];
+            let frugal = self.policy.origin_copies == 1 && self.policy.use_peers;
+            let elsewhere = frugal && row.holders > 0;
+            !row.present && row.active.is_empty() && !elsewhere && self.rank(*chunk) < allowed
+        };
+        let chunk = (0..self.have.len())
+            .filter(wanted)
+            .min_by_key(|chunk| (self.chunks[*chunk as usize].holders, self.spread(*chunk)))?;
+        Some(FetchOrder { chunk, source: SourceChoice::Upstream })
+    }
+
+    /// How many ranks may draw from the origin now. Failure guarded: the instance that should draw
+    /// a chunk hangs while it still announces itself. It shows as a swarm that stops short of the
+    /// whole. An instance that has gained nothing for one stall time counts one rank more, and so
+    /// on, so the next in rank steps in first and not everybody at once.
+    fn allowed_rank(&self, now: Duration) -> u32 {
+        if !self.policy.use_peers {
+            return u32::MAX;
+        }
+        let starved = now.saturating_sub(self.last_progress).as_millis();
+        let stalls = starved / self.policy.stall_limit.as_millis().max(1);
+        let extra = u32::try_from(stalls).unwrap_or(MAX_RANK);
+        if extra > MAX_RANK { u32::MAX } else { self.policy.origin_copies + extra }
+    }
+
+    /// This instance's place among the announced swarm for `chunk`, by rendezvous hashing.
+    fn rank(&self, chunk: ChunkIndex) -> u32 {
+        let own = score(&self.own.name, chunk);
+        let mut rank = 0;
+        for peer in &self.swarm {
+            if score(&peer.name, chunk) > own {
+                rank += 1;
+                if rank >= MAX_RANK {
+                    break;
+                }
+            }
+        }
+        rank
+    }
+
+    fn next_peer(&self, now: Duration) -> Option<FetchOrder> {
+        let active: usize = self.neighbours.values().map(|row| row.active).sum();
+        if !self.policy.use_peers || active >= self.policy.peer_fetches {
+            return None;
+        }
+        let free: Vec<(&InstanceName, &PeerRow)> =
+            self.neighbours.iter().filter(|(_, row)| self.is_free(row, now)).collect();
+        if free.is_empty() {
+            return None;
+        }
+        self.rarest(&free, now).or_else(|| self.hedge(&free, now))
+    }
+
+    fn is_free(&self, row: &PeerRow, now: Duration) -> bool {
+        row.active < self.policy.fetches_per_peer && now >= row.avoid_until && !row.have.is_empty()
+    }
+
+    fn rarest(&self, free: &[(&InstanceName, &PeerRow)], now: Duration) -> Option<FetchOrder> {
+        let mut best: Option<(u32, u64, ChunkIndex)> = None;
+        for chunk in 0..self.have.len() {
+            let row = &self.chunks[chunk as usize];
+            if row.present || !row.active.is_empty() || row.holders == 0 {
+                continue;
+            }
+            let key = (row.holders, self.spread(chunk), chunk);
+            if best.is_some_and(|best| best <= key) || self.holder(chunk, free, now).is_none() {
+                continue;
+            }
+            best = Some(key);
+        }
+        let (_, _, chunk) = best?;
+        let source = SourceChoice::Peer(self.holder(chunk, free, now)?.clone());
+        Some(FetchOrder { chunk, source })
+    }
+
+    /// Doubles the oldest fetch when nothing else is left: the last chunks must not wait for the
+    /// slowest source.
+    fn hedge(&self, free: &[(&InstanceName, &PeerRow)], now: Duration) -> Option<FetchOrder> {
+        let oldest = |chunk: ChunkIndex| {
+            let row = &self.chunks[chunk as usize];
+            let since = row.active.iter().map(|fetch| fetch.since).min()?;
+            let due = !row.present
+                && row.active.len() < MAX_HEDGES
+                && now.saturating_sub(since) >= HEDGE_AFTER;
+            due.then_some((since, chunk))
+        };
+        let (_, chunk) = (0..self.have.len()).filter_map(oldest).min()?;
+        let active = &self.chunks[chunk as usize].active;
+        let fresh = |name: &InstanceName| {
+            !active.iter().any(|fetch| fetch.source == SourceChoice::Peer(name.clone()))
+        };
+        let other: Vec<_> = free.iter().copied().filter(|(name, _)| fresh(name)).collect();
+        let name = self.holder(chunk, &other, now)?;
+        Some(FetchOrder { chunk, source: SourceChoice::Peer(name.clone()) })
+    }
+
+    /// The best free neighbour that has `chunk`: own availability zone first, then the least busy.
+    fn holder<'a>(
+        &self,
+        chunk: ChunkIndex,
+        free: &[(&'a InstanceName, &PeerRow)],
+        now: Duration,
+    ) -> Option<&'a InstanceName> {
+        let across = self.may_cross_zones(chunk, now);
+        free.iter()
+            .filter(|(_, row)| row.have.contains(chunk))
+            .filter(|(_, row)| across || row.zone == self.own.zone)
+            .min_by_key(|(name, row)| {
+                (row.zone != self.own.zone, row.active, score(name, chunk ^ self.salt()))
+            })
+            .map(|(name, _)| *name)
+    }
+
+    /// Each chunk crosses into an availability zone about once: through the zone's first in rank.
+    /// Others wait a little for it to appear in their zone.
+    fn may_cross_zones(&self, chunk: ChunkIndex, now: Duration) -> bool {
+        if self.policy.origin_copies > 1 {
+            return true;
+        }
+        let seen_at = self.chunks[chunk as usize].seen_at.unwrap_or(now);
+        if now.saturating_sub(seen_at) >= self.policy.zone_patience {
+            return true;
+        }
+        let own = score(&self.own.name, chunk);
+        let same_zone = |peer: &&PlannerPeer| peer.zone == self.own.zone;
+        !self.swarm.iter().filter(same_zone).any(|peer| score(&peer.name, chunk) > own)
+    }
+
+    pub(super) fn choose_neighbours(&self) -> Vec<InstanceName> {
+        let limit = self.policy.neighbours;
+        let salt = self.salt();
+        let mut near: Vec<&PlannerPeer> = Vec::new();
+        let mut far: Vec<&PlannerPeer> = Vec::new();
+        for peer in &self.swarm {
+            if peer.zone == self.own.zone { near.push(peer) } else { far.push(peer) }
+        }
+        near.sort_by_key(|peer| score(&peer.name, salt));
+        far.sort_by_key(|peer| score(&peer.name, salt));
+        let far_count = far.len().min((limit / 3).max(limit.saturating_sub(near.len())));
+        let near_count = near.len().min(limit - far_count.min(limit));
+        let chosen = near.into_iter().take(near_count).chain(far.into_iter().take(far_count));
+        chosen.map(|peer| peer.name.clone()).collect()
+    }
+
+    /// Breaks ties differently at each instance.
+    fn spread(&self, chunk: ChunkIndex) -> u64 {
+        mix(u64::from(chunk) ^ u64::from(self.salt()) << 32)
+    }
+
+    fn salt(&self) -> u32 {
+        score(&self.own.name, u32::MAX) as u32
+    }
+}
+
+/// Rendezvous score of an instance for a chunk; equal at every instance.
+fn score(name: &InstanceName, chunk: ChunkIndex) -> u64 {
+    const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+    let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+    let hash = name.as_str().as_bytes().iter().fold(FNV_OFFSET, fold);
+    mix(hash ^ mix(u64::from(chunk)))
+}
+
+/// Finaliser of SplitMix64: spreads close inputs over all bits.
+fn mix(mut value: u64) -> u64 {
+    value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ value >> 31
+}
--- /dev/null
+++ b/src/commands/check_config.rs
@@ -0,0 +1,32 @@
+//! `egretseam check-config`: every mistake in a settings file, with its path.
+
+use anyhow::{Context, bail};
+use clap::Args;
+use egretseam_config::DaemonSettings;
+use std::path::PathBuf;
+
+/// Check a settings file without starting anything.
+#[derive(Args, Debug)]
+pub(super) struct CheckConfigCommand {
+    /// Settings file.
+    file: PathBuf,
+}
+
+impl CheckConfigCommand {
+    pub(super) fn execute(self) -> anyhow::Result<()> {
+        let shown = self.file.display();
+        let text = std::fs::read_to_string(&self.file).with_context(|| format!("read {shown}"))?;
+        match DaemonSettings::parse(&text) {
+            Ok(_) => {
+                println!("{shown}: good");
+                Ok(())
+            }
+            Err(error) => {
+                for mistake in &error.mistakes {
+                    println!("{mistake}");
+                }
+                bail!("{shown}: {} mistake(s)", error.mistakes.len())
+            }
+        }
+    }
+}
