Scripted scenarios for what fails, written-out elections, and one stall time for a hanging instance

Cause: the random model cannot be relied on to meet interleavings such as a vote lost before its sync or an earlier term's entry counted as accepted; both are now written out.

The scenario of a hanging peer showed a fault in the planner: each chunk taken over counted as progress and started a new stall time, so a hanging instance with n chunks cost n stall times. Starving instances now pass over the hanging one as a whole.

--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -7,7 +7,7 @@
 //!   as many as the profile allows copies, may draw that chunk from the origin; others wait for it
 //!   to appear at a peer. So the origin gives each chunk about once without anybody counting.
 //! - When an instance dies, it leaves the announced swarm and the next rank takes its place. When
-//!   one stalls, those that starve move up one rank for each stall time.
+//!   one hangs, those that starve pass it over.
 //! - Among the chunks at peers the rarest goes first, ties broken differently at each instance, so
 //!   that neighbours soon hold different things to exchange.
 
@@ -34,7 +34,8 @@
     pub origin_fetches: usize,
     /// Most neighbours.
     pub neighbours: usize,
-    /// Time without a new chunk after which the next rank may draw from the origin.
+    /// Time without a new chunk after which the instances that should have drawn the missing ones
+    /// are passed over.
     pub stall_limit: Duration,
     /// Time that an instance waits for a chunk to appear in its own availability zone before it
     /// fetches it across zones, unless it is the first of its zone for that chunk.
@@ -134,6 +135,8 @@
     /// The whole announced swarm, without this instance.
     swarm: Vec<PlannerPeer>,
     neighbours: IndexMap<InstanceName, PeerRow>,
+    /// Instances that are passed over in rank until the given time.
+    stalled: IndexMap<InstanceName, Duration>,
     upstream_active: usize,
     upstream_until: Duration,
     last_progress: Duration,
@@ -155,6 +158,7 @@
             have,
             swarm: Vec::new(),
             neighbours: IndexMap::new(),
+            stalled: IndexMap::new(),
             upstream_active: 0,
             upstream_until: Duration::ZERO,
             last_progress: now,
@@ -215,6 +219,8 @@
         if have.len() != self.have.len() || have == row.have {
             return;
         }
+        // It gains chunks, so it does not hang.
+        self.stalled.shift_remove(name);
         for chunk in 0..have.len() {
             match (row.have.contains(chunk), have.contains(chunk)) {
                 (false, true) => {
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -8,6 +8,8 @@
 
 /// Ranks beyond this all count as last.
 const MAX_RANK: u32 = 8;
+/// How long an instance that hangs is passed over, unless it shows new chunks before.
+const STALLED_FOR: Duration = Duration::from_secs(30);
 /// A fetch this old may be doubled at another source when nothing else is left to fetch.
 const HEDGE_AFTER: Duration = Duration::from_millis(400);
 /// Most concurrent fetches of one chunk.
@@ -16,6 +18,7 @@
 impl SwarmPlanner {
     /// Fills free slots; the caller must report the end of every order.
     pub fn plan(&mut self, now: Duration) -> Vec<FetchOrder> {
+        self.pass_over_stalled(now);
         let mut orders = Vec::new();
         while let Some(order) = self.next_upstream(now).or_else(|| self.next_peer(now)) {
             self.start(&order, now);
@@ -43,7 +46,7 @@
         if self.upstream_active >= self.policy.origin_fetches || now < self.upstream_until {
             return None;
         }
-        let allowed = self.allowed_rank(now);
+        let allowed = self.allowed_rank();
         let wanted = |chunk: &ChunkIndex| {
             let row = &self.chunks[*chunk as usize];
             let frugal = self.policy.origin_copies == 1 && self.policy.use_peers;
@@ -56,18 +59,35 @@
         Some(FetchOrder { chunk, source: SourceChoice::Upstream })
     }
 
-    /// How many ranks may draw from the origin now. Failure guarded: the instance that should draw
-    /// a chunk hangs while it still announces itself. It shows as a swarm that stops short of the
-    /// whole. An instance that has gained nothing for one stall time counts one rank more, and so
-    /// on, so the next in rank steps in first and not everybody at once.
-    fn allowed_rank(&self, now: Duration) -> u32 {
-        if !self.policy.use_peers {
-            return u32::MAX;
+    /// How many ranks may draw from the origin.
+    fn allowed_rank(&self) -> u32 {
+        if self.policy.use_peers { self.policy.origin_copies } else { u32::MAX }
+    }
+
+    /// Failure guarded: the instance that should draw a chunk hangs while it still announces
+    /// itself. It shows as a swarm that stops short of the whole. An instance that has gained
+    /// nothing for one stall time passes over whoever ranks first for a chunk that nobody has; all
+    /// that starve come to the same list, so the next in rank draws and not everybody. One stall
+    /// time covers all chunks of the hanging instance, however many there are.
+    fn pass_over_stalled(&mut self, now: Duration) {
+        if now.saturating_sub(self.last_progress) < self.policy.stall_limit {
+            return;
+        }
+        self.last_progress = now;
+        self.stalled.retain(|_, until| *until > now);
+        let missing = |chunk: &ChunkIndex| {
+            let row = &self.chunks[*chunk as usize];
+            !row.present && row.holders == 0 && row.active.is_empty()
+        };
+        let missing: Vec<ChunkIndex> = (0..self.have.len()).filter(missing).collect();
+        for chunk in missing {
+            let ahead = self.swarm.iter().filter(|peer| !self.stalled.contains_key(&peer.name));
+            let first = ahead.max_by_key(|peer| score(&peer.name, chunk));
+            let Some(first) = first else { return };
+            if score(&first.name, chunk) > score(&self.own.name, chunk) {
+                self.stalled.insert(first.name.clone(), now + STALLED_FOR);
+            }
         }
-        let starved = now.saturating_sub(self.last_progress).as_millis();
-        let stalls = starved / self.policy.stall_limit.as_millis().max(1);
-        let extra = u32::try_from(stalls).unwrap_or(MAX_RANK);
-        if extra > MAX_RANK { u32::MAX } else { self.policy.origin_copies + extra }
     }
 
     /// This instance's place among the announced swarm for `chunk`, by rendezvous hashing.
@@ -75,7 +95,7 @@
         let own = score(&self.own.name, chunk);
         let mut rank = 0;
         for peer in &self.swarm {
-            if score(&peer.name, chunk) > own {
+            if score(&peer.name, chunk) > own && !self.stalled.contains_key(&peer.name) {
                 rank += 1;
                 if rank >= MAX_RANK {
                     break;
--- a/crates/testkit/src/group.rs
+++ b/crates/testkit/src/group.rs
@@ -3,11 +3,10 @@
 use crate::ledger::AcceptedLedger;
 use egretseam_catalog::{CatalogCommand, CatalogReply, CatalogState, StampedCommand};
 use egretseam_replica::{
-    EntryPayload, Envelope, GroupId, HardState, LogEntry, LogIndex, MemberId, MemberRecord,
-    Membership, MembershipChange, ProposeError, ReadToken, RecoveredState, ReplicaConfig,
-    ReplicaNode, ReplicaOutput, SnapshotImage, Term,
+    EntryPayload, Envelope, GroupId, HardState, LogEntry, LogIndex, LogWrite, MemberId,
+    MemberIdentity, MemberRecord, Membership, MembershipChange, Message, ProposeError, ReadToken,
+    RecoveredState, ReplicaConfig, ReplicaNode, ReplicaOutput, SnapshotImage, Term,
 };
-use egretseam_replica::{LogWrite, MemberIdentity};
 use indexmap::{IndexMap, IndexSet};
 use std::time::Duration;
 
@@ -242,12 +241,45 @@
         self.work(to, true);
     }
 
+    /// Delivers every message under way that fits. With `crash`, the addressee of the first goes
+    /// down before it syncs, and the others are not delivered.
+    pub fn deliver_where(&mut self, fits: impl Fn(usize, usize, &Message) -> bool, crash: bool) {
+        let waiting = std::mem::take(&mut self.network);
+        let (chosen, kept): (Vec<_>, Vec<_>) = waiting.into_iter().partition(|envelope| {
+            fits(number_of(envelope.from), number_of(envelope.to), &envelope.message)
+        });
+        self.network = kept;
+        for envelope in chosen {
+            if crash {
+                self.network.insert(0, envelope);
+                self.deliver_and_crash(0);
+                return;
+            }
+            self.hand_over(envelope);
+        }
+    }
+
+    /// Delivers the first message under way that fits; returns whether there was one.
+    pub fn deliver_first(&mut self, fits: impl Fn(usize, usize, &Message) -> bool) -> bool {
+        let chosen = self.network.iter().position(|envelope| {
+            fits(number_of(envelope.from), number_of(envelope.to), &envelope.message)
+        });
+        let Some(at) = chosen else { return false };
+        self.deliver(at);
+        true
+    }
+
+    /// Loses every message under way.
+    pub fn lose_all(&mut self) {
+        self.network.clear();
+    }
+
     /// Lets a member campaign as if its leader had gone silent for it alone: another member's
     /// request to take over does that, and so this stands for any timing of timeouts.
     pub fn campaign(&mut self, number: usize) {
         let Some(node) = self.members[number].node.as_ref() else { return };
         let term = node.status().term;
-        let message = egretseam_replica::Message::TimeoutNow;
+        let message = Message::TimeoutNow;
         let to = self.members[number].identity.id;
         let from = member_id((number + 1) % self.members.len());
         self.hand_over(Envelope { group: GROUP, from, to, term, message });
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,5 +5,7 @@
 mod group;
 mod ledger;
 
-pub use crate::group::{GroupSim, SimReply};
-pub use crate::ledger::AcceptedLedger;
+pub use crate::{
+    group::{GroupSim, SimReply},
+    ledger::AcceptedLedger,
+};
--- a/spec/control.pml
+++ b/spec/control.pml
@@ -14,7 +14,7 @@
  *
  * Sizes: -DTERMS, -DLENGTH, -DCRASHES, -DCHANGES, -DREADS, -DTICKS.
  * Mutants, each of which must be refuted: VOTE_WITHOUT_LOG_CHECK, ACK_BEFORE_SYNC,
- * EMPTY_DISK_VOTES, TWO_CHANGES, COUNT_OLD_TERM, READ_WITHOUT_ROUND, LEASE_FROM_RECEIPT.
+ * EMPTY_DISK_VOTES, TWO_CHANGES, UNSETTLED_CHANGE, COUNT_OLD_TERM, READ_WITHOUT_ROUND, LEASE_FROM_RECEIPT.
  */
 
 #ifndef TERMS
@@ -114,7 +114,7 @@
     count = 0; need = 0; k = 0;
     do
     :: k < MEMBERS ->
-        if :: config & BIT(k) -> need++; if :: (set) & BIT(k) -> count++ :: else fi :: else fi;
+        if :: config & BIT(k) -> need++; if :: (set) & BIT(k) -> count++ :: else -> skip fi :: else -> skip fi;
         k++
     :: else -> break
     od;
@@ -129,7 +129,7 @@
     if
     :: a != lost && role[a] != LEADER && term[a] < TERMS && (config & BIT(a)) ->
         term[a]++; voted[a] = a; role[a] = CANDIDATE; votes[a] = BIT(a)
-    :: else
+    :: else -> skip
     fi
 }
 
@@ -137,7 +137,7 @@
     pick(a); pick(b);
     if
     :: a != b && a != lost && b != lost && role[a] == CANDIDATE && term[b] <= term[a] ->
-        if :: term[b] < term[a] -> step_down(b, term[a]) :: else fi;
+        if :: term[b] < term[a] -> step_down(b, term[a]) :: else -> skip fi;
         ok = 1;
 #ifndef VOTE_WITHOUT_LOG_CHECK
         if
@@ -148,16 +148,16 @@
             if
             :: n < k -> ok = 0
             :: n == k && logs[a].size < logs[b].size -> ok = 0
-            :: else
+            :: else -> skip
             fi
         fi;
 #endif
         if
         :: ok && (voted[b] == NONE || voted[b] == a) ->
             voted[b] = a; votes[a] = votes[a] | BIT(b)
-        :: else
+        :: else -> skip
         fi
-    :: else
+    :: else -> skip
     fi
 }
 
@@ -175,9 +175,9 @@
             :: k < MEMBERS -> matched[a * MEMBERS + k] = 0; k++
             :: else -> break
             od
-        :: else
+        :: else -> skip
         fi
-    :: else
+    :: else -> skip
     fi
 }
 
@@ -188,13 +188,13 @@
         config_of(a); appends--;
         logs[a].term[logs[a].size] = term[a]; logs[a].config[logs[a].size] = config;
         logs[a].size++
-    :: else
+    :: else -> skip
     fi
 }
 
 inline sync_disk() {
     pick(a);
-    if :: a != lost -> logs[a].synced = logs[a].size :: else fi
+    if :: a != lost -> logs[a].synced = logs[a].size :: else -> skip fi
 }
 
 /* The leader's log reaches a peer; the peer syncs before it acknowledges. */
@@ -204,8 +204,8 @@
     :: a != b && a != lost && b != lost && role[a] == LEADER && term[b] <= term[a] ->
         if
         :: term[b] < term[a] -> step_down(b, term[a])
-        :: role[b] == CANDIDATE -> role[b] = FOLLOWER
-        :: else
+        :: term[b] == term[a] && role[b] == CANDIDATE -> role[b] = FOLLOWER
+        :: else -> skip
         fi;
         /* Keep what agrees, replace from the first difference on. */
         n = 0;
@@ -213,20 +213,20 @@
         :: n < logs[a].size && n < logs[b].size && logs[a].term[n] == logs[b].term[n] -> n++
         :: else -> break
         od;
-        if :: n < logs[b].size && n < logs[a].size -> logs[b].size = n :: else fi;
-        if :: logs[b].synced > logs[b].size -> logs[b].synced = logs[b].size :: else fi;
+        if :: n < logs[b].size && n < logs[a].size -> logs[b].size = n :: else -> skip fi;
+        if :: logs[b].synced > logs[b].size -> logs[b].synced = logs[b].size :: else -> skip fi;
         do
         :: n < logs[a].size ->
             logs[b].term[n] = logs[a].term[n]; logs[b].config[n] = logs[a].config[n];
-            n++; if :: logs[b].size < n -> logs[b].size = n :: else fi
+            n++; if :: logs[b].size < n -> logs[b].size = n :: else -> skip fi
         :: else -> break
         od;
 #ifndef ACK_BEFORE_SYNC
         logs[b].synced = logs[b].size;
 #endif
         matched[a * MEMBERS + b] = logs[a].size;
-        if :: commit[a] > commit[b] -> commit[b] = commit[a] :: else fi
-    :: else
+        if :: commit[a] > commit[b] -> commit[b] = commit[a] :: else -> skip fi
+    :: else -> skip
     fi
 }
 
@@ -244,7 +244,7 @@
             if
             :: k == a && logs[a].synced >= n -> b = b | BIT(k)
             :: k != a && matched[a * MEMBERS + k] >= n -> b = b | BIT(k)
-            :: else
+            :: else -> skip
             fi;
             k++
         :: else -> break
@@ -268,9 +268,9 @@
                 ghost_len = k + 1; k++
             :: else -> break
             od
-        :: else
+        :: else -> skip
         fi
-    :: else
+    :: else -> skip
     fi
 }
 
@@ -280,8 +280,8 @@
     if
     :: crashes > 0 && a != lost ->
         crashes--; logs[a].size = logs[a].synced; role[a] = FOLLOWER; votes[a] = 0;
-        if :: commit[a] > logs[a].size -> commit[a] = logs[a].size :: else fi
-    :: else
+        if :: commit[a] > logs[a].size -> commit[a] = logs[a].size :: else -> skip fi
+    :: else -> skip
     fi
 }
 
@@ -298,7 +298,7 @@
 #else
         lost = a; role[a] = FOLLOWER; votes[a] = 0
 #endif
-    :: else
+    :: else -> skip
     fi
 }
 
@@ -316,11 +316,13 @@
         od;
         ok = 1;
 #ifndef TWO_CHANGES
-        if :: commit[a] < n -> ok = 0 :: else fi;
+        if :: commit[a] < n -> ok = 0 :: else -> skip fi;
+#endif
+#if !defined(TWO_CHANGES) && !defined(UNSETTLED_CHANGE)
         if
         :: commit[a] == 0 -> ok = 0
         :: commit[a] > 0 && logs[a].term[commit[a] - 1] != term[a] -> ok = 0
-        :: else
+        :: else -> skip
         fi;
 #endif
         if
@@ -329,9 +331,9 @@
             logs[a].term[logs[a].size] = term[a];
             logs[a].config[logs[a].size] = config ^ BIT(b);
             logs[a].size++
-        :: else
+        :: else -> skip
         fi
-    :: else
+    :: else -> skip
     fi
 }
 
@@ -342,7 +344,7 @@
        logs[a].term[commit[a] - 1] == term[a] ->
         reads--; read_leader = a; read_index = commit[a]; read_ghost = ghost_len;
         read_term = term[a]; read_acks = BIT(a); sent_at = clock
-    :: else
+    :: else -> skip
     fi
 }
 
@@ -351,13 +353,14 @@
     pick(b);
     if
     :: read_leader != NONE && b != read_leader && b != lost && term[b] <= read_term ->
-        if :: term[b] < read_term -> step_down(b, read_term) :: else fi;
+        if :: term[b] < read_term -> step_down(b, read_term) :: else -> skip fi;
         read_acks = read_acks | BIT(b)
-    :: else
+    :: else -> skip
     fi
 }
 
 inline end_read() {
+    a = 0; /* An option may not begin with another choice's else. */
     if
     :: read_leader != NONE && role[read_leader] == LEADER && term[read_leader] == read_term ->
         config_of(read_leader);
@@ -369,31 +372,32 @@
         if
         :: ok ->
             assert(read_index >= read_ghost);
-            if :: read_index > held -> held = read_index :: else fi;
+            if :: read_index > held -> held = read_index :: else -> skip fi;
 #ifdef LEASE_FROM_RECEIPT
             lease_until = clock + LEASE;
 #else
-            if :: sent_at + LEASE > lease_until -> lease_until = sent_at + LEASE :: else fi;
+            if :: sent_at + LEASE > lease_until -> lease_until = sent_at + LEASE :: else -> skip fi;
 #endif
             read_leader = NONE
-        :: else
+        :: else -> skip
         fi
     :: read_leader != NONE && (role[read_leader] != LEADER || term[read_leader] != read_term) ->
         read_leader = NONE
-    :: else
+    :: else -> skip
     fi
 }
 
 /* Time passes; while the lease holds, nothing that it misses may be older than one lease. */
 inline pass_time() {
+    a = 0;
     if
     :: clock < TICKS ->
         clock++;
         if
         :: clock < lease_until && held < ghost_len -> assert(accepted_at[held] + LEASE > clock)
-        :: else
+        :: else -> skip
         fi
-    :: else
+    :: else -> skip
     fi
 }
 
@@ -407,7 +411,7 @@
             :: k < 3 ->
                 logs[k].term[0] = 1; logs[k].config[0] = FIRST_CONFIG; logs[k].size = 1;
                 logs[k].synced = 1; term[k] = 1; commit[k] = 1
-            :: else
+            :: else -> skip
             fi;
             k++
         :: else -> break
--- a/tests/all/catalog_model.rs
+++ b/tests/all/catalog_model.rs
@@ -7,8 +7,10 @@
 };
 use egretseam_proto::{GroupName, OperationId, ProfileName, Revision, ServiceName};
 use indexmap::IndexMap;
-use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 /// One operator's action on one of a few profiles.
@@ -159,7 +161,8 @@
     fn apply(mut test: Self, _: &ConfigReference, action: OperatorAction) -> Self {
         match action {
             OperatorAction::Define { profile, stale } => {
-                let edit = ConfigEdit::DefineProfile { name: name(profile), spec: spec(profile, 1) };
+                let edit =
+                    ConfigEdit::DefineProfile { name: name(profile), spec: spec(profile, 1) };
                 test.edit(Revision(0), stale, edit);
             }
             OperatorAction::Change { profile, stale, limit } => {
--- a/tests/all/group_model.rs
+++ b/tests/all/group_model.rs
@@ -5,8 +5,10 @@
 use egretseam_proto::{ChunkDigest, OperationId, OrganisationName, Revision};
 use egretseam_replica::{MembershipChange, ReplicaConfig};
 use egretseam_testkit::{GroupSim, SimReply};
-use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use std::time::Duration;
 
@@ -224,7 +226,9 @@
             GroupEvent::AddBlank => {
                 sim.add_blank();
             }
-            GroupEvent::AddLearner(at) => change(sim, &MembershipChange::AddLearner(sim.record(at))),
+            GroupEvent::AddLearner(at) => {
+                change(sim, &MembershipChange::AddLearner(sim.record(at)))
+            }
             GroupEvent::Promote(at) => change(sim, &MembershipChange::Promote(sim.id(at))),
             GroupEvent::Remove(at) => change(sim, &MembershipChange::Remove(sim.id(at))),
         }
--- /dev/null
+++ b/tests/all/scenarios/group_script.rs
@@ -0,0 +1,295 @@
+//! Commands over a simulated control group.
+
+use super::{number, number_or, text};
+use egretseam_catalog::{
+    CatalogCommand, ClaimRequest, ConfigEdit, EditRequest, ProfileSpec, RebindProof, RebindRequest,
+    SwitchOutcome, SwitchRequest, TargetRun, WeightsSpec,
+};
+use egretseam_proto::{
+    ChunkDigest, FencingNumber, GroupName, Incarnation, InstanceName, ManifestId, ModelName,
+    OperationId, OrganisationName, ProfileName, RequestKey, Revision, VersionName, ZoneName,
+};
+use egretseam_replica::{MembershipChange, ReplicaConfig};
+use egretseam_testkit::{GroupSim, SimReply};
+use goldenscript::{Command, Context, Runner};
+use std::{error::Error, fmt::Write, time::Duration};
+
+type Output = Result<String, Box<dyn Error>>;
+
+/// A group and the replies that the script waits for.
+#[derive(Default)]
+pub(super) struct GroupScript {
+    sim: Option<GroupSim>,
+    last: Option<usize>,
+}
+
+impl GroupScript {
+    fn sim(&mut self) -> Result<&mut GroupSim, Box<dyn Error>> {
+        self.sim.as_mut().ok_or_else(|| "no group yet".into())
+    }
+
+    /// The member that `at=` names: a number, or `leader`.
+    fn member(&mut self, command: &Command) -> Result<usize, Box<dyn Error>> {
+        let name = text(command, "at")?;
+        if name == "leader" {
+            return self.sim()?.leader().ok_or_else(|| "nobody leads".into());
+        }
+        Ok(name.parse()?)
+    }
+
+    fn submit(&mut self, command: &Command, catalog: CatalogCommand) -> Output {
+        let at = self.member(command)?;
+        let wait = number_or(command, "wait", 1_000)?;
+        let sim = self.sim()?;
+        let token = sim.submit(at, catalog);
+        sim.run(Duration::from_millis(wait));
+        let reply = describe(sim.reply(token));
+        self.last = Some(token);
+        Ok(format!("{reply}\n"))
+    }
+
+    fn edit(&mut self, command: &Command, edit: ConfigEdit) -> Output {
+        let request = EditRequest {
+            operation: OperationId(number(command, "op")?),
+            base: Revision(number_or(command, "base", 0)?),
+            actor: "script".to_owned(),
+            edit,
+        };
+        self.submit(command, CatalogCommand::Edit(request))
+    }
+
+    fn state(&mut self) -> Output {
+        let sim = self.sim()?;
+        let mut output = String::new();
+        for number in 0..sim.len() {
+            let Some(node) = sim.node(number) else {
+                writeln!(output, "member {number}: down")?;
+                continue;
+            };
+            let status = node.status();
+            let view = sim.catalog(number).view();
+            let profiles: Vec<String> = view
+                .profiles
+                .iter()
+                .map(|(name, record)| {
+                    let halted = if record.halted.is_some() { " halted" } else { "" };
+                    format!("{name}@{}{halted}", record.revision)
+                })
+                .collect();
+            writeln!(
+                output,
+                "member {number}: {:?} revision {} profiles [{}]",
+                status.role,
+                view.revision,
+                profiles.join(" ")
+            )?;
+        }
+        Ok(output)
+    }
+
+    fn members(&mut self, command: &Command) -> Output {
+        let at = self.member(command)?;
+        let who = number(command, "member")? as usize;
+        let sim = self.sim()?;
+        let change = match text(command, "step")?.as_str() {
+            "add" => MembershipChange::AddLearner(sim.record(who)),
+            "promote" => MembershipChange::Promote(sim.id(who)),
+            "remove" => MembershipChange::Remove(sim.id(who)),
+            other => return Err(format!("no step {other}").into()),
+        };
+        let result = sim.change_members(at, &change);
+        sim.run(Duration::from_secs(1));
+        Ok(match result {
+            Ok(()) => "taken\n".to_owned(),
+            Err(error) => format!("refused: {error}\n"),
+        })
+    }
+
+    fn begin_switch(&mut self, command: &Command) -> Output {
+        let request = SwitchRequest {
+            target: InstanceName::try_from(text(command, "target")?)?,
+            incarnation: Incarnation(number_or(command, "run", 1)?),
+            profile: ProfileName::try_from(text(command, "profile")?)?,
+            revision: Revision(number(command, "revision")?),
+            zone: ZoneName::try_from(text(command, "zone")?)?,
+            in_service: number_or(command, "serving", 1)? == 1,
+            hold_millis: number_or(command, "hold", 30_000)?,
+        };
+        self.submit(command, CatalogCommand::BeginSwitch(request))
+    }
+
+    fn end_switch(&mut self, command: &Command) -> Output {
+        let outcome = match text(command, "outcome")?.as_str() {
+            "loaded" => SwitchOutcome::Loaded,
+            "failed" => SwitchOutcome::Failed { reason: "out of memory".to_owned() },
+            other => return Err(format!("no outcome {other}").into()),
+        };
+        let target = InstanceName::try_from(text(command, "target")?)?;
+        let fence = FencingNumber(number(command, "fence")?);
+        self.submit(command, CatalogCommand::EndSwitch { target, fence, outcome })
+    }
+
+    fn claim(&mut self, command: &Command) -> Output {
+        let request = ClaimRequest {
+            organisation: OrganisationName::try_from("kehila")?,
+            key: RequestKey::try_from(text(command, "key")?)?,
+            digest: ChunkDigest::of(text(command, "body")?.as_bytes()),
+            run: run_of(command, "target")?,
+        };
+        self.submit(command, CatalogCommand::Claim(vec![request]))
+    }
+
+    fn rebind(&mut self, command: &Command) -> Output {
+        let proof = match text(command, "proof")?.as_str() {
+            "refused" => RebindProof::RefusedByRun,
+            "never-sent" => RebindProof::NeverSent,
+            other => return Err(format!("no proof {other}").into()),
+        };
+        let request = RebindRequest {
+            organisation: OrganisationName::try_from("kehila")?,
+            key: RequestKey::try_from(text(command, "key")?)?,
+            from: run_of(command, "from")?,
+            to: run_of(command, "to")?,
+            proof,
+        };
+        self.submit(command, CatalogCommand::Rebind(request))
+    }
+}
+
+impl Runner for GroupScript {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Output {
+        match command.name.as_str() {
+            "group" => {
+                let size = number(command, "members")? as usize;
+                self.sim = Some(GroupSim::new(size, ReplicaConfig::default()));
+                self.sim()?.run_until_led();
+                self.sim()?.run(Duration::from_secs(1));
+            }
+            "run" => {
+                let seconds = number(command, "seconds")?;
+                self.sim()?.run(Duration::from_secs(seconds));
+            }
+            "isolate" => {
+                let at = self.member(command)?;
+                self.sim()?.isolate(at);
+            }
+            "heal" => self.sim()?.heal(),
+            "crash" => {
+                let at = self.member(command)?;
+                self.sim()?.crash(at);
+            }
+            "lose-disk" => {
+                let at = self.member(command)?;
+                self.sim()?.lose_disk(at);
+            }
+            "blank" => {
+                let number = self.sim()?.add_blank();
+                return Ok(format!("member {number} waits to be added\n"));
+            }
+            "restart" => {
+                let at = self.member(command)?;
+                self.sim()?.restart(at);
+            }
+            "restart-all" => {
+                let sim = self.sim()?;
+                (0..sim.len()).for_each(|number| sim.crash(number));
+                (0..sim.len()).for_each(|number| sim.restart(number));
+                sim.run_until_led();
+                sim.run(Duration::from_secs(1));
+            }
+            "compact" => {
+                let at = self.member(command)?;
+                self.sim()?.compact(at);
+            }
+            "leaders" => {
+                let count = self.sim()?.leaders().len();
+                return Ok(format!("{count}\n"));
+            }
+            "state" => return self.state(),
+            "members" => return self.members(command),
+            "define" => {
+                let name = ProfileName::try_from(text(command, "profile")?)?;
+                let spec = spec(command)?;
+                return self.edit(command, ConfigEdit::DefineProfile { name, spec });
+            }
+            "change" => {
+                let name = ProfileName::try_from(text(command, "profile")?)?;
+                let spec = spec(command)?;
+                return self.edit(command, ConfigEdit::ChangeProfile { name, spec });
+            }
+            "retire" => {
+                let name = ProfileName::try_from(text(command, "profile")?)?;
+                return self.edit(command, ConfigEdit::RetireProfile { name });
+            }
+            "change-many" => {
+                let count = number(command, "count")?;
+                let at = self.member(command)?;
+                let sim = self.sim()?;
+                for step in 0..count {
+                    let name = OrganisationName::try_from(format!("org-{step}"))?;
+                    let spec = egretseam_catalog::OrganisationSpec {
+                        weight: 1,
+                        key_digests: vec![ChunkDigest::of(b"key")],
+                    };
+                    let request = EditRequest {
+                        operation: OperationId(1_000_000 + step),
+                        base: Revision(0),
+                        actor: "script".to_owned(),
+                        edit: ConfigEdit::SetOrganisation { name, spec },
+                    };
+                    sim.submit(at, CatalogCommand::Edit(request));
+                    sim.run(Duration::from_millis(10));
+                }
+                sim.run(Duration::from_secs(1));
+            }
+            "reply" => {
+                let token = self.last.ok_or("nothing was submitted")?;
+                return Ok(format!("{}\n", describe(self.sim()?.reply(token))));
+            }
+            "begin-switch" => return self.begin_switch(command),
+            "end-switch" => return self.end_switch(command),
+            "claim" => return self.claim(command),
+            "rebind" => return self.rebind(command),
+            other => return Err(format!("no command {other}").into()),
+        }
+        Ok(String::new())
+    }
+}
+
+fn run_of(command: &Command, name: &str) -> Result<TargetRun, Box<dyn Error>> {
+    let text = text(command, name)?;
+    let (target, run) = text.split_once('#').ok_or("expected TARGET#RUN")?;
+    Ok(TargetRun {
+        target: InstanceName::try_from(target)?,
+        incarnation: Incarnation(run.parse()?),
+    })
+}
+
+fn spec(command: &Command) -> Result<ProfileSpec, Box<dyn Error>> {
+    let version = text(command, "version")?;
+    let weights = WeightsSpec {
+        model: ModelName::try_from("assistant")?,
+        manifest: ManifestId::of(version.as_bytes()),
+        version: VersionName::try_from(version)?,
+    };
+    Ok(ProfileSpec {
+        group: GroupName::try_from("runners")?,
+        weights: Some(weights),
+        adapters: Vec::new(),
+        max_unavailable: number_or(command, "unavailable", 2)? as u32,
+        origin_copies: 1,
+        max_in_flight: 32,
+        serve_without_lease: false,
+    })
+}
+
+fn describe(reply: &SimReply) -> String {
+    match reply {
+        SimReply::Applied(reply) => format!("{reply:?}"),
+        SimReply::Refused(error) => format!("refused: {error}"),
+        SimReply::Replaced => "replaced: certainly not accepted".to_owned(),
+        SimReply::Pending => "no answer".to_owned(),
+    }
+}
--- a/tests/all/store.rs
+++ b/tests/all/store.rs
@@ -4,10 +4,11 @@
     EntryPayload, GroupId, HardState, LogEntry, LogIndex, LogStore, LogWrite, MemberId,
     SnapshotImage, StoreError, Term,
 };
-use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
-use std::fs;
-use std::path::Path;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use std::{fs, path::Path};
 
 fn entry(index: u64) -> LogEntry {
     let payload = EntryPayload::Command(vec![index as u8; 20]);
