burst: a version to N instances over paced links, and what it found

`egretseam-bench burst` runs real agents over paced loopback links, with kills, damaged pieces, frozen links and two baselines, beside the least possible time.

Peers kept waiting for chunks that dead instances were to draw: the announced swarm told of them only when their rows were forgotten after 30 s. Silence now counts as leaving. A claimed chunk kept everybody from drawing it although its holder gave nothing. A holder that is avoided no longer counts, and one that could not be reached twice does not count in rank. Ruled out: failed draws (none), passing over (none). Each planned its first two draws before it knew of any peer. The swarm is now set before the first plan.

--- a/crates/agent/src/weights.rs
+++ b/crates/agent/src/weights.rs
@@ -61,6 +61,7 @@
         return Ok(whole);
     }
     let sources = upstreams(shared);
+    wait_for_swarm(shared).await;
     let manifest = find_manifest(shared, wanted, &sources, origin_copies).await;
     let mut options = shared.options.transfer;
     options.policy.origin_copies = origin_copies;
@@ -69,6 +70,8 @@
     let transfer =
         WeightTransfer::new(&shared.store, &manifest, own, options, sources, budget, chunks)?;
     let guard = TransferGuard { shared: shared.clone(), transfer: transfer.clone() };
+    // Before the first plan: an instance that believes it is alone draws everything itself.
+    transfer.set_swarm(announced(shared));
     let feed = feed_swarm(shared, &transfer);
     let result = tokio::select! {
         result = transfer.run() => result,
@@ -101,13 +104,10 @@
 /// Tells the transfer of peers as they are announced, and the agent of its progress.
 async fn feed_swarm(shared: &Rc<AgentShared>, transfer: &Rc<WeightTransfer>) {
     let mut changes = shared.peers_changed.subscribe();
-    changes.mark_changed();
     loop {
         if changes.has_changed().unwrap_or(false) {
             changes.mark_unchanged();
-            let peers = shared.peers();
-            let swarm = peers.values().map(|peer| (planner_peer(peer), http_peer(shared, peer)));
-            transfer.set_swarm(swarm.collect());
+            transfer.set_swarm(announced(shared));
         }
         let report = transfer.report();
         shared.transfer.set(report);
@@ -116,6 +116,18 @@
     }
 }
 
+fn announced(shared: &Rc<AgentShared>) -> Vec<(PlannerPeer, Rc<dyn PeerSource>)> {
+    let peers = shared.peers();
+    peers.values().map(|peer| (planner_peer(peer), http_peer(shared, peer))).collect()
+}
+
+/// Waits until some entry has listed the swarm, for a while.
+async fn wait_for_swarm(shared: &AgentShared) {
+    const PATIENCE: Duration = Duration::from_secs(3);
+    let mut changes = shared.peers_changed.subscribe();
+    tokio::time::timeout(PATIENCE, changes.wait_for(|number| *number > 0)).await.ok();
+}
+
 /// Finds the manifest with the wanted identity, at peers or upstream. A manifest with another
 /// identity, such as one that changed at the origin, is not taken for it.
 async fn find_manifest(
--- a/crates/bench/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! placeholder
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,43 @@
+//! `egretseam-bench`: every figure in the docs is a row that this program printed.
+
+mod burst;
+mod control;
+mod requests;
+mod scrape;
+mod slopes;
+mod usage;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Measure egretseam on one machine, with its own fakes.
+#[derive(Debug, Parser)]
+#[command(name = "egretseam-bench", version)]
+struct BenchCommand {
+    #[command(subcommand)]
+    verb: BenchVerb,
+}
+
+#[derive(Debug, Subcommand)]
+enum BenchVerb {
+    Burst(burst::BurstCommand),
+    Control(control::ControlCommand),
+    Requests(requests::RequestsCommand),
+    Slopes(slopes::SlopesCommand),
+}
+
+fn main() -> ExitCode {
+    let result = match BenchCommand::parse().verb {
+        BenchVerb::Burst(command) => command.execute(),
+        BenchVerb::Control(command) => command.execute(),
+        BenchVerb::Requests(command) => command.execute(),
+        BenchVerb::Slopes(command) => command.execute(),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("egretseam-bench: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,7 +9,7 @@
 pub use crate::{
     reader::{SettingsError, SettingsMistake},
     settings::{
-        AgentSettings, ControlSettings, DaemonSettings, EntrySettings, LogFormat, LogSettings,
-        TargetKindSetting,
+        AgentSettings, ControlSettings, DaemonSettings, DistributionSetting, EntrySettings,
+        LogFormat, LogSettings, TargetKindSetting,
     },
 };
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -28,8 +28,10 @@
 pub struct ControlSettings {
     /// Folder that holds the member's state, initialised by `egretseam init`.
     pub data_folder: PathBuf,
-    /// `host:port` for our other processes.
+    /// `host:port` to listen on for our other processes.
     pub peer_address: String,
+    /// `host:port` that the others are told; where this instance is reached.
+    pub advertised_peer_address: String,
     /// Entries of the log between snapshots.
     pub snapshot_every: u64,
 }
@@ -37,10 +39,14 @@
 /// An entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntrySettings {
-    /// `host:port` for callers.
+    /// `host:port` to listen on for callers.
     pub caller_address: String,
-    /// `host:port` for agents.
+    /// `host:port` that callers are told.
+    pub advertised_caller_address: String,
+    /// `host:port` to listen on for agents.
     pub peer_address: String,
+    /// `host:port` that agents are told.
+    pub advertised_peer_address: String,
     /// How long a confirmed configuration is used.
     pub lease: Duration,
     /// How long callers may keep the list of addresses.
@@ -60,6 +66,18 @@
     Plain,
 }
 
+/// How weights reach an instance. Only the first is for use; the others are baselines that
+/// measurements compare with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DistributionSetting {
+    /// From peers, and from the origin as the profile allows.
+    Swarm,
+    /// Everything from the origin.
+    OriginOnly,
+    /// Each from its parent in a binary tree, the root from the origin.
+    Tree,
+}
+
 /// An agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AgentSettings {
@@ -73,10 +91,14 @@
     pub report_fanout: u64,
     /// Time between reports.
     pub report_interval: Duration,
-    /// `host:port` for entries' requests.
+    /// `host:port` to listen on for entries' requests.
     pub gate_address: String,
-    /// `host:port` for peers' chunks.
+    /// `host:port` that entries are told.
+    pub advertised_gate_address: String,
+    /// `host:port` to listen on for peers' chunks.
     pub chunk_address: String,
+    /// `host:port` that peers are told.
+    pub advertised_chunk_address: String,
     /// `host:port` of the target.
     pub target_address: String,
     /// `host:port` of the origin.
@@ -91,6 +113,8 @@
     pub link_bytes_per_second: Option<u64>,
     /// How long a switch may take.
     pub switch_limit: Duration,
+    /// How weights reach this instance.
+    pub distribution: DistributionSetting,
 }
 
 /// Settings of one process.
@@ -198,25 +222,28 @@
 
 fn read_control(reader: &mut SectionReader<'_>) -> Option<ControlSettings> {
     let data_folder = reader.required("data_folder");
-    let peer_address = reader.required::<AddressText>("peer_address");
+    let (peer_address, advertised_peer_address) = read_address(reader, "peer_address");
     let snapshot_every = reader.number("snapshot_every", 20_000, 100, 10_000_000);
     Some(ControlSettings {
         data_folder: data_folder?,
-        peer_address: peer_address?.0,
+        peer_address: peer_address?,
+        advertised_peer_address: advertised_peer_address?,
         snapshot_every,
     })
 }
 
 fn read_entry(reader: &mut SectionReader<'_>) -> Option<EntrySettings> {
-    let caller_address = reader.required::<AddressText>("caller_address");
-    let peer_address = reader.required::<AddressText>("peer_address");
+    let (caller_address, advertised_caller_address) = read_address(reader, "caller_address");
+    let (peer_address, advertised_peer_address) = read_address(reader, "peer_address");
     let lease = reader.number("lease_millis", 6_000, 1_000, 60_000);
     let lifetime = reader.number("address_lifetime_seconds", 10, 1, 3_600);
     let deadline = reader.number("default_deadline_millis", 60_000, 100, DAY_MILLIS);
     let max_body_bytes = reader.number("max_body_bytes", 8 << 20, 1_024, 64 << 20);
     Some(EntrySettings {
-        caller_address: caller_address?.0,
-        peer_address: peer_address?.0,
+        caller_address: caller_address?,
+        advertised_caller_address: advertised_caller_address?,
+        peer_address: peer_address?,
+        advertised_peer_address: advertised_peer_address?,
         lease: Duration::from_millis(lease),
         address_lifetime: Duration::from_secs(lifetime),
         default_deadline: Duration::from_millis(deadline),
@@ -233,8 +260,8 @@
     let entries = reader.required::<AddressList>("entries");
     let report_fanout = reader.number("report_fanout", 9, 1, 64);
     let report_interval = reader.number("report_interval_millis", 500, 50, 10_000);
-    let gate_address = reader.required::<AddressText>("gate_address");
-    let chunk_address = reader.required::<AddressText>("chunk_address");
+    let (gate_address, advertised_gate_address) = read_address(reader, "gate_address");
+    let (chunk_address, advertised_chunk_address) = read_address(reader, "chunk_address");
     let target_address = reader.required::<AddressText>("target_address");
     let origin_address = reader.optional::<AddressText>("origin_address");
     if kind == TargetKindSetting::Model && origin_address.is_none() {
@@ -248,14 +275,21 @@
         reader.mistake("link_bytes_per_second", "must not be 0".to_owned());
     }
     let switch_limit = reader.number("switch_limit_millis", 600_000, 10_000, 900_000);
+    let distribution = match reader.word("distribution", &["swarm", "origin-only", "tree"]) {
+        Some("origin-only") => DistributionSetting::OriginOnly,
+        Some("tree") => DistributionSetting::Tree,
+        _ => DistributionSetting::Swarm,
+    };
     Some(AgentSettings {
         group: group?,
         kind,
         entries: entries?.0,
         report_fanout,
         report_interval: Duration::from_millis(report_interval),
-        gate_address: gate_address?.0,
-        chunk_address: chunk_address?.0,
+        gate_address: gate_address?,
+        advertised_gate_address: advertised_gate_address?,
+        chunk_address: chunk_address?,
+        advertised_chunk_address: advertised_chunk_address?,
         target_address: target_address?.0,
         origin_address: origin_address.map(|address| address.0).unwrap_or_default(),
         store_address: store_address.map(|address| address.0),
@@ -263,5 +297,15 @@
         disk_budget_bytes,
         link_bytes_per_second,
         switch_limit: Duration::from_millis(switch_limit),
+        distribution,
     })
 }
+
+/// An address to listen on and the one that others are told, the same unless `advertised_...` says
+/// otherwise.
+fn read_address(reader: &mut SectionReader<'_>, name: &str) -> (Option<String>, Option<String>) {
+    let listen = reader.required::<AddressText>(name).map(|address| address.0);
+    let advertised = reader.optional::<AddressText>(&format!("advertised_{name}"));
+    let advertised = advertised.map(|address| address.0).or_else(|| listen.clone());
+    (listen, advertised)
+}
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -2,7 +2,9 @@
 
 use anyhow::Context;
 use egretseam_agent::{AgentListeners, AgentOptions, AgentRuntime, AgentShared, TargetKind};
-use egretseam_config::{AgentSettings, DaemonSettings, EntrySettings, TargetKindSetting};
+use egretseam_config::{
+    AgentSettings, DaemonSettings, DistributionSetting, EntrySettings, TargetKindSetting,
+};
 use egretseam_control::{
     ControlOptions, ControlRuntime, HealthSource, OperatorHandler, TargetsSource,
 };
@@ -10,6 +12,7 @@
 use egretseam_http::{DaemonMetrics, SecretToken, ServerHandle, ServerOptions, spawn_server};
 use egretseam_proto::{Incarnation, TargetReport};
 use egretseam_rpc::{ControlClient, LinkOptions, PeerSecret};
+use egretseam_swarm::DistributionScheme;
 use serde::Serialize;
 use std::{net::TcpListener, rc::Rc, time::Duration};
 
@@ -120,7 +123,7 @@
                 let mut options = ControlOptions::new(
                     name,
                     control.data_folder.clone(),
-                    &control.peer_address,
+                    &control.advertised_peer_address,
                     secret,
                 );
                 options.snapshot_every = control.snapshot_every;
@@ -217,8 +220,8 @@
         secret,
         settings.control_members.clone(),
     );
-    options.caller_address = entry.caller_address.clone();
-    options.peer_address = entry.peer_address.clone();
+    options.caller_address = entry.advertised_caller_address.clone();
+    options.peer_address = entry.advertised_peer_address.clone();
     options.lease = entry.lease;
     // Three watches fit into a lease, so one lost answer does not end it.
     options.watch_wait = entry.lease / 3;
@@ -249,14 +252,19 @@
     options.entries = agent.entries.clone();
     options.report_fanout = agent.report_fanout as usize;
     options.report_wait = agent.report_interval;
-    options.gate_address = agent.gate_address.clone();
-    options.chunk_address = agent.chunk_address.clone();
+    options.gate_address = agent.advertised_gate_address.clone();
+    options.chunk_address = agent.advertised_chunk_address.clone();
     options.target_address = agent.target_address.clone();
     options.origin_address = agent.origin_address.clone();
     options.store_address = agent.store_address.clone();
     options.disk_budget = agent.disk_budget_bytes;
     options.link_bytes_per_second = agent.link_bytes_per_second;
     options.switch_limit = agent.switch_limit;
+    options.transfer.policy.scheme = match agent.distribution {
+        DistributionSetting::Swarm => DistributionScheme::Swarm,
+        DistributionSetting::OriginOnly => DistributionScheme::OriginOnly,
+        DistributionSetting::Tree => DistributionScheme::Tree,
+    };
     options
 }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,10 +8,12 @@
 mod engine;
 mod origin;
 mod plain;
+mod relay;
 
 pub use crate::{
     answer::{ExpectedAnswer, synthetic_weights},
     engine::{EngineCounters, EngineFaults, EngineOptions, FakeEngine},
     origin::{FakeOrigin, OriginCounters, OriginFaults, OriginOptions},
     plain::{FakePlain, PlainLedger},
+    relay::{FakeRelay, RelayFaults},
 };
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -6,8 +6,8 @@
 use egretseam_config::DaemonSettings;
 use egretseam_daemon::{DaemonListeners, DaemonThread, DaemonTokens};
 use egretseam_fakes::{
-    EngineCounters, EngineFaults, EngineOptions, FakeEngine, FakeOrigin, FakePlain, OriginOptions,
-    PlainLedger, synthetic_weights,
+    EngineCounters, EngineFaults, EngineOptions, FakeEngine, FakeOrigin, FakePlain, FakeRelay,
+    OriginOptions, PlainLedger, RelayFaults, synthetic_weights,
 };
 use egretseam_http::SecretToken;
 use egretseam_operator::{OperatorClient, TargetItem};
@@ -62,6 +62,10 @@
     pub address_lifetime_seconds: u64,
     /// Time that a plain call takes.
     pub plain_work: Duration,
+    /// How weights reach instances: `swarm`, or a baseline.
+    pub distribution: &'static str,
+    /// Whether peers reach each agent's chunks through a relay that can misbehave.
+    pub chunk_relays: bool,
 }
 
 impl Default for ClusterOptions {
@@ -79,6 +83,8 @@
             lease_millis: 3_000,
             address_lifetime_seconds: 2,
             plain_work: Duration::from_millis(5),
+            distribution: "swarm",
+            chunk_relays: false,
         }
     }
 }
@@ -106,6 +112,8 @@
     pub faults: Arc<EngineFaults>,
     /// What the engine did.
     pub counters: Arc<EngineCounters>,
+    /// Misbehaviour of the link to its chunks, if that goes through a relay.
+    pub chunk_link: Arc<RelayFaults>,
     /// `host:port` of the engine or service.
     pub target_address: String,
     /// `host:port` of the agent's operators' listener.
@@ -113,6 +121,7 @@
     settings: serde_json::Value,
     daemon: Option<DaemonThread>,
     target: Option<SystemThread>,
+    _relay: Option<SystemThread>,
 }
 
 struct LocalDaemon {
@@ -587,7 +596,15 @@
             "origin_address": self.origin_address,
             "weights_folder": self.weights_folder(name),
             "switch_limit_millis": 60_000,
+            "distribution": self.options.distribution,
         });
+        let chunk_link = Arc::new(RelayFaults::default());
+        let mut relay = None;
+        if self.options.chunk_relays {
+            let (thread, address) = start_relay(name, &addresses[2], chunk_link.clone())?;
+            agent["advertised_chunk_address"] = json!(address);
+            relay = Some(thread);
+        }
         if let Some(store) = &self.store_address {
             agent["store_address"] = json!(store);
         }
@@ -606,11 +623,13 @@
             zone: self.zone(number),
             faults,
             counters,
+            chunk_link,
             target_address,
             operator_address: addresses[0].clone(),
             settings,
             daemon: Some(daemon),
             target: Some(target),
+            _relay: relay,
         };
         self.agents.insert(name.to_owned(), agent);
         Ok(())
@@ -655,6 +674,18 @@
     Ok((thread, address))
 }
 
+fn start_relay(
+    name: &str,
+    upstream: &str,
+    faults: Arc<RelayFaults>,
+) -> anyhow::Result<(SystemThread, String)> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?.to_string();
+    let upstream = upstream.to_owned();
+    let start = move || Ok(FakeRelay::start(listener, upstream, faults)?);
+    Ok((SystemThread::spawn(&format!("{name}-link"), start)?, address))
+}
+
 fn spawn_daemon(
     settings: &serde_json::Value,
     tokens: &DaemonTokens,
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -100,6 +100,8 @@
 pub struct TargetTable {
     options: RoutingOptions,
     rows: IndexMap<InstanceName, TargetRow>,
+    /// How many rows were live at the last tick.
+    live: usize,
     turn: u64,
     random: u64,
 }
@@ -107,7 +109,7 @@
 impl TargetTable {
     /// An empty table. `seed` spreads random choices between entries.
     pub fn new(options: RoutingOptions, seed: u64) -> Self {
-        Self { options, rows: IndexMap::new(), turn: 0, random: seed | 1 }
+        Self { options, rows: IndexMap::new(), live: 0, turn: 0, random: seed | 1 }
     }
 
     /// Takes in a report; returns whether the announced swarm changed.
@@ -234,12 +236,18 @@
         self.members(group, now).map(|report| &report.zone).collect()
     }
 
-    /// Forgets targets that have long been silent; returns whether any went.
+    /// Forgets targets that have long been silent; returns whether the announced swarm changed.
+    ///
+    /// Failure guarded: an instance dies, and its peers go on waiting for the chunks that it was to
+    /// draw. It shows as a burst that stops until the row is forgotten. Silence counts as leaving
+    /// the swarm long before the row goes. One that goes silent while another returns in the same
+    /// tick is told with the next change; its peers avoid it by themselves meanwhile.
     pub fn tick(&mut self, now: Duration) -> bool {
-        let before = self.rows.len();
-        let limit = self.options.forget_after;
-        self.rows.retain(|_, row| now.saturating_sub(row.reported_at) < limit || row.own > 0);
-        before != self.rows.len()
+        let (forget, limit) = (self.options.forget_after, self.options.report_limit);
+        self.rows.retain(|_, row| now.saturating_sub(row.reported_at) < forget || row.own > 0);
+        let live = |row: &&TargetRow| now.saturating_sub(row.reported_at) < limit;
+        let count = self.rows.values().filter(live).count();
+        std::mem::replace(&mut self.live, count) != count
     }
 
     fn is_live(&self, row: &TargetRow, now: Duration) -> bool {
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -24,8 +24,8 @@
     link_budget::LinkBudget,
     manifest::{ManifestError, RawManifest, WeightManifest},
     planner::{
-        ChunkIndex, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy, SourceChoice,
-        SwarmPlanner,
+        ChunkIndex, DistributionScheme, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy,
+        SourceChoice, SwarmPlanner,
     },
     server::{ChunkHandler, ServerCounters},
     source::{
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -21,6 +21,17 @@
 /// Number of a chunk within its manifest.
 pub type ChunkIndex = u32;
 
+/// How chunks spread. All but the first are baselines for measurements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DistributionScheme {
+    /// Peers exchange; the first in rank for a chunk draws it from the origin.
+    Swarm,
+    /// Everything comes from the origin.
+    OriginOnly,
+    /// Each takes from its parent in a binary tree; the root draws from the origin.
+    Tree,
+}
+
 /// How a transfer weighs time against the origin's bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlannerPolicy {
@@ -30,7 +41,8 @@
     pub peer_fetches: usize,
     /// Most chunks fetched from one peer at a time.
     pub fetches_per_peer: usize,
-    /// Most chunks drawn from the origin or store at a time.
+    /// Most chunks drawn from the origin or store at a time, while the swarm is small; one in a
+    /// larger swarm, whose members together keep the origin's link busy anyway.
     pub origin_fetches: usize,
     /// Most neighbours.
     pub neighbours: usize,
@@ -40,8 +52,8 @@
     /// Time that an instance waits for a chunk to appear in its own availability zone before it
     /// fetches it across zones, unless it is the first of its zone for that chunk.
     pub zone_patience: Duration,
-    /// Whether peers are used at all; off for the baseline that draws everything from the origin.
-    pub use_peers: bool,
+    /// How chunks spread.
+    pub scheme: DistributionScheme,
 }
 
 impl Default for PlannerPolicy {
@@ -54,7 +66,7 @@
             neighbours: 16,
             stall_limit: Duration::from_secs(2),
             zone_patience: Duration::from_millis(250),
-            use_peers: true,
+            scheme: DistributionScheme::Swarm,
         }
     }
 }
@@ -122,6 +134,8 @@
     active: usize,
     good: u32,
     bad: u32,
+    /// Failures to reach it in a row.
+    misses: u32,
     avoid_until: Duration,
 }
 
@@ -207,6 +221,7 @@
                 active: 0,
                 good: 0,
                 bad: 0,
+                misses: 0,
                 avoid_until: Duration::ZERO,
             };
             self.neighbours.entry(name).or_insert(row);
@@ -235,6 +250,11 @@
         row.have = have;
     }
 
+    /// Bytes of some chunk arrived. A slow link that gives something is no stall.
+    pub fn note_bytes(&mut self, now: Duration) {
+        self.last_progress = now;
+    }
+
     /// A fetch was verified and written. Returns whether the chunk is new here.
     pub fn note_fetched(&mut self, order: &FetchOrder, now: Duration) -> bool {
         self.end_fetch(order);
@@ -243,6 +263,7 @@
             && let Some(row) = self.neighbours.get_mut(name)
         {
             row.good += 1;
+            row.misses = 0;
             if row.zone != self.own.zone {
                 self.cross_zone_chunks += 1;
             }
@@ -279,7 +300,10 @@
         let Some(row) = self.neighbours.get_mut(name) else { return };
         let pause = match failure {
             FetchFailure::Busy(pause) => pause,
-            FetchFailure::Unreachable => UNREACHABLE_PAUSE,
+            FetchFailure::Unreachable => {
+                row.misses += 1;
+                UNREACHABLE_PAUSE * 2_u32.pow(row.misses.min(MOST_DOUBLINGS) - 1)
+            }
             FetchFailure::Corrupt | FetchFailure::Absent => {
                 row.bad += 1;
                 // A link that damages one chunk in a hundred is used on; a peer that is wrong
@@ -316,8 +340,10 @@
     }
 }
 
-/// Pause after a source could not be reached or made no progress.
-const UNREACHABLE_PAUSE: Duration = Duration::from_secs(2);
+/// First pause after a source could not be reached or made no progress; doubles each time.
+const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
+/// How often that pause doubles at most.
+const MOST_DOUBLINGS: u32 = 6;
 /// Pause after a single wrong chunk or claim.
 const SLIP_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after too many of them.
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -1,13 +1,20 @@
 //! The systems that fill free fetch slots.
 
 use super::{
-    ActiveFetch, ChunkIndex, FetchOrder, PeerRow, PlannerPeer, SourceChoice, SwarmPlanner,
+    ActiveFetch, ChunkIndex, DistributionScheme, FetchOrder, PeerRow, PlannerPeer, SourceChoice,
+    SwarmPlanner,
 };
 use egretseam_proto::InstanceName;
 use std::time::Duration;
 
 /// Ranks beyond this all count as last.
 const MAX_RANK: u32 = 8;
+/// How many stall times an instance waits for the first chunk of all.
+const FIRST_CHUNK_PATIENCE: u32 = 5;
+/// Failures in a row to reach a neighbour after which it does not count in rank.
+const PASSED_OVER_MISSES: u32 = 2;
+/// Peers from which on a swarm is large.
+const LARGE_SWARM: usize = 4;
 /// How long an instance that hangs is passed over, unless it shows new chunks before.
 const STALLED_FOR: Duration = Duration::from_secs(30);
 /// A fetch this old may be doubled at another source when nothing else is left to fetch.
@@ -43,14 +50,14 @@
     /// A chunk that this instance may draw from the origin: the one fewest neighbours have, so
     /// that what is drawn is news to the swarm.
     fn next_upstream(&self, now: Duration) -> Option<FetchOrder> {
-        if self.upstream_active >= self.policy.origin_fetches || now < self.upstream_until {
+        if self.upstream_active >= self.origin_slots() || now < self.upstream_until {
             return None;
         }
         let allowed = self.allowed_rank();
         let wanted = |chunk: &ChunkIndex| {
             let row = &self.chunks[*chunk as usize];
-            let frugal = self.policy.origin_copies == 1 && self.policy.use_peers;
-            let elsewhere = frugal && row.holders > 0;
+            let frugal = self.policy.origin_copies == 1;
+            let elsewhere = frugal && self.is_held(*chunk, now);
             !row.present && row.active.is_empty() && !elsewhere && self.rank(*chunk) < allowed
         };
         let chunk = (0..self.have.len())
@@ -59,9 +66,25 @@
         Some(FetchOrder { chunk, source: SourceChoice::Upstream })
     }
 
+    fn origin_slots(&self) -> usize {
+        if self.swarm.len() >= LARGE_SWARM { 1 } else { self.policy.origin_fetches }
+    }
+
+    /// Whether a neighbour that is not avoided has the chunk. One that claims it but gives nothing
+    /// must not keep everybody from drawing it elsewhere.
+    fn is_held(&self, chunk: ChunkIndex, now: Duration) -> bool {
+        let holds = |row: &PeerRow| now >= row.avoid_until && row.have.contains(chunk);
+        self.chunks[chunk as usize].holders > 0 && self.neighbours.values().any(holds)
+    }
+
     /// How many ranks may draw from the origin.
     fn allowed_rank(&self) -> u32 {
-        if self.policy.use_peers { self.policy.origin_copies } else { u32::MAX }
+        match self.policy.scheme {
+            DistributionScheme::Swarm => self.policy.origin_copies,
+            DistributionScheme::OriginOnly => u32::MAX,
+            DistributionScheme::Tree if self.tree_parent().is_none() => u32::MAX,
+            DistributionScheme::Tree => 0,
+        }
     }
 
     /// Failure guarded: the instance that should draw a chunk hangs while it still announces
@@ -70,32 +93,49 @@
     /// that starve come to the same list, so the next in rank draws and not everybody. One stall
     /// time covers all chunks of the hanging instance, however many there are.
     fn pass_over_stalled(&mut self, now: Duration) {
-        if now.saturating_sub(self.last_progress) < self.policy.stall_limit {
+        if now.saturating_sub(self.last_progress) < self.stall_limit() {
             return;
         }
         self.last_progress = now;
         self.stalled.retain(|_, until| *until > now);
         let missing = |chunk: &ChunkIndex| {
             let row = &self.chunks[*chunk as usize];
-            !row.present && row.holders == 0 && row.active.is_empty()
+            !row.present && row.active.is_empty() && !self.is_held(*chunk, now)
         };
         let missing: Vec<ChunkIndex> = (0..self.have.len()).filter(missing).collect();
         for chunk in missing {
-            let ahead = self.swarm.iter().filter(|peer| !self.stalled.contains_key(&peer.name));
+            let ahead = self.swarm.iter().filter(|peer| !self.is_passed_over(&peer.name));
             let first = ahead.max_by_key(|peer| score(&peer.name, chunk));
             let Some(first) = first else { return };
             if score(&first.name, chunk) > score(&self.own.name, chunk) {
+                tracing::info!(own = %self.own.name, over = %first.name, chunk, "passing over");
                 self.stalled.insert(first.name.clone(), now + STALLED_FOR);
             }
         }
     }
 
+    /// How long this instance starves before it passes others over. Before anybody near has a
+    /// single chunk, starving says little: in a large swarm each member's part of the origin's link
+    /// is thin, and those with nothing to draw wait for the first chunks of the others.
+    fn stall_limit(&self) -> Duration {
+        let begun = !self.have.is_empty() || self.neighbours.values().any(|r| !r.have.is_empty());
+        self.policy.stall_limit * if begun { 1 } else { FIRST_CHUNK_PATIENCE }
+    }
+
+    /// Whether an instance does not count in rank: it starved others, or it is a neighbour that
+    /// could not be reached several times in a row.
+    fn is_passed_over(&self, name: &InstanceName) -> bool {
+        let unreachable =
+            self.neighbours.get(name).is_some_and(|row| row.misses >= PASSED_OVER_MISSES);
+        unreachable || self.stalled.contains_key(name)
+    }
+
     /// This instance's place among the announced swarm for `chunk`, by rendezvous hashing.
     fn rank(&self, chunk: ChunkIndex) -> u32 {
         let own = score(&self.own.name, chunk);
         let mut rank = 0;
         for peer in &self.swarm {
-            if score(&peer.name, chunk) > own && !self.stalled.contains_key(&peer.name) {
+            if score(&peer.name, chunk) > own && !self.is_passed_over(&peer.name) {
                 rank += 1;
                 if rank >= MAX_RANK {
                     break;
@@ -107,7 +147,7 @@
 
     fn next_peer(&self, now: Duration) -> Option<FetchOrder> {
         let active: usize = self.neighbours.values().map(|row| row.active).sum();
-        if !self.policy.use_peers || active >= self.policy.peer_fetches {
+        if active >= self.policy.peer_fetches {
             return None;
         }
         let free: Vec<(&InstanceName, &PeerRow)> =
@@ -181,7 +221,8 @@
     /// Each chunk crosses into an availability zone about once: through the zone's first in rank.
     /// Others wait a little for it to appear in their zone.
     fn may_cross_zones(&self, chunk: ChunkIndex, now: Duration) -> bool {
-        if self.policy.origin_copies > 1 {
+        let tree = self.policy.scheme == DistributionScheme::Tree;
+        if tree || self.policy.origin_copies > 1 {
             return true;
         }
         let seen_at = self.chunks[chunk as usize].seen_at.unwrap_or(now);
@@ -194,6 +235,24 @@
     }
 
     pub(super) fn choose_neighbours(&self) -> Vec<InstanceName> {
+        match self.policy.scheme {
+            DistributionScheme::Swarm => self.swarm_neighbours(),
+            DistributionScheme::OriginOnly => Vec::new(),
+            DistributionScheme::Tree => self.tree_parent().into_iter().collect(),
+        }
+    }
+
+    /// This instance's parent in a binary tree over the announced swarm in order of names.
+    fn tree_parent(&self) -> Option<InstanceName> {
+        let mut names: Vec<&InstanceName> = self.swarm.iter().map(|peer| &peer.name).collect();
+        names.push(&self.own.name);
+        names.sort();
+        let at = names.iter().position(|name| **name == self.own.name)?;
+        let parent = at.checked_sub(1)? / 2;
+        names.get(parent).map(|name| (*name).clone())
+    }
+
+    fn swarm_neighbours(&self) -> Vec<InstanceName> {
         let limit = self.policy.neighbours;
         let salt = self.salt();
         let mut near: Vec<&PlannerPeer> = Vec::new();
--- a/crates/swarm/src/transfer.rs
+++ b/crates/swarm/src/transfer.rs
@@ -24,6 +24,8 @@
 use thiserror::Error;
 use tokio::{sync::Notify, time::Instant};
 
+/// How many times longer an upstream may give nothing than a peer.
+const UPSTREAM_PATIENCE: u32 = 10;
 /// How often free slots are looked at without an event.
 const PLAN_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a neighbour may hold a question for new chunks.
@@ -166,7 +168,7 @@
         for (peer, source) in swarm {
             let fresh = names.contains(&peer.name)
                 && self.peers.borrow_mut().insert(peer.name.clone(), source).is_none();
-            if fresh && self.options.policy.use_peers {
+            if fresh {
                 actix_rt::spawn(self.clone().ask_neighbour(peer.name));
             }
         }
@@ -307,16 +309,21 @@
         match &order.source {
             SourceChoice::Upstream => {
                 let (stream, counter) = self.open_upstream(&request).await?;
-                self.take_bytes(order.chunk, stream, counter).await
+                // A busy origin serves many at a time and may be long in coming to each.
+                let limit = self.options.progress_limit * UPSTREAM_PATIENCE;
+                self.take_bytes(order.chunk, stream, counter, limit).await
             }
             SourceChoice::Peer(name) => {
                 let peer = self.peers.borrow().get(name).cloned();
                 let peer = peer.ok_or(FetchError::Source(FetchFailure::Unreachable))?;
-                let mut stream = peer.chunk(&request).await.map_err(FetchError::from)?;
+                let limit = self.options.progress_limit;
+                let begun = tokio::time::timeout(limit, peer.chunk(&request)).await;
+                let begun = begun.map_err(|_| FetchError::Source(FetchFailure::Unreachable))?;
+                let mut stream = begun?;
                 if let Some(text) = stream.have.take() {
                     self.take_have(name, &text);
                 }
-                self.take_bytes(order.chunk, stream, &self.bytes.peers).await
+                self.take_bytes(order.chunk, stream, &self.bytes.peers, limit).await
             }
         }
     }
@@ -353,18 +360,19 @@
         chunk: ChunkIndex,
         mut stream: ChunkStream,
         counter: &Cell<u64>,
+        limit: Duration,
     ) -> Result<(), FetchError> {
         let range = self.manifest.range(chunk);
         let expected = range.end - range.start;
         let mut hasher = blake3::Hasher::new();
         let mut taken = 0;
-        let limit = self.options.progress_limit;
         loop {
             let next = tokio::time::timeout(limit, stream.bytes.next()).await;
             let next = next.map_err(|_| FetchError::Source(FetchFailure::Unreachable))?;
             let Some(piece) = next else { break };
             let piece = piece?;
             counter.set(counter.get() + piece.len() as u64);
+            self.planner.borrow_mut().note_bytes(self.now());
             if taken + piece.len() as u64 > expected {
                 return Err(FetchError::Source(FetchFailure::Corrupt));
             }
