Processes of their own, frozen, killed, lost and replaced

Cause: everything so far ran as threads of one process. Three tests now run the program itself: an instance frozen while it leads, an instance lost with its disk and replaced, a second loss right after, a stop under load by signal, exit codes.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod group_model;
 mod http_client;
 mod keyed_requests;
+mod processes;
 mod scenarios;
 mod settings;
 mod store;
