--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,6 @@
     reader::{SettingsError, SettingsMistake},
     settings::{
         AgentSettings, ControlSettings, DaemonSettings, DistributionSetting, EntrySettings,
-        LogFormat, LogSettings, TargetKindSetting,
+        LogFormat, LogSettings, RoutingSetting, TargetKindSetting,
     },
 };
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -36,6 +36,18 @@
     pub snapshot_every: u64,
 }
 
+/// How an entry chooses targets. Only the first is for use; the others are baselines that
+/// measurements compare with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoutingSetting {
+    /// By load, pace, zone and cached prompts.
+    Balanced,
+    /// Each in turn.
+    RoundRobin,
+    /// Fewest requests of this entry in progress.
+    LeastInFlight,
+}
+
 /// An entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntrySettings {
@@ -55,6 +67,8 @@
     pub default_deadline: Duration,
     /// Largest request body in bytes.
     pub max_body_bytes: u64,
+    /// How targets are chosen.
+    pub routing: RoutingSetting,
 }
 
 /// What stands behind an agent.
@@ -241,6 +255,11 @@
     let lifetime = reader.number("address_lifetime_seconds", 10, 1, 3_600);
     let deadline = reader.number("default_deadline_millis", 60_000, 100, DAY_MILLIS);
     let max_body_bytes = reader.number("max_body_bytes", 8 << 20, 1_024, 64 << 20);
+    let routing = match reader.word("routing", &["balanced", "round-robin", "least-in-flight"]) {
+        Some("round-robin") => RoutingSetting::RoundRobin,
+        Some("least-in-flight") => RoutingSetting::LeastInFlight,
+        _ => RoutingSetting::Balanced,
+    };
     Some(EntrySettings {
         caller_address: caller_address?,
         advertised_caller_address: advertised_caller_address?,
@@ -250,6 +269,7 @@
         address_lifetime: Duration::from_secs(lifetime),
         default_deadline: Duration::from_millis(deadline),
         max_body_bytes,
+        routing,
     })
 }
 
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -3,7 +3,8 @@
 use anyhow::Context;
 use egretseam_agent::{AgentListeners, AgentOptions, AgentRuntime, AgentShared, TargetKind};
 use egretseam_config::{
-    AgentSettings, DaemonSettings, DistributionSetting, EntrySettings, TargetKindSetting,
+    AgentSettings, DaemonSettings, DistributionSetting, EntrySettings, RoutingSetting,
+    TargetKindSetting,
 };
 use egretseam_control::{
     ControlOptions, ControlRuntime, HealthSource, OperatorHandler, TargetsSource,
@@ -11,6 +12,7 @@
 use egretseam_entry::{EntryListeners, EntryOptions, EntryRuntime, EntryShared};
 use egretseam_http::{DaemonMetrics, SecretToken, ServerHandle, ServerOptions, spawn_server};
 use egretseam_proto::{Incarnation, TargetReport};
+use egretseam_routing::ChoicePolicy;
 use egretseam_rpc::{ControlClient, LinkOptions, PeerSecret};
 use egretseam_swarm::DistributionScheme;
 use serde::Serialize;
@@ -228,6 +230,11 @@
     options.address_lifetime = entry.address_lifetime;
     options.default_deadline = entry.default_deadline;
     options.max_body_bytes = entry.max_body_bytes as usize;
+    options.routing.policy = match entry.routing {
+        RoutingSetting::Balanced => ChoicePolicy::Balanced,
+        RoutingSetting::RoundRobin => ChoicePolicy::RoundRobin,
+        RoutingSetting::LeastInFlight => ChoicePolicy::LeastInFlight,
+    };
     options
 }
 
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -64,6 +64,8 @@
     pub plain_work: Duration,
     /// How weights reach instances: `swarm`, or a baseline.
     pub distribution: &'static str,
+    /// How entries choose targets: `balanced`, or a baseline.
+    pub routing: &'static str,
     /// Whether peers reach each agent's chunks through a relay that can misbehave.
     pub chunk_relays: bool,
 }
@@ -84,6 +86,7 @@
             address_lifetime_seconds: 2,
             plain_work: Duration::from_millis(5),
             distribution: "swarm",
+            routing: "balanced",
             chunk_relays: false,
         }
     }
@@ -152,6 +155,17 @@
 }
 
 impl LocalCluster {
+    /// Token of the cluster's processes; loopback only.
+    pub const PEER_TOKEN: &'static str = PEER_TOKEN;
+
+    /// `host:port` of the control members' peer listeners.
+    pub fn control_peers(&self) -> Vec<String> {
+        let address = |member: &LocalDaemon| {
+            member.settings["control"]["peer_address"].as_str().unwrap_or_default().to_owned()
+        };
+        self.control.iter().map(address).collect()
+    }
+
     /// Starts control members, entries, fakes and agents, and waits until entries have a
     /// confirmed configuration.
     ///
@@ -440,6 +454,17 @@
         }
     }
 
+    /// Asks an agent to stop gracefully; the returned thread ends with it.
+    pub fn begin_stop_agent(&mut self, name: &str) -> Option<std::thread::JoinHandle<()>> {
+        self.agents.get_mut(name)?.daemon.take()?.begin_stop()
+    }
+
+    /// Operators' addresses of the running entries.
+    pub fn running_entry_operators(&self) -> Vec<String> {
+        let running = self.entries.iter().filter(|entry| entry.daemon.is_some());
+        running.map(|entry| entry.operator_address.clone()).collect()
+    }
+
     /// Starts an agent again on the same addresses and folder.
     ///
     /// # Errors
@@ -579,6 +604,7 @@
                 "caller_address": addresses[1], "peer_address": addresses[2],
                 "lease_millis": self.options.lease_millis,
                 "address_lifetime_seconds": self.options.address_lifetime_seconds,
+                "routing": self.options.routing,
             },
         });
         let daemon = spawn_daemon(&settings, &self.tokens, &mut ports.listeners)?;
--- a/crates/replica/src/config.rs
+++ b/crates/replica/src/config.rs
@@ -34,7 +34,7 @@
     fn default() -> Self {
         Self {
             heartbeat_interval: Duration::from_millis(200),
-            election_timeout: Duration::from_millis(800),
+            election_timeout: Duration::from_millis(600),
             max_append_bytes: 256 * 1024,
             snapshot_piece_bytes: 256 * 1024,
             promote_max_lag: 64,
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -19,7 +19,7 @@
 /// Shortest pause between rounds over all members.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause between rounds over all members.
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 
 /// Why a command has no reply.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
--- a/spec/control.pml
+++ b/spec/control.pml
@@ -357,6 +357,14 @@
     fi
 }
 
+/* While the lease holds, nothing that the entry instance misses may be older than one lease. */
+inline check_lease() {
+    if
+    :: clock < lease_until && held < ghost_len -> assert(accepted_at[held] + LEASE > clock)
+    :: else -> skip
+    fi
+}
+
 inline end_read() {
     a = 0; /* An option may not begin with another choice's else. */
     if
@@ -376,7 +384,8 @@
 #else
             if :: sent_at + LEASE > lease_until -> lease_until = sent_at + LEASE :: else -> skip fi;
 #endif
-            read_leader = NONE
+            read_leader = NONE;
+            check_lease()
         :: else -> skip
         fi
     :: read_leader != NONE && (role[read_leader] != LEADER || term[read_leader] != read_term) ->
@@ -385,16 +394,13 @@
     fi
 }
 
-/* Time passes; while the lease holds, nothing that it misses may be older than one lease. */
+/* Time passes. */
 inline pass_time() {
     a = 0;
     if
     :: clock < TICKS ->
         clock++;
-        if
-        :: clock < lease_until && held < ghost_len -> assert(accepted_at[held] + LEASE > clock)
-        :: else -> skip
-        fi
+        check_lease()
     :: else -> skip
     fi
 }
