--- a/crates/bench/src/requests/overhead.rs
+++ b/crates/bench/src/requests/overhead.rs
@@ -25,6 +25,8 @@
 const CALLERS: usize = 32;
 /// How long they call.
 const LOAD_TIME: Duration = Duration::from_secs(3);
+/// Events of a long answer.
+const LONG_ANSWER: u64 = 129;
 /// The organisation's key.
 const KEY: &str = "bench-organisation-key-0";
 
@@ -42,6 +44,8 @@
     paths: Vec<PathRow>,
     added_p50_ms: f64,
     added_p99_ms: f64,
+    /// Processor time of entry and agent for each event of a stream.
+    cpu_micros_per_event: f64,
     /// Processor time of two bare relays in a row over that of entry and agent.
     throughput_per_core_of_relay: f64,
 }
@@ -77,7 +81,11 @@
     let ours = path("entry and agent", &cluster.caller_addresses()[0])?;
     let relay_cost = relayed.cpu_micros_per_call - direct.cpu_micros_per_call;
     let own_cost = ours.cpu_micros_per_call - direct.cpu_micros_per_call;
+    let entry = &cluster.caller_addresses()[0];
+    let direct_event = event_cost(&target)?;
+    let own_event = event_cost(entry)?;
     let row = OverheadRow {
+        cpu_micros_per_event: own_event - direct_event,
         added_p50_ms: ours.p50_ms - direct.p50_ms,
         added_p99_ms: ours.p99_ms - direct.p99_ms,
         throughput_per_core_of_relay: 2.0 * relay_cost / own_cost,
@@ -87,6 +95,37 @@
     Ok(())
 }
 
+/// Processor time of one event of a stream on a path, from short and long answers.
+fn event_cost(address: &str) -> anyhow::Result<f64> {
+    let address = address.to_owned();
+    actix_rt::System::new().block_on(async move {
+        let client = http_client(ClientOptions::default());
+        let short = load_cost(&client, &address, 1).await?;
+        let long = load_cost(&client, &address, LONG_ANSWER).await?;
+        Ok((long - short) / (LONG_ANSWER - 1) as f64)
+    })
+}
+
+/// Processor microseconds of one streamed call under load.
+async fn load_cost(client: &awc::Client, address: &str, events: u64) -> anyhow::Result<f64> {
+    let cpu = cpu_seconds();
+    let begun = Instant::now();
+    let count = Rc::new(Cell::new(0_u64));
+    let callers = (0..CALLERS).map(|_| {
+        let (client, count) = (client.clone(), count.clone());
+        async move {
+            while begun.elapsed() < LOAD_TIME {
+                if call(&client, address, events, true).await.is_ok() {
+                    count.set(count.get() + 1);
+                }
+            }
+        }
+    });
+    futures::future::join_all(callers).await;
+    anyhow::ensure!(count.get() > 0, "no call succeeded at {address}");
+    Ok((cpu_seconds() - cpu) * 1e6 / count.get() as f64)
+}
+
 fn path(name: &'static str, address: &str) -> anyhow::Result<PathRow> {
     let address = address.to_owned();
     actix_rt::System::new().block_on(async move {
@@ -94,7 +133,7 @@
         let mut times = Histogram::<u64>::new(3)?;
         for _ in 0..CALLS {
             let sent = Instant::now();
-            call(&client, &address).await?;
+            call(&client, &address, 1, false).await?;
             times.record(sent.elapsed().as_micros() as u64)?;
         }
         let cpu = cpu_seconds();
@@ -104,7 +143,7 @@
             let (client, address, count) = (client.clone(), address.clone(), count.clone());
             async move {
                 while begun.elapsed() < LOAD_TIME {
-                    if call(&client, &address).await.is_ok() {
+                    if call(&client, &address, 1, false).await.is_ok() {
                         count.set(count.get() + 1);
                     }
                 }
@@ -123,8 +162,15 @@
     })
 }
 
-async fn call(client: &awc::Client, address: &str) -> anyhow::Result<()> {
-    let body = serde_json::json!({ "model": "chat", "prompt": "short", "max_tokens": 1 });
+async fn call(
+    client: &awc::Client,
+    address: &str,
+    events: u64,
+    stream: bool,
+) -> anyhow::Result<()> {
+    let body = serde_json::json!({
+        "model": "chat", "prompt": "short", "max_tokens": events, "stream": stream,
+    });
     let call = client.post(format!("http://{address}/v1/completions")).bearer_auth(KEY);
     let answer = call.send_json(&body).await;
     let mut answer = answer.map_err(|error| anyhow::anyhow!("{error}"))?;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -19,7 +19,7 @@
 use tokio::{sync::oneshot, time::Instant};
 
 /// Most sends of one request.
-const MAX_SENDS: usize = 4;
+const MAX_SENDS: usize = 8;
 /// Tries at further targets, after full gates, that cost no budget.
 const FREE_TRIES: usize = 2;
 /// How often a request that is admitted looks for a target with room.
@@ -165,7 +165,11 @@
         full_gates += usize::from(is_full);
         // A gate that was full for a moment costs next to nothing and shows no failure, so a few
         // further tries are free; a budget would refuse admitted requests of whoever came last.
-        let is_free = is_full && full_gates <= FREE_TRIES && Instant::now() < call.deadline;
+        // So is a refused connection, which reached nobody.
+        let is_unreached = failure.reason == RefusalReason::ConnectFailed
+            && failure.verdict == RequestVerdict::NotRun;
+        let is_free =
+            (is_unreached || is_full && full_gates <= FREE_TRIES) && Instant::now() < call.deadline;
         if !is_free && !may_retry(shared, call, &failure) {
             return Err(failure);
         }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -24,8 +24,9 @@
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 /// Largest single event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
-/// Most further targets that one stream goes on at.
-const MAX_RESUMES: usize = 3;
+/// Most further targets that one stream goes on at. When a zone is lost, several in a row may be
+/// dead before their silence shows; finding that out is quick.
+const MAX_RESUMES: usize = 8;
 
 /// Relays an answer as it comes.
 pub(crate) fn relay(
@@ -157,23 +158,31 @@
             return false;
         }
         let manifest = self.reply.choice.manifest;
-        while self.tried.len() < MAX_RESUMES && Instant::now() < self.call.deadline {
-            self.tried.push(self.reply.choice.target.clone());
+        self.tried.push(self.reply.choice.target.clone());
+        while self.tried.len() <= MAX_RESUMES && Instant::now() < self.call.deadline {
             if !self.shared.budget.borrow_mut().take(&self.call.organisation) {
                 return false;
             }
             let chosen =
                 forward::choose(&self.shared, &self.call, &self.profile, &self.tried, manifest);
             let Ok(choice) = chosen else { return false };
+            let target = choice.target.clone();
             self.shared.metrics.count_retry(RefusalReason::BrokenAnswer);
             let sent = attempt::send(&self.shared, &self.call, choice, Some(self.events)).await;
-            if let Ok(reply) = sent
-                && reply.response.status().is_success()
-            {
-                self.reply = reply;
-                self.buffer.clear();
-                self.shared.counters.resumed.inc();
-                return true;
+            match sent {
+                Ok(reply) if reply.response.status().is_success() => {
+                    self.reply = reply;
+                    self.buffer.clear();
+                    self.shared.counters.resumed.inc();
+                    return true;
+                }
+                Ok(reply) => self.tried.push(reply.choice.target.clone()),
+                Err(failure) => {
+                    if failure.report.reason == RefusalReason::ConnectFailed {
+                        self.shared.budget.borrow_mut().give_back(&self.call.organisation);
+                    }
+                    self.tried.push(target);
+                }
             }
         }
         false
--- a/crates/local/src/cluster.rs
+++ b/crates/local/src/cluster.rs
@@ -1,13 +1,17 @@
 //! Starting daemons and fakes on loopback, each with its own thread and port.
 
+mod faults;
+mod parts;
+mod setup;
+
+use self::parts::{block_on, start_origin};
 use crate::system_thread::SystemThread;
 use anyhow::Context;
 use egretseam_catalog::{ConfigEdit, ConfigView, OrganisationSpec, ProfileSpec, WeightsSpec};
-use egretseam_config::DaemonSettings;
-use egretseam_daemon::{DaemonListeners, DaemonThread, DaemonTokens};
+use egretseam_daemon::{DaemonThread, DaemonTokens};
 use egretseam_fakes::{
-    EngineCounters, EngineFaults, EngineOptions, FakeEngine, FakeOrigin, FakePlain, FakeRelay,
-    OriginOptions, PlainLedger, RelayFaults, synthetic_weights,
+    EngineCounters, EngineFaults, EngineOptions, FakeOrigin, OriginOptions, PlainLedger,
+    RelayFaults, synthetic_weights,
 };
 use egretseam_http::SecretToken;
 use egretseam_operator::{OperatorClient, TargetItem};
@@ -15,13 +19,10 @@
     ChunkDigest, GroupName, ManifestId, ModelName, OrganisationName, ProfileName, Revision,
     ServiceName, TargetState, VersionName,
 };
-use egretseam_replica::{GroupId, LogStore, MemberId, MemberRecord, MembershipChange};
 use egretseam_swarm::WeightManifest;
-use serde_json::json;
 use std::{
     collections::BTreeMap,
-    net::TcpListener,
-    path::{Path, PathBuf},
+    path::Path,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -411,111 +412,6 @@
         anyhow::bail!("waited {limit:?} in vain for {what}{detail}")
     }
 
-    /// Kills an agent as a crash would; its engine lives on.
-    pub fn kill_agent(&mut self, name: &str) {
-        if let Some(daemon) = self.agents.get_mut(name).and_then(|agent| agent.daemon.take()) {
-            daemon.kill();
-        }
-    }
-
-    /// Kills an agent's target.
-    pub fn kill_target(&mut self, name: &str) {
-        if let Some(agent) = self.agents.get_mut(name) {
-            agent.target.take();
-        }
-    }
-
-    /// Starts a model agent's engine again, empty, on the same address.
-    ///
-    /// # Errors
-    /// Fails if it cannot start.
-    pub fn restart_target(&mut self, name: &str) -> anyhow::Result<()> {
-        let options = self.options.engine;
-        let agent = self.agents.get_mut(name).context("no such agent")?;
-        agent.target.take();
-        let begun = Instant::now();
-        let listener = loop {
-            match TcpListener::bind(&agent.target_address) {
-                Ok(listener) => break listener,
-                Err(error) if begun.elapsed() > STEP_LIMIT => return Err(error.into()),
-                Err(_) => std::thread::sleep(POLL),
-            }
-        };
-        let (faults, counters) = (agent.faults.clone(), agent.counters.clone());
-        let start = move || Ok(FakeEngine::start(options, faults, counters, listener)?);
-        agent.target = Some(SystemThread::spawn(&format!("{name}-target"), start)?);
-        Ok(())
-    }
-
-    /// Stops an agent gracefully and waits for it.
-    pub fn stop_agent(&mut self, name: &str) {
-        if let Some(daemon) = self.agents.get_mut(name).and_then(|agent| agent.daemon.take()) {
-            daemon.stop();
-        }
-    }
-
-    /// Asks an agent to stop gracefully; the returned thread ends with it.
-    pub fn begin_stop_agent(&mut self, name: &str) -> Option<std::thread::JoinHandle<()>> {
-        self.agents.get_mut(name)?.daemon.take()?.begin_stop()
-    }
-
-    /// Operators' addresses of the running entries.
-    pub fn running_entry_operators(&self) -> Vec<String> {
-        let running = self.entries.iter().filter(|entry| entry.daemon.is_some());
-        running.map(|entry| entry.operator_address.clone()).collect()
-    }
-
-    /// Operators' addresses of the running agents.
-    pub fn running_agent_operators(&self) -> Vec<String> {
-        let running = self.agents.values().filter(|agent| agent.daemon.is_some());
-        running.map(|agent| agent.operator_address.clone()).collect()
-    }
-
-    /// Starts an agent again on the same addresses and folder.
-    ///
-    /// # Errors
-    /// Fails if it cannot start.
-    pub fn restart_agent(&mut self, name: &str) -> anyhow::Result<()> {
-        let tokens = self.tokens.clone();
-        let agent = self.agents.get_mut(name).context("no such agent")?;
-        agent.daemon.take();
-        agent.daemon = Some(respawn_daemon(&agent.settings, &tokens)?);
-        Ok(())
-    }
-
-    /// Kills an entry as a crash would.
-    pub fn kill_entry(&mut self, number: usize) {
-        if let Some(daemon) = self.entries[number].daemon.take() {
-            daemon.kill();
-        }
-    }
-
-    /// Stops an entry gracefully and waits for it.
-    pub fn stop_entry(&mut self, number: usize) {
-        if let Some(daemon) = self.entries[number].daemon.take() {
-            daemon.stop();
-        }
-    }
-
-    /// Kills a control member as a crash would.
-    pub fn kill_control(&mut self, number: usize) {
-        if let Some(daemon) = self.control[number].daemon.take() {
-            daemon.kill();
-        }
-    }
-
-    /// Starts a control member again on the same addresses and folder.
-    ///
-    /// # Errors
-    /// Fails if it cannot start.
-    pub fn restart_control(&mut self, number: usize) -> anyhow::Result<()> {
-        let tokens = self.tokens.clone();
-        let member = &mut self.control[number];
-        member.daemon.take();
-        member.daemon = Some(respawn_daemon(&member.settings, &tokens)?);
-        Ok(())
-    }
-
     /// Number of the control member that leads, by its own account.
     pub fn leader(&self) -> Option<usize> {
         let parts = self.control.iter().position(|member| member.daemon.is_some())?;
@@ -536,252 +432,4 @@
     fn zone(&self, number: usize) -> String {
         format!("zone-{}", number % self.options.zones.max(1))
     }
-
-    fn start_control(&mut self) -> anyhow::Result<()> {
-        let mut ports = BoundPorts::bind(self.options.control * 2)?;
-        let addresses = ports.addresses.clone();
-        let (peers, operators) = addresses.split_at(self.options.control);
-        let mut identities = Vec::new();
-        for (number, peer) in peers.iter().enumerate() {
-            let name = format!("control-{number}");
-            let folder = self.folder.path().join(&name);
-            let id = MemberId(rand::random());
-            if number == 0 {
-                LogStore::found(&folder, id, GroupId(rand::random()), &name, peer)?;
-            } else {
-                LogStore::join(&folder, id)?;
-            }
-            identities.push(id);
-            let settings = json!({
-                "instance": name, "zone": self.zone(number),
-                "peer_token_file": "unused", "operator_token_file": "unused",
-                "operator_address": operators[number], "control_members": peers,
-                "control": { "data_folder": folder, "peer_address": peer },
-            });
-            let daemon = spawn_daemon(&settings, &self.tokens, &mut ports.listeners)?;
-            self.control.push(LocalDaemon {
-                name,
-                operator_address: operators[number].clone(),
-                caller_address: None,
-                settings,
-                daemon: Some(daemon),
-            });
-        }
-        for number in 1..self.options.control {
-            let record = MemberRecord {
-                id: identities[number],
-                name: format!("control-{number}"),
-                address: peers[number].clone(),
-                voter: false,
-            };
-            self.change_members(MembershipChange::AddLearner(record))?;
-            self.change_members(MembershipChange::Promote(identities[number]))?;
-        }
-        Ok(())
-    }
-
-    /// Makes one step of membership, again and again until it is taken.
-    ///
-    /// # Errors
-    /// Fails if it is not taken in time.
-    pub fn change_members(&self, change: MembershipChange) -> anyhow::Result<()> {
-        let (address, token) =
-            (self.control[0].operator_address.clone(), self.tokens.operator.clone());
-        self.wait_until("a step of membership", STEP_LIMIT, || {
-            let (address, token, change) = (address.clone(), token.clone(), change.clone());
-            block_on(async move {
-                let client = OperatorClient::new(&address, token, "local");
-                Ok(client.change_members(&change).await.map(|()| true)?)
-            })
-        })
-    }
-
-    fn start_entry(&mut self, number: usize) -> anyhow::Result<()> {
-        let name = format!("entry-{number}");
-        let mut ports = BoundPorts::bind(3)?;
-        let addresses = ports.addresses.clone();
-        let members: Vec<&serde_json::Value> =
-            self.control.iter().map(|member| &member.settings["control"]["peer_address"]).collect();
-        let settings = json!({
-            "instance": name, "zone": self.zone(number),
-            "peer_token_file": "unused", "operator_token_file": "unused",
-            "operator_address": addresses[0], "control_members": members,
-            "entry": {
-                "caller_address": addresses[1], "peer_address": addresses[2],
-                "lease_millis": self.options.lease_millis,
-                "address_lifetime_seconds": self.options.address_lifetime_seconds,
-                "routing": self.options.routing,
-            },
-        });
-        let daemon = spawn_daemon(&settings, &self.tokens, &mut ports.listeners)?;
-        self.entries.push(LocalDaemon {
-            name,
-            operator_address: addresses[0].clone(),
-            caller_address: Some(addresses[1].clone()),
-            settings,
-            daemon: Some(daemon),
-        });
-        Ok(())
-    }
-
-    fn wait_ready(&self) -> anyhow::Result<()> {
-        let expected = self.options.entries;
-        self.wait_until("entries to be announced", STEP_LIMIT, || {
-            Ok(self.config()?.entries.len() == expected)
-        })
-    }
-
-    fn start_agent(&mut self, name: &str, number: usize, is_model: bool) -> anyhow::Result<()> {
-        let faults = Arc::new(EngineFaults::default());
-        let counters = Arc::new(EngineCounters::default());
-        let (target, target_address) =
-            self.start_target(name, is_model, faults.clone(), counters.clone())?;
-        let mut ports = BoundPorts::bind(3)?;
-        let addresses = ports.addresses.clone();
-        let entries: Vec<&serde_json::Value> =
-            self.entries.iter().map(|entry| &entry.settings["entry"]["peer_address"]).collect();
-        let mut agent = json!({
-            "group": if is_model { "runners" } else { "plain" },
-            "kind": if is_model { "model" } else { "plain" },
-            "entries": entries,
-            "report_interval_millis": 200,
-            "gate_address": addresses[1], "chunk_address": addresses[2],
-            "target_address": target_address,
-            "origin_address": self.origin_address,
-            "weights_folder": self.weights_folder(name),
-            "switch_limit_millis": 60_000,
-            "distribution": self.options.distribution,
-        });
-        let chunk_link = Arc::new(RelayFaults::default());
-        let mut relay = None;
-        if self.options.chunk_relays {
-            let (thread, address) = start_relay(name, &addresses[2], chunk_link.clone())?;
-            agent["advertised_chunk_address"] = json!(address);
-            relay = Some(thread);
-        }
-        if let Some(store) = &self.store_address {
-            agent["store_address"] = json!(store);
-        }
-        if let Some(rate) = self.options.link_bytes_per_second {
-            agent["link_bytes_per_second"] = json!(rate);
-        }
-        let settings = json!({
-            "instance": name, "zone": self.zone(number),
-            "peer_token_file": "unused", "operator_token_file": "unused",
-            "operator_address": addresses[0],
-            "agent": agent,
-        });
-        let daemon = spawn_daemon(&settings, &self.tokens, &mut ports.listeners)?;
-        let agent = LocalAgent {
-            name: name.to_owned(),
-            zone: self.zone(number),
-            faults,
-            counters,
-            chunk_link,
-            target_address,
-            operator_address: addresses[0].clone(),
-            settings,
-            daemon: Some(daemon),
-            target: Some(target),
-            _relay: relay,
-        };
-        self.agents.insert(name.to_owned(), agent);
-        Ok(())
-    }
-
-    /// Folder of an agent's weights.
-    pub fn weights_folder(&self, name: &str) -> PathBuf {
-        self.folder.path().join("weights").join(name)
-    }
-
-    fn start_target(
-        &self,
-        name: &str,
-        is_model: bool,
-        faults: Arc<EngineFaults>,
-        counters: Arc<EngineCounters>,
-    ) -> anyhow::Result<(SystemThread, String)> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?.to_string();
-        let (options, ledger, work) =
-            (self.options.engine, self.ledger.clone(), self.options.plain_work);
-        let thread = SystemThread::spawn(&format!("{name}-target"), move || {
-            Ok(if is_model {
-                FakeEngine::start(options, faults, counters, listener)?
-            } else {
-                FakePlain::start(ledger, work, listener)?
-            })
-        })?;
-        Ok((thread, address))
-    }
-}
-
-fn start_origin(
-    name: &str,
-    origin: &FakeOrigin,
-    options: OriginOptions,
-) -> anyhow::Result<(SystemThread, String)> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let address = listener.local_addr()?.to_string();
-    let origin = origin.clone();
-    let thread = SystemThread::spawn(name, move || Ok(origin.start(options, listener)?))?;
-    Ok((thread, address))
-}
-
-fn start_relay(
-    name: &str,
-    upstream: &str,
-    faults: Arc<RelayFaults>,
-) -> anyhow::Result<(SystemThread, String)> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let address = listener.local_addr()?.to_string();
-    let upstream = upstream.to_owned();
-    let start = move || Ok(FakeRelay::start(listener, upstream, faults)?);
-    Ok((SystemThread::spawn(&format!("{name}-link"), start)?, address))
-}
-
-fn spawn_daemon(
-    settings: &serde_json::Value,
-    tokens: &DaemonTokens,
-    bound: &mut Vec<TcpListener>,
-) -> anyhow::Result<DaemonThread> {
-    let settings = DaemonSettings::try_from(settings)?;
-    let listeners = DaemonListeners::bind_from(&settings, bound)?;
-    DaemonThread::spawn(settings, tokens.clone(), listeners)
-}
-
-/// Starts a daemon on addresses that another run of it used. Its ports may take a moment to be free.
-fn respawn_daemon(
-    settings: &serde_json::Value,
-    tokens: &DaemonTokens,
-) -> anyhow::Result<DaemonThread> {
-    let begun = Instant::now();
-    loop {
-        match spawn_daemon(settings, tokens, &mut Vec::new()) {
-            Err(error) if begun.elapsed() > STEP_LIMIT => return Err(error),
-            Err(_) => std::thread::sleep(POLL),
-            started => return started,
-        }
-    }
-}
-
-/// Listeners on ports that the system chose, and their addresses.
-struct BoundPorts {
-    listeners: Vec<TcpListener>,
-    addresses: Vec<String>,
-}
-
-impl BoundPorts {
-    fn bind(count: usize) -> anyhow::Result<Self> {
-        let listeners: Vec<TcpListener> =
-            (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-        let address = |listener: &TcpListener| Ok(listener.local_addr()?.to_string());
-        let addresses = listeners.iter().map(address).collect::<anyhow::Result<_>>()?;
-        Ok(Self { listeners, addresses })
-    }
-}
-
-/// Runs one call of an operator's client on a runtime of its own.
-fn block_on<T>(future: impl Future<Output = anyhow::Result<T>>) -> anyhow::Result<T> {
-    actix_rt::System::new().block_on(future)
 }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -41,6 +41,17 @@
         true
     }
 
+    /// Gives a retry back that reached nobody: a refused connection adds no load to what is left.
+    ///
+    /// Failure guarded: many targets die at once, and each request meets several of them in a row.
+    /// Charged for these, an organisation runs out of retries while a target that could answer
+    /// stands idle.
+    pub fn give_back(&mut self, organisation: &OrganisationName) {
+        if let Some(saved) = self.saved.get_mut(organisation) {
+            *saved = (*saved + 1.0).min(MOST_SAVED);
+        }
+    }
+
     /// Forgets organisations that are not in `keep`.
     pub fn retain(&mut self, keep: impl Fn(&OrganisationName) -> bool) {
         self.saved.retain(|name, _| keep(name));
--- a/crates/swarm/src/store.rs
+++ b/crates/swarm/src/store.rs
@@ -5,6 +5,7 @@
     manifest::{ManifestError, RawManifest, WeightManifest},
 };
 use egretseam_proto::{ChunkDigest, ManifestId};
+use indexmap::IndexMap;
 use std::{
     fs::{self, File, OpenOptions},
     io,
@@ -132,10 +133,9 @@
     ) -> Result<(), WeightStoreError> {
         for whole in self.list_whole()? {
             let source = whole.open()?;
-            let known: std::collections::HashMap<ChunkDigest, u32> =
-                (0..whole.manifest.chunk_count())
-                    .filter_map(|chunk| Some((whole.manifest.digest(chunk)?, chunk)))
-                    .collect();
+            let known: IndexMap<ChunkDigest, u32> = (0..whole.manifest.chunk_count())
+                .filter_map(|chunk| Some((whole.manifest.digest(chunk)?, chunk)))
+                .collect();
             for chunk in 0..staged.manifest.chunk_count() {
                 let digest = staged.manifest.digest(chunk);
                 let Some(other) = digest.and_then(|digest| known.get(&digest)) else { continue };
--- /dev/null
+++ b/examples/embed_replica.rs
@@ -0,0 +1,48 @@
+//! A replicated log of one member, driven by hand.
+
+use egretseam_replica::{
+    EntryPayload, GroupId, LogStore, MemberId, ReplicaConfig, ReplicaNode, StoreError,
+};
+use std::{path::Path, time::Duration};
+
+/// Carries out what the node wants until it wants nothing more.
+fn drive(node: &mut ReplicaNode, store: &mut LogStore) -> Result<Vec<Vec<u8>>, StoreError> {
+    let mut applied = Vec::new();
+    loop {
+        let output = node.take_output();
+        if output.is_empty() {
+            return Ok(applied);
+        }
+        // With more members: send `send_now` here, and `send_after_sync` after `synced`.
+        if !output.writes.is_empty() {
+            store.write(&output.writes)?;
+        }
+        node.synced();
+        for entry in output.committed {
+            if let EntryPayload::Command(bytes) = entry.payload {
+                applied.push(bytes);
+            }
+        }
+    }
+}
+
+fn main() -> anyhow::Result<()> {
+    let folder = std::env::temp_dir().join(format!("egretseam-example-{}", std::process::id()));
+    let result = run(&folder);
+    std::fs::remove_dir_all(&folder)?;
+    result
+}
+
+fn run(folder: &Path) -> anyhow::Result<()> {
+    LogStore::found(folder, MemberId(rand::random()), GroupId(rand::random()), "a", "10.0.0.1:1")?;
+    let (mut store, identity, state) = LogStore::open(folder)?;
+    let mut node = ReplicaNode::new(&identity, state, ReplicaConfig::default().check()?, 1);
+    node.tick(Duration::from_millis(1));
+    drive(&mut node, &mut store)?;
+    node.propose(b"first".to_vec())?;
+    node.propose(b"second".to_vec())?;
+    for command in drive(&mut node, &mut store)? {
+        println!("accepted and synced: {}", String::from_utf8_lossy(&command));
+    }
+    Ok(())
+}
--- a/tests/all/group_faults.rs
+++ b/tests/all/group_faults.rs
@@ -1,22 +1,11 @@
 //! Interleavings of elections that random events seldom meet, written out step by step.
 
-use egretseam_catalog::{CatalogCommand, ConfigEdit, EditRequest, OrganisationSpec};
-use egretseam_proto::{ChunkDigest, OperationId, OrganisationName, Revision};
+use crate::support::organisation_edit;
+use egretseam_proto::OrganisationName;
 use egretseam_replica::{MembershipChange, Message, NodeRole, ReplicaConfig};
 use egretseam_testkit::{GroupSim, SimReply};
 use std::time::Duration;
 
-fn command(number: u64) -> CatalogCommand {
-    let name = OrganisationName::try_from(format!("org-{number}")).expect("a valid name");
-    let spec = OrganisationSpec { weight: 1, key_digests: vec![ChunkDigest::of(b"key")] };
-    CatalogCommand::Edit(EditRequest {
-        operation: OperationId(number),
-        base: Revision(0),
-        actor: "test".to_owned(),
-        edit: ConfigEdit::SetOrganisation { name, spec },
-    })
-}
-
 fn is_vote(message: &Message) -> bool {
     matches!(message, Message::Vote { .. })
 }
@@ -63,7 +52,7 @@
     // Member 0 leads and keeps its first entries to itself.
     elect(&mut sim, 0, 1);
     sim.lose_all();
-    let first = sim.submit(0, command(1));
+    let first = sim.submit(0, organisation_edit(1));
     sim.lose_all();
     // Member 2 is elected by member 1, whose log is no longer than its own, and tells nobody.
     elect(&mut sim, 2, 1);
@@ -119,12 +108,13 @@
     let mut sim = GroupSim::new(3, ReplicaConfig::default());
     let old = sim.run_until_led();
     sim.isolate(old);
-    let lost: Vec<usize> = (0..20).map(|number| sim.submit(old, command(number))).collect();
+    let lost: Vec<usize> =
+        (0..20).map(|number| sim.submit(old, organisation_edit(number))).collect();
     sim.run(Duration::from_secs(5));
     let new = sim.leader().expect("the others elect one of them");
     assert_ne!(new, old);
     assert!(!sim.node(old).expect("it runs").is_leader(), "it knows that it lost its quorum");
-    let kept = sim.submit(new, command(100));
+    let kept = sim.submit(new, organisation_edit(100));
     sim.run(Duration::from_secs(180));
     let term = sim.node(new).expect("it runs").status().term;
     sim.heal();
@@ -156,7 +146,7 @@
         sim.run(Duration::from_secs(1));
     }
     sim.crash(others[1]);
-    let token = sim.submit(leader, command(7));
+    let token = sim.submit(leader, organisation_edit(7));
     sim.run(Duration::from_secs(3));
     assert!(matches!(sim.reply(token), SimReply::Applied(_)));
 }
@@ -173,7 +163,7 @@
     sim.change_members(leader, &removal).expect("the step is taken");
     sim.run(Duration::from_secs(1));
     sim.crash(others[1]);
-    let token = sim.submit(leader, command(7));
+    let token = sim.submit(leader, organisation_edit(7));
     sim.run(Duration::from_secs(10));
     assert_eq!(*sim.reply(token), SimReply::Pending);
     assert!(sim.leaders().is_empty(), "nobody leads without a quorum");
@@ -190,7 +180,7 @@
     let others: Vec<usize> = (0..3).filter(|number| *number != leader).collect();
     // Accepted by the leader and one other; the third never hears of it.
     sim.isolate(others[1]);
-    let token = sim.submit(leader, command(1));
+    let token = sim.submit(leader, organisation_edit(1));
     sim.run(Duration::from_secs(1));
     assert!(matches!(sim.reply(token), SimReply::Applied(_)));
     sim.lose_disk(others[0]);
@@ -269,7 +259,7 @@
     let behind = (0..3).find(|number| *number != leader).expect("another member");
     sim.crash(behind);
     for number in 0..50 {
-        sim.submit(leader, command(number));
+        sim.submit(leader, organisation_edit(number));
     }
     sim.run(Duration::from_secs(1));
     sim.compact(leader);
@@ -290,7 +280,7 @@
     let mut sim = GroupSim::new(3, ReplicaConfig::default());
     let leader = sim.run_until_led();
     for number in 0..400 {
-        sim.submit(leader, command(number));
+        sim.submit(leader, organisation_edit(number));
         if number == 250 {
             sim.run(Duration::from_millis(100));
             sim.compact(leader);
--- a/tests/all/group_model.rs
+++ b/tests/all/group_model.rs
@@ -1,8 +1,8 @@
 //! The control group under everything a network, a disk and a scheduler can do, driven against
 //! the one rule that matters: what was accepted stays accepted, everywhere and in order.
 
-use egretseam_catalog::{CatalogCommand, ConfigEdit, EditRequest, OrganisationSpec};
-use egretseam_proto::{ChunkDigest, OperationId, OrganisationName, Revision};
+use crate::support::organisation_edit;
+use egretseam_proto::OrganisationName;
 use egretseam_replica::{MembershipChange, ReplicaConfig};
 use egretseam_testkit::{GroupSim, SimReply};
 use proptest::{
@@ -139,17 +139,6 @@
     reads: u64,
 }
 
-fn command(number: u64) -> CatalogCommand {
-    let name = OrganisationName::try_from(format!("org-{number}")).expect("a valid name");
-    let spec = OrganisationSpec { weight: 1, key_digests: vec![ChunkDigest::of(b"key")] };
-    CatalogCommand::Edit(EditRequest {
-        operation: OperationId(number),
-        base: Revision(0),
-        actor: "test".to_owned(),
-        edit: ConfigEdit::SetOrganisation { name, spec },
-    })
-}
-
 impl GroupUnderTest {
     fn collect_replies(&mut self) {
         for (token, number) in &self.tokens {
@@ -181,18 +170,18 @@
             GroupEvent::Tick(millis) => sim.tick(Duration::from_millis(millis)),
             GroupEvent::Run(millis) => sim.run(Duration::from_millis(millis)),
             GroupEvent::Submit(at, number) => {
-                let token = sim.submit(at, command(number));
+                let token = sim.submit(at, organisation_edit(number));
                 test.tokens.push((token, number));
             }
             GroupEvent::SubmitToLeader(at, number) => {
                 if let Some(leader) = nth_leader(sim, at) {
-                    let token = sim.submit(leader, command(number));
+                    let token = sim.submit(leader, organisation_edit(number));
                     test.tokens.push((token, number));
                 }
             }
             GroupEvent::SubmitAndCrash(at, number) => {
                 if let Some(leader) = nth_leader(sim, at) {
-                    let token = sim.submit_and_crash(leader, command(number));
+                    let token = sim.submit_and_crash(leader, organisation_edit(number));
                     test.tokens.push((token, number));
                 }
             }
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -9,7 +9,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -29,10 +29,15 @@
     _target: SystemThread,
 }
 
+/// Ports given out so far: tests run side by side and must not choose the same.
+static CHOSEN: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
 fn free_address() -> String {
+    let mut chosen = CHOSEN.lock().expect("no holder panics");
     loop {
         let port = FIRST_PORT + rand::random::<u16>() % (LAST_PORT - FIRST_PORT);
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if !chosen.contains(&port) && TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            chosen.push(port);
             return format!("127.0.0.1:{port}");
         }
     }
--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -22,6 +22,28 @@
     assert!(broken.counters.requests.load(Ordering::Relaxed) > 0, "the broken one was tried");
 }
 
+/// A whole zone of runners dies at once, more of them than a request would be sent to in vain if it
+/// gave up early. Every stream that was running there goes on at the one that is left.
+#[test]
+fn streams_outlive_many_targets_that_die_at_once() {
+    let mut test = TestCluster::start(options(6, 0));
+    for number in 0..5 {
+        let agent = test.cluster.agent(&format!("runner-{number}")).expect("an agent");
+        agent.faults.slowness.store(20, Ordering::Relaxed);
+    }
+    let load = load(&test, vec![test.model.digest]);
+    let begun = || Ok(load.counts().sent.load(Ordering::Relaxed) > 8);
+    test.cluster.wait_until("load to begin", PATIENCE, begun).expect("begun");
+    for number in 0..5 {
+        test.cluster.kill_target(&format!("runner-{number}"));
+        test.cluster.kill_agent(&format!("runner-{number}"));
+    }
+    let at_kill = load.counts().answered.load(Ordering::Relaxed);
+    let more = || Ok(load.counts().answered.load(Ordering::Relaxed) > at_kill + 20);
+    test.cluster.wait_until("the last one to answer", PATIENCE, more).expect("answered");
+    assert_clean(load);
+}
+
 /// An engine ends its streams without the last event, as one that crashes cleanly does. No such
 /// answer may pass for a whole one.
 #[test]
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -1,11 +1,11 @@
 //! A small cluster on loopback for tests of failures, and callers that check every answer.
 
-use egretseam_catalog::ProfileSpec;
+use egretseam_catalog::{CatalogCommand, ConfigEdit, EditRequest, OrganisationSpec, ProfileSpec};
 use egretseam_fakes::EngineOptions;
 use egretseam_local::{
     CallOutcome, CallerClient, CallerCounts, ClusterOptions, LocalCluster, PublishedModel,
 };
-use egretseam_proto::{ChunkDigest, GroupName};
+use egretseam_proto::{ChunkDigest, GroupName, OperationId, OrganisationName, Revision};
 use std::{sync::Arc, time::Duration};
 
 /// How long anything may take that is waited for; far above what it takes.
@@ -21,7 +21,7 @@
 pub(crate) struct TestCluster {
     pub(crate) cluster: LocalCluster,
     pub(crate) model: PublishedModel,
-    pub(crate) revision: egretseam_proto::Revision,
+    pub(crate) revision: Revision,
 }
 
 /// Options for a cluster of this many model and plain targets.
@@ -101,3 +101,15 @@
 pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     actix_rt::System::new().block_on(future)
 }
+
+/// A change that an operator could make: sets organisation `org-<number>`.
+pub(crate) fn organisation_edit(number: u64) -> CatalogCommand {
+    let name = OrganisationName::try_from(format!("org-{number}")).expect("a valid name");
+    let spec = OrganisationSpec { weight: 1, key_digests: vec![ChunkDigest::of(b"key")] };
+    CatalogCommand::Edit(EditRequest {
+        operation: OperationId(number),
+        base: Revision(0),
+        actor: "test".to_owned(),
+        edit: ConfigEdit::SetOrganisation { name, spec },
+    })
+}
--- a/tests/all/weights.rs
+++ b/tests/all/weights.rs
@@ -4,7 +4,7 @@
 use egretseam_catalog::ConfigEdit;
 use egretseam_fakes::{OriginOptions, synthetic_weights};
 use egretseam_local::{CallOutcome, ClusterOptions};
-use egretseam_proto::{ModelName, ProfileName, VersionName};
+use egretseam_proto::{ManifestId, ModelName, ProfileName, ServiceName, VersionName};
 use egretseam_swarm::{ChunkSet, WeightManifest, WeightStore, WeightStoreError};
 use std::{fs, sync::atomic::Ordering};
 
@@ -178,6 +178,45 @@
     assert_eq!(test.stream("a prompt", 6, &[third.digest]), CallOutcome::Answered);
 }
 
+/// A profile names an adapter beside its model. Both arrive, the engine is ordered once to load
+/// them together, and what it reports is the identity of the pair, so an answer from the model
+/// without its adapter could not pass for one with it.
+#[test]
+fn an_adapter_is_loaded_together_with_its_model() {
+    let test = TestCluster::start(options(2, 0));
+    let adapter = test.cluster.publish("polish", "v1", 9, 200_000, CHUNK_BYTES).expect("published");
+    let mut spec = model_profile(&test.model);
+    spec.adapters.push(adapter.spec.clone());
+    let name = ProfileName::try_from("model").expect("a valid name");
+    let edit = ConfigEdit::ChangeProfile { name, spec };
+    test.cluster.edit(test.revision, edit).expect("accepted");
+    let mut pair = b"egretseam set 1\n".to_vec();
+    pair.extend_from_slice(test.model.manifest.as_bytes());
+    pair.extend_from_slice(adapter.manifest.as_bytes());
+    test.wait_serving(ManifestId::of(&pair), 2);
+    for agent in test.cluster.agents() {
+        assert_eq!(agent.counters.orders.load(Ordering::Relaxed), 2, "alone, then with it");
+        let whole = WeightStore::open(&test.cluster.weights_folder(&agent.name)).expect("opened");
+        assert_eq!(whole.list_whole().expect("listed").len(), 2, "both are whole on disk");
+    }
+}
+
+/// A profile is retired. Its weights leave the disk, since nothing wants them and the budget for
+/// what is not wanted is 0.
+#[test]
+fn a_retired_profile_frees_its_weights() {
+    let test = TestCluster::start(options(1, 0));
+    let store = WeightStore::open(&test.cluster.weights_folder("runner-0")).expect("opened");
+    assert_eq!(store.list_whole().expect("listed").len(), 1);
+    let service = ServiceName::try_from("chat").expect("a valid name");
+    let base = test.cluster.config().expect("confirmed").services[&service].revision;
+    test.cluster.edit(base, ConfigEdit::UnbindService { name: service }).expect("accepted");
+    let name = ProfileName::try_from("model").expect("a valid name");
+    test.cluster.edit(test.revision, ConfigEdit::RetireProfile { name }).expect("accepted");
+    let freed = || Ok(store.list_whole()?.is_empty() && store.used_bytes()? == 0);
+    test.cluster.wait_until("the weights to go", PATIENCE, freed).expect("gone");
+}
+
 /// The store answers most requests with 429. Its pause is honoured, the origin serves meanwhile,
 /// and the version arrives.
 #[test]
