A key refused for a moment can still run; the frozen-instance test asks with a shorter limit

The test's caller waited its 30 s at the address of the frozen instance. Ruled out: the claim (it stays bound to that run, which is right) and the election (bookings of other keys ran). Only a target that leaves for good refuses keys for good now, and a run that certainly did not reach the target leaves nothing behind; the claim still binds the key to the one run that may run it.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -182,6 +182,11 @@
             // What an earlier run did with the key is not known here.
             return self.refuse(report, KeyFinality::Open);
         }
+        // Failure guarded: a service with one target is refused a key once, for a moment's reason,
+        // and could never run it again. Only a target that leaves for good refuses a key for good.
+        if !shared.stopping.get() && !shared.keys.borrow().knows(organisation, key) {
+            return self.refuse(report, KeyFinality::Open);
+        }
         let clock = shared.clock.get();
         let refused = shared.keys.borrow_mut().refuse(organisation, key, report.reason, clock);
         if refused {
@@ -286,12 +291,7 @@
                 }
                 builder.body(answer.body.clone()).map_into_boxed_body()
             }
-            KeyResult::Failed(report) => {
-                // Its run has ended and another never starts here, so "not run" is final.
-                let never = report.verdict == RequestVerdict::NotRun;
-                let finality = if never { KeyFinality::NeverHere } else { KeyFinality::Open };
-                self.refuse(&report, finality)
-            }
+            KeyResult::Failed(report) => self.refuse(&report, KeyFinality::Open),
             KeyResult::Forgotten => self.refuse(
                 &FailureReport {
                     reason: RefusalReason::OutcomeUnknown,
@@ -314,8 +314,6 @@
 ) {
     let result = match run_to_end(&shared, &call).await {
         Ok(answer) => KeyResult::Answered(Rc::new(answer)),
-        // Even a failed connection ends the key here: a second try would be a second run if the
-        // first was only believed to have failed.
         Err(report) => KeyResult::Failed(report),
     };
     shared.keys.borrow_mut().end(&organisation, &key, result.clone());
--- a/crates/agent/src/keys.rs
+++ b/crates/agent/src/keys.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use egretseam_catalog::{CLAIM_WINDOW_MILLIS, LogTime};
-use egretseam_proto::{FailureReport, OrganisationName, RefusalReason, RequestKey};
+use egretseam_proto::{FailureReport, OrganisationName, RefusalReason, RequestKey, RequestVerdict};
 use indexmap::IndexMap;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -120,7 +120,14 @@
         true
     }
 
-    /// Records how a key's run ended.
+    /// Whether a key has been seen here.
+    pub(crate) fn knows(&self, organisation: &OrganisationName, key: &RequestKey) -> bool {
+        let id = KeyId { organisation: organisation.clone(), key: key.clone() };
+        self.rows.contains_key(&id)
+    }
+
+    /// Records how a key's run ended. A run that certainly did not reach the target leaves nothing
+    /// behind, so that the key can be tried again here.
     pub(crate) fn end(
         &mut self,
         organisation: &OrganisationName,
@@ -128,6 +135,11 @@
         mut result: KeyResult,
     ) {
         let id = KeyId { organisation: organisation.clone(), key: key.clone() };
+        let not_run = |report: &FailureReport| report.verdict == RequestVerdict::NotRun;
+        if matches!(&result, KeyResult::Failed(report) if not_run(report)) {
+            self.rows.shift_remove(&id);
+            return;
+        }
         let Some(row) = self.rows.get_mut(&id) else { return };
         if let KeyResult::Answered(answer) = &result {
             if self.kept_bytes + answer.body.len() > MAX_KEPT_BYTES {
--- a/crates/local/src/caller.rs
+++ b/crates/local/src/caller.rs
@@ -99,6 +99,7 @@
     addresses: RefCell<Vec<String>>,
     expires_at: Cell<Option<Instant>>,
     turn: Cell<usize>,
+    call_limit: Duration,
     counts: Arc<CallerCounts>,
 }
 
@@ -119,10 +120,18 @@
             addresses: RefCell::default(),
             expires_at: Cell::new(None),
             turn: Cell::new(rand::random::<u16>() as usize),
+            call_limit: CALL_LIMIT,
             counts,
         }
     }
 
+    /// Sets how long one address may take. A frozen instance accepts connections and says nothing,
+    /// and its address stays on the list until control has missed it.
+    pub fn with_call_limit(mut self, limit: Duration) -> Self {
+        self.call_limit = limit;
+        self
+    }
+
     /// Asks for `tokens` tokens and checks them against each published version.
     pub async fn complete(
         &self,
@@ -209,7 +218,7 @@
         is_right: &impl Fn(&[u8]) -> bool,
     ) -> CallOutcome {
         let url = format!("http://{address}{}", request.path);
-        let mut call = self.client.post(url).bearer_auth(&self.key).timeout(CALL_LIMIT);
+        let mut call = self.client.post(url).bearer_auth(&self.key).timeout(self.call_limit);
         if let Some(key) = request.key {
             call = call.insert_header((IDEMPOTENCY_HEADER, key));
         }
@@ -242,7 +251,7 @@
             }
             Ok::<(), ()>(())
         };
-        if !matches!(tokio::time::timeout(CALL_LIMIT, read).await, Ok(Ok(()))) {
+        if !matches!(tokio::time::timeout(self.call_limit, read).await, Ok(Ok(()))) {
             return CallOutcome::CutOff;
         }
         let good = matches!(status, StatusCode::OK | StatusCode::CREATED) && is_right(&body);
@@ -269,7 +278,7 @@
         let known = self.addresses.borrow().clone();
         for address in known.iter().chain(&self.seeds) {
             let url = format!("http://{address}/v1/addresses");
-            let call = self.client.get(url).bearer_auth(&self.key).timeout(CALL_LIMIT);
+            let call = self.client.get(url).bearer_auth(&self.key).timeout(self.call_limit);
             let Ok(mut answer) = call.send().await else { continue };
             if let Ok(list) = answer.json::<AddressList>().await {
                 let lifetime = Duration::from_secs(list.lifetime_seconds);
--- a/tests/all/processes.rs
+++ b/tests/all/processes.rs
@@ -193,7 +193,9 @@
         let (seeds, ledger) = (vec![self.callers[number].clone()], self.ledger.clone());
         let id = id.to_owned();
         block_on(async move {
+            // Shorter than the default, for the address of a frozen instance is still on the list.
             let caller = CallerClient::new(&seeds, KEY, Arc::new(CallerCounts::default()));
+            let caller = caller.with_call_limit(Duration::from_secs(3));
             caller.book("orders", &id, &ledger).await
         })
     }
