--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -4,12 +4,13 @@
     LogTime,
     claim::{ClaimOutcome, ClaimRequest, RebindRequest},
     config_view::EntryRecord,
+    serving::ServingDocument,
     spec::{OrganisationSpec, ProfileSpec},
     switch::{SwitchDenial, SwitchOutcome, SwitchRecord, SwitchRequest},
 };
 use egretseam_proto::{
-    FencingNumber, Incarnation, InstanceName, OperationId, OrganisationName, ProfileName, Revision,
-    ServiceName,
+    FencingNumber, Incarnation, InstanceName, ModelName, OperationId, OrganisationName,
+    ProfileName, Revision, ServiceName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -110,6 +111,16 @@
     Claim(Vec<ClaimRequest>),
     /// Moves a claim.
     Rebind(RebindRequest),
+    /// Replaces the serving configuration, if its version is higher than the one in force. A lower
+    /// one is accepted and changes nothing, so that it may be sent again and arrive late.
+    ReplaceServing(ServingDocument),
+    /// Names a version of a model's weights; the highest is wanted.
+    NameVersion {
+        /// The model.
+        model: ModelName,
+        /// The version.
+        version: u64,
+    },
 }
 
 /// A command with the log's clock at its proposal.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -11,6 +11,7 @@
 mod claim;
 mod command;
 mod config_view;
+mod serving;
 mod spec;
 mod state;
 mod switch;
@@ -21,6 +22,7 @@
         CatalogCommand, CatalogReply, ConfigEdit, EditRequest, RefusalDetail, StampedCommand,
     },
     config_view::{ConfigChange, ConfigUpdate, ConfigView, EntryRecord, ServiceBinding},
+    serving::ServingDocument,
     spec::{
         OrganisationRecord, OrganisationSpec, ProfileRecord, ProfileSpec, SpecError, WeightsSpec,
     },
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -11,12 +11,13 @@
     claim::ClaimRecord,
     command::{CatalogCommand, CatalogReply, StampedCommand},
     config_view::{ConfigChange, ConfigUpdate, ConfigView, EntryRecord},
+    serving::ServingDocument,
     spec::ProfileSpec,
     switch::SwitchRecord,
 };
 use egretseam_proto::{
-    FencingNumber, Incarnation, InstanceName, OperationId, OrganisationName, ProfileName,
-    RequestKey, Revision,
+    FencingNumber, Incarnation, InstanceName, ModelName, OperationId, OrganisationName,
+    ProfileName, RequestKey, Revision,
 };
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -72,6 +73,8 @@
     switches: IndexMap<InstanceName, SwitchRecord>,
     rollouts: IndexMap<ProfileName, RolloutProgress>,
     claims: IndexMap<ClaimId, ClaimRecord>,
+    serving: Option<ServingDocument>,
+    named_versions: IndexMap<ModelName, u64>,
     /// Derived: recent changes, for holders a little behind. A member that restored a snapshot has
     /// none and sends the whole view instead.
     #[serde(skip)]
@@ -154,9 +157,37 @@
             }
             CatalogCommand::Claim(requests) => self.claim(requests),
             CatalogCommand::Rebind(request) => self.rebind(request),
+            CatalogCommand::ReplaceServing(document) => self.replace_serving(document),
+            CatalogCommand::NameVersion { model, version } => self.name_version(model, *version),
         }
     }
 
+    /// The serving configuration in force, if one was ever accepted.
+    pub fn serving(&self) -> Option<&ServingDocument> {
+        self.serving.as_ref()
+    }
+
+    /// The newest named version of each model.
+    pub fn named_versions(&self) -> &IndexMap<ModelName, u64> {
+        &self.named_versions
+    }
+
+    /// Failure guarded: a change that is sent again after its reply was lost, or arrives behind a
+    /// later one, would take the configuration back. Only a higher version changes anything, and
+    /// the first content of a version stays.
+    fn replace_serving(&mut self, document: &ServingDocument) -> CatalogReply {
+        if self.serving.as_ref().is_none_or(|held| document.version > held.version) {
+            self.serving = Some(document.clone());
+        }
+        CatalogReply::Done
+    }
+
+    fn name_version(&mut self, model: &ModelName, version: u64) -> CatalogReply {
+        let newest = self.named_versions.entry(model.clone()).or_default();
+        *newest = version.max(*newest);
+        CatalogReply::Done
+    }
+
     fn announce_entry(&mut self, record: &EntryRecord) -> CatalogReply {
         if self.view.entries.get(&record.name) != Some(record) {
             self.commit_change(ConfigChange::Entry(record.name.clone(), Some(record.clone())));
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,12 +1,15 @@
-//! A daemon's settings: JSON in, [`DaemonSettings`] out, every mistake named with its path.
+//! A daemon's settings: JSON in, [`DaemonSettings`] or [`FleetSettings`] out, every mistake named
+//! with its path.
 //!
 //! One process runs the roles whose sections are present. Unknown fields are mistakes, because a
 //! misspelt limit that is silently ignored is found only when it is needed.
 
+mod fleet;
 mod reader;
 mod settings;
 
 pub use crate::{
+    fleet::{FleetAgent, FleetControl, FleetEntry, FleetSettings},
     reader::{SettingsError, SettingsMistake},
     settings::{
         AgentSettings, ControlSettings, DaemonSettings, DistributionSetting, EntrySettings,
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -1,8 +1,12 @@
 //! Reads one JSON object field by field and collects every mistake.
 
-use egretseam_proto::{GroupName, InstanceName, ZoneName};
+use egretseam_proto::{GroupName, InstanceName, ServiceName, ZoneName};
 use serde_json::{Map, Value};
-use std::{fmt, path::PathBuf};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+};
 use thiserror::Error;
 
 /// One mistake.
@@ -52,6 +56,32 @@
     }
 }
 
+impl SettingValue for f64 {
+    fn read(value: &Value) -> Result<Self, String> {
+        value.as_f64().ok_or_else(|| "expected a number".to_owned())
+    }
+}
+
+impl SettingValue for bool {
+    fn read(value: &Value) -> Result<Self, String> {
+        value.as_bool().ok_or_else(|| "expected true or false".to_owned())
+    }
+}
+
+impl SettingValue for IpAddr {
+    fn read(value: &Value) -> Result<Self, String> {
+        let text = String::read(value)?;
+        text.parse().map_err(|_| format!("{text:?} is not an IP number"))
+    }
+}
+
+impl SettingValue for SocketAddr {
+    fn read(value: &Value) -> Result<Self, String> {
+        let text = AddressText::read(value)?.0;
+        text.parse().map_err(|_| format!("{text:?} is not an address"))
+    }
+}
+
 impl SettingValue for PathBuf {
     fn read(value: &Value) -> Result<Self, String> {
         let text = String::read(value)?;
@@ -69,7 +99,7 @@
     )*};
 }
 
-name_value!(InstanceName, ZoneName, GroupName);
+name_value!(InstanceName, ZoneName, GroupName, ServiceName);
 
 /// An address by IP number and port.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -2,14 +2,15 @@
 
 use crate::{
     outbox::OutboxTable,
+    repair::JoinTable,
     runtime::{ControlOptions, ControlShared, StartError},
 };
 use egretseam_catalog::{CatalogCommand, CatalogState, StampedCommand};
 use egretseam_replica::{
-    EntryPayload, Envelope, LogEntry, LogIndex, LogStore, LogWrite, MembershipChange, ProposeError,
-    ReadToken, ReplicaNode, ReplicaOutput, StoreError, Term,
+    EntryPayload, Envelope, LogEntry, LogIndex, LogStore, LogWrite, MemberRecord, MembershipChange,
+    NodeRole, ProposeError, ReadToken, ReplicaNode, ReplicaOutput, StoreError, Term,
 };
-use egretseam_rpc::{ControlLink, MemberReply, SubmitReply};
+use egretseam_rpc::{ControlLink, JoinReply, MemberReply, SubmitReply};
 use indexmap::IndexMap;
 use std::{
     rc::{Rc, Weak},
@@ -26,6 +27,10 @@
 const BATCH_LENGTH: usize = 2_048;
 /// Pause before a member whose disk refused a write opens it again.
 const REOPEN_PAUSE: Duration = Duration::from_secs(1);
+/// How often the leader looks whether the group needs a repair.
+const REPAIR_INTERVAL: Duration = Duration::from_millis(100);
+/// How often a member that does not belong to the group asks to.
+const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 /// How often members tell the leader which entries watch, and the leader looks for silent ones.
 const WATCHER_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -35,6 +40,7 @@
     Submit { command: CatalogCommand, reply: oneshot::Sender<SubmitReply> },
     ChangeMembers { change: MembershipChange, reply: oneshot::Sender<MemberReply> },
     Read { reply: oneshot::Sender<Option<LogIndex>> },
+    Join { record: MemberRecord, reply: oneshot::Sender<JoinReply> },
     Transfer,
 }
 
@@ -81,6 +87,26 @@
     }
 }
 
+/// Why a driver ended.
+enum DriveEnd {
+    /// The disk refused a write.
+    Disk(StoreError),
+    /// The group removed this member.
+    Removed,
+}
+
+/// Begins anew as a member that the group does not know, after it removed the former one.
+async fn rejoin(shared: &ControlShared) {
+    let Some(formation) = &shared.options.formation else { return };
+    tracing::warn!("the group removed this member while it was away; it joins anew");
+    let renewed = LogStore::discard(&shared.options.folder)
+        .and_then(|()| formation.initialise_joining(&shared.options));
+    if let Err(error) = renewed {
+        tracing::error!(%error, "the data folder cannot be initialised anew");
+        tokio::time::sleep(REOPEN_PAUSE).await;
+    }
+}
+
 struct Driver {
     shared: Rc<ControlShared>,
     node: ReplicaNode,
@@ -92,6 +118,9 @@
     next_read: u64,
     started: Instant,
     was_leader: bool,
+    /// Present where the group mends itself.
+    joins: Option<JoinTable>,
+    repair_due: Instant,
 }
 
 /// Runs a member until its task is aborted. A disk that refuses a write stops the member; it opens
@@ -108,8 +137,16 @@
             None => reopen(&shared).await,
         };
         let mut driver = Driver::new(shared.clone(), member);
-        let error = driver.drive(&mut receiver).await;
-        let Some(error) = error else { return };
+        let end = driver.drive(&mut receiver).await;
+        let error = match end {
+            None => return,
+            Some(DriveEnd::Disk(error)) => error,
+            Some(DriveEnd::Removed) => {
+                drop(driver);
+                rejoin(&shared).await;
+                continue;
+            }
+        };
         // Failure guarded: after a refused write nobody knows what the disk holds, so nothing this
         // process remembers may be acknowledged or voted on. It shows as a full or read-only disk.
         // Dropping all of it and reading the disk again is the one state that is known.
@@ -153,6 +190,8 @@
             *held = revision.max(*held);
             newer
         });
+        let formation = shared.options.formation.as_ref();
+        let joins = formation.map(|formation| JoinTable::new(formation.repair));
         let mut driver = Self {
             shared,
             node: member.node,
@@ -163,6 +202,8 @@
             next_read: 0,
             started: Instant::now(),
             was_leader: false,
+            joins,
+            repair_due: Instant::now(),
         };
         let membership = driver.node.membership().clone();
         driver.outbox.refresh(driver.node.id(), &membership);
@@ -170,7 +211,7 @@
     }
 
     /// Returns on a disk failure, or with `None` when nobody can send inputs any more.
-    async fn drive(&mut self, receiver: &mut mpsc::Receiver<ControlInput>) -> Option<StoreError> {
+    async fn drive(&mut self, receiver: &mut mpsc::Receiver<ControlInput>) -> Option<DriveEnd> {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut batch = Vec::new();
@@ -185,13 +226,22 @@
             for input in batch.drain(..) {
                 self.take_input(input);
             }
+            self.repair();
             if let Err(error) = self.carry_out().await {
-                return Some(error);
+                return Some(DriveEnd::Disk(error));
             }
             self.publish_status();
+            if self.is_out() {
+                return Some(DriveEnd::Removed);
+            }
         }
     }
 
+    /// Whether the group has removed this member and it may join anew.
+    fn is_out(&self) -> bool {
+        self.joins.is_some() && self.node.status().role == NodeRole::Removed
+    }
+
     fn take_input(&mut self, input: ControlInput) {
         match input {
             ControlInput::Messages { reply_to, batch } => {
@@ -209,6 +259,7 @@
                 self.reads.insert(token, reply);
                 self.node.read(token);
             }
+            ControlInput::Join { record, reply } => self.note_join(record, reply),
             ControlInput::Transfer => self.node.transfer_leadership(),
         }
     }
@@ -246,6 +297,37 @@
         }
     }
 
+    fn note_join(&mut self, record: MemberRecord, reply: oneshot::Sender<JoinReply>) {
+        let answer = if !self.node.is_leader() {
+            JoinReply::NotLeader { leader: self.leader_address() }
+        } else if self.node.membership().get(record.id).is_some() {
+            JoinReply::Member
+        } else {
+            if let Some(joins) = &mut self.joins {
+                joins.note(record, Instant::now());
+            }
+            JoinReply::Noted
+        };
+        reply.send(answer).ok();
+    }
+
+    /// Proposes the next step of a repair, if this member leads and one is due.
+    fn repair(&mut self) {
+        let now = Instant::now();
+        if !self.node.is_leader() || now < self.repair_due {
+            return;
+        }
+        self.repair_due = now + REPAIR_INTERVAL;
+        let status = self.node.status();
+        let own = self.node.id();
+        let Some(joins) = &mut self.joins else { return };
+        let Some(change) = joins.next_change(&status, own, now) else { return };
+        match self.node.change_membership(&change) {
+            Ok(_) => tracing::info!(?change, "the group mends itself"),
+            Err(error) => tracing::debug!(%error, ?change, "a repair has to wait"),
+        }
+    }
+
     fn leader_address(&self) -> Option<String> {
         let leader = self.node.leader()?;
         Some(self.node.membership().get(leader)?.address.clone())
@@ -394,6 +476,51 @@
     }
 }
 
+/// Asks to belong to the group for as long as this member does not.
+pub(crate) async fn ask_to_join(shared: Weak<ControlShared>) {
+    loop {
+        tokio::time::sleep(JOIN_INTERVAL).await;
+        let Some(shared) = shared.upgrade() else { return };
+        let Some(formation) = &shared.options.formation else { return };
+        let Some(record) = stranger_record(&shared) else { continue };
+        let seeds = formation.seeds.borrow().clone();
+        for seed in seeds.iter().filter(|seed| **seed != shared.options.peer_address) {
+            match ask_at(&shared, seed, &record).await {
+                Ok(JoinReply::NotLeader { leader: Some(leader) }) => {
+                    if let Err(error) = ask_at(&shared, &leader, &record).await {
+                        tracing::debug!(%error, "the leader could not be asked");
+                    }
+                    break;
+                }
+                Ok(JoinReply::NotLeader { leader: None }) => {}
+                Ok(JoinReply::Noted | JoinReply::Member) => break,
+                Err(error) => tracing::debug!(%error, "a seed could not be asked"),
+            }
+        }
+    }
+}
+
+async fn ask_at(
+    shared: &ControlShared,
+    address: &str,
+    record: &MemberRecord,
+) -> Result<JoinReply, egretseam_rpc::CallError> {
+    let link = ControlLink::new(address, shared.options.secret, shared.link_options);
+    link.join(record.clone()).await
+}
+
+/// This member's record, if its own log does not say that it belongs to the group.
+fn stranger_record(shared: &ControlShared) -> Option<MemberRecord> {
+    let status = shared.status.borrow();
+    let status = status.as_ref()?;
+    if status.membership.get(status.id).is_some() {
+        return None;
+    }
+    let name = shared.options.name.clone();
+    let address = shared.options.peer_address.clone();
+    Some(MemberRecord { id: status.id, name, address, voter: false })
+}
+
 /// Passes on which entries watch; at the leader, removes silent ones.
 pub(crate) async fn watch_entries(shared: Weak<ControlShared>) {
     let mut link: Option<ControlLink> = None;
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -1,16 +1,16 @@
 //! Answers calls of peers and entries.
 
 use crate::{driver::ControlInput, runtime::ControlShared};
-use egretseam_catalog::{CatalogCommand, HistoryRecord};
+use egretseam_catalog::{CatalogCommand, CatalogState, HistoryRecord};
 use egretseam_proto::{ProfileName, Revision};
-use egretseam_replica::{Envelope, LogIndex};
+use egretseam_replica::{Envelope, LogIndex, MemberRecord, NodeStatus};
 use egretseam_rpc::{
-    ControlService, MemberCall, MemberReply, MembersReply, SubmitReply, WatchCall, WatchReply,
+    ControlService, JoinReply, MemberCall, MemberReply, MembersReply, SubmitReply, WatchCall, WatchReply,
     WatcherReport,
 };
 use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 /// How long a command may wait for its quorum before the caller is told that nobody knows.
 const COMMIT_LIMIT: Duration = Duration::from_millis(1_800);
@@ -30,8 +30,23 @@
         Self { shared }
     }
 
+    /// The state at this member; what it holds may be behind, see [`ControlHandler::confirm`].
+    pub fn state(&self) -> std::cell::Ref<'_, CatalogState> {
+        self.shared.state.borrow()
+    }
+
+    /// Index of the last entry applied at this member.
+    pub fn applied(&self) -> watch::Receiver<LogIndex> {
+        self.shared.applied.subscribe()
+    }
+
+    /// State of the log at this member, once its driver has run.
+    pub fn status(&self) -> Option<NodeStatus> {
+        self.shared.status.borrow().clone()
+    }
+
     /// Confirms that this member's state covers everything accepted before now.
-    async fn confirm(&self) -> Option<LogIndex> {
+    pub async fn confirm(&self) -> Option<LogIndex> {
         let (reply, confirmed) = oneshot::channel();
         self.shared.inbox.try_send(ControlInput::Read { reply }).ok()?;
         let confirm = async {
@@ -98,6 +113,14 @@
         }
     }
 
+    async fn join(self, _: Context, record: MemberRecord) -> JoinReply {
+        let (reply, outcome) = oneshot::channel();
+        if self.shared.inbox.try_send(ControlInput::Join { record, reply }).is_err() {
+            return JoinReply::NotLeader { leader: None };
+        }
+        outcome.await.unwrap_or(JoinReply::NotLeader { leader: None })
+    }
+
     async fn members(self, _: Context) -> MembersReply {
         let status = self.shared.status.borrow().clone();
         let answered_by = self.shared.options.name.clone();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,17 +4,23 @@
 //! [`ControlRuntime`] owns the driver task; [`ControlHandler`] is what the peer listener calls;
 //! [`OperatorHandler`] is the HTTP interface for operators, which any of our processes can serve
 //! because it reaches control as a client.
+//!
+//! A group forms and mends itself where [`ControlOptions::formation`] is set: founders that know
+//! each other beforehand begin together, everybody else asks to join, and the leader replaces
+//! voters that are lost ([`RepairPolicy`]).
 
 mod clock;
 mod driver;
 mod handler;
 mod operator;
 mod outbox;
+mod repair;
 mod runtime;
 mod watchers;
 
 pub use crate::{
     handler::ControlHandler,
     operator::{HealthSource, OperatorHandler, TargetsSource},
-    runtime::{ControlOptions, ControlRuntime, StartError},
+    repair::RepairPolicy,
+    runtime::{ControlOptions, ControlRuntime, GroupFormation, StartError},
 };
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -4,12 +4,16 @@
     clock::LogClock,
     driver::{self, ControlInput},
     handler::ControlHandler,
+    repair::RepairPolicy,
     watchers::WatcherTable,
 };
 use egretseam_catalog::CatalogState;
 use egretseam_http::DaemonMetrics;
 use egretseam_proto::Revision;
-use egretseam_replica::{LogIndex, NodeStatus, ReplicaConfig, StoreError};
+use egretseam_replica::{
+    GroupId, LogIndex, LogStore, MemberId, MemberRecord, Membership, NodeStatus, ReplicaConfig,
+    StoreError,
+};
 use egretseam_rpc::{LinkOptions, PeerSecret, RpcOptions, RpcServer, serve_control};
 use prometheus::{Histogram, IntCounter, IntGauge};
 use std::{
@@ -45,6 +49,76 @@
     Listener(#[from] io::Error),
 }
 
+/// How a group forms without an operator.
+#[derive(Clone, Debug)]
+pub struct GroupFormation {
+    /// `host:port` of the members to found a group with, or to ask for admission. Changed when the
+    /// settings change.
+    pub seeds: Rc<RefCell<Vec<String>>>,
+    /// Whether the whole system starts for the first time; otherwise an empty folder means a lost
+    /// disk or a new member.
+    pub founding: bool,
+    /// When the group replaces its members.
+    pub repair: RepairPolicy,
+}
+
+impl GroupFormation {
+    /// Initialises an empty folder as a member that the group does not know.
+    pub(crate) fn initialise_joining(&self, options: &ControlOptions) -> Result<(), StoreError> {
+        let identity = LogStore::join(&options.folder, MemberId(rand::random()))?;
+        tracing::info!(id = %identity.id, "initialised a data folder to join the group");
+        Ok(())
+    }
+
+    /// Initialises the folder of a member, unless it is initialised already.
+    ///
+    /// Founders derive their ids and the group's from the addresses that all of them were given,
+    /// so they need not meet before they begin. Failure guarded: a member that lost its disk must
+    /// not vote as its former self. It comes back without `founding` and draws a random id.
+    pub(crate) fn initialise(&self, options: &ControlOptions) -> Result<(), StoreError> {
+        let seeds = self.seeds.borrow();
+        let founds = self.founding && seeds.contains(&options.peer_address);
+        if !founds {
+            return match self.initialise_joining(options) {
+                Err(StoreError::AlreadyInitialised(_)) => Ok(()),
+                result => result,
+            };
+        }
+        let result = {
+            let mut founders: Vec<&String> = seeds.iter().collect();
+            founders.sort();
+            founders.dedup();
+            let record = |address: &&String| MemberRecord {
+                id: founder_id(address),
+                name: (*address).clone(),
+                address: (*address).clone(),
+                voter: true,
+            };
+            let group = founders.iter().map(|address| founder_id(address).0);
+            let group = GroupId(group.fold(1, u64::wrapping_add));
+            let membership = Membership::founding_group(founders.iter().map(record).collect());
+            let id = founder_id(&options.peer_address);
+            LogStore::found_group(&options.folder, id, group, membership)
+        };
+        match result {
+            Ok(identity) => {
+                tracing::info!(id = %identity.id, "initialised a data folder as a founder");
+                Ok(())
+            }
+            Err(StoreError::AlreadyInitialised(_)) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+/// FNV-1a over the address; ids only need to differ within a group.
+fn founder_id(address: &str) -> MemberId {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+    MemberId(address.as_bytes().iter().fold(OFFSET, fold))
+}
+
 /// Settings of a control member.
 #[derive(Clone, Debug)]
 pub struct ControlOptions {
@@ -60,6 +134,8 @@
     pub replica: ReplicaConfig,
     /// Entries behind the snapshot after which a new one is made.
     pub snapshot_every: u64,
+    /// How the group forms and mends itself; `None` leaves both to operators.
+    pub formation: Option<GroupFormation>,
 }
 
 impl ControlOptions {
@@ -72,6 +148,7 @@
             secret,
             replica: ReplicaConfig::default(),
             snapshot_every: 20_000,
+            formation: None,
         }
     }
 }
@@ -127,6 +204,7 @@
 pub struct ControlRuntime {
     shared: Rc<ControlShared>,
     server: RpcServer,
+    handler: ControlHandler,
     driver: Option<actix_rt::task::JoinHandle<()>>,
 }
 
@@ -140,6 +218,9 @@
         listener: TcpListener,
         metrics: &DaemonMetrics,
     ) -> Result<Self, StartError> {
+        if let Some(formation) = &options.formation {
+            formation.initialise(&options)?;
+        }
         let opened = driver::open(&options)?;
         let (inbox, receiver) = mpsc::channel(INBOX_LENGTH);
         let clock = opened.state.clock();
@@ -159,10 +240,11 @@
             options,
         });
         let handler = ControlHandler::new(shared.clone());
-        let server = serve_control(listener, secret, RpcOptions::default(), handler)?;
+        let server = serve_control(listener, secret, RpcOptions::default(), handler.clone())?;
         let driver = actix_rt::spawn(driver::run(shared.clone(), opened, receiver));
         actix_rt::spawn(driver::watch_entries(Rc::downgrade(&shared)));
-        Ok(Self { shared, server, driver: Some(driver) })
+        actix_rt::spawn(driver::ask_to_join(Rc::downgrade(&shared)));
+        Ok(Self { shared, server, handler, driver: Some(driver) })
     }
 
     /// Address of the peer listener.
@@ -180,6 +262,11 @@
         *self.shared.revision.borrow()
     }
 
+    /// The member's calls and state, for other parts of the same process.
+    pub fn handler(&self) -> &ControlHandler {
+        &self.handler
+    }
+
     /// Whether the disk takes writes.
     pub fn is_healthy(&self) -> bool {
         self.shared.healthy.get()
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,281 @@
+//! A process of a fleet without gates: which roles it runs, at which ports, and what happens when
+//! its settings change.
+
+use anyhow::Context;
+use egretseam_config::{FleetAgent, FleetControl, FleetEntry, FleetSettings};
+use egretseam_control::{ControlOptions, GroupFormation, RepairPolicy};
+use egretseam_gateway::{CallerDialect, GatewayListeners, GatewayOptions, GatewayRuntime};
+use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection, bind_listener};
+use egretseam_http::DaemonMetrics;
+use egretseam_registrar::{
+    ControlDialect, RegistrarListeners, RegistrarOptions, RegistrarRuntime,
+};
+use egretseam_rpc::PeerSecret;
+use egretseam_serving::{PlacementPolicy, RetryPolicy, SwitchTiming, WaitPolicy};
+use egretseam_stager::{EngineDialect, StagerListeners, StagerOptions, StagerRuntime};
+use egretseam_swarm::PlannerPolicy;
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+/// Ports of the processes for each other, counted from the first peer port.
+const LOG_PORT: u16 = 0;
+const FEED_PORT: u16 = 1;
+const CHUNK_PORT: u16 = 2;
+const METRICS_PORT: u16 = 10;
+
+/// The platform's network is private and gives processes no secret, so the preface only keeps
+/// misdirected connections out.
+const PEER_TOKEN: &str = "egretseam fleet on a private network";
+/// How long callers may keep the directory's answer. Some keep it three times as long, which must
+/// end well before a stopping process does.
+const ADDRESS_LIFETIME: Duration = Duration::from_secs(1);
+/// Margin by which requests stop going to targets with an older version before the bound: the
+/// time on the way, and waiting in an engine that is full.
+const VERSION_MARGIN: Duration = Duration::from_millis(700);
+/// Entries of the log behind a snapshot. A configuration has up to a hundred KiB, so this bounds
+/// the memory of the log to a few MiB.
+const SNAPSHOT_EVERY: u64 = 24;
+/// Silence after which a lost control member is replaced: longer than a killed process takes to be
+/// back, shorter than the time after which the platform may take the next one.
+const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
+/// Time after naming a version before which engines do not switch; about what the transfer takes.
+const EARLIEST_SWITCH: Duration = Duration::from_millis(2_500);
+/// Time before the version's bound by which the last engine is told to switch.
+const SWITCH_RESERVE: Duration = Duration::from_millis(3_000);
+
+/// What a platform speaks.
+#[derive(Clone)]
+pub struct FleetDialects {
+    /// With callers and targets.
+    pub callers: Rc<dyn CallerDialect>,
+    /// With targets and operators at control.
+    pub control: Rc<dyn ControlDialect>,
+    /// With engines and origins.
+    pub engine: Rc<dyn EngineDialect>,
+}
+
+/// A running process.
+pub struct FleetRuntime {
+    entry: Option<GatewayRuntime>,
+    control: Option<RegistrarRuntime>,
+    _agent: Option<StagerRuntime>,
+    seeds: FleetSeeds,
+    settings: FleetSettings,
+}
+
+/// Addresses of the seeds for each use, shared with the roles so that a change reaches them.
+#[derive(Clone, Default)]
+struct FleetSeeds {
+    feeds: Rc<RefCell<Vec<String>>>,
+    logs: Rc<RefCell<Vec<String>>>,
+}
+
+impl FleetSeeds {
+    fn set(&self, settings: &FleetSettings) {
+        let at = |offset: u16| {
+            let port = settings.first_peer_port + offset;
+            let address = |seed: &SocketAddr| SocketAddr::new(seed.ip(), port).to_string();
+            settings.control_seeds.iter().map(address).collect()
+        };
+        *self.feeds.borrow_mut() = at(FEED_PORT);
+        *self.logs.borrow_mut() = at(LOG_PORT);
+    }
+}
+
+impl FleetRuntime {
+    /// Starts all roles that the settings name, on the current thread.
+    ///
+    /// # Errors
+    /// Says which role could not start and why.
+    pub fn start(settings: FleetSettings, dialects: &FleetDialects) -> anyhow::Result<Self> {
+        let metrics = DaemonMetrics::new();
+        let seeds = FleetSeeds::default();
+        seeds.set(&settings);
+        let starter = FleetStarter { settings: &settings, metrics: &metrics, seeds: &seeds };
+        let entry = settings.entry.as_ref();
+        let entry = entry.map(|entry| starter.entry(entry, dialects.callers.clone())).transpose()?;
+        let control = settings.control.as_ref();
+        let control =
+            control.map(|control| starter.control(control, dialects.control.clone())).transpose()?;
+        let agent = settings.agent.as_ref();
+        let agent = agent.map(|agent| starter.agent(agent, dialects.engine.clone())).transpose()?;
+        starter.metrics()?;
+        Ok(Self { entry, control, _agent: agent, seeds, settings })
+    }
+
+    /// Takes changed settings in. Seeds change in a running process; a change of anything else is
+    /// logged and holds from the next start.
+    pub fn reload(&mut self, settings: FleetSettings) {
+        if settings == self.settings {
+            return;
+        }
+        tracing::info!(seeds = ?settings.control_seeds, "settings changed");
+        self.seeds.set(&settings);
+        let kept = FleetSettings { control_seeds: settings.control_seeds.clone(), ..self.settings.clone() };
+        if kept != settings {
+            tracing::warn!("some changed settings hold only from the next start");
+        }
+        self.settings = settings;
+    }
+
+    /// Stops without cutting a request off.
+    pub async fn stop(self) {
+        if let Some(entry) = self.entry {
+            entry.stop().await;
+        }
+        if let Some(control) = self.control {
+            control.stop().await;
+        }
+    }
+}
+
+struct FleetStarter<'a> {
+    settings: &'a FleetSettings,
+    metrics: &'a DaemonMetrics,
+    seeds: &'a FleetSeeds,
+}
+
+impl FleetStarter<'_> {
+    fn peer_address(&self, offset: u16) -> SocketAddr {
+        SocketAddr::new(self.settings.host, self.settings.first_peer_port + offset)
+    }
+
+    fn bind(&self, address: SocketAddr) -> anyhow::Result<std::net::TcpListener> {
+        bind_listener(address).with_context(|| format!("listen on {address}"))
+    }
+
+    fn entry(
+        &self,
+        entry: &FleetEntry,
+        dialect: Rc<dyn CallerDialect>,
+    ) -> anyhow::Result<GatewayRuntime> {
+        let listeners = GatewayListeners {
+            callers: self.bind(entry.caller_address)?,
+            health: self.bind(entry.health_address)?,
+            directory: self.bind(entry.directory_address)?,
+        };
+        let settings = self.settings;
+        let options = GatewayOptions {
+            name: settings.instance.to_string(),
+            zone: settings.zone.clone(),
+            caller_address: entry.caller_address,
+            secret: PeerSecret::derive(PEER_TOKEN),
+            seeds: self.seeds.feeds.clone(),
+            placement: PlacementPolicy::default(),
+            waiting: WaitPolicy::default(),
+            retries: RetryPolicy {
+                ratio: settings.retry_ratio,
+                minimum: settings.retry_minimum as u32,
+                window: settings.retry_window,
+                ..RetryPolicy::default()
+            },
+            version_limit: settings.version_limit.saturating_sub(VERSION_MARGIN),
+            address_lifetime: ADDRESS_LIFETIME,
+            stop_limit: settings.stop_limit,
+        };
+        let runtime = GatewayRuntime::start(options, dialect, listeners, self.metrics);
+        runtime.context("start the entry")
+    }
+
+    fn control(
+        &self,
+        control: &FleetControl,
+        dialect: Rc<dyn ControlDialect>,
+    ) -> anyhow::Result<RegistrarRuntime> {
+        let settings = self.settings;
+        let log_address = self.peer_address(LOG_PORT);
+        let feed_address = self.peer_address(FEED_PORT);
+        let listeners = RegistrarListeners {
+            calls: self.bind(control.call_address)?,
+            peers: self.bind(log_address)?,
+            feeds: self.bind(feed_address)?,
+        };
+        let secret = PeerSecret::derive(PEER_TOKEN);
+        let name = settings.instance.to_string();
+        let folder = control.data_folder.clone();
+        let mut member = ControlOptions::new(&name, folder, &log_address.to_string(), secret);
+        member.snapshot_every = SNAPSHOT_EVERY;
+        member.formation = Some(GroupFormation {
+            seeds: self.seeds.logs.clone(),
+            founding: settings.founding,
+            repair: RepairPolicy {
+                voters: (settings.tolerated_losses * 2 + 1).max(3) as usize,
+                replace_after: REPLACE_AFTER,
+            },
+        });
+        let options = RegistrarOptions {
+            control: member,
+            zone: settings.zone.to_string(),
+            feed_address: feed_address.to_string(),
+            feed_seeds: self.seeds.feeds.clone(),
+            feed_port: feed_address.port(),
+            announce_interval: settings.announce_interval,
+        };
+        let runtime = RegistrarRuntime::start(options, dialect, listeners, self.metrics);
+        runtime.context("start the control member")
+    }
+
+    fn agent(
+        &self,
+        agent: &FleetAgent,
+        dialect: Rc<dyn EngineDialect>,
+    ) -> anyhow::Result<StagerRuntime> {
+        let address = self.peer_address(CHUNK_PORT);
+        let listeners = StagerListeners { chunks: self.bind(address)? };
+        let options = StagerOptions {
+            zone: self.settings.zone.clone(),
+            target: agent.target_address,
+            service: agent.service.clone(),
+            secret: PeerSecret::derive(PEER_TOKEN),
+            seeds: self.seeds.feeds.clone(),
+            chunk_port: address.port(),
+            planner: PlannerPolicy::default(),
+            timing: SwitchTiming {
+                bound: self.settings.version_limit,
+                reserve: SWITCH_RESERVE,
+                earliest: EARLIEST_SWITCH,
+            },
+        };
+        let runtime = StagerRuntime::start(options, dialect, listeners, self.metrics);
+        runtime.context("start the agent")
+    }
+
+    /// Serves the metrics to whoever asks.
+    fn metrics(&self) -> anyhow::Result<()> {
+        let listener = self.bind(self.peer_address(METRICS_PORT))?;
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let metrics = self.metrics.clone();
+        actix_rt::spawn(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => {
+                        actix_rt::spawn(serve_metrics(stream, metrics.clone()));
+                    }
+                    Err(error) => {
+                        tracing::warn!(%error, "accept failed");
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                    }
+                }
+            }
+        });
+        Ok(())
+    }
+}
+
+async fn serve_metrics(stream: tokio::net::TcpStream, metrics: DaemonMetrics) {
+    /// How long a reader may take to ask.
+    const ASK_LIMIT: Duration = Duration::from_secs(2);
+    const MAX_HEAD: usize = 4_096;
+    let Ok(mut connection) = HttpConnection::new(stream, &ConnectionOptions::default()) else {
+        return;
+    };
+    let asked = tokio::time::timeout(ASK_LIMIT, connection.read_request(MAX_HEAD)).await;
+    if !matches!(asked, Ok(Ok(Some(_)))) {
+        return;
+    }
+    let mut head = HeadWriter::response(200, b"OK");
+    head.text("Content-Type", "text/plain; version=0.0.4").text("Connection", "close");
+    let bytes = head.finish_with(metrics.render().as_bytes());
+    if connection.write(&bytes).await.is_ok() {
+        connection.close().await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,187 @@
+//! One sending of a request to one target, up to the head of its answer.
+
+use crate::{
+    dialect::{AnswerMarks, TargetSend},
+    forward::RequestState,
+    place::PlaceGuard,
+    pool,
+    shared::GatewayShared,
+};
+use egretseam_h1::{BodyReader, HttpConnection, ResponseHead};
+use egretseam_serving::AttemptOutcome;
+use tokio::time::Instant;
+
+/// Largest body that is read off a refusal to keep its connection.
+const REFUSAL_BODY: usize = 16 * 1024;
+/// Most answers to other requests that are passed over before the connection is given up.
+const MAX_STRAY_ANSWERS: usize = 2;
+/// Most bytes that a caller may send ahead while its answer is awaited.
+pub(crate) const SENT_AHEAD: usize = 64 * 1024;
+
+/// An answer whose head is here and whose body is still to come.
+pub(crate) struct OpenAnswer {
+    pub(crate) connection: HttpConnection,
+    pub(crate) head: ResponseHead,
+    pub(crate) marks: AnswerMarks,
+}
+
+impl OpenAnswer {
+    /// Reader of the body.
+    pub(crate) fn body(&self, method: &[u8]) -> BodyReader {
+        BodyReader::new(self.head.framing(method))
+    }
+}
+
+/// Why there is no answer from a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptFailure {
+    /// No connection: nothing reached the target.
+    Unreachable,
+    /// The target says that it did not run the request: it has no room.
+    Full,
+    /// The target says that it did not run the request: it is another one.
+    OtherTarget,
+    /// The connection broke or the answer is not one; the request may have run.
+    Broken,
+    /// No answer within the time that this attempt had; the request may have run.
+    Silent,
+    /// The caller left.
+    CallerLeft,
+}
+
+impl AttemptFailure {
+    /// Reason in logs and metrics.
+    pub(crate) fn slug(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Full => "target-full",
+            Self::OtherTarget => "other-target",
+            Self::Broken => "broken-answer",
+            Self::Silent => "no-answer",
+            Self::CallerLeft => "caller-left",
+        }
+    }
+
+    /// Whether the request may have run at the target.
+    pub(crate) fn may_have_run(self) -> bool {
+        matches!(self, Self::Broken | Self::Silent)
+    }
+
+    /// Whether the request reached the target.
+    pub(crate) fn arrived(self) -> bool {
+        self != Self::Unreachable
+    }
+
+    /// What the failure says about the target.
+    pub(crate) fn outcome(self) -> AttemptOutcome {
+        match self {
+            Self::Unreachable => AttemptOutcome::Unreachable,
+            Self::Full => AttemptOutcome::Full,
+            Self::OtherTarget | Self::Broken | Self::Silent => AttemptOutcome::Failed,
+            Self::CallerLeft => AttemptOutcome::Abandoned,
+        }
+    }
+}
+
+/// Sends the request and waits for the head of the answer, at most until `patience`.
+pub(crate) async fn open_answer(
+    shared: &GatewayShared,
+    caller: &mut HttpConnection,
+    request: &RequestState,
+    place: &PlaceGuard,
+    patience: Instant,
+) -> Result<OpenAnswer, AttemptFailure> {
+    let mut connection = connection_to(shared, place).await?;
+    let send = TargetSend {
+        target: &place.target,
+        organisation: request.organisation(),
+        time_left: request.deadline.saturating_duration_since(Instant::now()),
+        last_event: request.last_event.as_deref(),
+        body: &request.body,
+    };
+    let bytes = shared.dialect.write_request(&request.head, &send);
+    let exchange = async {
+        connection.write(&bytes).await.map_err(|_| AttemptFailure::Broken)?;
+        read_own_head(shared, &mut connection, request).await
+    };
+    let answered = tokio::select! {
+        answered = tokio::time::timeout_at(patience, exchange) => answered,
+        // Failure guarded: a target that goes on working for a caller that left. Dropping the
+        // connection tells it.
+        () = caller.closed(SENT_AHEAD) => return Err(AttemptFailure::CallerLeft),
+    };
+    let (head, marks) = answered.map_err(|_| AttemptFailure::Silent)??;
+    if let Some(busy) = marks.busy {
+        let now = Instant::now();
+        shared.places.borrow_mut().targets.note_load(&place.target, busy, now);
+    }
+    let answer = OpenAnswer { connection, head, marks };
+    if answer.marks.not_run {
+        return Err(refuse(shared, request, place, answer).await);
+    }
+    // Failure guarded: a success without the target's signature is not the target's answer, for
+    // example the rest of a broken one. Passing it on would be a wrong answer.
+    if answer.head.status < 300 && !answer.marks.signed {
+        return Err(AttemptFailure::Broken);
+    }
+    Ok(answer)
+}
+
+async fn connection_to(
+    shared: &GatewayShared,
+    place: &PlaceGuard,
+) -> Result<HttpConnection, AttemptFailure> {
+    let kept = shared.pool.borrow_mut().take(&place.target, Instant::now());
+    if let Some(connection) = kept {
+        return Ok(connection);
+    }
+    shared.metrics.connections_opened.inc();
+    pool::connect(place.address).await.map_err(|error| {
+        tracing::debug!(target_id = %place.target, %error, "no connection to a target");
+        AttemptFailure::Unreachable
+    })
+}
+
+/// Reads heads until one answers this request.
+///
+/// Failure guarded: a target may answer a request twice, and the second answer arrives where the
+/// next request's is expected. Targets repeat the request's id; an answer with another id is read
+/// off and passed over.
+async fn read_own_head(
+    shared: &GatewayShared,
+    connection: &mut HttpConnection,
+    request: &RequestState,
+) -> Result<(ResponseHead, AnswerMarks), AttemptFailure> {
+    for _ in 0..=MAX_STRAY_ANSWERS {
+        let head = connection.read_response().await.map_err(|_| AttemptFailure::Broken)?;
+        let marks = shared.dialect.read_marks(&head);
+        if marks.request.as_deref().is_none_or(|id| id == request.terms.id) {
+            return Ok((head, marks));
+        }
+        tracing::warn!(request_id = %request.terms.id, "an answer to another request was dropped");
+        let reader = BodyReader::new(head.framing(&request.head.method));
+        let body = connection.read_body(reader, REFUSAL_BODY).await;
+        body.map_err(|_| AttemptFailure::Broken)?;
+    }
+    Err(AttemptFailure::Broken)
+}
+
+/// Takes a statement that the request did not run, and keeps its connection if it is sound.
+async fn refuse(
+    shared: &GatewayShared,
+    request: &RequestState,
+    place: &PlaceGuard,
+    answer: OpenAnswer,
+) -> AttemptFailure {
+    let other = answer.marks.other_target;
+    let reader = answer.body(&request.head.method);
+    let keeps = answer.head.keeps_alive() && !other;
+    let mut connection = answer.connection;
+    let body = connection.read_body(reader, REFUSAL_BODY).await;
+    if keeps && body.is_ok() {
+        let now = Instant::now();
+        let keep = answer.marks.keep_alive;
+        shared.pool.borrow_mut().put(&place.target, connection, keep, now);
+    }
+    if other { AttemptFailure::OtherTarget } else { AttemptFailure::Full }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,367 @@
+//! One request from its head to the end of its answer: which attempts are made, and what the
+//! caller is told when none succeeds.
+
+use crate::{
+    attempt::{self, AttemptFailure, OpenAnswer},
+    dialect::RequestTerms,
+    place::{self, PlaceCall, PlaceGuard, PlaceReply},
+    refusal::{Refusal, RefusalKind},
+    relay::{self, RelayEnd},
+    shared::{GatewayShared, StopPhase},
+};
+use bytes::Bytes;
+use egretseam_h1::{HttpConnection, RequestHead};
+use egretseam_proto::{OrganisationName, ServiceName};
+use egretseam_serving::{
+    AccessError, AttemptOutcome, KeyHolder, RouteRecord, RouteTable, TargetId,
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// Shortest and longest time that an attempt may take to begin its answer while another attempt
+/// is allowed, as a multiple of the latency objective between these bounds. Beyond it the target
+/// hangs; a busy one answers well before, since nothing is sent to targets that are full.
+const PATIENCE_OBJECTIVES: u32 = 4;
+const SHORTEST_PATIENCE: Duration = Duration::from_millis(350);
+const LONGEST_PATIENCE: Duration = Duration::from_millis(1_800);
+/// Most targets that are tried without reaching any of them.
+const MAX_UNREACHED: usize = 4;
+/// When callers should come back that found no target: about what a restart takes.
+const RETURN_NO_TARGET: Duration = Duration::from_millis(1_000);
+/// When callers should come back that an entry without configuration turned away.
+const RETURN_NO_CONFIG: Duration = Duration::from_millis(300);
+/// When callers should come back to another entry.
+const RETURN_STOPPING: Duration = Duration::from_millis(50);
+/// When callers should come back that targets refused.
+const RETURN_REFUSED: Duration = Duration::from_millis(400);
+
+/// What is known of a request while it is served.
+pub(crate) struct RequestState {
+    pub(crate) head: RequestHead,
+    pub(crate) terms: RequestTerms,
+    pub(crate) body: Bytes,
+    pub(crate) route: Rc<RouteRecord>,
+    pub(crate) holder: Option<KeyHolder>,
+    pub(crate) service: ServiceName,
+    pub(crate) received_at: Instant,
+    pub(crate) deadline: Instant,
+    /// Whether the deadline is the route's rather than the caller's.
+    /// Last event passed on to the caller by this entry, if any.
+    pub(crate) last_event: Option<String>,
+    /// Whether the head of the answer has been sent to the caller.
+    pub(crate) answering: bool,
+}
+
+impl RequestState {
+    pub(crate) fn organisation(&self) -> Option<&OrganisationName> {
+        self.holder.as_ref().map(|holder| &holder.organisation)
+    }
+
+    fn priority(&self) -> u8 {
+        let own = self.holder.as_ref().and_then(|holder| holder.priority);
+        own.unwrap_or(self.route.priority)
+    }
+}
+
+/// What becomes of the caller's connection after a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AfterRequest {
+    /// It carries the next request.
+    Keep,
+    /// It is closed in an orderly way.
+    Close,
+    /// It is reset: the answer broke off, or the caller is gone.
+    Abort,
+}
+
+/// Serves one request whose body has been read.
+pub(crate) async fn serve(
+    shared: &Rc<GatewayShared>,
+    caller: &mut HttpConnection,
+    head: RequestHead,
+    body: Bytes,
+    received_at: Instant,
+) -> AfterRequest {
+    shared.metrics.requests.inc();
+    let keeps = head.keeps_alive();
+    let request = match admit(shared, head, body, received_at) {
+        Ok(request) => request,
+        Err(refusal) => return answer_refusal(shared, caller, &refusal, keeps, "").await,
+    };
+    let mut request = request;
+    let id = request.terms.id.clone();
+    match attempt_all(shared, caller, &mut request).await {
+        Ok(after) => after,
+        Err(refusal) => answer_refusal(shared, caller, &refusal, keeps, &id).await,
+    }
+}
+
+fn admit(
+    shared: &GatewayShared,
+    head: RequestHead,
+    body: Bytes,
+    received_at: Instant,
+) -> Result<RequestState, Refusal> {
+    if shared.phase() >= StopPhase::Refusing {
+        return Err(Refusal::later(RefusalKind::Stopping, RETURN_STOPPING));
+    }
+    let routes = shared
+        .routes()
+        .ok_or_else(|| Refusal::later(RefusalKind::NoConfig, RETURN_NO_CONFIG))?;
+    let terms = shared.dialect.read_terms(&head);
+    let route = find_route(&routes, &head)?;
+    let holder = match routes.authorise(&route, terms.key.as_deref()) {
+        Ok(holder) => holder.cloned(),
+        Err(AccessError::MissingKey) => return Err(Refusal::new(RefusalKind::MissingKey)),
+        Err(AccessError::UnknownKey) => return Err(Refusal::new(RefusalKind::UnknownKey)),
+    };
+    let service = route.destination(rand::random()).clone();
+    shared.note_request(&service);
+    let limit = terms.time_left.map_or(route.timeout, |left| left.min(route.timeout));
+    Ok(RequestState {
+        head,
+        terms,
+        body,
+        route,
+        holder,
+        service,
+        received_at,
+        deadline: received_at + limit,
+        last_event: None,
+        answering: false,
+    })
+}
+
+fn find_route(routes: &RouteTable, head: &RequestHead) -> Result<Rc<RouteRecord>, Refusal> {
+    let host = head.headers.text("host").ok_or(Refusal::new(RefusalKind::Malformed))?;
+    let route = routes.route(host, head.path()).cloned();
+    route.ok_or(Refusal::new(RefusalKind::NoRoute))
+}
+
+/// Makes attempts until one is answered or no further one is allowed.
+async fn attempt_all(
+    shared: &Rc<GatewayShared>,
+    caller: &mut HttpConnection,
+    request: &mut RequestState,
+) -> Result<AfterRequest, Refusal> {
+    let mut tried: Vec<TargetId> = Vec::new();
+    let mut arrivals = 0;
+    let mut unreached = 0;
+    let mut may_have_run = false;
+    loop {
+        let placed = match find_place(shared, caller, request, &tried).await {
+            Some(Ok(placed)) => placed,
+            Some(Err(refusal)) if !may_have_run => return Err(refusal),
+            Some(Err(_)) => return give_up(request, AttemptFailure::Broken),
+            None => return Ok(caller_left(shared, request)),
+        };
+        tried.push(placed.target.clone());
+        let failure = match one_attempt(shared, caller, request, placed, arrivals).await {
+            Ok(after) => return Ok(after),
+            Err(failure) => failure,
+        };
+        if failure == AttemptFailure::CallerLeft {
+            return Ok(caller_left(shared, request));
+        }
+        if failure.arrived() {
+            arrivals += 1;
+        } else {
+            unreached += 1;
+        }
+        may_have_run |= failure.may_have_run();
+        log_failure(request, &tried, failure);
+        if !may_try_again(shared, request, failure, arrivals, unreached) {
+            return if may_have_run {
+                give_up(request, failure)
+            } else {
+                Err(Refusal::later(RefusalKind::TargetsRefused, RETURN_REFUSED))
+            };
+        }
+        shared.metrics.count_retry(failure.slug());
+    }
+}
+
+/// One line for each decision to leave a target.
+fn log_failure(request: &RequestState, tried: &[TargetId], failure: AttemptFailure) {
+    let target = tried.last().map_or("", |target| target.0.as_str());
+    tracing::info!(
+        request_id = %request.terms.id,
+        target_id = target,
+        reason = failure.slug(),
+        tried = tried.len(),
+        elapsed_millis = request.received_at.elapsed().as_millis() as u64,
+        events_passed = request.last_event.as_deref().unwrap_or(""),
+        "attempt failed"
+    );
+}
+
+/// Whether the request may go to another target.
+///
+/// Failure guarded: a request that may have run and must not be repeated runs twice. It shows as
+/// a household that is billed twice. Only what certainly did not run, or may be repeated by its
+/// route's word, is sent again; and only as often as the route allows and the shared budget holds.
+fn may_try_again(
+    shared: &GatewayShared,
+    request: &RequestState,
+    failure: AttemptFailure,
+    arrivals: u32,
+    unreached: usize,
+) -> bool {
+    let repeatable = !failure.may_have_run() || request.route.kind.may_repeat();
+    if !repeatable || Instant::now() >= request.deadline || unreached > MAX_UNREACHED {
+        return false;
+    }
+    if arrivals == 0 {
+        return true;
+    }
+    arrivals < request.route.max_attempts && shared.spend_retry(&request.service)
+}
+
+fn give_up(request: &RequestState, failure: AttemptFailure) -> Result<AfterRequest, Refusal> {
+    if request.answering {
+        // The caller has a part of a stream; only a broken connection says that it is not whole.
+        return Ok(AfterRequest::Abort);
+    }
+    let expired = failure == AttemptFailure::Silent || Instant::now() >= request.deadline;
+    let kind = if expired { RefusalKind::Expired } else { RefusalKind::BrokenAnswer };
+    Err(Refusal::new(kind))
+}
+
+fn caller_left(shared: &GatewayShared, request: &RequestState) -> AfterRequest {
+    shared.metrics.callers_left.inc();
+    tracing::debug!(request_id = %request.terms.id, "the caller left");
+    AfterRequest::Abort
+}
+
+/// Finds a place; `None` if the caller left meanwhile.
+async fn find_place(
+    shared: &Rc<GatewayShared>,
+    caller: &mut HttpConnection,
+    request: &RequestState,
+    tried: &[TargetId],
+) -> Option<Result<PlaceGuard, Refusal>> {
+    let call = PlaceCall {
+        service: &request.service,
+        model: request.terms.model.as_ref(),
+        tried,
+        priority: request.priority(),
+        objective: request.route.objective,
+        latest: request.deadline,
+    };
+    let reply = tokio::select! {
+        biased;
+        reply = place::place(shared, &call) => reply,
+        () = caller.closed(attempt::SENT_AHEAD) => return None,
+    };
+    Some(match reply {
+        PlaceReply::Placed(guard) => Ok(guard),
+        PlaceReply::Full(_) if Instant::now() >= request.deadline => {
+            Err(Refusal::new(RefusalKind::ExpiredUnsent))
+        }
+        PlaceReply::Full(after) => Err(Refusal::later(RefusalKind::Full, after)),
+        PlaceReply::NoTarget => Err(Refusal::later(RefusalKind::NoTarget, RETURN_NO_TARGET)),
+    })
+}
+
+async fn one_attempt(
+    shared: &Rc<GatewayShared>,
+    caller: &mut HttpConnection,
+    request: &mut RequestState,
+    placed: PlaceGuard,
+    arrivals: u32,
+) -> Result<AfterRequest, AttemptFailure> {
+    let patience = patience(request, arrivals);
+    let opened = attempt::open_answer(shared, caller, request, &placed, patience).await;
+    let answer = match opened {
+        Ok(answer) => answer,
+        Err(AttemptFailure::OtherTarget) => {
+            shared.places.borrow_mut().targets.note_gone(&placed.target, Instant::now());
+            shared.pool.borrow_mut().forget(&placed.target);
+            placed.finish(AttemptOutcome::Failed);
+            return Err(AttemptFailure::OtherTarget);
+        }
+        Err(failure) => {
+            placed.finish(outcome_of(request, failure));
+            return Err(failure);
+        }
+    };
+    let first_byte = request.received_at.elapsed().as_secs_f64();
+    shared.metrics.first_byte_seconds.observe(first_byte);
+    let end = pass_on(shared, caller, request, &placed.target, answer).await;
+    match end {
+        RelayEnd::Whole(after) => {
+            placed.finish(AttemptOutcome::Answered);
+            shared.metrics.answered.inc();
+            Ok(after)
+        }
+        RelayEnd::TargetFailed(after) => {
+            placed.finish(AttemptOutcome::Failed);
+            Ok(after)
+        }
+        RelayEnd::Broken(failure) => {
+            placed.finish(outcome_of(request, failure));
+            Err(failure)
+        }
+        RelayEnd::CallerLeft => {
+            placed.finish(AttemptOutcome::Abandoned);
+            Err(AttemptFailure::CallerLeft)
+        }
+    }
+}
+
+/// A target that was still at work when the caller's own time ended is not to blame for it.
+fn outcome_of(request: &RequestState, failure: AttemptFailure) -> AttemptOutcome {
+    if failure == AttemptFailure::Silent && Instant::now() >= request.deadline && request.answering {
+        return AttemptOutcome::Abandoned;
+    }
+    failure.outcome()
+}
+
+/// Until when the answer must begin.
+fn patience(request: &RequestState, arrivals: u32) -> Instant {
+    let route = &request.route;
+    let may_repeat = route.kind.may_repeat() && arrivals + 1 < route.max_attempts;
+    if !may_repeat {
+        return request.deadline;
+    }
+    let limit = (route.objective * PATIENCE_OBJECTIVES).clamp(SHORTEST_PATIENCE, LONGEST_PATIENCE);
+    (Instant::now() + limit).min(request.deadline)
+}
+
+async fn pass_on(
+    shared: &GatewayShared,
+    caller: &mut HttpConnection,
+    request: &mut RequestState,
+    target: &TargetId,
+    answer: OpenAnswer,
+) -> RelayEnd {
+    let is_stream = request.route.kind.is_stream() && answer.head.status < 300;
+    if is_stream {
+        relay::stream(shared, caller, request, target, answer).await
+    } else {
+        relay::whole(shared, caller, request, target, answer).await
+    }
+}
+
+/// Sends an answer of our own.
+pub(crate) async fn answer_refusal(
+    shared: &GatewayShared,
+    caller: &mut HttpConnection,
+    refusal: &Refusal,
+    keeps: bool,
+    id: &str,
+) -> AfterRequest {
+    shared.metrics.count_refusal(refusal.kind);
+    tracing::info!(
+        request_id = id,
+        reason = refusal.kind.slug(),
+        verdict = ?refusal.kind.verdict(),
+        retry_after_millis = refusal.retry_after.map_or(0, |after| after.as_millis() as u64),
+        "refused"
+    );
+    let close = !keeps || shared.phase() != StopPhase::Running;
+    if caller.write(&refusal.write(close)).await.is_err() {
+        return AfterRequest::Abort;
+    }
+    if close || refusal.ends_connection() { AfterRequest::Close } else { AfterRequest::Keep }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! The entry of a fleet without gates: answers callers and sends their requests straight to
+//! targets.
+//!
+//! [`GatewayRuntime`] owns the listeners and tasks of one process, all on one thread. A caller's
+//! connection is served by `caller`, one request by `forward` (which decides, attempt by attempt,
+//! what may still be done with it) and one attempt by `attempt`; `relay` passes a stream's events
+//! on as they come. `place` holds the tables of [`egretseam_serving`] and the requests that wait
+//! for a place; `follow` keeps them current from every control member; `directory` tells callers
+//! which entries to use. What is spoken on the wire is behind [`CallerDialect`].
+
+mod attempt;
+mod caller;
+mod dialect;
+mod directory;
+mod events;
+mod follow;
+mod forward;
+mod options;
+mod place;
+mod pool;
+mod refusal;
+mod relay;
+mod runtime;
+mod shared;
+
+pub use crate::{
+    dialect::{AnswerMarks, CallerDialect, LookupQuery, RequestTerms, TargetSend},
+    events::{EventBuffer, event_id},
+    options::{GatewayListeners, GatewayOptions},
+    runtime::{GatewayRuntime, StartError},
+};
--- /dev/null
+++ b/crates/gateway/src/options.rs
@@ -0,0 +1,50 @@
+//! Settings of an entry.
+
+use egretseam_proto::ZoneName;
+use egretseam_rpc::PeerSecret;
+use egretseam_serving::{PlacementPolicy, RetryPolicy, WaitPolicy};
+use std::{
+    cell::RefCell,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    time::Duration,
+};
+
+/// Bound listeners of an entry.
+#[derive(Debug)]
+pub struct GatewayListeners {
+    /// For callers' requests.
+    pub callers: TcpListener,
+    /// For the platform's readiness checks.
+    pub health: TcpListener,
+    /// For callers' questions for addresses.
+    pub directory: TcpListener,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// Instance name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Shared secret of our processes.
+    pub secret: PeerSecret,
+    /// `host:port` of control members' feeds to begin with.
+    pub seeds: Rc<RefCell<Vec<String>>>,
+    /// How targets are chosen.
+    pub placement: PlacementPolicy,
+    /// How requests wait.
+    pub waiting: WaitPolicy,
+    /// The retry budget that all entries share.
+    pub retries: RetryPolicy,
+    /// Time from naming a version until no request may begin on an older one, less a margin for
+    /// requests on their way.
+    pub version_limit: Duration,
+    /// How long callers may keep the answer to a lookup.
+    pub address_lifetime: Duration,
+    /// Time from the order to stop until the process must have ended.
+    pub stop_limit: Duration,
+}
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,241 @@
+//! The tables of targets, the requests that wait for a place, and the places that are held.
+
+use crate::shared::GatewayShared;
+use egretseam_proto::{ModelName, ServiceName, ZoneName};
+use egretseam_serving::{
+    AttemptOutcome, Choice, PlacementNeed, PlacementPolicy, TargetId, TargetTable, WaitPolicy,
+    WaitQueue, WaitTicket,
+};
+use indexmap::IndexMap;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{sync::oneshot, time::Instant};
+
+/// How often waiting requests are looked at besides when a place comes free. What an entry expects
+/// of a target fades with time, so a place can become free without an event.
+pub(crate) const PUMP_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What a request needs, while it waits.
+struct WaitingRequest {
+    model: Option<ModelName>,
+    tried: Vec<TargetId>,
+    sender: oneshot::Sender<PlaceGuard>,
+}
+
+/// Tables of one entry.
+pub(crate) struct PlaceTable {
+    pub(crate) targets: TargetTable,
+    queues: IndexMap<ServiceName, WaitQueue<WaitingRequest>>,
+    waiting: WaitPolicy,
+}
+
+impl PlaceTable {
+    pub(crate) fn new(placement: PlacementPolicy, zone: ZoneName, waiting: WaitPolicy) -> Self {
+        Self { targets: TargetTable::new(placement, zone), queues: IndexMap::new(), waiting }
+    }
+
+    fn queue(&mut self, service: &ServiceName) -> &mut WaitQueue<WaitingRequest> {
+        let waiting = self.waiting;
+        self.queues.entry(service.clone()).or_insert_with(|| WaitQueue::new(waiting))
+    }
+
+    /// Whether some request waits.
+    pub(crate) fn has_waiters(&self) -> bool {
+        self.queues.values().any(|queue| !queue.is_empty())
+    }
+}
+
+/// A place at a target, given back when dropped.
+pub(crate) struct PlaceGuard {
+    shared: Rc<GatewayShared>,
+    service: ServiceName,
+    pub(crate) target: TargetId,
+    pub(crate) address: SocketAddr,
+    ended: bool,
+}
+
+impl PlaceGuard {
+    /// Gives the place back and notes how the attempt went.
+    pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: AttemptOutcome) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = Instant::now();
+        let ejected = self.shared.places.borrow_mut().targets.end(&self.target, outcome, now);
+        if ejected {
+            tracing::info!(target_id = %self.target, ?outcome, "a target rests after failures");
+        }
+        pump(&self.shared, &self.service);
+    }
+}
+
+impl Drop for PlaceGuard {
+    fn drop(&mut self) {
+        self.end(AttemptOutcome::Abandoned);
+    }
+}
+
+/// A request that wants a place.
+#[derive(Clone, Copy)]
+pub(crate) struct PlaceCall<'a> {
+    pub(crate) service: &'a ServiceName,
+    pub(crate) model: Option<&'a ModelName>,
+    pub(crate) tried: &'a [TargetId],
+    pub(crate) priority: u8,
+    pub(crate) objective: Duration,
+    /// When waiting makes no sense any more.
+    pub(crate) latest: Instant,
+}
+
+/// What a call for a place comes to.
+pub(crate) enum PlaceReply {
+    /// A place.
+    Placed(PlaceGuard),
+    /// Nothing free in time; come back after this.
+    Full(Duration),
+    /// No target can take it.
+    NoTarget,
+}
+
+/// A place for a request: at once if one is free and nobody waits for it, else after a wait.
+pub(crate) async fn place(shared: &Rc<GatewayShared>, call: &PlaceCall<'_>) -> PlaceReply {
+    let waiting = match place_or_wait(shared, call) {
+        Ok(reply) => return reply,
+        Err(waiting) => waiting,
+    };
+    let began = Instant::now();
+    let WaitingPlace { receiver, give_up_at, withdrawal } = waiting;
+    let placed = tokio::time::timeout_at(give_up_at, receiver).await;
+    shared.metrics.wait_seconds.observe(began.elapsed().as_secs_f64());
+    drop(withdrawal);
+    match placed {
+        Ok(Ok(guard)) => PlaceReply::Placed(guard),
+        Ok(Err(_)) | Err(_) => full(shared, call.service),
+    }
+}
+
+struct WaitingPlace {
+    receiver: oneshot::Receiver<PlaceGuard>,
+    give_up_at: Instant,
+    withdrawal: Withdrawal,
+}
+
+/// Takes a request out of its queue when its caller leaves or its wait ends.
+struct Withdrawal {
+    shared: Rc<GatewayShared>,
+    service: ServiceName,
+    ticket: WaitTicket,
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        self.shared.places.borrow_mut().queue(&self.service).remove(self.ticket);
+    }
+}
+
+fn place_or_wait(
+    shared: &Rc<GatewayShared>,
+    call: &PlaceCall<'_>,
+) -> Result<PlaceReply, WaitingPlace> {
+    let now = Instant::now();
+    let mut places = shared.places.borrow_mut();
+    let need = PlacementNeed { service: call.service, model: call.model, tried: call.tried };
+    let choice = places.targets.choose(&need, now);
+    let nobody_waits = places.queue(call.service).is_empty();
+    match choice {
+        Choice::NoTarget => return Ok(PlaceReply::NoTarget),
+        Choice::Target(target) if nobody_waits => {
+            places.queue(call.service).note_placed(now);
+            let guard = hold(shared, &mut places, call.service, target);
+            return Ok(guard.map_or(PlaceReply::NoTarget, PlaceReply::Placed));
+        }
+        Choice::Target(_) | Choice::Full => {}
+    }
+    let (sender, receiver) = oneshot::channel();
+    let request =
+        WaitingRequest { model: call.model.cloned(), tried: call.tried.to_vec(), sender };
+    let queue = places.queue(call.service);
+    let give_up_at = (now + queue.wait_limit(call.objective)).min(call.latest);
+    match queue.push(call.priority, give_up_at, request, now) {
+        Ok(ticket) => {
+            let (shared, service) = (shared.clone(), call.service.clone());
+            let withdrawal = Withdrawal { shared, service, ticket };
+            Err(WaitingPlace { receiver, give_up_at, withdrawal })
+        }
+        Err(_) => {
+            let after = queue.return_after(rand::random());
+            Ok(PlaceReply::Full(after))
+        }
+    }
+}
+
+fn full(shared: &GatewayShared, service: &ServiceName) -> PlaceReply {
+    let after = shared.places.borrow_mut().queue(service).return_after(rand::random());
+    PlaceReply::Full(after)
+}
+
+fn hold(
+    shared: &Rc<GatewayShared>,
+    places: &mut PlaceTable,
+    service: &ServiceName,
+    target: TargetId,
+) -> Option<PlaceGuard> {
+    let address = places.targets.address(&target)?;
+    places.targets.begin(&target);
+    let (shared, service) = (shared.clone(), service.clone());
+    Some(PlaceGuard { shared, service, target, address, ended: false })
+}
+
+/// Gives free places to those who wait, most urgent first.
+pub(crate) fn pump(shared: &Rc<GatewayShared>, service: &ServiceName) {
+    let mut given = Vec::new();
+    {
+        let now = Instant::now();
+        let mut places = shared.places.borrow_mut();
+        while let Some((ticket, target)) = next_place(&mut places, service, now) {
+            let Some(request) = places.queue(service).remove(ticket) else { break };
+            places.queue(service).note_placed(now);
+            if let Some(guard) = hold(shared, &mut places, service, target) {
+                given.push((request.sender, guard));
+            }
+        }
+    }
+    for (sender, guard) in given {
+        // A receiver that is gone drops the guard, which gives the place to the next.
+        sender.send(guard).ok();
+    }
+}
+
+/// Gives free places to those who wait for any service.
+pub(crate) fn pump_all(shared: &Rc<GatewayShared>) {
+    let services: Vec<ServiceName> = {
+        let places = shared.places.borrow();
+        let waiting = places.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        waiting.map(|(service, _)| service.clone()).collect()
+    };
+    for service in services {
+        pump(shared, &service);
+    }
+}
+
+fn next_place(
+    places: &mut PlaceTable,
+    service: &ServiceName,
+    now: Instant,
+) -> Option<(WaitTicket, TargetId)> {
+    let queue = places.queues.get(service)?;
+    for (ticket, request) in queue.iter() {
+        let need =
+            PlacementNeed { service, model: request.model.as_ref(), tried: &request.tried };
+        match places.targets.choose(&need, now) {
+            Choice::Target(target) => return Some((ticket, target)),
+            // One that was refused elsewhere needs a particular target; others may still be served.
+            Choice::Full | Choice::NoTarget if !request.tried.is_empty() => {}
+            Choice::Full | Choice::NoTarget => return None,
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,195 @@
+//! State that the tasks of one entry share. All on one thread.
+
+use crate::{
+    dialect::CallerDialect,
+    options::GatewayOptions,
+    place::PlaceTable,
+    pool::TargetPool,
+    refusal::RefusalKind,
+};
+use egretseam_http::DaemonMetrics;
+use egretseam_proto::ServiceName;
+use egretseam_serving::{EntryRecord, EntryRoster, RetryBudget, RouteTable};
+use indexmap::IndexMap;
+use prometheus::{Histogram, IntCounter, IntGauge};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+use tokio::{sync::watch, time::Instant};
+
+/// Counters of an entry.
+pub(crate) struct GatewayMetrics {
+    pub(crate) refusals: IndexMap<&'static str, IntCounter>,
+    pub(crate) retries: IndexMap<&'static str, IntCounter>,
+    pub(crate) requests: IntCounter,
+    pub(crate) answered: IntCounter,
+    pub(crate) resumed: IntCounter,
+    pub(crate) callers_left: IntCounter,
+    pub(crate) connections_opened: IntCounter,
+    pub(crate) config_version: IntGauge,
+    pub(crate) first_byte_seconds: Histogram,
+    pub(crate) wait_seconds: Histogram,
+}
+
+/// Why a request was sent again; each has a counter.
+const RETRY_REASONS: [&str; 5] =
+    ["unreachable", "target-full", "other-target", "broken-answer", "no-answer"];
+
+impl GatewayMetrics {
+    fn new(metrics: &DaemonMetrics) -> Self {
+        let refusal = |kind: RefusalKind| {
+            let name = format!("egretseam_gateway_refused_{}_total", kind.slug().replace('-', "_"));
+            (kind.slug(), metrics.counter(&name, "Requests refused or failed for this reason."))
+        };
+        let retry = |reason: &'static str| {
+            let name = format!("egretseam_gateway_retried_{}_total", reason.replace('-', "_"));
+            (reason, metrics.counter(&name, "Requests sent again for this reason."))
+        };
+        Self {
+            refusals: RefusalKind::ALL.into_iter().map(refusal).collect(),
+            retries: RETRY_REASONS.into_iter().map(retry).collect(),
+            requests: metrics.counter("egretseam_gateway_requests_total", "Requests read."),
+            answered: metrics.counter("egretseam_gateway_answered_total", "Answers passed on."),
+            resumed: metrics
+                .counter("egretseam_gateway_resumed_total", "Streams that went on elsewhere."),
+            callers_left: metrics
+                .counter("egretseam_gateway_callers_left_total", "Callers that left unanswered."),
+            connections_opened: metrics
+                .counter("egretseam_gateway_connections_total", "Connections opened to targets."),
+            config_version: metrics
+                .gauge("egretseam_gateway_config_version", "Version of the configuration in force."),
+            first_byte_seconds: metrics
+                .seconds("egretseam_gateway_first_byte_seconds", "Time to an answer's first byte."),
+            wait_seconds: metrics
+                .seconds("egretseam_gateway_wait_seconds", "Time that requests waited for a place."),
+        }
+    }
+
+    pub(crate) fn count_refusal(&self, kind: RefusalKind) {
+        if let Some(counter) = self.refusals.get(kind.slug()) {
+            counter.inc();
+        }
+    }
+
+    pub(crate) fn count_retry(&self, reason: &str) {
+        if let Some(counter) = self.retries.get(reason) {
+            counter.inc();
+        }
+    }
+}
+
+/// How far the entry is with stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum StopPhase {
+    /// Serving.
+    Running,
+    /// Out of the directory; requests are still served, connections close after their answer.
+    Leaving,
+    /// New requests are refused.
+    Refusing,
+}
+
+pub(crate) struct GatewayShared {
+    pub(crate) options: GatewayOptions,
+    pub(crate) dialect: Rc<dyn CallerDialect>,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) run: u64,
+    pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
+    pub(crate) places: RefCell<PlaceTable>,
+    pub(crate) pool: RefCell<TargetPool>,
+    pub(crate) budgets: RefCell<IndexMap<ServiceName, RetryBudget>>,
+    /// By source: the entries that a control member hears of.
+    pub(crate) rosters: RefCell<IndexMap<u32, Vec<EntryRecord>>>,
+    pub(crate) roster: RefCell<EntryRoster>,
+    pub(crate) stop: watch::Sender<StopPhase>,
+    pub(crate) connections: Cell<usize>,
+    pub(crate) in_progress: Cell<usize>,
+}
+
+impl GatewayShared {
+    pub(crate) fn new(
+        options: GatewayOptions,
+        dialect: Rc<dyn CallerDialect>,
+        metrics: &DaemonMetrics,
+    ) -> Self {
+        let places = PlaceTable::new(options.placement, options.zone.clone(), options.waiting);
+        Self {
+            dialect,
+            metrics: GatewayMetrics::new(metrics),
+            run: rand::random(),
+            routes: RefCell::new(None),
+            places: RefCell::new(places),
+            pool: RefCell::default(),
+            budgets: RefCell::default(),
+            rosters: RefCell::default(),
+            roster: RefCell::default(),
+            stop: watch::Sender::new(StopPhase::Running),
+            connections: Cell::new(0),
+            in_progress: Cell::new(0),
+            options,
+        }
+    }
+
+    pub(crate) fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.routes.borrow().as_ref().map_or(0, |routes| routes.config().version)
+    }
+
+    pub(crate) fn phase(&self) -> StopPhase {
+        *self.stop.borrow()
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == StopPhase::Running && self.routes.borrow().is_some()
+    }
+
+    /// What this entry tells of itself.
+    pub(crate) fn record(&self) -> EntryRecord {
+        EntryRecord {
+            name: self.options.name.clone(),
+            run: self.run,
+            zone: self.options.zone.clone(),
+            address: self.options.caller_address,
+            ready: self.is_ready(),
+        }
+    }
+
+    /// Takes in which entries a control member hears of; `None` if the member is lost. The word of
+    /// the last one stands, so that the directory outlives all of control.
+    pub(crate) fn note_roster(&self, source: u32, entries: Option<Vec<EntryRecord>>) {
+        let mut rosters = self.rosters.borrow_mut();
+        match entries {
+            Some(entries) => {
+                rosters.insert(source, entries);
+            }
+            None if rosters.len() > 1 => {
+                rosters.shift_remove(&source);
+            }
+            None => {}
+        }
+        *self.roster.borrow_mut() = EntryRoster::merged(rosters.values(), Instant::now());
+    }
+
+    /// Counts a caller's request towards a service's retry budget.
+    pub(crate) fn note_request(&self, service: &ServiceName) {
+        self.with_budget(service, |budget| budget.note_request(Instant::now()));
+    }
+
+    /// Takes one repeat out of a service's budget, if there is one.
+    pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
+        let entries = self.roster.borrow().iter().count();
+        self.with_budget(service, |budget| budget.spend(entries, Instant::now()))
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, use_it: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let create = || RetryBudget::new(self.options.retries);
+        use_it(budgets.entry(service.clone()).or_insert_with(create))
+    }
+}
--- /dev/null
+++ b/crates/h1/src/exchange.rs
@@ -0,0 +1,139 @@
+//! One call on a connection of its own, for traffic that is too rare to keep connections for.
+
+use crate::{
+    body::BodyReader,
+    connection::{ConnectionOptions, HttpConnection, ReadError},
+    head::HeaderList,
+    writer::HeadWriter,
+};
+use bytes::Bytes;
+use std::{io, net::SocketAddr, time::Duration};
+use thiserror::Error;
+
+/// A call to make.
+#[derive(Clone, Copy, Debug)]
+pub struct CallRequest<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// `Content-Type` of the body; empty for none.
+    pub content_type: &'a str,
+    /// Body.
+    pub body: &'a [u8],
+    /// Time for the whole call.
+    pub limit: Duration,
+    /// Largest body accepted in the answer.
+    pub max_body: usize,
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug)]
+pub struct CallReply {
+    /// Status code.
+    pub status: u16,
+    /// Header fields.
+    pub headers: HeaderList,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// No connection.
+    #[error("connect: {0}")]
+    Connect(io::Error),
+    /// The connection broke, or the answer is not proper HTTP.
+    #[error("{0}")]
+    Broken(#[from] ReadError),
+    /// No answer in time.
+    #[error("no answer in time")]
+    Timeout,
+}
+
+/// Makes one call and closes the connection.
+///
+/// # Errors
+/// See [`ExchangeError`].
+pub async fn exchange(
+    address: SocketAddr,
+    call: &CallRequest<'_>,
+) -> Result<CallReply, ExchangeError> {
+    let work = async {
+        let options = ConnectionOptions::default();
+        let opened = HttpConnection::open(address, call.limit, &options).await;
+        let mut connection = opened.map_err(ExchangeError::Connect)?;
+        connection.call(address, call).await
+    };
+    tokio::time::timeout(call.limit, work).await.unwrap_or(Err(ExchangeError::Timeout))
+}
+
+impl HttpConnection {
+    /// Makes one call on this connection, which must be quiet.
+    ///
+    /// # Errors
+    /// See [`ExchangeError`]; afterwards the connection is of no use.
+    pub async fn call(
+        &mut self,
+        host: SocketAddr,
+        call: &CallRequest<'_>,
+    ) -> Result<CallReply, ExchangeError> {
+        let mut head = HeadWriter::request(call.method.as_bytes(), call.target.as_bytes());
+        head.text("Host", &host.to_string());
+        if !call.content_type.is_empty() {
+            head.text("Content-Type", call.content_type);
+        }
+        let bytes = head.finish_with(call.body);
+        self.write(&bytes).await.map_err(|error| ExchangeError::Broken(error.into()))?;
+        let head = self.read_response().await?;
+        let reader = BodyReader::new(head.framing(call.method.as_bytes()));
+        let body = self.read_body(reader, call.max_body).await?;
+        Ok(CallReply { status: head.status, headers: head.headers, body })
+    }
+}
+
+/// Calls to one address over a connection that is kept between them.
+#[derive(Debug)]
+pub struct KeptClient {
+    address: SocketAddr,
+    connection: Option<HttpConnection>,
+}
+
+impl KeptClient {
+    /// A client that connects with its first call.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, connection: None }
+    }
+
+    /// The other end.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes one call. A connection that fails is dropped; the call is not repeated.
+    ///
+    /// # Errors
+    /// See [`ExchangeError`].
+    pub async fn call(&mut self, call: &CallRequest<'_>) -> Result<CallReply, ExchangeError> {
+        let kept = self.connection.take().filter(HttpConnection::is_quiet);
+        let work = async {
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => {
+                    let options = ConnectionOptions::default();
+                    let opened = HttpConnection::open(self.address, call.limit, &options).await;
+                    opened.map_err(ExchangeError::Connect)?
+                }
+            };
+            let reply = connection.call(self.address, call).await?;
+            Ok((connection, reply))
+        };
+        let done = tokio::time::timeout(call.limit, work).await;
+        let (connection, reply) = done.unwrap_or(Err(ExchangeError::Timeout))?;
+        if !reply.headers.wants_close() {
+            self.connection = Some(connection);
+        }
+        Ok(reply)
+    }
+}
--- /dev/null
+++ b/crates/registrar/src/dialect.rs
@@ -0,0 +1,71 @@
+//! What targets and operators speak, behind a trait: names and formats only.
+
+use bytes::Bytes;
+use egretseam_h1::RequestHead;
+use egretseam_proto::ModelName;
+use egretseam_serving::{RawServing, TargetId, TargetRecord};
+use thiserror::Error;
+
+/// A call from outside.
+#[derive(Clone, Debug)]
+pub enum ControlCall {
+    /// A target announces itself.
+    Announce(TargetRecord),
+    /// A target leaves.
+    Leave(TargetId),
+    /// An operator replaces the serving configuration.
+    ReplaceConfig(Box<RawServing>),
+    /// An operator reads it.
+    ReadConfig,
+    /// An operator names a version of a model.
+    NameVersion {
+        /// The model.
+        model: ModelName,
+        /// The version.
+        version: u64,
+    },
+}
+
+/// A call that cannot be understood.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum CallFault {
+    /// No such call.
+    #[error("no such call")]
+    Unknown,
+    /// The body cannot be read.
+    #[error("the body cannot be read: {0}")]
+    Malformed(String),
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ControlReply {
+    /// Done.
+    Done,
+    /// The configuration, as it was accepted.
+    Config(Bytes),
+    /// There is none.
+    NoConfig,
+    /// The call breaks a rule, for good.
+    Invalid(String),
+    /// No such call.
+    Unknown,
+    /// Not done, or nobody knows; may be sent again, best to another member.
+    Unavailable(&'static str),
+}
+
+/// What targets and operators speak.
+pub trait ControlDialect {
+    /// Reads a call.
+    ///
+    /// # Errors
+    /// See [`CallFault`].
+    fn read_call(&self, head: &RequestHead, body: &[u8]) -> Result<ControlCall, CallFault>;
+    /// Reads a configuration as an operator sent it.
+    ///
+    /// # Errors
+    /// Says what cannot be read.
+    fn read_config(&self, content: &[u8]) -> Result<RawServing, String>;
+    /// Status, reason phrase and body of an answer.
+    fn write_reply(&self, reply: &ControlReply) -> (u16, &'static str, Bytes);
+}
--- /dev/null
+++ b/crates/registrar/src/front.rs
@@ -0,0 +1,152 @@
+//! The calls of targets and operators over HTTP.
+
+use crate::{
+    dialect::{CallFault, ControlCall, ControlReply},
+    shared::RegistrarShared,
+};
+use bytes::Bytes;
+use egretseam_catalog::{CatalogCommand, ServingDocument};
+use egretseam_h1::{BodyReader, ConnectionOptions, HeadWriter, HttpConnection, RequestHead};
+use egretseam_serving::{AnnounceOutcome, RawServing, ServingConfig, TargetRecord};
+use std::{rc::Rc, time::Duration};
+use tokio::{net::TcpStream, time::Instant};
+
+/// Largest head of a call.
+const MAX_HEAD: usize = 16 * 1024;
+/// Largest body: a configuration of thousands of routes has a few MiB.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+/// How long a connection may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// How long a body may take.
+const BODY_LIMIT: Duration = Duration::from_secs(5);
+/// How long a change may wait for its quorum: a little less than the second after which operators
+/// go on to another member.
+const COMMIT_LIMIT: Duration = Duration::from_millis(900);
+
+/// Serves a connection to its end.
+pub(crate) async fn serve(shared: Rc<RegistrarShared>, stream: TcpStream) {
+    let Ok(mut connection) = HttpConnection::new(stream, &ConnectionOptions::default()) else {
+        return;
+    };
+    loop {
+        let read = connection.read_request(MAX_HEAD);
+        let Ok(Ok(Some(head))) = tokio::time::timeout(IDLE_LIMIT, read).await else { return };
+        let reader = BodyReader::new(head.framing);
+        let read = connection.read_body(reader, MAX_BODY);
+        let Ok(Ok(body)) = tokio::time::timeout(BODY_LIMIT, read).await else { return };
+        let reply = answer(&shared, &head, body).await;
+        let (status, phrase, body) = shared.dialect.write_reply(&reply);
+        let mut writer = HeadWriter::response(status, phrase.as_bytes());
+        writer.text("Content-Type", "application/json");
+        let bytes = writer.finish_with(&body);
+        if connection.write(&bytes).await.is_err() || !head.keeps_alive() {
+            return;
+        }
+    }
+}
+
+async fn answer(shared: &Rc<RegistrarShared>, head: &RequestHead, body: Bytes) -> ControlReply {
+    let call = match shared.dialect.read_call(head, &body) {
+        Ok(call) => call,
+        Err(CallFault::Unknown) => return ControlReply::Unknown,
+        Err(fault @ CallFault::Malformed(_)) => {
+            tracing::info!(path = head.path(), %fault, "a call was refused");
+            return ControlReply::Invalid(fault.to_string());
+        }
+    };
+    match call {
+        ControlCall::Announce(record) => announce(shared, record),
+        ControlCall::Leave(id) => {
+            if let Some(refusal) = isolation(shared) {
+                return refusal;
+            }
+            tracing::info!(target_id = %id, "a target leaves");
+            shared.registry.borrow_mut().remove(&id, Instant::now());
+            shared.publish();
+            ControlReply::Done
+        }
+        ControlCall::ReplaceConfig(raw) => replace(shared, *raw, &body).await,
+        ControlCall::ReadConfig => read(shared).await,
+        ControlCall::NameVersion { model, version } => {
+            tracing::info!(%model, version, "a version is named");
+            submit(shared, CatalogCommand::NameVersion { model, version }).await
+        }
+    }
+}
+
+/// Failure guarded: a member that is cut off from the entries acknowledges that a target is
+/// draining, and nobody else ever hears of it. It shows as requests at a target that has left. A
+/// member whose feed no entry reads sends announcements elsewhere.
+fn isolation(shared: &RegistrarShared) -> Option<ControlReply> {
+    if shared.entries.borrow().iter().next().is_some() {
+        return None;
+    }
+    shared.metrics.refused_isolated.inc();
+    Some(ControlReply::Unavailable("no entry reads this member's feed"))
+}
+
+fn announce(shared: &RegistrarShared, record: TargetRecord) -> ControlReply {
+    if let Some(refusal) = isolation(shared) {
+        return refusal;
+    }
+    let mut registry = shared.registry.borrow_mut();
+    let before = registry.number();
+    let (id, state, sequence) = (record.id.clone(), record.state, record.sequence);
+    let outcome = registry.announce(record, Instant::now());
+    let changed = registry.number() > before;
+    drop(registry);
+    match outcome {
+        AnnounceOutcome::Taken => shared.metrics.announcements.inc(),
+        AnnounceOutcome::Late => {
+            tracing::info!(target_id = %id, sequence, "an announcement came late");
+            shared.metrics.late_announcements.inc();
+        }
+        AnnounceOutcome::Full => return ControlReply::Unavailable("too many targets"),
+    }
+    if changed {
+        tracing::info!(target_id = %id, ?state, sequence, "a target announced itself");
+        shared.publish();
+    }
+    ControlReply::Done
+}
+
+async fn replace(shared: &RegistrarShared, raw: RawServing, content: &[u8]) -> ControlReply {
+    let version = raw.version;
+    if let Err(error) = ServingConfig::try_from(raw) {
+        tracing::info!(version, %error, "a configuration was refused");
+        shared.metrics.changes_invalid.inc();
+        return ControlReply::Invalid(error.to_string());
+    }
+    let document = ServingDocument { version, content: content.to_vec() };
+    let reply = submit(shared, CatalogCommand::ReplaceServing(document)).await;
+    tracing::info!(version, acknowledged = reply == ControlReply::Done, "a configuration was sent");
+    reply
+}
+
+/// Carries a change out through the log. Every such change may be sent again, so a lost outcome
+/// is told as "try again".
+async fn submit(shared: &RegistrarShared, command: CatalogCommand) -> ControlReply {
+    match shared.client().submit(&command, COMMIT_LIMIT).await {
+        Ok(_) => {
+            shared.metrics.changes.inc();
+            ControlReply::Done
+        }
+        Err(error) => {
+            tracing::warn!(%error, "a change was not acknowledged");
+            shared.metrics.changes_unavailable.inc();
+            ControlReply::Unavailable("no quorum in time")
+        }
+    }
+}
+
+async fn read(shared: &RegistrarShared) -> ControlReply {
+    if shared.control.confirm().await.is_none() {
+        shared.metrics.reads_unavailable.inc();
+        return ControlReply::Unavailable("the newest configuration cannot be confirmed");
+    }
+    let state = shared.control.state();
+    match state.serving() {
+        Some(document) => ControlReply::Config(Bytes::copy_from_slice(&document.content)),
+        None => ControlReply::NoConfig,
+    }
+}
--- /dev/null
+++ b/crates/registrar/src/options.rs
@@ -0,0 +1,32 @@
+//! Settings of a registrar.
+
+use egretseam_control::ControlOptions;
+use std::{cell::RefCell, net::TcpListener, rc::Rc, time::Duration};
+
+/// Bound listeners of a registrar.
+#[derive(Debug)]
+pub struct RegistrarListeners {
+    /// For targets and operators.
+    pub calls: TcpListener,
+    /// For the other control members' log.
+    pub peers: TcpListener,
+    /// For feeds.
+    pub feeds: TcpListener,
+}
+
+/// Settings of a registrar.
+#[derive(Clone, Debug)]
+pub struct RegistrarOptions {
+    /// The control member.
+    pub control: ControlOptions,
+    /// Availability zone, for logs.
+    pub zone: String,
+    /// Where this member's feed is reached.
+    pub feed_address: String,
+    /// `host:port` of the feeds of members to begin with.
+    pub feed_seeds: Rc<RefCell<Vec<String>>>,
+    /// Port at which every member's feed is reached, beside the log's port of the same host.
+    pub feed_port: u16,
+    /// Time between two announcements of a target.
+    pub announce_interval: Duration,
+}
--- /dev/null
+++ b/crates/registrar/src/runtime.rs
@@ -0,0 +1,88 @@
+//! Starting and stopping a registrar.
+
+use crate::{
+    dialect::ControlDialect,
+    feed::FeedHandler,
+    front, mirror,
+    options::{RegistrarListeners, RegistrarOptions},
+    publish,
+    shared::RegistrarShared,
+};
+use egretseam_control::ControlRuntime;
+use egretseam_http::DaemonMetrics;
+use egretseam_rpc::{RpcOptions, RpcServer, serve_feed};
+use std::{io, net::TcpListener, rc::Rc, time::Duration};
+use thiserror::Error;
+
+/// Pause after the system refused a connection, for example for want of descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Why a registrar could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The control member could not start.
+    #[error(transparent)]
+    Control(#[from] egretseam_control::StartError),
+    /// A listener cannot be used.
+    #[error("listener: {0}")]
+    Listener(#[from] io::Error),
+}
+
+/// A running registrar.
+pub struct RegistrarRuntime {
+    control: ControlRuntime,
+    _feeds: RpcServer,
+    _shared: Rc<RegistrarShared>,
+}
+
+impl RegistrarRuntime {
+    /// Starts serving on the current thread.
+    ///
+    /// # Errors
+    /// See [`StartError`].
+    pub fn start(
+        options: RegistrarOptions,
+        dialect: Rc<dyn ControlDialect>,
+        listeners: RegistrarListeners,
+        metrics: &DaemonMetrics,
+    ) -> Result<Self, StartError> {
+        let control = ControlRuntime::start(options.control.clone(), listeners.peers, metrics)?;
+        let secret = options.control.secret;
+        let handler = control.handler().clone();
+        let shared = Rc::new(RegistrarShared::new(options, dialect, handler, metrics));
+        let feed = FeedHandler::new(shared.clone());
+        let feeds = serve_feed(listeners.feeds, secret, RpcOptions::default(), feed)?;
+        accept(&shared, listeners.calls)?;
+        actix_rt::spawn(publish::watch_log(Rc::downgrade(&shared)));
+        actix_rt::spawn(publish::expire(Rc::downgrade(&shared)));
+        actix_rt::spawn(mirror::mirror_all(Rc::downgrade(&shared)));
+        Ok(Self { control, _feeds: feeds, _shared: shared })
+    }
+
+    /// Hands leadership over and stops. What was acknowledged is on disk.
+    pub async fn stop(self) {
+        self.control.stop().await;
+    }
+}
+
+fn accept(shared: &Rc<RegistrarShared>, listener: TcpListener) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let shared = Rc::downgrade(shared);
+    actix_rt::spawn(async move {
+        loop {
+            let accepted = listener.accept().await;
+            let Some(shared) = shared.upgrade() else { return };
+            match accepted {
+                Ok((stream, _)) => {
+                    actix_rt::spawn(front::serve(shared, stream));
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "accept failed");
+                    tokio::time::sleep(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/registrar/src/shared.rs
@@ -0,0 +1,156 @@
+//! State that the tasks of one registrar share. All on one thread.
+
+use crate::{dialect::ControlDialect, mirror::MirrorTable, options::RegistrarOptions};
+use bytes::Bytes;
+use egretseam_control::ControlHandler;
+use egretseam_http::DaemonMetrics;
+use egretseam_proto::ModelName;
+use egretseam_rpc::{ControlClient, LinkOptions};
+use egretseam_serving::{EntryRoster, ServingConfig, TargetRegistry};
+use indexmap::IndexMap;
+use prometheus::{IntCounter, IntGauge};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::watch, time::Instant};
+
+/// Announcements that may fail to come before a target counts as silent: two lost ones, and some
+/// seconds by which they may be late.
+const MISSED_ANNOUNCEMENTS: f64 = 2.9;
+/// How long a member answers within, so that callers do not move on while it works.
+const MEMBER_CALL_LIMIT: Duration = Duration::from_millis(700);
+/// How long a connection to a member may take.
+const MEMBER_CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Counters of a registrar.
+pub(crate) struct RegistrarMetrics {
+    pub(crate) announcements: IntCounter,
+    pub(crate) late_announcements: IntCounter,
+    pub(crate) refused_isolated: IntCounter,
+    pub(crate) changes: IntCounter,
+    pub(crate) changes_invalid: IntCounter,
+    pub(crate) changes_unavailable: IntCounter,
+    pub(crate) reads_unavailable: IntCounter,
+    pub(crate) targets: IntGauge,
+    pub(crate) entries: IntGauge,
+    pub(crate) config_version: IntGauge,
+}
+
+impl RegistrarMetrics {
+    fn new(metrics: &DaemonMetrics) -> Self {
+        let counter = |name: &str, help: &str| {
+            metrics.counter(&format!("egretseam_registrar_{name}_total"), help)
+        };
+        let gauge =
+            |name: &str, help: &str| metrics.gauge(&format!("egretseam_registrar_{name}"), help);
+        Self {
+            announcements: counter("announcements", "Announcements of targets taken in."),
+            late_announcements: counter("late_announcements", "Announcements that came too late."),
+            refused_isolated: counter(
+                "refused_isolated",
+                "Announcements refused because no entry reads this member's feed.",
+            ),
+            changes: counter("changes", "Operators' changes acknowledged."),
+            changes_invalid: counter("changes_invalid", "Operators' changes refused for good."),
+            changes_unavailable: counter("changes_unavailable", "Changes without a quorum in time."),
+            reads_unavailable: counter("reads_unavailable", "Reads that could not be confirmed."),
+            targets: gauge("targets", "Targets that announce themselves here."),
+            entries: gauge("entries", "Entries that read this member's feed."),
+            config_version: gauge("config_version", "Version of the configuration applied here."),
+        }
+    }
+}
+
+/// The configuration as applied at this member.
+#[derive(Clone, Debug)]
+pub(crate) struct AppliedConfig {
+    pub(crate) config: Rc<ServingConfig>,
+    /// Encoded once for all entries.
+    pub(crate) encoded: Bytes,
+}
+
+pub(crate) struct RegistrarShared {
+    pub(crate) options: RegistrarOptions,
+    pub(crate) dialect: Rc<dyn ControlDialect>,
+    pub(crate) control: ControlHandler,
+    pub(crate) metrics: RegistrarMetrics,
+    pub(crate) run: u64,
+    pub(crate) registry: RefCell<TargetRegistry>,
+    pub(crate) mirrors: RefCell<MirrorTable>,
+    pub(crate) entries: RefCell<EntryRoster>,
+    pub(crate) applied: RefCell<Option<AppliedConfig>>,
+    pub(crate) versions: RefCell<IndexMap<ModelName, (u64, Instant)>>,
+    /// `host:port` of the feeds of all members, as far as known.
+    pub(crate) members: RefCell<Vec<String>>,
+    pub(crate) roster_number: Cell<u64>,
+    /// Grows with everything that a reader may wait for.
+    pub(crate) news: watch::Sender<u64>,
+    client: RefCell<Option<(Vec<String>, Rc<ControlClient>)>>,
+}
+
+impl RegistrarShared {
+    pub(crate) fn new(
+        options: RegistrarOptions,
+        dialect: Rc<dyn ControlDialect>,
+        control: ControlHandler,
+        metrics: &DaemonMetrics,
+    ) -> Self {
+        let silence = options.announce_interval.mul_f64(MISSED_ANNOUNCEMENTS);
+        let members = options.feed_seeds.borrow().clone();
+        Self {
+            dialect,
+            control,
+            metrics: RegistrarMetrics::new(metrics),
+            run: rand::random(),
+            registry: RefCell::new(TargetRegistry::new(silence)),
+            mirrors: RefCell::default(),
+            entries: RefCell::default(),
+            applied: RefCell::new(None),
+            versions: RefCell::default(),
+            members: RefCell::new(members),
+            roster_number: Cell::new(1),
+            news: watch::Sender::new(0),
+            client: RefCell::new(None),
+            options,
+        }
+    }
+
+    /// Wakes everybody who waits for news.
+    pub(crate) fn publish(&self) {
+        self.news.send_modify(|number| *number += 1);
+    }
+
+    /// Wakes everybody for a change of the roster.
+    pub(crate) fn publish_roster(&self) {
+        self.roster_number.set(self.roster_number.get() + 1);
+        self.publish();
+    }
+
+    /// A client of the whole group as this member knows it, its own listener first.
+    pub(crate) fn client(&self) -> Rc<ControlClient> {
+        let own = self.options.control.peer_address.clone();
+        let mut addresses = vec![own];
+        let status = self.control.status();
+        let members = status.iter().flat_map(|status| status.membership.members());
+        addresses.extend(members.map(|member| member.address.clone()));
+        let mut seen = indexmap::IndexSet::new();
+        addresses.retain(|address| seen.insert(address.clone()));
+        let mut held = self.client.borrow_mut();
+        if let Some((known, client)) = held.as_ref()
+            && *known == addresses
+        {
+            return client.clone();
+        }
+        let options = LinkOptions {
+            connect_timeout: MEMBER_CONNECT_LIMIT,
+            call_timeout: MEMBER_CALL_LIMIT,
+            ..LinkOptions::default()
+        };
+        let secret = self.options.control.secret;
+        let client = Rc::new(ControlClient::new(&addresses, secret, options, 0));
+        *held = Some((addresses, client.clone()));
+        client
+    }
+}
--- a/crates/replica/src/membership.rs
+++ b/crates/replica/src/membership.rs
@@ -63,6 +63,12 @@
         membership
     }
 
+    /// A group of several voters that all begin with the same empty log.
+    pub fn founding_group(records: Vec<MemberRecord>) -> Self {
+        let voter = |record: MemberRecord| (record.id, MemberRecord { voter: true, ..record });
+        Self { members: records.into_iter().map(voter).collect(), removed: Vec::new() }
+    }
+
     /// All members, voters and learners, in the order in which they joined.
     pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.values()
--- a/crates/replica/src/node.rs
+++ b/crates/replica/src/node.rs
@@ -79,6 +79,8 @@
 /// A member's view of itself, for status pages and drivers.
 #[derive(Clone, Debug)]
 pub struct NodeStatus {
+    /// This member's id.
+    pub id: MemberId,
     /// Role.
     pub role: NodeRole,
     /// Term.
@@ -235,6 +237,7 @@
             Role::Leader(_) => NodeRole::Leader,
         };
         NodeStatus {
+            id: self.id,
             role,
             term: self.hard.term,
             leader: self.leader(),
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -163,7 +163,20 @@
     ) -> Result<MemberIdentity, StoreError> {
         let record =
             MemberRecord { id, name: name.to_owned(), address: address.to_owned(), voter: true };
-        let membership = Membership::founding(record);
+        Self::found_group(folder, id, group, Membership::founding(record))
+    }
+
+    /// Initialises `folder` as member `id` of a new group whose founders are known beforehand. All
+    /// founders must give the same membership and group.
+    ///
+    /// # Errors
+    /// Fails if the folder already holds a member or cannot be written.
+    pub fn found_group(
+        folder: &Path,
+        id: MemberId,
+        group: GroupId,
+        membership: Membership,
+    ) -> Result<MemberIdentity, StoreError> {
         let image =
             SnapshotImage { index: LogIndex(1), term: Term(1), membership, data: Vec::new() };
         let hard = HardState { group: Some(group), term: Term(1), voted_for: None };
@@ -179,6 +192,22 @@
         Self::initialise(folder, MemberIdentity { format: FORMAT, id, group: None }, &[])
     }
 
+    /// Discards the member in `folder`, so that another can be initialised there. For a member that
+    /// its group has removed: its votes and log count for nothing any more.
+    ///
+    /// # Errors
+    /// Fails if the folder cannot be changed.
+    pub fn discard(folder: &Path) -> Result<(), StoreError> {
+        let path = folder.join(IDENTITY_FILE);
+        match fs::remove_file(&path) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(()),
+            Err(error) => return Err(io_error("remove", &path, error)),
+        }
+        let directory = File::open(folder).map_err(|e| io_error("open", folder, e))?;
+        directory.sync_all().map_err(|e| io_error("sync", folder, e))
+    }
+
     fn initialise(
         folder: &Path,
         identity: MemberIdentity,
--- /dev/null
+++ b/crates/rpc/src/feed.rs
@@ -0,0 +1,151 @@
+//! What control members, entries and agents of a fleet without gates tell each other.
+
+use bytes::Bytes;
+use egretseam_proto::{ModelName, ServiceName, ZoneName};
+use egretseam_serving::{EngineNews, EntryRecord, NamedVersion, TargetId, TargetNews};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Who reads a feed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FeedReader {
+    /// An entry, with what callers may be told of it.
+    Entry(EntryRecord),
+    /// Another control member.
+    Member,
+}
+
+/// Asks a control member for what is new.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedCall {
+    /// Who asks.
+    pub reader: FeedReader,
+    /// Run of the member that the numbers below were learned from; another run starts anew.
+    pub run: u64,
+    /// Number of the latest change of targets that the reader has.
+    pub targets_seen: u64,
+    /// Number of the latest roster that the reader has.
+    pub roster_seen: u64,
+    /// Version of the serving configuration that the reader has.
+    pub config_held: u64,
+    /// Whether the reader wants a newer configuration from this member.
+    pub wants_config: bool,
+    /// How long the answer may wait for news.
+    pub wait_millis: u64,
+}
+
+/// What changes seldom: sent whole when any of it has changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedRoster {
+    /// Number.
+    pub number: u64,
+    /// Entries that this member hears of.
+    pub entries: Vec<EntryRecord>,
+    /// `host:port` of the feeds of all control members that this one knows.
+    pub members: Vec<String>,
+    /// Named versions.
+    pub versions: Vec<NamedVersion>,
+}
+
+/// What is new.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedReply {
+    /// Run of the answering member.
+    pub run: u64,
+    /// Number of the latest change of targets in this answer.
+    pub targets_seen: u64,
+    /// Targets that changed.
+    pub targets: Vec<TargetNews>,
+    /// Targets that left.
+    pub gone: Vec<TargetId>,
+    /// Engines that changed.
+    pub engines: Vec<EngineNews>,
+    /// The roster, if it changed.
+    pub roster: Option<FeedRoster>,
+    /// Version of the serving configuration that this member has applied.
+    pub config_version: u64,
+    /// The encoded configuration, if it is newer than the reader's and wanted.
+    pub config: Option<Bytes>,
+}
+
+/// An agent's account of its engine, and its question for what to fetch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentCall {
+    /// Address of the target beside the agent.
+    pub target: SocketAddr,
+    /// Its service.
+    pub service: ServiceName,
+    /// What the agent sees of the engine, if anything is known.
+    pub engine: Option<EngineNews>,
+    /// Run of the member that `seen` was learned from.
+    pub run: u64,
+    /// Number of the plan that the agent has.
+    pub seen: u64,
+    /// How long the answer may wait for news.
+    pub wait_millis: u64,
+}
+
+/// Another agent to exchange chunks with.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SwarmPeer {
+    /// Address of its target; the agent listens at the same host.
+    pub target: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneName,
+}
+
+/// What an agent is to bring to its engine, and with whom.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsPlan {
+    /// The model.
+    pub model: ModelName,
+    /// The newest named version; `None` if none was named yet.
+    pub version: Option<NamedVersion>,
+    /// Address of the origin.
+    pub origin: SocketAddr,
+    /// Availability zone of the origin.
+    pub origin_zone: ZoneName,
+    /// All live targets of the service.
+    pub peers: Vec<SwarmPeer>,
+}
+
+/// Answers an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentReply {
+    /// Run of the answering member.
+    pub run: u64,
+    /// Number of the plan.
+    pub seen: u64,
+    /// The plan, if it changed and there is one.
+    pub plan: Option<WeightsPlan>,
+    /// `host:port` of the feeds of all control members.
+    pub members: Vec<String>,
+}
+
+/// Calls that a control member answers to entries, agents and other members.
+#[tarpc::service]
+pub trait FeedService {
+    /// Waits for news.
+    async fn feed(call: FeedCall) -> FeedReply;
+    /// Takes an agent's account and waits for news of its plan.
+    async fn agent(call: AgentCall) -> AgentReply;
+}
+
+/// Weights that peers exchange.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct WeightsKey {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: u64,
+}
+
+/// Calls that an agent answers to other agents.
+#[tarpc::service]
+pub trait ChunkService {
+    /// The chunks that the agent has, as a bitmap's text, once they are more than `known` or
+    /// `wait_millis` have passed; `None` if it knows nothing of those weights.
+    async fn held(key: WeightsKey, known: u32, wait_millis: u64) -> Option<String>;
+    /// One chunk.
+    async fn chunk(key: WeightsKey, index: u32) -> Option<Bytes>;
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -6,10 +6,13 @@
 //!
 //! Three relations exist: control members with each other ([`ControlService::deliver`]), entries
 //! with control ([`ControlService::submit`], [`ControlService::watch`]), and agents with entries
-//! ([`EntryService`]). Agents never speak to control: at 12,000 targets their calls would exceed
-//! what a control member may spend, while each entry carries the few dozen that report to it.
+//! ([`EntryService`]). Agents behind gates never speak to control: at 12,000 targets their calls
+//! would exceed what a control member may spend, while each entry carries the few dozen that report
+//! to it. A fleet without gates has two relations more: [`FeedService`], by which control passes
+//! news of targets on, and [`ChunkService`], by which agents exchange weights.
 
 mod control_client;
+mod feed;
 mod link;
 mod preface;
 mod server;
@@ -17,12 +20,16 @@
 
 pub use crate::{
     control_client::{ControlClient, SubmitError},
-    link::{CallError, ControlLink, EntryLink, LinkOptions},
+    feed::{
+        AgentCall, AgentReply, ChunkService, ChunkServiceClient, FeedCall, FeedReader, FeedReply,
+        FeedRoster, FeedService, FeedServiceClient, SwarmPeer, WeightsKey, WeightsPlan,
+    },
+    link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
     preface::PeerSecret,
-    server::{RpcOptions, RpcServer, serve_control, serve_entry},
+    server::{RpcOptions, RpcServer, serve_chunks, serve_control, serve_entry, serve_feed},
     wire::{
-        ControlService, ControlServiceClient, EntryService, EntryServiceClient, MemberCall,
-        MemberReply, MembersReply, PeerRecord, ReportCall, ReportReply, SubmitReply, WatchCall,
+        ControlService, ControlServiceClient, EntryService, EntryServiceClient, JoinReply,
+        MemberCall, MemberReply, MembersReply, PeerRecord, ReportCall, ReportReply, SubmitReply, WatchCall,
         WatchReply, WatcherReport,
     },
 };
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -1,16 +1,21 @@
 //! Client ends: one connection to one address, made on demand and remade after it breaks.
 
 use crate::{
+    feed::{
+        AgentCall, AgentReply, ChunkServiceClient, FeedCall, FeedReply, FeedServiceClient,
+        WeightsKey,
+    },
     preface::PeerSecret,
     server::codec,
     wire::{
-        ControlServiceClient, EntryServiceClient, MemberCall, MemberReply, MembersReply,
+        ControlServiceClient, EntryServiceClient, JoinReply, MemberCall, MemberReply, MembersReply,
         ReportCall, ReportReply, SubmitReply, WatchCall, WatchReply, WatcherReport,
     },
 };
 use egretseam_catalog::{CatalogCommand, HistoryRecord};
 use egretseam_proto::ProfileName;
-use egretseam_replica::Envelope;
+use bytes::Bytes;
+use egretseam_replica::{Envelope, MemberRecord};
 use std::{
     cell::RefCell,
     io,
@@ -171,6 +176,67 @@
     EntryLink, EntryServiceClient
 }
 
+link! {
+    /// Calls to one control member's feed.
+    FeedLink, FeedServiceClient
+}
+link! {
+    /// Calls to one agent's chunks.
+    ChunkLink, ChunkServiceClient
+}
+
+impl FeedLink {
+    /// See [`crate::FeedService::feed`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn feed(&self, call: FeedCall) -> Result<FeedReply, CallError> {
+        let client = self.client().await?;
+        let wait = Duration::from_millis(call.wait_millis);
+        let reply = client.feed(self.context(wait), call).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::FeedService::agent`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn agent(&self, call: AgentCall) -> Result<AgentReply, CallError> {
+        let client = self.client().await?;
+        let wait = Duration::from_millis(call.wait_millis);
+        let reply = client.agent(self.context(wait), call).await;
+        self.settle(reply)
+    }
+}
+
+impl ChunkLink {
+    /// See [`crate::ChunkService::held`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn held(
+        &self,
+        key: WeightsKey,
+        known: u32,
+        wait: Duration,
+    ) -> Result<Option<String>, CallError> {
+        let client = self.client().await?;
+        let wait_millis = wait.as_millis() as u64;
+        let reply = client.held(self.context(wait), key, known, wait_millis).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::ChunkService::chunk`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn chunk(&self, key: WeightsKey, index: u32) -> Result<Option<Bytes>, CallError> {
+        let client = self.client().await?;
+        let reply = client.chunk(self.context(Duration::ZERO), key, index).await;
+        self.settle(reply)
+    }
+}
+
 impl ControlLink {
     /// See [`crate::ControlService::deliver`].
     ///
@@ -223,6 +289,16 @@
         self.settle(reply)
     }
 
+    /// See [`crate::ControlService::join`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn join(&self, record: MemberRecord) -> Result<JoinReply, CallError> {
+        let client = self.client().await?;
+        let reply = client.join(self.context(Duration::ZERO), record).await;
+        self.settle(reply)
+    }
+
     /// See [`crate::ControlService::members`].
     ///
     /// # Errors
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -1,6 +1,7 @@
 //! Accept loops for the services, on the current thread.
 
 use crate::{
+    feed::{ChunkService, FeedService},
     preface::PeerSecret,
     wire::{ControlService, EntryService},
 };
@@ -86,6 +87,36 @@
     })
 }
 
+/// Serves [`FeedService`] on the current thread.
+///
+/// # Errors
+/// Fails if the listener cannot be made non-blocking.
+pub fn serve_feed(
+    listener: TcpListener,
+    secret: PeerSecret,
+    options: RpcOptions,
+    service: impl FeedService + Clone + 'static,
+) -> io::Result<RpcServer> {
+    spawn_accept(listener, secret, options, move |stream, options| {
+        serve_stream(stream, options, service.clone().serve())
+    })
+}
+
+/// Serves [`ChunkService`] on the current thread.
+///
+/// # Errors
+/// Fails if the listener cannot be made non-blocking.
+pub fn serve_chunks(
+    listener: TcpListener,
+    secret: PeerSecret,
+    options: RpcOptions,
+    service: impl ChunkService + Clone + 'static,
+) -> io::Result<RpcServer> {
+    spawn_accept(listener, secret, options, move |stream, options| {
+        serve_stream(stream, options, service.clone().serve())
+    })
+}
+
 async fn serve_stream<S>(stream: TcpStream, options: RpcOptions, serve: S)
 where
     S: Serve + Clone + 'static,
--- a/crates/rpc/src/wire.rs
+++ b/crates/rpc/src/wire.rs
@@ -84,6 +84,20 @@
     Unknown,
 }
 
+/// Answers a member that wants to belong to the group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JoinReply {
+    /// Ask the leader.
+    NotLeader {
+        /// `host:port` of the leader, if known.
+        leader: Option<String>,
+    },
+    /// Noted; it is added when the group can take the step.
+    Noted,
+    /// It belongs to the group.
+    Member,
+}
+
 /// The control group as one member sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MembersReply {
@@ -117,6 +131,8 @@
     async fn note_watchers(reports: Vec<WatcherReport>);
     /// Changes the control group by one step.
     async fn change_members(call: MemberCall) -> MemberReply;
+    /// Asks that a member be added to the group.
+    async fn join(record: MemberRecord) -> JoinReply;
     /// Describes the control group.
     async fn members() -> MembersReply;
     /// Accepted changes of a profile, oldest first.
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,51 @@
+//! What the entries, control and agents of a fleet without gates believe, and what they decide.
+//!
+//! Free of I/O; time comes in as an argument. The tables:
+//!
+//! - [`ServingConfig`]: the configuration that operators replace as a whole, checked once by
+//!   [`ServingConfig::try_from`]; [`RouteTable`] finds the route and the organisation of a request.
+//! - [`TargetRegistry`]: at control, what targets announce of themselves, with numbered changes so
+//!   that readers fetch only news.
+//! - [`TargetTable`]: at an entry, the merged news of all control members, beside what the entry's
+//!   own requests showed; [`TargetTable::choose`] places a request.
+//! - [`WaitQueue`]: where requests wait for a place, and when they are turned away instead.
+//! - [`RetryBudget`]: the entry's part of the repeats that a service may get.
+//! - [`EntryRoster`]: which entries callers may be sent to.
+//! - [`SwitchSchedule`]: when an instance may take new weights, so that not all do so at once.
+
+mod config;
+mod entries;
+mod health;
+mod news;
+mod placement;
+mod raw;
+mod registry;
+mod retry_budget;
+mod route_table;
+mod switch_schedule;
+mod target_table;
+mod wait_queue;
+
+pub use crate::{
+    config::{
+        CallerLimits, Destination, EngineRecord, OrganisationRecord, OriginRecord, RouteKind,
+        RouteRecord, ServiceRecord, ServingConfig,
+    },
+    entries::{EntryRoster, EntrySighting},
+    health::{AttemptOutcome, TargetHealth},
+    news::{
+        EngineNews, EntryRecord, HeldModel, NamedVersion, TargetId, TargetNews, TargetRecord,
+        TargetState,
+    },
+    placement::{Choice, PlacementNeed, PlacementPolicy},
+    raw::{
+        ConfigError, RawDestination, RawEngine, RawLimits, RawOrganisation, RawOrigin, RawRoute,
+        RawService, RawServing,
+    },
+    registry::{AnnounceOutcome, TargetRegistry},
+    retry_budget::{RetryBudget, RetryPolicy},
+    route_table::{AccessError, KeyHolder, RouteTable},
+    switch_schedule::{SwitchSchedule, SwitchTiming},
+    target_table::{LoadSample, TargetTable},
+    wait_queue::{WaitPolicy, WaitQueue, WaitTicket},
+};
--- /dev/null
+++ b/crates/serving/src/news.rs
@@ -0,0 +1,107 @@
+//! What processes tell each other about targets, engines and entries.
+
+use egretseam_proto::{ModelName, ServiceName, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::{fmt, net::SocketAddr};
+
+/// Identity of one run of a target: each start is another one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TargetId(pub String);
+
+impl fmt::Display for TargetId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Whether a target takes requests. Later states are never left for earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum TargetState {
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has.
+    Draining,
+}
+
+/// A model that an engine holds whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldModel {
+    /// The model.
+    pub model: ModelName,
+    /// Version of its weights.
+    pub version: u64,
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRecord {
+    /// Identity.
+    pub id: TargetId,
+    /// Service.
+    pub service: ServiceName,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub state: TargetState,
+    /// Number of the announcement; grows with each.
+    pub sequence: u64,
+    /// Milliseconds that it stays slow after its start, from the announcement on.
+    pub cold_millis: u64,
+    /// Models that it holds.
+    pub models: Vec<HeldModel>,
+}
+
+/// A target as a control member passes it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetNews {
+    /// What it said.
+    pub record: TargetRecord,
+    /// Whether its announcements have stopped coming.
+    pub silent: bool,
+    /// Milliseconds since it said so.
+    pub age_millis: u64,
+}
+
+/// What an agent sees of the engine beside it; fresher than the engine's own announcements.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineNews {
+    /// The engine's address.
+    pub address: SocketAddr,
+    /// Models that it holds.
+    pub models: Vec<HeldModel>,
+    /// Whether it is taking weights and accepts no request.
+    pub loading: bool,
+    /// Milliseconds since that was so.
+    pub age_millis: u64,
+}
+
+/// A version of a model that operators have named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedVersion {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: u64,
+    /// Milliseconds since the sender learned of it.
+    pub age_millis: u64,
+}
+
+/// An entry as it tells control.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRecord {
+    /// Instance name.
+    pub name: String,
+    /// Run of the process.
+    pub run: u64,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Whether callers may be sent to it.
+    pub ready: bool,
+}
--- /dev/null
+++ b/crates/serving/src/placement.rs
@@ -0,0 +1,161 @@
+//! Placing a request: which target gets it, or why none does.
+//!
+//! Answers the load pattern of several entries that fill the same targets with views that lag by
+//! hundreds of milliseconds. All of them chasing the emptiest target would flood it, so targets
+//! that look alike within [`PlacementPolicy::spread`] are drawn at random, and what an entry does
+//! not see of the others' requests fades from the last sample to the service's mean.
+
+use crate::{
+    news::{TargetId, TargetState},
+    target_table::{TargetRow, TargetTable},
+};
+use egretseam_proto::{ModelName, ServiceName};
+use rand::RngExt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Most targets compared for one request; beyond it a random part is, so that the cost of a choice
+/// does not grow with the service.
+const MAX_CANDIDATES: usize = 64;
+
+/// Weights of a choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementPolicy {
+    /// Requests that a target may hold, as a multiple of its places.
+    pub fill: f64,
+    /// Load that a target in another availability zone is charged, in parts of its places.
+    pub zone_charge: f64,
+    /// Load differences below which targets count as alike.
+    pub spread: f64,
+    /// Time in which a sample of the others' load fades to the mean.
+    pub fade: Duration,
+    /// Load that a target which started a moment ago is charged.
+    pub cold_charge: f64,
+}
+
+impl Default for PlacementPolicy {
+    fn default() -> Self {
+        Self {
+            fill: 1.0,
+            zone_charge: 0.06,
+            spread: 0.12,
+            fade: Duration::from_millis(1_500),
+            cold_charge: 0.3,
+        }
+    }
+}
+
+/// What a request needs of its target.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementNeed<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Model, where the service has engines.
+    pub model: Option<&'a ModelName>,
+    /// Targets that have had it already.
+    pub tried: &'a [TargetId],
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// To this target.
+    Target(TargetId),
+    /// Nowhere now: every target that could take it is full or resting.
+    Full,
+    /// Nowhere: no target of the service can take it at all.
+    NoTarget,
+}
+
+impl TargetTable {
+    /// Chooses a target. Decided on arrival; nothing waits for a tick.
+    pub fn choose(&self, need: &PlacementNeed<'_>, now: Instant) -> Choice {
+        let Some(ids) = self.services.get(need.service) else { return Choice::NoTarget };
+        let able: Vec<(&TargetId, &TargetRow)> = self
+            .sample(ids)
+            .filter_map(|id| Some((id, self.rows.get(id)?)))
+            .filter(|(_, row)| self.is_able(row, need.model, now))
+            .collect();
+        if able.is_empty() {
+            return Choice::NoTarget;
+        }
+        let mean = mean_of_others(&able, now);
+        let untried = able.iter().filter(|(id, _)| !need.tried.contains(*id));
+        let mut best: Option<(f64, &TargetId)> = None;
+        for (id, row) in untried {
+            if !row.health.admits(row.own_in_flight, now) {
+                continue;
+            }
+            let Some(cost) = self.cost(row, mean, now) else { continue };
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, id));
+            }
+        }
+        best.map_or(Choice::Full, |(_, id)| Choice::Target(id.clone()))
+    }
+
+    /// Places left at the targets that could take such a request, as far as this entry knows.
+    pub fn free_places(&self, need: &PlacementNeed<'_>, now: Instant) -> f64 {
+        let Some(ids) = self.services.get(need.service) else { return 0.0 };
+        let rows = ids.iter().filter_map(|id| Some((id, self.rows.get(id)?)));
+        let able: Vec<_> = rows.filter(|(_, row)| self.is_able(row, need.model, now)).collect();
+        let mean = mean_of_others(&able, now);
+        let free = |row: &TargetRow| f64::from(row.record.slots) - self.expected_load(row, mean, now);
+        able.iter().map(|(_, row)| free(row).max(0.0)).sum()
+    }
+
+    fn sample<'a>(&self, ids: &'a [TargetId]) -> impl Iterator<Item = &'a TargetId> + use<'a> {
+        let count = ids.len().min(MAX_CANDIDATES);
+        let start = if ids.len() > count { rand::rng().random_range(0..ids.len()) } else { 0 };
+        ids.iter().cycle().skip(start).take(count)
+    }
+
+    fn is_able(&self, row: &TargetRow, model: Option<&ModelName>, now: Instant) -> bool {
+        if row.record.state != TargetState::Ready || row.loading || row.is_silent(now) {
+            return false;
+        }
+        let Some(model) = model else { return true };
+        // Failure guarded: a request that begins on old weights after the bound. Past it, a target
+        // that is not known to hold the named version or a later one gets nothing.
+        row.held_version(model).is_some_and(|held| held >= self.lowest_version(model, now))
+    }
+
+    fn cost(&self, row: &TargetRow, mean: f64, now: Instant) -> Option<f64> {
+        let slots = f64::from(row.record.slots.max(1));
+        let load = self.expected_load(row, mean, now);
+        if load >= slots * self.policy.fill {
+            return None;
+        }
+        let mut cost = load / slots;
+        if row.record.zone != self.zone {
+            cost += self.policy.zone_charge;
+        }
+        if now < row.cold_until {
+            cost += self.policy.cold_charge;
+        }
+        cost += row.health.failure_rate();
+        Some(cost + rand::rng().random::<f64>() * self.policy.spread)
+    }
+
+    /// Requests expected at the target: this entry's own exactly, the others' by the last sample.
+    fn expected_load(&self, row: &TargetRow, mean: f64, now: Instant) -> f64 {
+        let own = f64::from(row.own_in_flight);
+        let Some(sample) = row.load else { return own + mean };
+        let others = f64::from(sample.busy.saturating_sub(sample.own));
+        let age = now.saturating_duration_since(sample.at);
+        let faded = (age.as_secs_f64() / self.policy.fade.as_secs_f64()).min(1.0);
+        own + others * (1.0 - faded) + mean * faded
+    }
+}
+
+/// The others' requests at a mean target, from samples less than a second old.
+fn mean_of_others(able: &[(&TargetId, &TargetRow)], now: Instant) -> f64 {
+    const FRESH: Duration = Duration::from_secs(1);
+    let fresh = able
+        .iter()
+        .filter_map(|(_, row)| row.load)
+        .filter(|sample| now.saturating_duration_since(sample.at) < FRESH)
+        .map(|sample| f64::from(sample.busy.saturating_sub(sample.own)));
+    let (count, sum) = fresh.fold((0_u32, 0.0), |(count, sum), others| (count + 1, sum + others));
+    if count == 0 { 0.0 } else { sum / f64::from(count) }
+}
--- /dev/null
+++ b/crates/serving/src/raw.rs
@@ -0,0 +1,300 @@
+//! A configuration as an operator sends it, and the rules it must keep.
+
+use crate::config::{
+    CallerLimits, Destination, EngineRecord, OrganisationRecord, OriginRecord, RouteKind,
+    RouteRecord, ServiceRecord, ServingConfig,
+};
+use egretseam_proto::{ModelName, NameError, OrganisationName, ServiceName, ZoneName};
+use indexmap::{IndexMap, IndexSet};
+use std::{net::SocketAddr, time::Duration};
+use thiserror::Error;
+
+/// Objective of a route that names none.
+const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
+
+/// Why a configuration is refused.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum ConfigError {
+    /// A route leads to a service that the configuration does not hold.
+    #[error("route {route}: no service {service}")]
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The missing service.
+        service: String,
+    },
+    /// Two routes apply to the same requests.
+    #[error("routes {0} and {1} have the same host and prefix")]
+    DuplicateRoute(String, String),
+    /// A route's weights add up to 0.
+    #[error("route {0}: the weights add up to 0")]
+    NoWeight(String),
+    /// A route's timeout is 0.
+    #[error("route {0}: the timeout is 0")]
+    NoTimeout(String),
+    /// A route's prefix does not begin and end with a slash.
+    #[error("route {0}: the prefix must begin and end with a slash")]
+    BadPrefix(String),
+    /// Two organisations share a key.
+    #[error("organisations {0} and {1} share a key")]
+    SharedKey(String, String),
+    /// An organisation or a service stands there twice.
+    #[error("{0} stands there twice")]
+    DuplicateName(String),
+    /// A name that cannot be used.
+    #[error(transparent)]
+    Name(#[from] NameError),
+}
+
+/// A route as sent.
+#[derive(Clone, Debug, Default)]
+pub struct RawRoute {
+    /// Name.
+    pub name: String,
+    /// Host.
+    pub host: String,
+    /// Path prefix.
+    pub prefix: String,
+    /// Kind, with resumption already worked in.
+    pub kind: Option<RouteKind>,
+    /// Timeout in milliseconds.
+    pub timeout_millis: u64,
+    /// Objective in milliseconds.
+    pub objective_millis: Option<u64>,
+    /// Rank.
+    pub priority: u8,
+    /// Destinations.
+    pub destinations: Vec<RawDestination>,
+    /// Most targets for one request.
+    pub max_attempts: Option<u32>,
+    /// Whether no key is needed.
+    pub public: bool,
+}
+
+/// A destination as sent.
+#[derive(Clone, Debug)]
+pub struct RawDestination {
+    /// Service.
+    pub service: String,
+    /// Weight.
+    pub weight: u32,
+}
+
+/// Engines as sent.
+#[derive(Clone, Debug)]
+pub struct RawEngine {
+    /// Requests at a time.
+    pub slots: u32,
+    /// Models.
+    pub models: Vec<String>,
+    /// Chunks of a version.
+    pub chunks: u32,
+    /// Bytes of a chunk.
+    pub chunk_bytes: u32,
+}
+
+/// An origin as sent.
+#[derive(Clone, Debug)]
+pub struct RawOrigin {
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// A service as sent.
+#[derive(Clone, Debug)]
+pub struct RawService {
+    /// Name.
+    pub name: String,
+    /// Path of the health check.
+    pub health_path: String,
+    /// Most connections.
+    pub max_connections: u32,
+    /// Engines.
+    pub engine: Option<RawEngine>,
+    /// Origin.
+    pub origin: Option<RawOrigin>,
+}
+
+/// Limits as sent; what is missing keeps its default.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RawLimits {
+    /// Largest head.
+    pub max_head_bytes: Option<usize>,
+    /// Largest body.
+    pub max_body_bytes: Option<usize>,
+    /// Time for a head in milliseconds.
+    pub head_timeout_millis: Option<u64>,
+    /// Idle time in milliseconds.
+    pub idle_timeout_millis: Option<u64>,
+}
+
+/// An organisation as sent.
+#[derive(Clone, Debug)]
+pub struct RawOrganisation {
+    /// Name.
+    pub name: String,
+    /// Keys.
+    pub keys: Vec<String>,
+    /// Rank.
+    pub priority: Option<u8>,
+}
+
+/// A configuration as sent.
+#[derive(Clone, Debug, Default)]
+pub struct RawServing {
+    /// Version.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<RawRoute>,
+    /// Services.
+    pub services: Vec<RawService>,
+    /// Limits.
+    pub limits: RawLimits,
+    /// Organisations, if any are named.
+    pub organisations: Option<Vec<RawOrganisation>>,
+}
+
+impl TryFrom<RawServing> for ServingConfig {
+    type Error = ConfigError;
+
+    fn try_from(raw: RawServing) -> Result<Self, ConfigError> {
+        let services = check_services(raw.services)?;
+        let routes = check_routes(raw.routes, &services)?;
+        let organisations = raw.organisations.map(check_organisations).transpose()?;
+        let limits = check_limits(raw.limits);
+        Ok(Self { version: raw.version, routes, services, limits, organisations })
+    }
+}
+
+fn check_limits(raw: RawLimits) -> CallerLimits {
+    let usual = CallerLimits::default();
+    let millis = |value: Option<u64>, usual| value.map_or(usual, Duration::from_millis);
+    CallerLimits {
+        max_head_bytes: raw.max_head_bytes.unwrap_or(usual.max_head_bytes),
+        max_body_bytes: raw.max_body_bytes.unwrap_or(usual.max_body_bytes),
+        head_timeout: millis(raw.head_timeout_millis, usual.head_timeout),
+        idle_timeout: millis(raw.idle_timeout_millis, usual.idle_timeout),
+    }
+}
+
+fn check_services(
+    raw: Vec<RawService>,
+) -> Result<IndexMap<ServiceName, ServiceRecord>, ConfigError> {
+    let mut services = IndexMap::new();
+    for service in raw {
+        let name = ServiceName::try_from(service.name)?;
+        let record = ServiceRecord {
+            health_path: service.health_path,
+            max_connections: service.max_connections,
+            engine: service.engine.map(check_engine).transpose()?,
+            origin: service.origin.map(check_origin).transpose()?,
+        };
+        if services.contains_key(&name) {
+            return Err(ConfigError::DuplicateName(name.to_string()));
+        }
+        services.insert(name, record);
+    }
+    Ok(services)
+}
+
+fn check_engine(raw: RawEngine) -> Result<EngineRecord, ConfigError> {
+    let models: Result<Vec<_>, _> = raw.models.into_iter().map(ModelName::try_from).collect();
+    let (slots, chunks, chunk_bytes) = (raw.slots, raw.chunks, raw.chunk_bytes);
+    Ok(EngineRecord { slots, models: models?, chunks, chunk_bytes })
+}
+
+fn check_origin(raw: RawOrigin) -> Result<OriginRecord, ConfigError> {
+    Ok(OriginRecord { address: raw.address, zone: ZoneName::try_from(raw.zone)? })
+}
+
+fn check_routes(
+    raw: Vec<RawRoute>,
+    services: &IndexMap<ServiceName, ServiceRecord>,
+) -> Result<Vec<RouteRecord>, ConfigError> {
+    let mut places: IndexMap<(String, String), String> = IndexMap::new();
+    let mut routes = Vec::with_capacity(raw.len());
+    for route in raw {
+        let place = (route.host.to_ascii_lowercase(), route.prefix.clone());
+        if let Some(other) = places.insert(place, route.name.clone()) {
+            return Err(ConfigError::DuplicateRoute(other, route.name));
+        }
+        routes.push(check_route(route, services)?);
+    }
+    Ok(routes)
+}
+
+fn check_route(
+    raw: RawRoute,
+    services: &IndexMap<ServiceName, ServiceRecord>,
+) -> Result<RouteRecord, ConfigError> {
+    let name = raw.name;
+    if raw.timeout_millis == 0 {
+        return Err(ConfigError::NoTimeout(name));
+    }
+    if !raw.prefix.starts_with('/') || !raw.prefix.ends_with('/') {
+        return Err(ConfigError::BadPrefix(name));
+    }
+    let destinations = check_destinations(&name, raw.destinations, services)?;
+    Ok(RouteRecord {
+        name,
+        host: raw.host.to_ascii_lowercase(),
+        prefix: raw.prefix,
+        kind: raw.kind.unwrap_or(RouteKind::NonIdempotent),
+        timeout: Duration::from_millis(raw.timeout_millis),
+        objective: raw.objective_millis.map_or(DEFAULT_OBJECTIVE, Duration::from_millis),
+        priority: raw.priority,
+        destinations,
+        max_attempts: raw.max_attempts.unwrap_or(1).max(1),
+        public: raw.public,
+    })
+}
+
+fn check_destinations(
+    route: &str,
+    raw: Vec<RawDestination>,
+    services: &IndexMap<ServiceName, ServiceRecord>,
+) -> Result<Vec<Destination>, ConfigError> {
+    let mut destinations = Vec::with_capacity(raw.len());
+    for item in raw {
+        let unknown = ConfigError::UnknownService {
+            route: route.to_owned(),
+            service: item.service.clone(),
+        };
+        let Ok(service) = ServiceName::try_from(item.service) else { return Err(unknown) };
+        if !services.contains_key(&service) {
+            return Err(unknown);
+        }
+        destinations.push(Destination { service, weight: item.weight });
+    }
+    if destinations.iter().all(|item| item.weight == 0) {
+        return Err(ConfigError::NoWeight(route.to_owned()));
+    }
+    Ok(destinations)
+}
+
+fn check_organisations(
+    raw: Vec<RawOrganisation>,
+) -> Result<IndexMap<OrganisationName, OrganisationRecord>, ConfigError> {
+    let mut holders: IndexMap<String, String> = IndexMap::new();
+    let mut organisations = IndexMap::new();
+    for organisation in raw {
+        let own: IndexSet<String> = organisation.keys.into_iter().collect();
+        for key in &own {
+            if let Some(other) = holders.insert(key.clone(), organisation.name.clone()) {
+                return Err(ConfigError::SharedKey(other, organisation.name));
+            }
+        }
+        let name = OrganisationName::try_from(organisation.name)?;
+        let record = OrganisationRecord {
+            keys: own.into_iter().collect(),
+            priority: organisation.priority,
+        };
+        if organisations.contains_key(&name) {
+            return Err(ConfigError::DuplicateName(name.to_string()));
+        }
+        organisations.insert(name, record);
+    }
+    Ok(organisations)
+}
--- /dev/null
+++ b/crates/serving/src/target_table.rs
@@ -0,0 +1,284 @@
+//! Targets as one entry knows them: what control members pass on, what agents see, and what the
+//! entry's own requests showed.
+
+use crate::{
+    health::{AttemptOutcome, TargetHealth},
+    news::{EngineNews, HeldModel, NamedVersion, TargetId, TargetNews, TargetRecord, TargetState},
+    placement::PlacementPolicy,
+};
+use egretseam_proto::{ModelName, ServiceName, ZoneName};
+use indexmap::IndexMap;
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+/// How long a target that left is remembered; see the registry's limit of the same kind.
+const GONE_MEMORY: Duration = Duration::from_secs(60);
+/// How long a target known only through a control member that restarted counts as heard. Targets
+/// announce themselves about once a second, so one that lives is announced anew well within it.
+const RESTART_GRACE: Duration = Duration::from_secs(4);
+
+/// How busy a target was at some moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadSample {
+    /// Requests that it ran or had waiting, from all entries.
+    pub busy: u32,
+    /// Requests of this entry among them, as far as this entry knows.
+    pub own: u32,
+    /// When.
+    pub at: Instant,
+}
+
+/// What one control member says about whether a target still announces itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sighting {
+    Heard,
+    Silent,
+    /// The member restarted and has not heard of the target since.
+    Stale(Instant),
+}
+
+/// One target.
+#[derive(Debug)]
+pub(crate) struct TargetRow {
+    pub(crate) record: TargetRecord,
+    pub(crate) models: Vec<HeldModel>,
+    models_at: Instant,
+    pub(crate) loading: bool,
+    /// When the target stops being slow after its start.
+    pub(crate) cold_until: Instant,
+    pub(crate) own_in_flight: u32,
+    pub(crate) load: Option<LoadSample>,
+    pub(crate) health: TargetHealth,
+    sightings: IndexMap<u32, Sighting>,
+}
+
+impl TargetRow {
+    fn new(news: &TargetNews, now: Instant) -> Self {
+        Self {
+            record: news.record.clone(),
+            models: news.record.models.clone(),
+            models_at: told_at(news.age_millis, now),
+            loading: false,
+            cold_until: told_at(news.age_millis, now),
+            own_in_flight: 0,
+            load: None,
+            health: TargetHealth::default(),
+            sightings: IndexMap::new(),
+        }
+    }
+
+    /// Whether every control member that can say so has stopped hearing of it.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        let silent = |sighting: &Sighting| match sighting {
+            Sighting::Heard => false,
+            Sighting::Silent => true,
+            Sighting::Stale(since) => now.saturating_duration_since(*since) > RESTART_GRACE,
+        };
+        !self.sightings.is_empty() && self.sightings.values().all(silent)
+    }
+
+    pub(crate) fn held_version(&self, model: &ModelName) -> Option<u64> {
+        let held = self.models.iter().find(|held| held.model == *model);
+        held.map(|held| held.version)
+    }
+}
+
+fn told_at(age_millis: u64, now: Instant) -> Instant {
+    now.checked_sub(Duration::from_millis(age_millis)).unwrap_or(now)
+}
+
+/// A version of which requests must not begin on an older one any more from some moment on.
+#[derive(Clone, Copy, Debug)]
+struct VersionFloor {
+    version: u64,
+    enforced_at: Instant,
+}
+
+/// All targets that an entry knows.
+#[derive(Debug)]
+pub struct TargetTable {
+    pub(crate) policy: PlacementPolicy,
+    pub(crate) zone: ZoneName,
+    pub(crate) rows: IndexMap<TargetId, TargetRow>,
+    pub(crate) services: IndexMap<ServiceName, Vec<TargetId>>,
+    gone: IndexMap<TargetId, Instant>,
+    engines: IndexMap<SocketAddr, (EngineNews, Instant)>,
+    floors: IndexMap<ModelName, Vec<VersionFloor>>,
+}
+
+impl TargetTable {
+    /// An empty table of an entry in `zone`.
+    pub fn new(policy: PlacementPolicy, zone: ZoneName) -> Self {
+        Self {
+            policy,
+            zone,
+            rows: IndexMap::new(),
+            services: IndexMap::new(),
+            gone: IndexMap::new(),
+            engines: IndexMap::new(),
+            floors: IndexMap::new(),
+        }
+    }
+
+    /// Takes in what control member `source` passes on about a target.
+    pub fn note_target(&mut self, source: u32, news: &TargetNews, now: Instant) {
+        let id = &news.record.id;
+        if self.gone.contains_key(id) {
+            return;
+        }
+        if !self.rows.contains_key(id) {
+            let row = TargetRow::new(news, now);
+            self.services.entry(row.record.service.clone()).or_default().push(id.clone());
+            self.rows.insert(id.clone(), row);
+            let engine = self.engines.get(&news.record.address).cloned();
+            if let Some((engine, seen_at)) = engine {
+                self.apply_engine(&engine, seen_at);
+            }
+        }
+        let Some(row) = self.rows.get_mut(id) else { return };
+        let sighting = if news.silent { Sighting::Silent } else { Sighting::Heard };
+        row.sightings.insert(source, sighting);
+        let late = news.record.sequence < row.record.sequence || news.record.state < row.record.state;
+        if late {
+            return;
+        }
+        let said_at = told_at(news.age_millis, now);
+        if said_at >= row.models_at {
+            row.models = news.record.models.clone();
+            row.models_at = said_at;
+        }
+        row.cold_until = said_at + Duration::from_millis(news.record.cold_millis);
+        row.record = news.record.clone();
+    }
+
+    /// Takes in what an agent sees of its engine.
+    pub fn note_engine(&mut self, news: &EngineNews, now: Instant) {
+        let seen_at = told_at(news.age_millis, now);
+        if self.engines.get(&news.address).is_some_and(|(_, held_at)| *held_at > seen_at) {
+            return;
+        }
+        self.engines.insert(news.address, (news.clone(), seen_at));
+        self.apply_engine(news, seen_at);
+    }
+
+    fn apply_engine(&mut self, news: &EngineNews, seen_at: Instant) {
+        let same_address = |row: &&mut TargetRow| row.record.address == news.address;
+        for row in self.rows.values_mut().filter(same_address) {
+            if seen_at >= row.models_at {
+                row.models = news.models.clone();
+                row.models_at = seen_at;
+            }
+            row.loading = news.loading;
+        }
+    }
+
+    /// Notes that a target has left, for good.
+    pub fn note_gone(&mut self, id: &TargetId, now: Instant) {
+        self.forget(id);
+        self.gone.insert(id.clone(), now);
+        self.gone.retain(|_, at| now.saturating_duration_since(*at) < GONE_MEMORY);
+    }
+
+    fn forget(&mut self, id: &TargetId) {
+        let Some(row) = self.rows.shift_remove(id) else { return };
+        if let Some(ids) = self.services.get_mut(&row.record.service) {
+            ids.retain(|other| other != id);
+        }
+    }
+
+    /// Notes that a control member cannot be reached: its word no longer counts where another's
+    /// is known. Where it is the only one, it stands, so that targets outlive all of control.
+    pub fn source_lost(&mut self, source: u32) {
+        for row in self.rows.values_mut().filter(|row| row.sightings.len() > 1) {
+            row.sightings.shift_remove(&source);
+        }
+    }
+
+    /// Notes that a control member restarted and begins with nothing.
+    pub fn source_restarted(&mut self, source: u32, now: Instant) {
+        for row in self.rows.values_mut() {
+            if let Some(sighting) = row.sightings.get_mut(&source) {
+                *sighting = Sighting::Stale(now);
+            }
+        }
+    }
+
+    /// Forgets targets that nobody has heard of for long and that hold nothing of ours.
+    pub fn expire(&mut self, now: Instant) {
+        let dead: Vec<TargetId> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.own_in_flight == 0 && row.is_silent(now))
+            .filter(|(_, row)| now.saturating_duration_since(row.models_at) > GONE_MEMORY)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in dead {
+            self.forget(&id);
+        }
+    }
+
+    /// Notes a named version; from `limit` after it was named no request may begin on an older one.
+    pub fn note_version(&mut self, named: &NamedVersion, limit: Duration, now: Instant) {
+        let floors = self.floors.entry(named.model.clone()).or_default();
+        if floors.iter().any(|floor| floor.version == named.version) {
+            return;
+        }
+        let enforced_at = told_at(named.age_millis, now) + limit;
+        floors.push(VersionFloor { version: named.version, enforced_at });
+        if floors.len() > 8 {
+            floors.remove(0);
+        }
+    }
+
+    /// The oldest version on which a request may begin now.
+    pub(crate) fn lowest_version(&self, model: &ModelName, now: Instant) -> u64 {
+        let floors = self.floors.get(model).into_iter().flatten();
+        let enforced = floors.filter(|floor| floor.enforced_at <= now);
+        enforced.map(|floor| floor.version).max().unwrap_or(0)
+    }
+
+    /// Notes how busy a target says it is.
+    pub fn note_load(&mut self, id: &TargetId, busy: u32, now: Instant) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.load = Some(LoadSample { busy, own: row.own_in_flight, at: now });
+        }
+    }
+
+    /// Notes how busy the target at an address was `age` ago.
+    pub fn note_load_at(&mut self, address: SocketAddr, busy: u32, now: Instant) {
+        let same_address = |row: &&mut TargetRow| row.record.address == address;
+        for row in self.rows.values_mut().filter(same_address) {
+            row.load = Some(LoadSample { busy, own: row.own_in_flight, at: now });
+        }
+    }
+
+    /// Notes that a request goes to a target.
+    pub fn begin(&mut self, id: &TargetId) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.own_in_flight += 1;
+        }
+    }
+
+    /// Notes that a request at a target has ended. Returns whether the target was ejected.
+    pub fn end(&mut self, id: &TargetId, outcome: AttemptOutcome, now: Instant) -> bool {
+        let Some(row) = self.rows.get_mut(id) else { return false };
+        row.own_in_flight = row.own_in_flight.saturating_sub(1);
+        row.health.note(outcome, now)
+    }
+
+    /// Where a target answers.
+    pub fn address(&self, id: &TargetId) -> Option<SocketAddr> {
+        self.rows.get(id).map(|row| row.record.address)
+    }
+
+    /// Whether a target still takes requests by what it announced.
+    pub fn is_ready(&self, id: &TargetId) -> bool {
+        self.rows.get(id).is_some_and(|row| row.record.state == TargetState::Ready)
+    }
+
+    /// All targets of a service with the number of this entry's requests there, for logs.
+    pub fn in_flight(&self, service: &ServiceName) -> u32 {
+        let ids = self.services.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.rows.get(id)).map(|row| row.own_in_flight).sum()
+    }
+}
--- /dev/null
+++ b/crates/serving/src/wait_queue.rs
@@ -0,0 +1,172 @@
+//! Where requests wait for a place, and when they are turned away instead.
+//!
+//! Answers the load pattern of a service whose places are all taken: a place comes free every few
+//! milliseconds, so a short wait loses nothing, while a wait beyond the latency objective only
+//! turns an answer in time into a late one and keeps the next request from its own. A request
+//! whose predicted wait exceeds its limit is refused on arrival, before it has waited at all.
+
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// Width of the windows in which the rate of places is counted.
+const RATE_WINDOW: Duration = Duration::from_millis(500);
+
+/// Limits of waiting.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitPolicy {
+    /// Part of the latency objective that a request may spend waiting; the rest is for reading
+    /// its prompt at the target.
+    pub objective_share: f64,
+    /// Longest wait whatever the objective.
+    pub longest: Duration,
+    /// Most requests waiting.
+    pub max_waiters: usize,
+    /// Shortest time after which a refused caller is asked to come back.
+    pub shortest_return: Duration,
+    /// Longest time after which a refused caller is asked to come back.
+    pub longest_return: Duration,
+}
+
+impl Default for WaitPolicy {
+    fn default() -> Self {
+        Self {
+            objective_share: 0.6,
+            longest: Duration::from_secs(1),
+            max_waiters: 512,
+            shortest_return: Duration::from_millis(400),
+            longest_return: Duration::from_millis(1_600),
+        }
+    }
+}
+
+/// Place of one request in a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WaitTicket {
+    priority: u8,
+    number: u64,
+}
+
+struct Waiter<T> {
+    give_up_at: Instant,
+    payload: T,
+}
+
+/// Requests that wait for a place of one service: by rank, then in order of arrival.
+pub struct WaitQueue<T> {
+    policy: WaitPolicy,
+    waiters: BTreeMap<WaitTicket, Waiter<T>>,
+    next_number: u64,
+    window_start: Option<Instant>,
+    placed_in_window: u32,
+    placed_before: u32,
+}
+
+impl<T> WaitQueue<T> {
+    /// An empty queue.
+    pub fn new(policy: WaitPolicy) -> Self {
+        Self {
+            policy,
+            waiters: BTreeMap::new(),
+            next_number: 0,
+            window_start: None,
+            placed_in_window: 0,
+            placed_before: 0,
+        }
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// How long a request with this objective may wait.
+    pub fn wait_limit(&self, objective: Duration) -> Duration {
+        objective.mul_f64(self.policy.objective_share).min(self.policy.longest)
+    }
+
+    /// Counts a request that got a place, for the prediction.
+    pub fn note_placed(&mut self, now: Instant) {
+        self.roll(now);
+        self.placed_in_window += 1;
+    }
+
+    fn roll(&mut self, now: Instant) {
+        let start = *self.window_start.get_or_insert(now);
+        let elapsed = now.saturating_duration_since(start);
+        if elapsed < RATE_WINDOW {
+            return;
+        }
+        let adjacent = elapsed < RATE_WINDOW * 2;
+        self.placed_before = if adjacent { self.placed_in_window } else { 0 };
+        self.placed_in_window = 0;
+        self.window_start = Some(now);
+    }
+
+    /// The wait that a request of this rank must expect, by those before it and the places given
+    /// in the last second; `None` while nothing is known.
+    pub fn predicted_wait(&mut self, priority: u8, now: Instant) -> Option<Duration> {
+        self.roll(now);
+        let start = self.window_start.unwrap_or(now);
+        let span = RATE_WINDOW + now.saturating_duration_since(start);
+        let placed = self.placed_before + self.placed_in_window;
+        if placed == 0 {
+            return None;
+        }
+        let ahead = self.waiters.keys().filter(|ticket| ticket.priority <= priority).count();
+        Some(span.mul_f64((ahead + 1) as f64 / f64::from(placed)))
+    }
+
+    /// Adds a request that may wait until `give_up_at`, or gives it back if it must not wait.
+    ///
+    /// # Errors
+    /// Returns the payload if the predicted wait is too long or the queue is full.
+    pub fn push(
+        &mut self,
+        priority: u8,
+        give_up_at: Instant,
+        payload: T,
+        now: Instant,
+    ) -> Result<WaitTicket, T> {
+        let hopeless = self.predicted_wait(priority, now).is_some_and(|wait| now + wait > give_up_at);
+        if hopeless || self.waiters.len() >= self.policy.max_waiters {
+            return Err(payload);
+        }
+        let ticket = WaitTicket { priority, number: self.next_number };
+        self.next_number += 1;
+        self.waiters.insert(ticket, Waiter { give_up_at, payload });
+        Ok(ticket)
+    }
+
+    /// Takes a request out, for example because its caller left.
+    pub fn remove(&mut self, ticket: WaitTicket) -> Option<T> {
+        self.waiters.remove(&ticket).map(|waiter| waiter.payload)
+    }
+
+    /// Takes out all whose time has come.
+    pub fn expired(&mut self, now: Instant) -> Vec<T> {
+        let due: Vec<WaitTicket> = self
+            .waiters
+            .iter()
+            .filter(|(_, waiter)| waiter.give_up_at <= now)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        due.into_iter().filter_map(|ticket| self.remove(ticket)).collect()
+    }
+
+    /// The waiting requests, most urgent first.
+    pub fn iter(&self) -> impl Iterator<Item = (WaitTicket, &T)> {
+        self.waiters.iter().map(|(ticket, waiter)| (*ticket, &waiter.payload))
+    }
+
+    /// When a refused caller should come back. `point` is drawn evenly from 0 to 1 and spreads
+    /// callers, since all those refused in one burst would otherwise return as another.
+    pub fn return_after(&self, point: f64) -> Duration {
+        let range = self.policy.longest_return.saturating_sub(self.policy.shortest_return);
+        self.policy.shortest_return + range.mul_f64(point.clamp(0.0, 1.0))
+    }
+}
--- /dev/null
+++ b/crates/stager/src/dialect.rs
@@ -0,0 +1,69 @@
+//! What engines and the origin speak, behind a trait: names and formats only.
+
+use crate::digests::WeightDigests;
+use bytes::Bytes;
+use egretseam_proto::ModelName;
+use egretseam_serving::HeldModel;
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub struct EngineCall {
+    /// Method.
+    pub method: &'static str,
+    /// Path and query.
+    pub target: String,
+    /// `Content-Type`; empty for none.
+    pub content_type: &'static str,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What an engine says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Models that it holds whole.
+    pub models: Vec<HeldModel>,
+    /// Whether an order is in progress.
+    pub busy: bool,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// How an engine took an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It has begun, or is in effect already.
+    Accepted,
+    /// It does not fit the engine's state.
+    Refused,
+}
+
+/// What engines and the origin speak.
+pub trait EngineDialect {
+    /// Asks an engine for its state.
+    fn report(&self) -> EngineCall;
+    /// Reads it.
+    ///
+    /// # Errors
+    /// Says what cannot be read.
+    fn read_report(&self, body: &[u8]) -> Result<EngineReport, String>;
+    /// Orders an engine to take what is staged.
+    fn order(&self, model: &ModelName, version: u64) -> EngineCall;
+    /// Reads how it took the order, by the status.
+    fn read_order(&self, status: u16) -> OrderOutcome;
+    /// Stages a chunk.
+    fn put_chunk(&self, model: &ModelName, index: u32, bytes: Bytes) -> EngineCall;
+    /// Reads a staged chunk back.
+    fn get_chunk(&self, model: &ModelName, index: u32) -> EngineCall;
+    /// Asks the origin for the digests of a version.
+    fn digests(&self, model: &ModelName, version: u64) -> EngineCall;
+    /// Reads them.
+    ///
+    /// # Errors
+    /// Says what cannot be read.
+    fn read_digests(&self, body: &[u8]) -> Result<WeightDigests, String>;
+    /// Asks the origin for a chunk.
+    fn origin_chunk(&self, model: &ModelName, version: u64, index: u32) -> EngineCall;
+}
--- /dev/null
+++ b/crates/stager/src/digests.rs
@@ -0,0 +1,28 @@
+//! What the chunks of a version must be.
+
+use egretseam_proto::ModelName;
+use sha2::{Digest, Sha256};
+
+/// Digests of a version's chunks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightDigests {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: u64,
+    /// SHA-256 of each chunk.
+    pub chunks: Vec<[u8; 32]>,
+}
+
+impl WeightDigests {
+    /// How many chunks there are.
+    pub fn count(&self) -> u32 {
+        self.chunks.len() as u32
+    }
+
+    /// Whether `bytes` are chunk `index`.
+    pub fn matches(&self, index: u32, bytes: &[u8]) -> bool {
+        let digest: [u8; 32] = Sha256::digest(bytes).into();
+        self.chunks.get(index as usize) == Some(&digest)
+    }
+}
--- /dev/null
+++ b/crates/stager/src/follow.rs
@@ -0,0 +1,104 @@
+//! Telling control about the engine, and learning what to bring to it.
+
+use crate::shared::{HeldPlan, StagerShared};
+use egretseam_rpc::{AgentCall, AgentReply, FeedLink, LinkOptions};
+use std::{rc::Weak, time::Duration};
+use tokio::time::Instant;
+
+/// How long a call may wait for news of the plan.
+const CALL_WAIT: Duration = Duration::from_millis(2_000);
+/// Time beyond the wait after which a call has failed.
+const CALL_SLACK: Duration = Duration::from_millis(800);
+/// How long a connection to a control member may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Pause after a failed call, before another member is asked.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(100);
+
+/// Follows one control member at a time, another one after a failure.
+pub(crate) async fn follow(shared: Weak<StagerShared>) {
+    let mut members = match shared.upgrade() {
+        Some(shared) => shared.options.seeds.borrow().clone(),
+        None => return,
+    };
+    let mut at: usize = rand::random::<u16>().into();
+    let mut link: Option<FeedLink> = None;
+    let (mut run, mut seen) = (0, 0);
+    loop {
+        let Some(held) = shared.upgrade() else { return };
+        if members.is_empty() {
+            members = held.options.seeds.borrow().clone();
+        }
+        let Some(address) = members.get(at % members.len().max(1)).cloned() else {
+            tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
+            continue;
+        };
+        if link.as_ref().is_none_or(|link| link.address() != address) {
+            link = Some(feed_link(&held, &address));
+        }
+        let Some(current) = &link else { continue };
+        let mut report = held.report.subscribe();
+        report.mark_unchanged();
+        let call = AgentCall {
+            target: held.options.target,
+            service: held.options.service.clone(),
+            engine: held.engine_news(),
+            run,
+            seen,
+            wait_millis: CALL_WAIT.as_millis() as u64,
+        };
+        let reply = tokio::select! {
+            reply = current.agent(call) => Some(reply),
+            // News of the engine are told at once.
+            _ = report.changed() => None,
+        };
+        match reply {
+            None => {}
+            Some(Ok(reply)) => {
+                (run, seen) = (reply.run, reply.seen);
+                members = take(&held, reply, members);
+            }
+            Some(Err(error)) => {
+                tracing::info!(member = %address, %error, "a control member does not answer");
+                at = at.wrapping_add(1);
+                let seeds = held.options.seeds.borrow().clone();
+                members.extend(seeds.into_iter().filter(|seed| !members.contains(seed)).collect::<Vec<_>>());
+                drop(held);
+                tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
+            }
+        }
+    }
+}
+
+fn feed_link(shared: &StagerShared, address: &str) -> FeedLink {
+    let options = LinkOptions {
+        connect_timeout: CONNECT_LIMIT,
+        call_timeout: CALL_SLACK,
+        ..LinkOptions::default()
+    };
+    FeedLink::new(address, shared.options.secret, options)
+}
+
+fn take(shared: &StagerShared, reply: AgentReply, members: Vec<String>) -> Vec<String> {
+    if let Some(plan) = reply.plan {
+        let age = plan.version.as_ref().map_or(0, |named| named.age_millis);
+        let now = Instant::now();
+        let told_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
+        shared.plan.send_modify(|held| {
+            let version = plan.version.as_ref().map(|named| named.version);
+            let same = held.as_ref().filter(|held| {
+                held.plan.version.as_ref().map(|named| named.version) == version
+            });
+            let older = held.as_ref().is_some_and(|held| {
+                held.plan.model == plan.model && held.version() > version.unwrap_or(1)
+            });
+            if older {
+                // A member that is behind; the newest version that was ever named is wanted.
+                return;
+            }
+            let named_at = same.map_or(told_at, |held| held.named_at.min(told_at));
+            tracing::info!(?version, peers = plan.peers.len(), "plan changed");
+            *held = Some(HeldPlan { plan, named_at });
+        });
+    }
+    if reply.members.is_empty() { members } else { reply.members }
+}
--- /dev/null
+++ b/crates/stager/src/lib.rs
@@ -0,0 +1,27 @@
+//! The agent beside an engine of a fleet without gates: brings the named version of the weights
+//! to it, whole and verified, and has the engine take them when it is this instance's turn.
+//!
+//! [`StagerRuntime`] runs three tasks over one table: `engine` watches what the engine holds,
+//! `follow` tells control and learns the plan, `work` brings the plan about with `transfer` (who
+//! fetches which chunk from whom is decided by [`egretseam_swarm::SwarmPlanner`]) and `switch`.
+//! `chunks` gives chunks to other agents. What engines and the origin speak is behind
+//! [`EngineDialect`].
+
+mod chunks;
+mod dialect;
+mod digests;
+mod engine;
+mod follow;
+mod options;
+mod runtime;
+mod shared;
+mod switch;
+mod transfer;
+mod work;
+
+pub use crate::{
+    dialect::{EngineCall, EngineDialect, EngineReport, OrderOutcome},
+    digests::WeightDigests,
+    options::{StagerListeners, StagerOptions},
+    runtime::{StagerRuntime, StartError},
+};
--- /dev/null
+++ b/crates/stager/src/options.rs
@@ -0,0 +1,39 @@
+//! Settings of an agent.
+
+use egretseam_proto::{ServiceName, ZoneName};
+use egretseam_rpc::PeerSecret;
+use egretseam_serving::SwitchTiming;
+use egretseam_swarm::PlannerPolicy;
+use std::{
+    cell::RefCell,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+};
+
+/// Bound listeners of an agent.
+#[derive(Debug)]
+pub struct StagerListeners {
+    /// For other agents' chunks.
+    pub chunks: TcpListener,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct StagerOptions {
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// The target beside the agent.
+    pub target: SocketAddr,
+    /// Its service.
+    pub service: ServiceName,
+    /// Shared secret of our processes.
+    pub secret: PeerSecret,
+    /// `host:port` of control members' feeds to begin with.
+    pub seeds: Rc<RefCell<Vec<String>>>,
+    /// Port at which every agent gives chunks.
+    pub chunk_port: u16,
+    /// How chunks spread.
+    pub planner: PlannerPolicy,
+    /// When new weights are taken.
+    pub timing: SwitchTiming,
+}
--- /dev/null
+++ b/crates/stager/src/shared.rs
@@ -0,0 +1,136 @@
+//! State that the tasks of one agent share. All on one thread.
+
+use crate::{
+    chunks::ChunkStore,
+    dialect::{EngineCall, EngineDialect, EngineReport},
+    options::StagerOptions,
+};
+use egretseam_h1::{CallReply, CallRequest, ExchangeError, KeptClient};
+use egretseam_http::DaemonMetrics;
+use egretseam_rpc::WeightsPlan;
+use egretseam_serving::EngineNews;
+use prometheus::IntCounter;
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::{Mutex, watch},
+    time::Instant,
+};
+
+/// Time for one call to the engine on the own machine.
+const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Largest answer of an engine or the origin.
+pub(crate) const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// Counters of an agent.
+pub(crate) struct StagerMetrics {
+    pub(crate) chunks_from_origin: IntCounter,
+    pub(crate) chunks_from_peers: IntCounter,
+    pub(crate) chunks_bad: IntCounter,
+    pub(crate) chunks_rotten: IntCounter,
+    pub(crate) orders: IntCounter,
+    pub(crate) orders_refused: IntCounter,
+}
+
+impl StagerMetrics {
+    fn new(metrics: &DaemonMetrics) -> Self {
+        let counter = |name: &str, help: &str| {
+            metrics.counter(&format!("egretseam_stager_{name}_total"), help)
+        };
+        Self {
+            chunks_from_origin: counter("chunks_from_origin", "Chunks drawn from the origin."),
+            chunks_from_peers: counter("chunks_from_peers", "Chunks taken from other agents."),
+            chunks_bad: counter("chunks_bad", "Chunks dropped for a wrong digest."),
+            chunks_rotten: counter("chunks_rotten", "Staged chunks found spoilt and put again."),
+            orders: counter("orders", "Orders to the engine."),
+            orders_refused: counter("orders_refused", "Orders that did not fit the engine's state."),
+        }
+    }
+}
+
+/// A plan and when the version in it was named, as far as this agent knows.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldPlan {
+    pub(crate) plan: WeightsPlan,
+    pub(crate) named_at: Instant,
+}
+
+impl HeldPlan {
+    /// Version to bring to the engine: before any is named, the first.
+    pub(crate) fn version(&self) -> u64 {
+        self.plan.version.as_ref().map_or(1, |named| named.version)
+    }
+}
+
+pub(crate) struct StagerShared {
+    pub(crate) options: StagerOptions,
+    pub(crate) dialect: Rc<dyn EngineDialect>,
+    pub(crate) metrics: StagerMetrics,
+    pub(crate) plan: watch::Sender<Option<HeldPlan>>,
+    /// What the engine last said, and when.
+    pub(crate) report: watch::Sender<Option<EngineReport>>,
+    pub(crate) report_at: Cell<Instant>,
+    /// Whether the engine is looked at often.
+    pub(crate) hurry: Cell<bool>,
+    pub(crate) chunks: RefCell<ChunkStore>,
+    engine: Mutex<KeptClient>,
+    watcher: Mutex<KeptClient>,
+}
+
+impl StagerShared {
+    pub(crate) fn new(
+        options: StagerOptions,
+        dialect: Rc<dyn EngineDialect>,
+        metrics: &DaemonMetrics,
+    ) -> Self {
+        Self {
+            dialect,
+            metrics: StagerMetrics::new(metrics),
+            plan: watch::Sender::new(None),
+            report: watch::Sender::new(None),
+            report_at: Cell::new(Instant::now()),
+            hurry: Cell::new(false),
+            chunks: RefCell::default(),
+            engine: Mutex::new(KeptClient::new(options.target)),
+            watcher: Mutex::new(KeptClient::new(options.target)),
+            options,
+        }
+    }
+
+    /// Calls the engine.
+    pub(crate) async fn call_engine(&self, call: &EngineCall) -> Result<CallReply, ExchangeError> {
+        self.engine.lock().await.call(&request(call, ENGINE_CALL_LIMIT)).await
+    }
+
+    /// Calls the engine on the connection kept for watching it, which staging does not delay.
+    pub(crate) async fn watch_engine(&self, call: &EngineCall) -> Result<CallReply, ExchangeError> {
+        self.watcher.lock().await.call(&request(call, ENGINE_CALL_LIMIT)).await
+    }
+
+    /// What to tell control of the engine.
+    pub(crate) fn engine_news(&self) -> Option<EngineNews> {
+        let report = self.report.borrow();
+        let report = report.as_ref()?;
+        Some(EngineNews {
+            address: self.options.target,
+            models: report.models.clone(),
+            loading: report.busy,
+            age_millis: self.report_at.get().elapsed().as_millis() as u64,
+        })
+    }
+}
+
+/// A call as the HTTP client takes it.
+pub(crate) fn request(call: &EngineCall, limit: Duration) -> CallRequest<'_> {
+    CallRequest {
+        method: call.method,
+        target: &call.target,
+        content_type: call.content_type,
+        body: &call.body,
+        limit,
+        max_body: MAX_ANSWER,
+    }
+}
--- /dev/null
+++ b/crates/stager/src/switch.rs
@@ -0,0 +1,120 @@
+//! Having the engine take staged weights.
+
+use crate::{
+    dialect::OrderOutcome,
+    engine,
+    shared::StagerShared,
+};
+use bytes::Bytes;
+use egretseam_rpc::WeightsKey;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause before an order that was refused or lost is thought over again.
+const ORDER_PAUSE: Duration = Duration::from_millis(150);
+/// How long an engine may take after an accepted order: its running answers end within their
+/// deadlines, and loading takes parts of a second.
+const LOAD_LIMIT: Duration = Duration::from_secs(12);
+/// Time between two looks at an engine that is loading.
+const LOOK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Whether the engine holds at least that version.
+pub(crate) fn holds(shared: &StagerShared, key: &WeightsKey) -> bool {
+    let report = shared.report.borrow();
+    let models = report.iter().flat_map(|report| &report.models);
+    models.into_iter().any(|held| held.model == key.model && held.version >= key.version)
+}
+
+/// Orders the engine to take the staged version, and waits until it has. Returns whether it has.
+pub(crate) async fn take(shared: &StagerShared, key: &WeightsKey) -> bool {
+    if !stage(shared, key).await {
+        return false;
+    }
+    let call = shared.dialect.order(&key.model, key.version);
+    shared.metrics.orders.inc();
+    let outcome = match shared.call_engine(&call).await {
+        Ok(reply) => shared.dialect.read_order(reply.status),
+        Err(error) => {
+            // It may have been accepted; what the engine says next decides.
+            tracing::info!(%error, "the order's outcome is not known");
+            OrderOutcome::Refused
+        }
+    };
+    tracing::info!(model = %key.model, version = key.version, ?outcome, "ordered the engine to take weights");
+    shared.hurry.set(true);
+    let taken = await_version(shared, key, outcome).await;
+    shared.hurry.set(false);
+    if outcome == OrderOutcome::Refused {
+        shared.metrics.orders_refused.inc();
+    }
+    taken
+}
+
+async fn await_version(shared: &StagerShared, key: &WeightsKey, outcome: OrderOutcome) -> bool {
+    let began = Instant::now();
+    loop {
+        engine::look(shared).await;
+        if holds(shared, key) {
+            tracing::info!(version = key.version, millis = began.elapsed().as_millis() as u64, "the engine has taken the weights");
+            return true;
+        }
+        let busy = shared.report.borrow().as_ref().is_some_and(|report| report.busy);
+        let idle_too_long = !busy && began.elapsed() > ORDER_PAUSE;
+        let refused = outcome == OrderOutcome::Refused && !busy;
+        if refused || idle_too_long || began.elapsed() > LOAD_LIMIT {
+            tokio::time::sleep(ORDER_PAUSE).await;
+            return false;
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// Makes what is staged at the engine what it must be.
+///
+/// Failure guarded: staged bytes can turn bad at any time, and the engine takes them unchecked. It
+/// would show as answers from spoilt weights. Every chunk is read back and compared right before
+/// the order, and put again where it differs.
+async fn stage(shared: &StagerShared, key: &WeightsKey) -> bool {
+    let Some(digests) = shared.chunks.borrow().get(key).map(|weights| weights.digests.clone()) else {
+        return false;
+    };
+    for index in 0..digests.count() {
+        let staged = read_back(shared, key, index).await;
+        if staged.is_some_and(|bytes| digests.matches(index, &bytes)) {
+            continue;
+        }
+        shared.metrics.chunks_rotten.inc();
+        let Some(bytes) = shared.chunks.borrow().get(key).and_then(|weights| weights.chunk(index))
+        else {
+            return false;
+        };
+        if !put(shared, key, index, bytes).await {
+            tokio::time::sleep(ORDER_PAUSE).await;
+            return false;
+        }
+    }
+    true
+}
+
+/// A staged chunk, if the engine has one.
+pub(crate) async fn read_back(shared: &StagerShared, key: &WeightsKey, index: u32) -> Option<Bytes> {
+    let call = shared.dialect.get_chunk(&key.model, index);
+    let reply = shared.call_engine(&call).await.ok()?;
+    (reply.status == 200).then_some(reply.body)
+}
+
+/// Stages a chunk; returns whether the engine took it.
+pub(crate) async fn put(shared: &StagerShared, key: &WeightsKey, index: u32, bytes: Bytes) -> bool {
+    let call = shared.dialect.put_chunk(&key.model, index, bytes);
+    match shared.call_engine(&call).await {
+        Ok(reply) if reply.status < 300 => true,
+        Ok(reply) => {
+            tracing::info!(status = reply.status, index, "the engine did not take a chunk");
+            false
+        }
+        Err(error) => {
+            tracing::info!(%error, index, "a chunk could not be staged");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/stager/src/transfer.rs
@@ -0,0 +1,235 @@
+//! Carrying out the planner's orders for one version.
+
+use crate::{
+    chunks::HeldWeights,
+    digests::WeightDigests,
+    shared::{StagerShared, request},
+};
+use bytes::Bytes;
+use egretseam_h1::KeptClient;
+use egretseam_proto::InstanceName;
+use egretseam_rpc::{ChunkLink, LinkOptions, SwarmPeer, WeightsKey, WeightsPlan};
+use egretseam_swarm::{
+    ChunkSet, FetchFailure, FetchOrder, PlannerPeer, SourceChoice, SwarmPlanner,
+};
+use indexmap::IndexMap;
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::Instant,
+};
+
+/// Time for one chunk; at the narrow links of instances a chunk takes some 30 ms, and dozens may
+/// be under way at a peer.
+const CHUNK_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long a peer may keep the question for its chunks waiting.
+const HELD_WAIT: Duration = Duration::from_millis(1_000);
+/// Shortest time between two questions to one peer, so that news of single chunks are gathered.
+const HELD_INTERVAL: Duration = Duration::from_millis(60);
+/// Pause after a peer did not answer or knows nothing of the version yet.
+const HELD_PAUSE: Duration = Duration::from_millis(150);
+/// How often the planner is asked although nothing has happened; it has limits of time.
+const PLAN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Brings all chunks of one version here. Ends when all are verified and staged; dropped when the
+/// plan changes to another version.
+pub(crate) struct Transfer {
+    shared: Rc<StagerShared>,
+    key: WeightsKey,
+    digests: Rc<WeightDigests>,
+    planner: RefCell<SwarmPlanner>,
+    links: RefCell<IndexMap<InstanceName, Rc<ChunkLink>>>,
+    origin: Rc<tokio::sync::Mutex<KeptClient>>,
+    began: Instant,
+    wake: Notify,
+}
+
+type FetchResult = (FetchOrder, Result<Bytes, FetchFailure>);
+
+impl Transfer {
+    /// A transfer that continues from what is held already.
+    pub(crate) fn new(shared: &Rc<StagerShared>, plan: &WeightsPlan, weights: &HeldWeights) -> Rc<Self> {
+        let own = PlannerPeer {
+            name: peer_name(shared.options.target),
+            zone: shared.options.zone.clone(),
+        };
+        let policy = shared.options.planner;
+        let planner = SwarmPlanner::new(own, policy, weights.held().clone(), Duration::ZERO);
+        Rc::new(Self {
+            shared: shared.clone(),
+            key: weights.key.clone(),
+            digests: weights.digests.clone(),
+            planner: RefCell::new(planner),
+            links: RefCell::default(),
+            origin: Rc::new(tokio::sync::Mutex::new(KeptClient::new(plan.origin))),
+            began: Instant::now(),
+            wake: Notify::new(),
+        })
+    }
+
+    /// Takes in who takes part. Each neighbour's chunks are followed by a task that ends with the
+    /// transfer.
+    pub(crate) fn set_peers(self: &Rc<Self>, peers: &[SwarmPeer]) {
+        let planned: Vec<PlannerPeer> = peers
+            .iter()
+            .map(|peer| PlannerPeer { name: peer_name(peer.target), zone: peer.zone.clone() })
+            .collect();
+        self.planner.borrow_mut().set_swarm(&planned);
+        let neighbours: Vec<InstanceName> = self.planner.borrow().neighbours().cloned().collect();
+        let mut links = self.links.borrow_mut();
+        links.retain(|name, _| neighbours.contains(name));
+        for peer in peers {
+            let name = peer_name(peer.target);
+            if !neighbours.contains(&name) || links.contains_key(&name) {
+                continue;
+            }
+            let address = SocketAddr::new(peer.target.ip(), self.shared.options.chunk_port);
+            let options = LinkOptions { call_timeout: CHUNK_LIMIT, ..LinkOptions::default() };
+            let link = ChunkLink::new(&address.to_string(), self.shared.options.secret, options);
+            let link = Rc::new(link);
+            links.insert(name.clone(), link.clone());
+            actix_rt::spawn(follow_peer(Rc::downgrade(self), name, link, self.key.clone()));
+        }
+        self.wake.notify_one();
+    }
+
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Fetches until everything is here.
+    pub(crate) async fn run(self: &Rc<Self>) {
+        let (results, mut finished) = mpsc::unbounded_channel::<FetchResult>();
+        let mut fetches = FetchTasks::default();
+        while !self.planner.borrow().have().is_full() {
+            let orders = self.planner.borrow_mut().plan(self.now());
+            for order in orders {
+                let (transfer, results) = (self.clone(), results.clone());
+                fetches.0.push(actix_rt::spawn(async move {
+                    let result = transfer.fetch(&order).await;
+                    results.send((order, result)).ok();
+                }));
+            }
+            fetches.0.retain(|task| !task.is_finished());
+            tokio::select! {
+                result = finished.recv() => if let Some((order, result)) = result {
+                    self.take(&order, result).await;
+                },
+                () = self.wake.notified() => {}
+                () = tokio::time::sleep(PLAN_INTERVAL) => {}
+            }
+        }
+    }
+
+    async fn take(&self, order: &FetchOrder, result: Result<Bytes, FetchFailure>) {
+        let bytes = match result {
+            Ok(bytes) if self.digests.matches(order.chunk, &bytes) => bytes,
+            Ok(_) => {
+                tracing::info!(chunk = order.chunk, source = ?order.source, "a chunk has a wrong digest");
+                self.shared.metrics.chunks_bad.inc();
+                let now = self.now();
+                self.planner.borrow_mut().note_failed(order, FetchFailure::Corrupt, now);
+                return;
+            }
+            Err(failure) => {
+                tracing::debug!(chunk = order.chunk, source = ?order.source, ?failure, "a chunk was not fetched");
+                let now = self.now();
+                self.planner.borrow_mut().note_failed(order, failure, now);
+                return;
+            }
+        };
+        match &order.source {
+            SourceChoice::Upstream => self.shared.metrics.chunks_from_origin.inc(),
+            SourceChoice::Peer(_) => self.shared.metrics.chunks_from_peers.inc(),
+        }
+        let now = self.now();
+        if self.planner.borrow_mut().note_fetched(order, now) {
+            if let Some(weights) = self.shared.chunks.borrow_mut().get_mut(&self.key) {
+                weights.insert(order.chunk, bytes);
+            }
+        }
+    }
+
+    async fn fetch(&self, order: &FetchOrder) -> Result<Bytes, FetchFailure> {
+        match &order.source {
+            SourceChoice::Upstream => self.fetch_origin(order.chunk).await,
+            SourceChoice::Peer(name) => {
+                let link = self.links.borrow().get(name).cloned();
+                let link = link.ok_or(FetchFailure::Absent)?;
+                match link.chunk(self.key.clone(), order.chunk).await {
+                    Ok(Some(bytes)) => Ok(bytes),
+                    Ok(None) => Err(FetchFailure::Absent),
+                    Err(_) => Err(FetchFailure::Unreachable),
+                }
+            }
+        }
+    }
+
+    async fn fetch_origin(&self, chunk: u32) -> Result<Bytes, FetchFailure> {
+        let call = self.shared.dialect.origin_chunk(&self.key.model, self.key.version, chunk);
+        let mut origin = self.origin.lock().await;
+        match origin.call(&request(&call, CHUNK_LIMIT)).await {
+            Ok(reply) if reply.status == 200 => Ok(reply.body),
+            Ok(reply) if matches!(reply.status, 404 | 410) => Err(FetchFailure::Absent),
+            Ok(_) => Err(FetchFailure::Busy(Duration::from_millis(100))),
+            Err(_) => Err(FetchFailure::Unreachable),
+        }
+    }
+}
+
+/// Fetches under way; ended with the transfer.
+#[derive(Default)]
+struct FetchTasks(Vec<actix_rt::task::JoinHandle<()>>);
+
+impl Drop for FetchTasks {
+    fn drop(&mut self) {
+        for task in &self.0 {
+            task.abort();
+        }
+    }
+}
+
+/// Name of a peer in the planner: its host, since each instance runs one agent.
+pub(crate) fn peer_name(target: SocketAddr) -> InstanceName {
+    let host = target.ip().to_string().replace(':', "-");
+    InstanceName::try_from(host).expect("an IP address makes a valid name")
+}
+
+async fn follow_peer(
+    transfer: std::rc::Weak<Transfer>,
+    name: InstanceName,
+    link: Rc<ChunkLink>,
+    key: WeightsKey,
+) {
+    let mut known = 0;
+    loop {
+        let answer = link.held(key.clone(), known, HELD_WAIT).await;
+        let Some(transfer) = transfer.upgrade() else { return };
+        let is_current = transfer.links.borrow().get(&name).is_some_and(|own| Rc::ptr_eq(own, &link));
+        if !is_current {
+            return;
+        }
+        let count = transfer.digests.count();
+        let held = answer.ok().flatten().and_then(|text| ChunkSet::from_text(&text, count));
+        let pause = match held {
+            Some(held) => {
+                known = held.count();
+                let now = transfer.now();
+                transfer.planner.borrow_mut().note_have(&name, held, now);
+                transfer.wake.notify_one();
+                if known == count {
+                    return;
+                }
+                HELD_INTERVAL
+            }
+            None => HELD_PAUSE,
+        };
+        drop(transfer);
+        tokio::time::sleep(pause).await;
+    }
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,6 +1,7 @@
 //! The verbs, and what they share: exit codes, logs, the operator's client.
 
 mod check_config;
+mod fleet;
 mod init;
 mod local;
 mod manifest;
@@ -49,6 +50,7 @@
 #[derive(Debug, Subcommand)]
 enum Verb {
     Serve(serve::ServeCommand),
+    Fleet(fleet::FleetCommand),
     CheckConfig(check_config::CheckConfigCommand),
     Init(init::InitCommand),
     Local(local::LocalCommand),
@@ -66,6 +68,7 @@
     pub fn execute(self) -> ExitCode {
         let result = match self.verb {
             Verb::Serve(command) => command.execute(),
+            Verb::Fleet(command) => command.execute(),
             Verb::CheckConfig(command) => command.execute(),
             Verb::Init(command) => command.execute(),
             Verb::Local(command) => command.execute(),
