Weights yield to live answers; digests from peers; turns spread to the bound

Cause: chunks queued before requests and events on the targets' narrow links (7.3 Mbit/s). Every agent also drew the digests itself.

Ruled out: entries not knowing the named version (logs show the floor in force).

Change: uploads paced to 0.7 of the link, three fetches at a time, digests from the first in rank, requests stop 1.2 s before the bound, turns from 3.7 s on; a version that is overtaken keeps its bound.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -55,6 +55,8 @@
     pub first_peer_port: u16,
     /// Where some control members take calls; the only other processes known at the start.
     pub control_seeds: Vec<SocketAddr>,
+    /// Rate of the instance's link in Mbit/s.
+    pub link_mbps: f64,
     /// Whether the whole system starts for the first time.
     pub founding: bool,
     /// Time between two announcements of a target.
@@ -111,6 +113,10 @@
     let host = reader.required("host");
     let first_peer_port = reader.number("first_peer_port", 7_700, 1, 65_500);
     let control_seeds = reader.required::<SeedList>("control_seeds");
+    let link_mbps: Option<f64> = reader.required("link_mbps");
+    if link_mbps.is_some_and(|rate| rate <= 0.0) {
+        reader.mistake("link_mbps", "must be more than 0".to_owned());
+    }
     let founding = reader.required("founding");
     let announce_interval = seconds(reader, "announce_interval_seconds");
     let tolerated_losses = reader.number("tolerated_losses", 1, 0, 16);
@@ -148,6 +154,7 @@
         host: host?,
         first_peer_port: first_peer_port as u16,
         control_seeds: control_seeds?.0,
+        link_mbps: link_mbps?,
         founding: founding?,
         announce_interval: announce_interval?,
         tolerated_losses,
--- a/crates/control/src/handler.rs
+++ b/crates/control/src/handler.rs
@@ -5,8 +5,8 @@
 use egretseam_proto::{ProfileName, Revision};
 use egretseam_replica::{Envelope, LogIndex, MemberRecord, NodeStatus};
 use egretseam_rpc::{
-    ControlService, JoinReply, MemberCall, MemberReply, MembersReply, SubmitReply, WatchCall, WatchReply,
-    WatcherReport,
+    ControlService, JoinReply, MemberCall, MemberReply, MembersReply, SubmitReply, WatchCall,
+    WatchReply, WatcherReport,
 };
 use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -54,7 +54,8 @@
         // A learner whose address another member has taken over is gone for good, like its disk.
         let usurped = |record: &MemberRecord| {
             let same_place = |other: &MemberRecord| other.address == record.address;
-            let joins = self.rows.values().any(|(other, _)| same_place(other) && other.id != record.id);
+            let joins =
+                self.rows.values().any(|(other, _)| same_place(other) && other.id != record.id);
             joins && silent(record.id) > Duration::ZERO
         };
         let voters = group.voters().count();
@@ -83,9 +84,8 @@
         if let Some(dead) = dead_learner {
             return Some(MembershipChange::Remove(dead.id));
         }
-        let stranger = |record: &&MemberRecord| {
-            group.get(record.id).is_none() && !group.is_removed(record.id)
-        };
+        let stranger =
+            |record: &&MemberRecord| group.get(record.id).is_none() && !group.is_removed(record.id);
         let waiting = self.rows.values().map(|(record, _)| record);
         waiting.into_iter().find(stranger).cloned().map(MembershipChange::AddLearner)
     }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -7,9 +7,7 @@
 use egretseam_gateway::{CallerDialect, GatewayListeners, GatewayOptions, GatewayRuntime};
 use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection, bind_listener};
 use egretseam_http::DaemonMetrics;
-use egretseam_registrar::{
-    ControlDialect, RegistrarListeners, RegistrarOptions, RegistrarRuntime,
-};
+use egretseam_registrar::{ControlDialect, RegistrarListeners, RegistrarOptions, RegistrarRuntime};
 use egretseam_rpc::PeerSecret;
 use egretseam_serving::{PlacementPolicy, RetryPolicy, SwitchTiming, WaitPolicy};
 use egretseam_stager::{EngineDialect, StagerListeners, StagerOptions, StagerRuntime};
@@ -30,7 +28,7 @@
 const ADDRESS_LIFETIME: Duration = Duration::from_secs(1);
 /// Margin by which requests stop going to targets with an older version before the bound: the
 /// time on the way, and waiting in an engine that is full.
-const VERSION_MARGIN: Duration = Duration::from_millis(700);
+const VERSION_MARGIN: Duration = Duration::from_millis(1_200);
 /// Entries of the log behind a snapshot. A configuration has up to a hundred KiB, so this bounds
 /// the memory of the log to a few MiB.
 const SNAPSHOT_EVERY: u64 = 24;
@@ -38,9 +36,16 @@
 /// back, shorter than the time after which the platform may take the next one.
 const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
 /// Time after naming a version before which engines do not switch; about what the transfer takes.
-const EARLIEST_SWITCH: Duration = Duration::from_millis(2_500);
+const EARLIEST_SWITCH: Duration = Duration::from_millis(3_700);
 /// Time before the version's bound by which the last engine is told to switch.
-const SWITCH_RESERVE: Duration = Duration::from_millis(3_000);
+const SWITCH_RESERVE: Duration = Duration::from_millis(1_600);
+
+/// Part of an instance's link that chunks for other agents may take. Failure guarded: chunks queue
+/// up before the events of live answers on the same narrow link; it showed as pauses of up to
+/// 1.4 s in streams while weights spread.
+const UPLOAD_SHARE: f64 = 0.7;
+/// Chunks fetched from peers at a time: as many bytes may queue before a request on the link.
+const PEER_FETCHES: usize = 3;
 
 /// What a platform speaks.
 #[derive(Clone)]
@@ -92,10 +97,12 @@
         seeds.set(&settings);
         let starter = FleetStarter { settings: &settings, metrics: &metrics, seeds: &seeds };
         let entry = settings.entry.as_ref();
-        let entry = entry.map(|entry| starter.entry(entry, dialects.callers.clone())).transpose()?;
+        let entry =
+            entry.map(|entry| starter.entry(entry, dialects.callers.clone())).transpose()?;
         let control = settings.control.as_ref();
-        let control =
-            control.map(|control| starter.control(control, dialects.control.clone())).transpose()?;
+        let control = control
+            .map(|control| starter.control(control, dialects.control.clone()))
+            .transpose()?;
         let agent = settings.agent.as_ref();
         let agent = agent.map(|agent| starter.agent(agent, dialects.engine.clone())).transpose()?;
         starter.metrics()?;
@@ -110,7 +117,10 @@
         }
         tracing::info!(seeds = ?settings.control_seeds, "settings changed");
         self.seeds.set(&settings);
-        let kept = FleetSettings { control_seeds: settings.control_seeds.clone(), ..self.settings.clone() };
+        let kept = FleetSettings {
+            control_seeds: settings.control_seeds.clone(),
+            ..self.settings.clone()
+        };
         if kept != settings {
             tracing::warn!("some changed settings hold only from the next start");
         }
@@ -228,7 +238,12 @@
             secret: PeerSecret::derive(PEER_TOKEN),
             seeds: self.seeds.feeds.clone(),
             chunk_port: address.port(),
-            planner: PlannerPolicy::default(),
+            planner: PlannerPolicy {
+                peer_fetches: PEER_FETCHES,
+                fetches_per_peer: 1,
+                ..PlannerPolicy::default()
+            },
+            upload_bytes_per_second: (self.settings.link_mbps * UPLOAD_SHARE * 125_000.0) as u64,
             timing: SwitchTiming {
                 bound: self.settings.version_limit,
                 reserve: SWITCH_RESERVE,
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -56,7 +56,8 @@
 }
 
 async fn next_request(shared: &Rc<GatewayShared>, caller: &mut HttpConnection) -> AfterRequest {
-    let limits = shared.routes().map_or_else(CallerLimits::default, |routes| routes.config().limits);
+    let limits =
+        shared.routes().map_or_else(CallerLimits::default, |routes| routes.config().limits);
     let mut stop = shared.stop.subscribe();
     let waiting = tokio::time::timeout(limits.idle_timeout, caller.wait_for_message());
     let arrived = tokio::select! {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -55,10 +55,7 @@
     roster.addresses(zone, MAX_ADDRESSES)
 }
 
-async fn serve(
-    stream: TcpStream,
-    answer: impl Fn(&egretseam_h1::RequestHead) -> bytes::Bytes,
-) {
+async fn serve(stream: TcpStream, answer: impl Fn(&egretseam_h1::RequestHead) -> bytes::Bytes) {
     let Ok(mut connection) = HttpConnection::new(stream, &ConnectionOptions::default()) else {
         return;
     };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -267,7 +267,11 @@
     if config.version <= shared.config_version() {
         return;
     }
-    tracing::info!(version = config.version, routes = config.routes.len(), "configuration in force");
+    tracing::info!(
+        version = config.version,
+        routes = config.routes.len(),
+        "configuration in force"
+    );
     shared.metrics.config_version.set(config.version as i64);
     *shared.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -105,9 +105,8 @@
     if shared.phase() >= StopPhase::Refusing {
         return Err(Refusal::later(RefusalKind::Stopping, RETURN_STOPPING));
     }
-    let routes = shared
-        .routes()
-        .ok_or_else(|| Refusal::later(RefusalKind::NoConfig, RETURN_NO_CONFIG))?;
+    let routes =
+        shared.routes().ok_or_else(|| Refusal::later(RefusalKind::NoConfig, RETURN_NO_CONFIG))?;
     let terms = shared.dialect.read_terms(&head);
     let route = find_route(&routes, &head)?;
     let holder = match routes.authorise(&route, terms.key.as_deref()) {
@@ -311,7 +310,8 @@
 
 /// A target that was still at work when the caller's own time ended is not to blame for it.
 fn outcome_of(request: &RequestState, failure: AttemptFailure) -> AttemptOutcome {
-    if failure == AttemptFailure::Silent && Instant::now() >= request.deadline && request.answering {
+    if failure == AttemptFailure::Silent && Instant::now() >= request.deadline && request.answering
+    {
         return AttemptOutcome::Abandoned;
     }
     failure.outcome()
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -155,8 +155,7 @@
         Choice::Target(_) | Choice::Full => {}
     }
     let (sender, receiver) = oneshot::channel();
-    let request =
-        WaitingRequest { model: call.model.cloned(), tried: call.tried.to_vec(), sender };
+    let request = WaitingRequest { model: call.model.cloned(), tried: call.tried.to_vec(), sender };
     let queue = places.queue(call.service);
     let give_up_at = (now + queue.wait_limit(call.objective)).min(call.latest);
     match queue.push(call.priority, give_up_at, request, now) {
@@ -228,8 +227,7 @@
 ) -> Option<(WaitTicket, TargetId)> {
     let queue = places.queues.get(service)?;
     for (ticket, request) in queue.iter() {
-        let need =
-            PlacementNeed { service, model: request.model.as_ref(), tried: &request.tried };
+        let need = PlacementNeed { service, model: request.model.as_ref(), tried: &request.tried };
         match places.targets.choose(&need, now) {
             Choice::Target(target) => return Some((ticket, target)),
             // One that was refused elsewhere needs a particular target; others may still be served.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,10 +1,7 @@
 //! State that the tasks of one entry share. All on one thread.
 
 use crate::{
-    dialect::CallerDialect,
-    options::GatewayOptions,
-    place::PlaceTable,
-    pool::TargetPool,
+    dialect::CallerDialect, options::GatewayOptions, place::PlaceTable, pool::TargetPool,
     refusal::RefusalKind,
 };
 use egretseam_http::DaemonMetrics;
@@ -57,12 +54,16 @@
                 .counter("egretseam_gateway_callers_left_total", "Callers that left unanswered."),
             connections_opened: metrics
                 .counter("egretseam_gateway_connections_total", "Connections opened to targets."),
-            config_version: metrics
-                .gauge("egretseam_gateway_config_version", "Version of the configuration in force."),
+            config_version: metrics.gauge(
+                "egretseam_gateway_config_version",
+                "Version of the configuration in force.",
+            ),
             first_byte_seconds: metrics
                 .seconds("egretseam_gateway_first_byte_seconds", "Time to an answer's first byte."),
-            wait_seconds: metrics
-                .seconds("egretseam_gateway_wait_seconds", "Time that requests waited for a place."),
+            wait_seconds: metrics.seconds(
+                "egretseam_gateway_wait_seconds",
+                "Time that requests waited for a place.",
+            ),
         }
     }
 
@@ -187,7 +188,11 @@
         self.with_budget(service, |budget| budget.spend(entries, Instant::now()))
     }
 
-    fn with_budget<T>(&self, service: &ServiceName, use_it: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        use_it: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let create = || RetryBudget::new(self.options.retries);
         use_it(budgets.entry(service.clone()).or_insert_with(create))
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -103,7 +103,11 @@
             return Err(HeadError::AmbiguousLength);
         }
         if codings == 1 {
-            return if chunked { Ok(Some(BodyFraming::Chunked)) } else { Err(HeadError::UnknownCoding) };
+            return if chunked {
+                Ok(Some(BodyFraming::Chunked))
+            } else {
+                Err(HeadError::UnknownCoding)
+            };
         }
         Ok(length.map(BodyFraming::Length))
     }
--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -76,7 +76,8 @@
 
     async fn agent(self, _: Context, call: AgentCall) -> AgentReply {
         if let Some(engine) = &call.engine {
-            let news = self.shared.registry.borrow_mut().note_engine(engine.clone(), Instant::now());
+            let news =
+                self.shared.registry.borrow_mut().note_engine(engine.clone(), Instant::now());
             if news {
                 tracing::info!(
                     target = %engine.address,
--- a/crates/registrar/src/publish.rs
+++ b/crates/registrar/src/publish.rs
@@ -42,9 +42,8 @@
         document.content.clone()
     };
     let checked = shared.dialect.read_config(&content);
-    let checked = checked.and_then(|raw| {
-        ServingConfig::try_from(raw).map_err(|error| error.to_string())
-    });
+    let checked =
+        checked.and_then(|raw| ServingConfig::try_from(raw).map_err(|error| error.to_string()));
     let config = match checked {
         Ok(config) => config,
         Err(error) => {
--- a/crates/registrar/src/shared.rs
+++ b/crates/registrar/src/shared.rs
@@ -54,7 +54,10 @@
             ),
             changes: counter("changes", "Operators' changes acknowledged."),
             changes_invalid: counter("changes_invalid", "Operators' changes refused for good."),
-            changes_unavailable: counter("changes_unavailable", "Changes without a quorum in time."),
+            changes_unavailable: counter(
+                "changes_unavailable",
+                "Changes without a quorum in time.",
+            ),
             reads_unavailable: counter("reads_unavailable", "Reads that could not be confirmed."),
             targets: gauge("targets", "Targets that announce themselves here."),
             entries: gauge("entries", "Entries that read this member's feed."),
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -29,7 +29,7 @@
     server::{RpcOptions, RpcServer, serve_chunks, serve_control, serve_entry, serve_feed},
     wire::{
         ControlService, ControlServiceClient, EntryService, EntryServiceClient, JoinReply,
-        MemberCall, MemberReply, MembersReply, PeerRecord, ReportCall, ReportReply, SubmitReply, WatchCall,
-        WatchReply, WatcherReport,
+        MemberCall, MemberReply, MembersReply, PeerRecord, ReportCall, ReportReply, SubmitReply,
+        WatchCall, WatchReply, WatcherReport,
     },
 };
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -12,9 +12,9 @@
         ReportCall, ReportReply, SubmitReply, WatchCall, WatchReply, WatcherReport,
     },
 };
+use bytes::Bytes;
 use egretseam_catalog::{CatalogCommand, HistoryRecord};
 use egretseam_proto::ProfileName;
-use bytes::Bytes;
 use egretseam_replica::{Envelope, MemberRecord};
 use std::{
     cell::RefCell,
@@ -226,6 +226,16 @@
         self.settle(reply)
     }
 
+    /// See [`crate::ChunkService::digests`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn digests(&self, key: WeightsKey) -> Result<Option<Vec<[u8; 32]>>, CallError> {
+        let client = self.client().await?;
+        let reply = client.digests(self.context(Duration::ZERO), key).await;
+        self.settle(reply)
+    }
+
     /// See [`crate::ChunkService::chunk`].
     ///
     /// # Errors
--- a/crates/serving/src/entries.rs
+++ b/crates/serving/src/entries.rs
@@ -32,7 +32,10 @@
         // A stopping entry never becomes ready again in the same run; a late sighting must not
         // bring it back.
         let stale = known.is_some_and(|row| {
-            row.record.run == record.run && !row.record.ready && record.ready && row.seen_at >= seen_at
+            row.record.run == record.run
+                && !row.record.ready
+                && record.ready
+                && row.seen_at >= seen_at
         });
         if stale {
             return false;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -100,7 +100,8 @@
         let rows = ids.iter().filter_map(|id| Some((id, self.rows.get(id)?)));
         let able: Vec<_> = rows.filter(|(_, row)| self.is_able(row, need.model, now)).collect();
         let mean = mean_of_others(&able, now);
-        let free = |row: &TargetRow| f64::from(row.record.slots) - self.expected_load(row, mean, now);
+        let free =
+            |row: &TargetRow| f64::from(row.record.slots) - self.expected_load(row, mean, now);
         able.iter().map(|(_, row)| free(row).max(0.0)).sum()
     }
 
--- a/crates/serving/src/raw.rs
+++ b/crates/serving/src/raw.rs
@@ -258,10 +258,8 @@
 ) -> Result<Vec<Destination>, ConfigError> {
     let mut destinations = Vec::with_capacity(raw.len());
     for item in raw {
-        let unknown = ConfigError::UnknownService {
-            route: route.to_owned(),
-            service: item.service.clone(),
-        };
+        let unknown =
+            ConfigError::UnknownService { route: route.to_owned(), service: item.service.clone() };
         let Ok(service) = ServiceName::try_from(item.service) else { return Err(unknown) };
         if !services.contains_key(&service) {
             return Err(unknown);
@@ -287,10 +285,8 @@
             }
         }
         let name = OrganisationName::try_from(organisation.name)?;
-        let record = OrganisationRecord {
-            keys: own.into_iter().collect(),
-            priority: organisation.priority,
-        };
+        let record =
+            OrganisationRecord { keys: own.into_iter().collect(), priority: organisation.priority };
         if organisations.contains_key(&name) {
             return Err(ConfigError::DuplicateName(name.to_string()));
         }
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -53,7 +53,13 @@
     /// An empty registry; a target counts as silent when nothing was heard of it for
     /// `silence_limit`.
     pub fn new(silence_limit: Duration) -> Self {
-        Self { rows: IndexMap::new(), gone: IndexMap::new(), engines: IndexMap::new(), number: 0, silence_limit }
+        Self {
+            rows: IndexMap::new(),
+            gone: IndexMap::new(),
+            engines: IndexMap::new(),
+            number: 0,
+            silence_limit,
+        }
     }
 
     /// Number of the latest change.
@@ -110,9 +116,8 @@
     pub fn note_engine(&mut self, news: EngineNews, now: Instant) -> bool {
         let seen_at = now.checked_sub(Duration::from_millis(news.age_millis)).unwrap_or(now);
         let known = self.engines.get(&news.address);
-        let same = known.is_some_and(|row| {
-            row.news.models == news.models && row.news.loading == news.loading
-        });
+        let same = known
+            .is_some_and(|row| row.news.models == news.models && row.news.loading == news.loading);
         let changed = if same {
             known.map_or(0, |row| row.changed)
         } else {
@@ -139,9 +144,8 @@
         self.rows.retain(|_, row| age(row.heard_at) < SILENT_MEMORY);
         self.gone.retain(|_, (at, _)| age(*at) < GONE_MEMORY);
         let live: Vec<SocketAddr> = self.rows.values().map(|row| row.record.address).collect();
-        self.engines.retain(|address, row| {
-            live.contains(address) || age(row.seen_at) < SILENT_MEMORY
-        });
+        self.engines
+            .retain(|address, row| live.contains(address) || age(row.seen_at) < SILENT_MEMORY);
         self.number > before
     }
 
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -70,10 +70,15 @@
     }
 
     fn step(&mut self, now: Instant) -> &mut WindowStep {
-        while self.steps.front().is_some_and(|step| now.saturating_duration_since(step.start) > self.policy.window) {
+        while self
+            .steps
+            .front()
+            .is_some_and(|step| now.saturating_duration_since(step.start) > self.policy.window)
+        {
             self.steps.pop_front();
         }
-        let current = self.steps.back().is_some_and(|step| now.saturating_duration_since(step.start) < STEP);
+        let current =
+            self.steps.back().is_some_and(|step| now.saturating_duration_since(step.start) < STEP);
         if !current {
             self.steps.push_back(WindowStep { start: now, requests: 0, repeats: 0 });
         }
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -138,7 +138,8 @@
         let Some(row) = self.rows.get_mut(id) else { return };
         let sighting = if news.silent { Sighting::Silent } else { Sighting::Heard };
         row.sightings.insert(source, sighting);
-        let late = news.record.sequence < row.record.sequence || news.record.state < row.record.state;
+        let late =
+            news.record.sequence < row.record.sequence || news.record.state < row.record.state;
         if late {
             return;
         }
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -132,7 +132,8 @@
         payload: T,
         now: Instant,
     ) -> Result<WaitTicket, T> {
-        let hopeless = self.predicted_wait(priority, now).is_some_and(|wait| now + wait > give_up_at);
+        let hopeless =
+            self.predicted_wait(priority, now).is_some_and(|wait| now + wait > give_up_at);
         if hopeless || self.waiters.len() >= self.policy.max_waiters {
             return Err(payload);
         }
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -92,7 +92,14 @@
         Some(chunks.get(&key)?.held().to_text())
     }
 
+    async fn digests(self, _: Context, key: WeightsKey) -> Option<Vec<[u8; 32]>> {
+        let chunks = self.shared.chunks.borrow();
+        Some(chunks.get(&key)?.digests.chunks.clone())
+    }
+
     async fn chunk(self, _: Context, key: WeightsKey, index: u32) -> Option<Bytes> {
-        self.shared.chunks.borrow().get(&key)?.chunk(index)
+        let chunk = self.shared.chunks.borrow().get(&key)?.chunk(index)?;
+        self.shared.uploads.take(chunk.len()).await;
+        Some(chunk)
     }
 }
--- a/crates/stager/src/follow.rs
+++ b/crates/stager/src/follow.rs
@@ -1,6 +1,9 @@
 //! Telling control about the engine, and learning what to bring to it.
 
-use crate::shared::{HeldPlan, StagerShared};
+use crate::{
+    shared::{HeldPlan, StagerShared},
+    switch,
+};
 use egretseam_rpc::{AgentCall, AgentReply, FeedLink, LinkOptions};
 use std::{rc::Weak, time::Duration};
 use tokio::time::Instant;
@@ -61,7 +64,9 @@
                 tracing::info!(member = %address, %error, "a control member does not answer");
                 at = at.wrapping_add(1);
                 let seeds = held.options.seeds.borrow().clone();
-                members.extend(seeds.into_iter().filter(|seed| !members.contains(seed)).collect::<Vec<_>>());
+                members.extend(
+                    seeds.into_iter().filter(|seed| !members.contains(seed)).collect::<Vec<_>>(),
+                );
                 drop(held);
                 tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
             }
@@ -85,9 +90,9 @@
         let told_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
         shared.plan.send_modify(|held| {
             let version = plan.version.as_ref().map(|named| named.version);
-            let same = held.as_ref().filter(|held| {
-                held.plan.version.as_ref().map(|named| named.version) == version
-            });
+            let same = held
+                .as_ref()
+                .filter(|held| held.plan.version.as_ref().map(|named| named.version) == version);
             let older = held.as_ref().is_some_and(|held| {
                 held.plan.model == plan.model && held.version() > version.unwrap_or(1)
             });
@@ -97,7 +102,9 @@
             }
             let named_at = same.map_or(told_at, |held| held.named_at.min(told_at));
             tracing::info!(?version, peers = plan.peers.len(), "plan changed");
-            *held = Some(HeldPlan { plan, named_at });
+            let unmet = held.as_ref().filter(|held| !switch::holds(shared, &held.key()));
+            let due_from = unmet.map_or(named_at, |held| held.due_from.min(named_at));
+            *held = Some(HeldPlan { plan, named_at, due_from });
         });
     }
     if reply.members.is_empty() { members } else { reply.members }
--- a/crates/stager/src/options.rs
+++ b/crates/stager/src/options.rs
@@ -34,6 +34,8 @@
     pub chunk_port: u16,
     /// How chunks spread.
     pub planner: PlannerPolicy,
+    /// Bytes a second that chunks for other agents may take of the link.
+    pub upload_bytes_per_second: u64,
     /// When new weights are taken.
     pub timing: SwitchTiming,
 }
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -7,8 +7,9 @@
 };
 use egretseam_h1::{CallReply, CallRequest, ExchangeError, KeptClient};
 use egretseam_http::DaemonMetrics;
-use egretseam_rpc::WeightsPlan;
+use egretseam_rpc::{WeightsKey, WeightsPlan};
 use egretseam_serving::EngineNews;
+use egretseam_swarm::LinkBudget;
 use prometheus::IntCounter;
 use std::{
     cell::{Cell, RefCell},
@@ -46,7 +47,10 @@
             chunks_bad: counter("chunks_bad", "Chunks dropped for a wrong digest."),
             chunks_rotten: counter("chunks_rotten", "Staged chunks found spoilt and put again."),
             orders: counter("orders", "Orders to the engine."),
-            orders_refused: counter("orders_refused", "Orders that did not fit the engine's state."),
+            orders_refused: counter(
+                "orders_refused",
+                "Orders that did not fit the engine's state.",
+            ),
         }
     }
 }
@@ -56,9 +60,17 @@
 pub(crate) struct HeldPlan {
     pub(crate) plan: WeightsPlan,
     pub(crate) named_at: Instant,
+    /// When the oldest version was named that the engine has not reached yet: its bound comes
+    /// first, and any newer version keeps it.
+    pub(crate) due_from: Instant,
 }
 
 impl HeldPlan {
+    /// What to bring to the engine.
+    pub(crate) fn key(&self) -> WeightsKey {
+        WeightsKey { model: self.plan.model.clone(), version: self.version() }
+    }
+
     /// Version to bring to the engine: before any is named, the first.
     pub(crate) fn version(&self) -> u64 {
         self.plan.version.as_ref().map_or(1, |named| named.version)
@@ -76,6 +88,10 @@
     /// Whether the engine is looked at often.
     pub(crate) hurry: Cell<bool>,
     pub(crate) chunks: RefCell<ChunkStore>,
+    /// Whether the next digests must come from the origin, since the last ones were wrong.
+    pub(crate) distrusts_peers: Cell<bool>,
+    /// Paces what is given to other agents, so that live answers get through.
+    pub(crate) uploads: LinkBudget,
     engine: Mutex<KeptClient>,
     watcher: Mutex<KeptClient>,
 }
@@ -94,6 +110,8 @@
             report_at: Cell::new(Instant::now()),
             hurry: Cell::new(false),
             chunks: RefCell::default(),
+            distrusts_peers: Cell::new(false),
+            uploads: LinkBudget::new(Some(options.upload_bytes_per_second)),
             engine: Mutex::new(KeptClient::new(options.target)),
             watcher: Mutex::new(KeptClient::new(options.target)),
             options,
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -1,10 +1,6 @@
 //! Having the engine take staged weights.
 
-use crate::{
-    dialect::OrderOutcome,
-    engine,
-    shared::StagerShared,
-};
+use crate::{dialect::OrderOutcome, engine, shared::StagerShared};
 use bytes::Bytes;
 use egretseam_rpc::WeightsKey;
 use std::time::Duration;
@@ -55,7 +51,11 @@
     loop {
         engine::look(shared).await;
         if holds(shared, key) {
-            tracing::info!(version = key.version, millis = began.elapsed().as_millis() as u64, "the engine has taken the weights");
+            tracing::info!(
+                version = key.version,
+                millis = began.elapsed().as_millis() as u64,
+                "the engine has taken the weights"
+            );
             return true;
         }
         let busy = shared.report.borrow().as_ref().is_some_and(|report| report.busy);
@@ -75,7 +75,8 @@
 /// would show as answers from spoilt weights. Every chunk is read back and compared right before
 /// the order, and put again where it differs.
 async fn stage(shared: &StagerShared, key: &WeightsKey) -> bool {
-    let Some(digests) = shared.chunks.borrow().get(key).map(|weights| weights.digests.clone()) else {
+    let Some(digests) = shared.chunks.borrow().get(key).map(|weights| weights.digests.clone())
+    else {
         return false;
     };
     for index in 0..digests.count() {
@@ -97,7 +98,11 @@
 }
 
 /// A staged chunk, if the engine has one.
-pub(crate) async fn read_back(shared: &StagerShared, key: &WeightsKey, index: u32) -> Option<Bytes> {
+pub(crate) async fn read_back(
+    shared: &StagerShared,
+    key: &WeightsKey,
+    index: u32,
+) -> Option<Bytes> {
     let call = shared.dialect.get_chunk(&key.model, index);
     let reply = shared.call_engine(&call).await.ok()?;
     (reply.status == 200).then_some(reply.body)
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -13,12 +13,7 @@
     ChunkSet, FetchFailure, FetchOrder, PlannerPeer, SourceChoice, SwarmPlanner,
 };
 use indexmap::IndexMap;
-use std::{
-    cell::RefCell,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     sync::{Notify, mpsc},
     time::Instant,
@@ -46,14 +41,23 @@
     links: RefCell<IndexMap<InstanceName, Rc<ChunkLink>>>,
     origin: Rc<tokio::sync::Mutex<KeptClient>>,
     began: Instant,
+    /// How often each chunk came with a wrong digest.
+    wrong: RefCell<IndexMap<u32, u32>>,
     wake: Notify,
 }
 
+/// Times that one chunk may come with a wrong digest before the digest is doubted.
+const WRONG_DIGEST: u32 = 5;
+
 type FetchResult = (FetchOrder, Result<Bytes, FetchFailure>);
 
 impl Transfer {
     /// A transfer that continues from what is held already.
-    pub(crate) fn new(shared: &Rc<StagerShared>, plan: &WeightsPlan, weights: &HeldWeights) -> Rc<Self> {
+    pub(crate) fn new(
+        shared: &Rc<StagerShared>,
+        plan: &WeightsPlan,
+        weights: &HeldWeights,
+    ) -> Rc<Self> {
         let own = PlannerPeer {
             name: peer_name(shared.options.target),
             zone: shared.options.zone.clone(),
@@ -68,6 +72,7 @@
             links: RefCell::default(),
             origin: Rc::new(tokio::sync::Mutex::new(KeptClient::new(plan.origin))),
             began: Instant::now(),
+            wrong: RefCell::default(),
             wake: Notify::new(),
         })
     }
@@ -102,8 +107,9 @@
         self.began.elapsed()
     }
 
-    /// Fetches until everything is here.
-    pub(crate) async fn run(self: &Rc<Self>) {
+    /// Fetches until everything is here. Returns false if some chunk is wrong from wherever it
+    /// comes, so that its digest must be.
+    pub(crate) async fn run(self: &Rc<Self>) -> bool {
         let (results, mut finished) = mpsc::unbounded_channel::<FetchResult>();
         let mut fetches = FetchTasks::default();
         while !self.planner.borrow().have().is_full() {
@@ -123,7 +129,11 @@
                 () = self.wake.notified() => {}
                 () = tokio::time::sleep(PLAN_INTERVAL) => {}
             }
+            if self.wrong.borrow().values().any(|count| *count >= WRONG_DIGEST) {
+                return false;
+            }
         }
+        true
     }
 
     async fn take(&self, order: &FetchOrder, result: Result<Bytes, FetchFailure>) {
@@ -132,6 +142,7 @@
             Ok(_) => {
                 tracing::info!(chunk = order.chunk, source = ?order.source, "a chunk has a wrong digest");
                 self.shared.metrics.chunks_bad.inc();
+                *self.wrong.borrow_mut().entry(order.chunk).or_insert(0) += 1;
                 let now = self.now();
                 self.planner.borrow_mut().note_failed(order, FetchFailure::Corrupt, now);
                 return;
@@ -210,7 +221,8 @@
     loop {
         let answer = link.held(key.clone(), known, HELD_WAIT).await;
         let Some(transfer) = transfer.upgrade() else { return };
-        let is_current = transfer.links.borrow().get(&name).is_some_and(|own| Rc::ptr_eq(own, &link));
+        let is_current =
+            transfer.links.borrow().get(&name).is_some_and(|own| Rc::ptr_eq(own, &link));
         if !is_current {
             return;
         }
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -8,7 +8,7 @@
     transfer::{Transfer, peer_name},
 };
 use egretseam_h1::KeptClient;
-use egretseam_rpc::WeightsKey;
+use egretseam_rpc::{ChunkLink, LinkOptions, SwarmPeer, WeightsKey};
 use egretseam_serving::SwitchSchedule;
 use std::{
     rc::{Rc, Weak},
@@ -18,6 +18,14 @@
 
 /// Time for the digests, some KiB.
 const DIGESTS_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long the digests are looked for at other agents before the origin is asked.
+const DIGESTS_FROM_PEERS: Duration = Duration::from_millis(600);
+/// Pause between two rounds over the agents that may have them.
+const DIGESTS_RETRY: Duration = Duration::from_millis(40);
+/// Time for one agent to answer.
+const PEER_DIGESTS_LIMIT: Duration = Duration::from_millis(250);
+/// Agents that are asked for digests.
+const DIGEST_SOURCES: usize = 2;
 /// Pause before the digests are asked for again.
 const DIGESTS_PAUSE: Duration = Duration::from_millis(200);
 /// How often an engine that has what it should is looked at again; changes wake earlier.
@@ -40,9 +48,10 @@
             }
             continue;
         };
-        let key = WeightsKey { model: wanted.plan.model.clone(), version: wanted.version() };
+        let key = wanted.key();
         let newer = plan.wait_for(|now| {
-            now.as_ref().is_some_and(|now| now.version() != key.version || now.plan.model != key.model)
+            now.as_ref()
+                .is_some_and(|now| now.version() != key.version || now.plan.model != key.model)
         });
         // A newer version ends whatever is under way for an older one.
         tokio::select! {
@@ -100,10 +109,60 @@
     true
 }
 
+/// The digests, from other agents where one has them, else from the origin. Only the first in rank
+/// asks the origin at once, so that it sends them about once.
 async fn fetch_digests(
     shared: &StagerShared,
     wanted: &HeldPlan,
     key: &WeightsKey,
+) -> Result<WeightDigests, String> {
+    let own = peer_name(shared.options.target);
+    let names = ranked(&wanted.plan.peers, key.version);
+    let first: Vec<_> = names.iter().take(DIGEST_SOURCES).collect();
+    if first.first().is_none_or(|(name, _)| *name == own) || shared.distrusts_peers.take() {
+        return origin_digests(shared, wanted, key).await;
+    }
+    let began = Instant::now();
+    while began.elapsed() < DIGESTS_FROM_PEERS {
+        for (_, target) in first.iter().filter(|(name, _)| *name != own) {
+            if let Some(chunks) = peer_digests(shared, *target, key).await {
+                return Ok(WeightDigests {
+                    model: key.model.clone(),
+                    version: key.version,
+                    chunks,
+                });
+            }
+        }
+        tokio::time::sleep(DIGESTS_RETRY).await;
+    }
+    origin_digests(shared, wanted, key).await
+}
+
+async fn peer_digests(
+    shared: &StagerShared,
+    target: std::net::SocketAddr,
+    key: &WeightsKey,
+) -> Option<Vec<[u8; 32]>> {
+    let address = std::net::SocketAddr::new(target.ip(), shared.options.chunk_port);
+    let options = LinkOptions {
+        connect_timeout: PEER_DIGESTS_LIMIT,
+        call_timeout: PEER_DIGESTS_LIMIT,
+        ..LinkOptions::default()
+    };
+    let link = ChunkLink::new(&address.to_string(), shared.options.secret, options);
+    match link.digests(key.clone()).await {
+        Ok(digests) => digests.filter(|digests| !digests.is_empty()),
+        Err(error) => {
+            tracing::debug!(%error, "a peer did not answer for digests");
+            None
+        }
+    }
+}
+
+async fn origin_digests(
+    shared: &StagerShared,
+    wanted: &HeldPlan,
+    key: &WeightsKey,
 ) -> Result<WeightDigests, String> {
     let call = shared.dialect.digests(&key.model, key.version);
     let mut origin = KeptClient::new(wanted.plan.origin);
@@ -133,7 +192,12 @@
     tokio::pin!(run);
     loop {
         tokio::select! {
-            () = &mut run => break,
+            sound = &mut run => {
+                if !sound {
+                    return distrust(shared, key);
+                }
+                break;
+            }
             changed = plan.changed() => {
                 let peers = plan.borrow_and_update().as_ref().map(|now| now.plan.peers.clone());
                 match (changed, peers) {
@@ -143,7 +207,24 @@
             }
         }
     }
-    tracing::info!(version = key.version, millis = began.elapsed().as_millis() as u64, "all chunks are here");
+    tracing::info!(
+        version = key.version,
+        millis = began.elapsed().as_millis() as u64,
+        "all chunks are here"
+    );
+}
+
+/// Forgets digests that no source's bytes match.
+///
+/// Failure guarded: the list of digests itself can be spoilt on its way, and then every sound
+/// chunk looks bad for ever. It would show as a version that never arrives.
+fn distrust(shared: &StagerShared, key: &WeightsKey) {
+    tracing::warn!(
+        version = key.version,
+        "the digests match nobody's chunks; asking the origin anew"
+    );
+    shared.chunks.borrow_mut().weights = None;
+    shared.distrusts_peers.set(true);
 }
 
 /// Waits for this instance's turn. An engine that holds nothing serves nobody, so it waits for
@@ -158,12 +239,27 @@
         return;
     }
     let own = peer_name(shared.options.target);
-    let mut names: Vec<_> = wanted.plan.peers.iter().map(|peer| peer_name(peer.target)).collect();
-    names.sort_by_key(|name| order_of(name.as_str(), key.version));
-    let rank = names.iter().position(|name| *name == own).unwrap_or(0);
+    let names = ranked(&wanted.plan.peers, key.version);
+    let rank = names.iter().position(|(name, _)| *name == own).unwrap_or(0);
     let turn = SwitchSchedule::new(shared.options.timing).turn(rank, names.len());
-    tracing::info!(rank, of = names.len(), turn_millis = turn.as_millis() as u64, "waiting for the turn to switch");
-    tokio::time::sleep_until(wanted.named_at + turn).await;
+    tracing::info!(
+        rank,
+        of = names.len(),
+        turn_millis = turn.as_millis() as u64,
+        "waiting for the turn to switch"
+    );
+    tokio::time::sleep_until(wanted.due_from + turn).await;
+}
+
+/// Instances in the order in which they take their turns, with their targets.
+fn ranked(
+    peers: &[SwarmPeer],
+    version: u64,
+) -> Vec<(egretseam_proto::InstanceName, std::net::SocketAddr)> {
+    let mut names: Vec<_> =
+        peers.iter().map(|peer| (peer_name(peer.target), peer.target)).collect();
+    names.sort_by_key(|(name, _)| order_of(name.as_str(), version));
+    names
 }
 
 /// An order of instances that every agent computes alike and that differs between versions, so
--- a/src/commands/fleet.rs
+++ b/src/commands/fleet.rs
@@ -67,7 +67,9 @@
         }
         match read(&path) {
             Ok(settings) => runtime.reload(settings),
-            Err(error) => tracing::warn!(error = format!("{error:#}"), "changed settings cannot be used"),
+            Err(error) => {
+                tracing::warn!(error = format!("{error:#}"), "changed settings cannot be used")
+            }
         }
     }
     tracing::info!("stopping");
