--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,6 +21,6 @@
 pub use crate::{
     handler::ControlHandler,
     operator::{HealthSource, OperatorHandler, TargetsSource},
-    repair::RepairPolicy,
+    repair::{JoinTable, RepairPolicy},
     runtime::{ControlOptions, ControlRuntime, GroupFormation, StartError},
 };
--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -22,23 +22,24 @@
 
 /// Members that want to belong to the group, at its leader.
 #[derive(Debug)]
-pub(crate) struct JoinTable {
+pub struct JoinTable {
     policy: RepairPolicy,
     rows: IndexMap<MemberId, (MemberRecord, Instant)>,
 }
 
 impl JoinTable {
-    pub(crate) fn new(policy: RepairPolicy) -> Self {
+    /// An empty table.
+    pub fn new(policy: RepairPolicy) -> Self {
         Self { policy, rows: IndexMap::new() }
     }
 
     /// Notes that a member asks to join.
-    pub(crate) fn note(&mut self, record: MemberRecord, now: Instant) {
+    pub fn note(&mut self, record: MemberRecord, now: Instant) {
         self.rows.insert(record.id, (record, now));
     }
 
     /// The next step towards a whole group, if one is due.
-    pub(crate) fn next_change(
+    pub fn next_change(
         &mut self,
         status: &NodeStatus,
         own: MemberId,
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -70,7 +70,7 @@
     /// The destination at `point`, a number drawn evenly from all `u32`.
     pub fn destination(&self, point: u32) -> &ServiceName {
         let total: u64 = self.destinations.iter().map(|item| u64::from(item.weight)).sum();
-        let mut left = u64::from(point) * total >> 32;
+        let mut left = (u64::from(point) * total) >> 32;
         let weighted = self.destinations.iter().find(|item| {
             let found = left < u64::from(item.weight);
             left = left.saturating_sub(u64::from(item.weight));
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -18,6 +18,9 @@
 /// does not grow with the service.
 const MAX_CANDIDATES: usize = 64;
 
+/// Part of the mean load that a target without a sample is assumed to have.
+const UNKNOWN_SHARE: f64 = 0.5;
+
 /// Weights of a choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementPolicy {
@@ -141,7 +144,9 @@
     /// Requests expected at the target: this entry's own exactly, the others' by the last sample.
     fn expected_load(&self, row: &TargetRow, mean: f64, now: Instant) -> f64 {
         let own = f64::from(row.own_in_flight);
-        let Some(sample) = row.load else { return own + mean };
+        // A target that was never sampled is likely new: assumed full like the others, it would get
+        // no request and so no sample; assumed empty, every entry would fill it at once.
+        let Some(sample) = row.load else { return own + mean * UNKNOWN_SHARE };
         let others = f64::from(sample.busy.saturating_sub(sample.own));
         let age = now.saturating_duration_since(sample.at);
         let faded = (age.as_secs_f64() / self.policy.fade.as_secs_f64()).min(1.0);
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -159,10 +159,11 @@
             SourceChoice::Peer(_) => self.shared.metrics.chunks_from_peers.inc(),
         }
         let now = self.now();
-        if self.planner.borrow_mut().note_fetched(order, now) {
-            if let Some(weights) = self.shared.chunks.borrow_mut().get_mut(&self.key) {
-                weights.insert(order.chunk, bytes);
-            }
+        let is_new = self.planner.borrow_mut().note_fetched(order, now);
+        if let Some(weights) = self.shared.chunks.borrow_mut().get_mut(&self.key)
+            && is_new
+        {
+            weights.insert(order.chunk, bytes);
         }
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,15 +1,20 @@
 //! Integration tests, one module a subject.
 
 mod bad_input;
+mod caller_codec;
 mod catalog_model;
 mod group_faults;
 mod group_model;
+mod group_repair;
 mod http_client;
 mod keyed_requests;
 mod processes;
 mod scenarios;
+mod serving_config;
+mod serving_tables;
 mod settings;
 mod store;
 mod streams;
 mod support;
+mod waiting;
 mod weights;
--- /dev/null
+++ b/tests/all/serving_tables.rs
@@ -0,0 +1,252 @@
+//! Tables of targets and entries under late, lost and contradicting news.
+
+use egretseam_proto::{ModelName, ServiceName, ZoneName};
+use egretseam_serving::{
+    AnnounceOutcome, AttemptOutcome, Choice, EngineNews, EntryRecord, EntryRoster, HeldModel,
+    NamedVersion, PlacementNeed, PlacementPolicy, SwitchSchedule, SwitchTiming, TargetId,
+    TargetNews, TargetRecord, TargetRegistry, TargetState, TargetTable,
+};
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+const SILENCE: Duration = Duration::from_secs(3);
+const VERSION_LIMIT: Duration = Duration::from_secs(7);
+
+fn service() -> ServiceName {
+    ServiceName::try_from("runners").expect("a valid name")
+}
+
+fn model() -> ModelName {
+    ModelName::try_from("chat").expect("a valid name")
+}
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).expect("a valid name")
+}
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 8_000))
+}
+
+fn held(version: u64) -> Vec<HeldModel> {
+    vec![HeldModel { model: model(), version }]
+}
+
+fn record(host: u8, sequence: u64, state: TargetState) -> TargetRecord {
+    TargetRecord {
+        id: TargetId(format!("i-{host}")),
+        service: service(),
+        address: address(host),
+        zone: zone("z1"),
+        slots: 4,
+        state,
+        sequence,
+        cold_millis: 0,
+        models: held(1),
+    }
+}
+
+fn news(record: TargetRecord) -> TargetNews {
+    TargetNews { record, silent: false, age_millis: 0 }
+}
+
+fn table(hosts: &[u8], now: Instant) -> TargetTable {
+    let mut table = TargetTable::new(PlacementPolicy::default(), zone("z1"));
+    for host in hosts {
+        table.note_target(0, &news(record(*host, 1, TargetState::Ready)), now);
+    }
+    table
+}
+
+fn choose(table: &TargetTable, tried: &[TargetId], now: Instant) -> Choice {
+    let (service, model) = (service(), model());
+    table.choose(&PlacementNeed { service: &service, model: Some(&model), tried }, now)
+}
+
+fn id(host: u8) -> TargetId {
+    TargetId(format!("i-{host}"))
+}
+
+/// What users would see: requests at a target that has left. A cut holds up an announcement; the
+/// target announces that it is draining elsewhere or leaves, and only then the old announcement
+/// arrives. It must change nothing.
+#[actix_rt::test]
+async fn late_announcements_never_bring_a_target_back() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::new(SILENCE);
+    assert_eq!(registry.announce(record(1, 2, TargetState::Draining), now), AnnounceOutcome::Taken);
+    assert_eq!(registry.announce(record(1, 1, TargetState::Ready), now), AnnounceOutcome::Late);
+    assert_eq!(registry.announce(record(1, 3, TargetState::Ready), now), AnnounceOutcome::Late);
+    registry.remove(&id(1), now);
+    assert_eq!(registry.announce(record(1, 4, TargetState::Ready), now), AnnounceOutcome::Late);
+    assert_eq!(registry.gone_since(0), [id(1)]);
+    assert_eq!(registry.live().count(), 0);
+    // A target that announced itself elsewhere only is remembered too.
+    registry.remove(&id(2), now);
+    assert_eq!(registry.announce(record(2, 9, TargetState::Ready), now), AnnounceOutcome::Late);
+}
+
+#[actix_rt::test]
+async fn readers_are_told_changes_and_nothing_else() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::new(SILENCE);
+    registry.announce(record(1, 1, TargetState::Ready), now);
+    let seen = registry.number();
+    registry.announce(record(1, 2, TargetState::Ready), now);
+    assert!(registry.targets_since(seen, now).is_empty(), "only the sequence number changed");
+    let later = now + SILENCE + Duration::from_millis(1);
+    assert!(registry.expire(later));
+    assert!(registry.targets_since(seen, later)[0].silent);
+    registry.announce(record(1, 3, TargetState::Ready), later);
+    assert!(!registry.targets_since(seen, later)[0].silent);
+}
+
+/// What users would see: all requests fail although every target is well. All control members are
+/// lost at once; an entry that then forgot what they told it would have no target left.
+#[actix_rt::test]
+async fn targets_outlive_all_of_control() {
+    let now = Instant::now();
+    let mut table = table(&[1], now);
+    table.note_target(1, &news(record(1, 1, TargetState::Ready)), now);
+    table.source_lost(0);
+    table.source_lost(1);
+    let later = now + Duration::from_secs(600);
+    table.expire(later);
+    assert_eq!(choose(&table, &[], later), Choice::Target(id(1)));
+}
+
+/// What users would see: requests at a target that crashed while a control member restarted. Its
+/// last word before the restart was that the target lives; after some seconds without an
+/// announcement that word must not count any more.
+#[actix_rt::test]
+async fn the_word_of_a_restarted_member_fades() {
+    let now = Instant::now();
+    let mut table = table(&[1], now);
+    table.source_restarted(0, now);
+    assert_eq!(choose(&table, &[], now), Choice::Target(id(1)));
+    let later = now + Duration::from_secs(5);
+    assert_eq!(choose(&table, &[], later), Choice::NoTarget);
+    table.note_target(0, &news(record(1, 2, TargetState::Ready)), later);
+    assert_eq!(choose(&table, &[], later), Choice::Target(id(1)));
+}
+
+/// What users would see: an answer from weights that operators replaced long ago. From the bound on
+/// a target that is not known to hold the named version gets nothing, and a version that is named
+/// before the last one is in place does not put the first one's bound off.
+#[actix_rt::test]
+async fn targets_with_old_weights_get_nothing_after_the_bound() {
+    let now = Instant::now();
+    let mut table = table(&[1, 2], now);
+    let named = |version, age_millis| NamedVersion { model: model(), version, age_millis };
+    table.note_version(&named(2, 0), VERSION_LIMIT, now);
+    table.note_version(&named(3, 0), VERSION_LIMIT, now + Duration::from_secs(4));
+    assert!(matches!(choose(&table, &[], now), Choice::Target(_)));
+    let engine = |version, loading| EngineNews {
+        address: address(2),
+        models: held(version),
+        loading,
+        age_millis: 0,
+    };
+    table.note_engine(&engine(1, true), now);
+    assert_eq!(choose(&table, &[], now), Choice::Target(id(1)), "2 accepts nothing while it loads");
+    let bound = now + VERSION_LIMIT;
+    table.note_engine(&engine(2, false), bound);
+    assert_eq!(choose(&table, &[], bound), Choice::Target(id(2)));
+    let second_bound = bound + Duration::from_secs(4);
+    assert_eq!(choose(&table, &[], second_bound), Choice::NoTarget);
+    table.note_engine(&engine(3, false), second_bound);
+    assert_eq!(choose(&table, &[], second_bound), Choice::Target(id(2)));
+}
+
+#[actix_rt::test]
+async fn an_agent_is_believed_over_an_older_announcement() {
+    let now = Instant::now();
+    let mut table = table(&[1], now);
+    let fresh = EngineNews { address: address(1), models: vec![], loading: false, age_millis: 0 };
+    let at = now + Duration::from_millis(10);
+    table.note_engine(&fresh, at);
+    assert_eq!(choose(&table, &[], at), Choice::NoTarget, "the engine restarted and is empty");
+    let mut old = news(record(1, 2, TargetState::Ready));
+    old.age_millis = 5_000;
+    table.note_target(0, &old, at);
+    assert_eq!(choose(&table, &[], at), Choice::NoTarget);
+}
+
+#[actix_rt::test]
+async fn full_targets_get_nothing_and_others_do() {
+    let now = Instant::now();
+    let mut table = table(&[1, 2], now);
+    table.note_load(&id(1), 4, now);
+    assert_eq!(choose(&table, &[], now), Choice::Target(id(2)), "a new target is tried");
+    table.note_load(&id(2), 0, now);
+    for _ in 0..4 {
+        assert_eq!(choose(&table, &[], now), Choice::Target(id(2)));
+        table.begin(&id(2));
+    }
+    assert_eq!(choose(&table, &[], now), Choice::Full);
+    // What others do there fades, so that nobody is avoided for ever on an old word.
+    let later = now + Duration::from_secs(3);
+    assert_eq!(choose(&table, &[], later), Choice::Target(id(1)));
+}
+
+#[actix_rt::test]
+async fn a_target_that_fails_half_its_requests_rests_and_one_in_fifty_does_not() {
+    let now = Instant::now();
+    let mut table = table(&[1, 2], now);
+    for at in 0..100 {
+        table.begin(&id(1));
+        let outcome = if at % 50 == 49 { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
+        assert!(!table.end(&id(1), outcome, now), "one in fifty must stay in service");
+    }
+    let mut rested = false;
+    for at in 0..12 {
+        table.begin(&id(2));
+        let outcome = if at % 2 == 0 { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
+        rested |= table.end(&id(2), outcome, now);
+    }
+    assert!(rested);
+    assert_eq!(choose(&table, &[], now), Choice::Target(id(1)));
+    assert_eq!(choose(&table, &[id(1)], now), Choice::Full);
+    let later = now + Duration::from_secs(7);
+    assert_eq!(choose(&table, &[id(1)], later), Choice::Target(id(2)), "it is tried again");
+}
+
+/// What users would see: callers are sent to an entry that has stopped. One control member has not
+/// heard of its stopping yet and still lists it as ready; the member that has must win.
+#[actix_rt::test]
+async fn a_stopping_entry_is_not_listed_whoever_lists_it() {
+    let entry = |name: &str, run, ready, zone_name: &str| EntryRecord {
+        name: name.to_owned(),
+        run,
+        zone: zone(zone_name),
+        address: address(run as u8),
+        ready,
+    };
+    let behind = vec![entry("e1", 1, true, "z1"), entry("e2", 2, true, "z1"), entry("e3", 3, true, "z2")];
+    let ahead = vec![entry("e1", 1, false, "z1"), entry("e2", 2, true, "z1")];
+    let now = Instant::now();
+    for rosters in [[&behind, &ahead], [&ahead, &behind]] {
+        let merged = EntryRoster::merged(rosters.into_iter(), now);
+        // One entry alone in the zone is not enough, so the other zone's are listed with it.
+        let mut listed = merged.addresses(Some("z1"), 64);
+        listed.sort();
+        assert_eq!(listed, [address(2), address(3)]);
+        assert_eq!(merged.ready_count(), 2);
+    }
+}
+
+#[test]
+fn turns_are_spread_over_the_time_before_the_bound() {
+    let timing = SwitchTiming {
+        bound: Duration::from_secs(8),
+        reserve: Duration::from_secs(2),
+        earliest: Duration::from_secs(3),
+    };
+    let schedule = SwitchSchedule::new(timing);
+    let turns: Vec<Duration> = (0..6).map(|rank| schedule.turn(rank, 6)).collect();
+    assert_eq!(turns[0], Duration::from_secs(3));
+    assert!(turns.windows(2).all(|pair| pair[0] < pair[1]));
+    assert!(turns[5] < Duration::from_secs(6));
+    let tight = SwitchTiming { bound: Duration::from_secs(1), ..timing };
+    assert_eq!(SwitchSchedule::new(tight).turn(5, 6), Duration::ZERO, "too late to wait");
+}
--- /dev/null
+++ b/tests/all/waiting.rs
@@ -0,0 +1,113 @@
+//! Waiting for a place, being turned away, and the shared retry budget, under replayed load.
+
+use egretseam_serving::{RetryBudget, RetryPolicy, WaitPolicy, WaitQueue};
+use proptest::prelude::*;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
+#[actix_rt::test]
+async fn urgent_requests_go_first_and_equals_in_order() {
+    let now = Instant::now();
+    let mut queue = WaitQueue::new(WaitPolicy::default());
+    let give_up_at = now + Duration::from_secs(1);
+    for (priority, name) in [(2, "c"), (1, "a"), (2, "d"), (1, "b")] {
+        queue.push(priority, give_up_at, name, now).expect("room");
+    }
+    let order: Vec<&str> = queue.iter().map(|(_, name)| *name).collect();
+    assert_eq!(order, ["a", "b", "c", "d"]);
+}
+
+/// What users would see: callers wait for seconds, and then are told that there is no room. A
+/// service gives one place every 10 ms, and a hundred requests arrive at once. Those whose wait
+/// would exceed their limit must be turned away on arrival, the others served in time.
+#[actix_rt::test]
+async fn hopeless_requests_are_turned_away_on_arrival() {
+    let start = Instant::now();
+    let mut queue = WaitQueue::new(WaitPolicy::default());
+    let step = Duration::from_millis(10);
+    let mut now = start;
+    for _ in 0..100 {
+        queue.note_placed(now);
+        now += step;
+    }
+    let limit = queue.wait_limit(OBJECTIVE);
+    let mut taken = Vec::new();
+    for number in 0..100 {
+        taken.extend(queue.push(1, now + limit, number, now).ok());
+    }
+    let expected = (limit.as_millis() / step.as_millis()) as usize;
+    let share = taken.len() as f64 / expected as f64;
+    assert!((0.7..=1.3).contains(&share), "{} taken, {expected} could be served", taken.len());
+    let mut late = 0;
+    for ticket in taken {
+        late += usize::from(!queue.expired(now).is_empty());
+        queue.remove(ticket);
+        queue.note_placed(now);
+        now += step;
+    }
+    assert!(late <= 5, "{late} waited in vain");
+}
+
+#[actix_rt::test]
+async fn urgent_requests_are_taken_where_others_are_turned_away() {
+    let mut now = Instant::now();
+    let mut queue = WaitQueue::new(WaitPolicy::default());
+    for _ in 0..20 {
+        queue.note_placed(now);
+        now += Duration::from_millis(50);
+    }
+    let give_up_at = now + Duration::from_millis(240);
+    while queue.push(1, give_up_at, "usual", now).is_ok() {}
+    assert!(queue.push(0, give_up_at, "urgent", now).is_ok());
+    assert_eq!(queue.iter().next().map(|(_, name)| *name), Some("urgent"));
+}
+
+#[test]
+fn refused_callers_return_spread_out() {
+    let queue: WaitQueue<()> = WaitQueue::new(WaitPolicy::default());
+    let times: Vec<Duration> = (0..=10).map(|at| queue.return_after(f64::from(at) / 10.0)).collect();
+    assert!(times.windows(2).all(|pair| pair[0] < pair[1]));
+    assert_eq!(times[0], WaitPolicy::default().shortest_return);
+    assert_eq!(times[10], WaitPolicy::default().longest_return);
+}
+
+proptest! {
+    /// Whatever the load and however many entries share the budget: in any window their repeats
+    /// together stay within what the service may get.
+    #[test]
+    fn repeats_of_all_entries_stay_within_the_budget(
+        loads in proptest::collection::vec(0_u32..60, 1..9),
+        seconds in 5_u64..30,
+    ) {
+        let policy = RetryPolicy::default();
+        let entries = loads.len();
+        let start = Instant::now();
+        let mut budgets = vec![RetryBudget::new(policy); entries];
+        let mut events: Vec<(u64, bool)> = Vec::new();
+        for tick in 0..seconds * 10 {
+            let now = start + Duration::from_millis(tick * 100);
+            for (budget, load) in budgets.iter_mut().zip(&loads) {
+                for _ in 0..load / 10 {
+                    budget.note_request(now);
+                    events.push((tick, false));
+                    // Every request fails and wants to be repeated.
+                    if budget.spend(entries, now) {
+                        events.push((tick, true));
+                    }
+                }
+            }
+        }
+        let window = policy.window.as_millis() as u64 / 100;
+        for from in 0..seconds * 10 {
+            let within = events.iter().filter(|(tick, _)| (from..from + window).contains(tick));
+            let (mut requests, mut repeats) = (0.0, 0.0);
+            for (_, is_repeat) in within {
+                if *is_repeat { repeats += 1.0 } else { requests += 1.0 }
+            }
+            let allowed = requests * policy.ratio + f64::from(policy.minimum);
+            prop_assert!(repeats <= allowed, "{repeats} repeats, {allowed} allowed");
+        }
+    }
+}
