Fleet on loopback with scripted targets; ejections spare the last half; a quiet service's rate predicts nothing

A service of which all targets failed some requests was ejected whole, and one refusal by a target at a low rate made the queue predict a wait of a second and turn everything away.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -109,6 +109,16 @@
         Ok(Self { entry, control, _agent: agent, seeds, settings })
     }
 
+    /// Version of the configuration that the entry serves by; 0 for none.
+    pub fn config_version(&self) -> u64 {
+        self.entry.as_ref().map_or(0, GatewayRuntime::config_version)
+    }
+
+    /// Whether the entry sends requests to the target of that identity.
+    pub fn knows_target(&self, id: &str) -> bool {
+        self.entry.as_ref().is_some_and(|entry| entry.knows_target(id))
+    }
+
     /// Takes changed settings in. Seeds change in a running process; a change of anything else is
     /// logged and holds from the next start.
     pub fn reload(&mut self, settings: FleetSettings) {
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -9,6 +9,7 @@
     shared::{GatewayShared, StopPhase},
 };
 use egretseam_http::DaemonMetrics;
+use egretseam_serving::TargetId;
 use std::{
     io,
     net::TcpListener,
@@ -69,6 +70,11 @@
         self.shared.config_version()
     }
 
+    /// Whether a target of that identity takes requests, as far as this entry knows.
+    pub fn knows_target(&self, id: &str) -> bool {
+        self.shared.places.borrow().targets.is_ready(&TargetId(id.to_owned()))
+    }
+
     /// Stops without cutting a request off: first out of the directory, serving on while callers
     /// still hold the address; then refusing what comes late; then done, when the last answer has
     /// ended or the time is over.
--- a/crates/serving/src/health.rs
+++ b/crates/serving/src/health.rs
@@ -42,7 +42,10 @@
     failures: u32,
     unreachable: u32,
     ejections: u32,
-    blocked_until: Option<Instant>,
+    /// End of a short pause after the target was full or could not be reached.
+    resting_until: Option<Instant>,
+    /// End of an ejection for failures.
+    ejected_until: Option<Instant>,
     /// After an ejection one request at a time tries the target.
     on_trial: bool,
 }
@@ -52,11 +55,12 @@
     pub fn note(&mut self, outcome: AttemptOutcome, now: Instant) -> bool {
         match outcome {
             AttemptOutcome::Answered => self.note_answered(),
-            AttemptOutcome::Full => self.block(now, FULL_PAUSE),
+            AttemptOutcome::Full => extend(&mut self.resting_until, now + FULL_PAUSE),
             AttemptOutcome::Unreachable => {
                 let doublings = self.unreachable.min(3);
                 self.unreachable += 1;
-                self.block(now, UNREACHABLE_PAUSE * 2_u32.pow(doublings));
+                let pause = UNREACHABLE_PAUSE * 2_u32.pow(doublings);
+                extend(&mut self.resting_until, now + pause);
                 return true;
             }
             AttemptOutcome::Failed => return self.note_failed(now),
@@ -85,19 +89,22 @@
         let doublings = self.ejections.min(2);
         self.ejections += 1;
         self.on_trial = true;
-        self.block(now, (FIRST_EJECTION * 2_u32.pow(doublings)).min(LONGEST_EJECTION));
+        let pause = (FIRST_EJECTION * 2_u32.pow(doublings)).min(LONGEST_EJECTION);
+        extend(&mut self.ejected_until, now + pause);
         true
     }
 
-    fn block(&mut self, now: Instant, pause: Duration) {
-        let until = now + pause;
-        self.blocked_until = Some(self.blocked_until.map_or(until, |held| held.max(until)));
+    /// Whether the target may get a request now, with `in_flight` of this entry's running there.
+    /// `spared` passes over ejections, for when too many targets are ejected to do without.
+    pub fn admits(&self, in_flight: u32, spared: bool, now: Instant) -> bool {
+        let resting = self.resting_until.is_some_and(|until| now < until);
+        let on_trial = self.on_trial && in_flight > 0;
+        !resting && (spared || !(on_trial || self.is_ejected(now)))
     }
 
-    /// Whether the target may get a request now, with `in_flight` of this entry's running there.
-    pub fn admits(&self, in_flight: u32, now: Instant) -> bool {
-        let blocked = self.blocked_until.is_some_and(|until| now < until);
-        !blocked && (!self.on_trial || in_flight == 0)
+    /// Whether the target is ejected for its failures.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
     }
 
     /// Part of recent attempts that failed, 0 to 1.
@@ -105,3 +112,8 @@
         self.failure_rate
     }
 }
+
+/// Sets `until` to `end` unless it is later already.
+fn extend(until: &mut Option<Instant>, end: Instant) {
+    *until = Some(until.map_or(end, |held| held.max(end)));
+}
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -83,10 +83,15 @@
             return Choice::NoTarget;
         }
         let mean = mean_of_others(&able, now);
+        // Failure guarded: when most targets fail, for example for want of something behind them,
+        // ejecting them all would turn a service that answers some requests into one that answers
+        // none. Beyond half of the targets ejections do not count.
+        let ejected = able.iter().filter(|(_, row)| row.health.is_ejected(now)).count();
+        let spared = ejected * 2 > able.len();
         let untried = able.iter().filter(|(id, _)| !need.tried.contains(*id));
         let mut best: Option<(f64, &TargetId)> = None;
         for (id, row) in untried {
-            if !row.health.admits(row.own_in_flight, now) {
+            if !row.health.admits(row.own_in_flight, spared, now) {
                 continue;
             }
             let Some(cost) = self.cost(row, mean, now) else { continue };
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -11,6 +11,9 @@
 /// Width of the windows in which the rate of places is counted.
 const RATE_WINDOW: Duration = Duration::from_millis(500);
 
+/// Fewest places in the counted time that make a rate.
+const FEWEST_PLACED: u32 = 6;
+
 /// Limits of waiting.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitPolicy {
@@ -114,10 +117,12 @@
         let start = self.window_start.unwrap_or(now);
         let span = RATE_WINDOW + now.saturating_duration_since(start);
         let placed = self.placed_before + self.placed_in_window;
-        if placed == 0 {
+        let ahead = self.waiters.keys().filter(|ticket| ticket.priority <= priority).count();
+        // Places are counted as they are asked for, so a quiet service seems slow. Only a service
+        // that was busy, and for which somebody waits already, says how fast places come free.
+        if placed < FEWEST_PLACED || ahead == 0 {
             return None;
         }
-        let ahead = self.waiters.keys().filter(|ticket| ticket.priority <= priority).count();
         Some(span.mul_f64((ahead + 1) as f64 / f64::from(placed)))
     }
 
--- /dev/null
+++ b/tests/all/fleet.rs
@@ -0,0 +1,7 @@
+//! A fleet without gates on loopback: one control member, one entry and scripted targets, spoken to
+//! over real sockets as callers, targets and operators do.
+
+mod answers;
+mod bed;
+mod changes;
+mod placing;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod caller_codec;
 mod catalog_model;
+mod fleet;
 mod group_faults;
 mod group_model;
 mod group_repair;
--- a/tests/all/serving_config.rs
+++ b/tests/all/serving_config.rs
@@ -82,7 +82,10 @@
     }
     let whole = config(2, json!([route("one", "a.example", "/x/")])).to_string();
     for length in [0, 1, whole.len() / 2, whole.len() - 1] {
-        assert!(PlatformControl.read_config(&whole.as_bytes()[..length]).is_err(), "cut at {length}");
+        assert!(
+            PlatformControl.read_config(&whole.as_bytes()[..length]).is_err(),
+            "cut at {length}"
+        );
     }
 }
 
@@ -98,11 +101,8 @@
 fn the_longest_prefix_wins_and_keys_are_checked() {
     let mut open = route("open", "a.example", "/open/");
     open["public"] = json!(true);
-    let routes = json!([
-        route("short", "a.example", "/x/"),
-        route("long", "a.example", "/x/y/"),
-        open,
-    ]);
+    let routes =
+        json!([route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), open,]);
     let table = RouteTable::new(check(&config(1, routes)).expect("proper"));
     let name = |host: &str, path: &str| table.route(host, path).map(|route| route.name.clone());
     assert_eq!(name("a.example", "/x/y/z").as_deref(), Some("long"));
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -222,7 +222,8 @@
         address: address(run as u8),
         ready,
     };
-    let behind = vec![entry("e1", 1, true, "z1"), entry("e2", 2, true, "z1"), entry("e3", 3, true, "z2")];
+    let behind =
+        vec![entry("e1", 1, true, "z1"), entry("e2", 2, true, "z1"), entry("e3", 3, true, "z2")];
     let ahead = vec![entry("e1", 1, false, "z1"), entry("e2", 2, true, "z1")];
     let now = Instant::now();
     for rosters in [[&behind, &ahead], [&ahead, &behind]] {
--- a/tests/all/waiting.rs
+++ b/tests/all/waiting.rs
@@ -67,7 +67,8 @@
 #[test]
 fn refused_callers_return_spread_out() {
     let queue: WaitQueue<()> = WaitQueue::new(WaitPolicy::default());
-    let times: Vec<Duration> = (0..=10).map(|at| queue.return_after(f64::from(at) / 10.0)).collect();
+    let times: Vec<Duration> =
+        (0..=10).map(|at| queue.return_after(f64::from(at) / 10.0)).collect();
     assert!(times.windows(2).all(|pair| pair[0] < pair[1]));
     assert_eq!(times[0], WaitPolicy::default().shortest_return);
     assert_eq!(times[10], WaitPolicy::default().longest_return);
