Engines cut what may go on elsewhere to take weights; entries are told first; newest versions preferred

Streams that may be resumed go on at another target within a few hundred ms, so cutting them costs less.

Services with routes that may not be resumed still wait in turn.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -43,7 +43,7 @@
 /// Part of an instance's link that chunks for other agents may take. Failure guarded: chunks queue
 /// up before the events of live answers on the same narrow link; it showed as pauses of up to
 /// 1.4 s in streams while weights spread.
-const UPLOAD_SHARE: f64 = 0.7;
+const UPLOAD_SHARE: f64 = 0.85;
 /// Chunks fetched from peers at a time: as many bytes may queue before a request on the link.
 const PEER_FETCHES: usize = 3;
 
--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -6,7 +6,7 @@
     AgentCall, AgentReply, FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, SwarmPeer,
     WeightsPlan,
 };
-use egretseam_serving::NamedVersion;
+use egretseam_serving::{NamedVersion, ServingConfig};
 use indexmap::IndexMap;
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -166,10 +166,19 @@
         version,
         origin: origin.address,
         origin_zone: origin.zone.clone(),
+        may_cut: may_cut(config, service),
         peers: peers(shared, service),
     })
 }
 
+/// Whether all routes to a service allow its requests to go on at another target.
+fn may_cut(config: &ServingConfig, service: &ServiceName) -> bool {
+    let mut leading = config.routes.iter().filter(|route| {
+        route.destinations.iter().any(|destination| destination.service == *service)
+    });
+    leading.all(|route| route.kind.may_repeat() && route.max_attempts > 1)
+}
+
 /// All live targets of a service, in an order that every member gives alike.
 fn peers(shared: &RegistrarShared, service: &ServiceName) -> Vec<SwarmPeer> {
     let registry = shared.registry.borrow();
@@ -189,6 +198,7 @@
     plan.model.hash(&mut hasher);
     plan.version.as_ref().map(|version| version.version).hash(&mut hasher);
     plan.origin.hash(&mut hasher);
+    plan.may_cut.hash(&mut hasher);
     for peer in &plan.peers {
         peer.target.hash(&mut hasher);
         peer.zone.hash(&mut hasher);
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -105,6 +105,9 @@
     pub origin: SocketAddr,
     /// Availability zone of the origin.
     pub origin_zone: ZoneName,
+    /// Whether every request that may run there can go on elsewhere, so that engines may cut their
+    /// requests off to take new weights.
+    pub may_cut: bool,
     /// All live targets of the service.
     pub peers: Vec<SwarmPeer>,
 }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -21,6 +21,9 @@
 /// Part of the mean load that a target without a sample is assumed to have.
 const UNKNOWN_SHARE: f64 = 0.5;
 
+/// How much more a request that was tried before is charged for a target that will soon switch.
+const RESUMED_CHARGE: f64 = 6.0;
+
 /// Weights of a choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementPolicy {
@@ -32,6 +35,9 @@
     pub spread: f64,
     /// Time in which a sample of the others' load fades to the mean.
     pub fade: Duration,
+    /// Load that a target is charged while others hold a newer version: it will soon switch, and
+    /// what runs there is then cut off or waited for.
+    pub old_version_charge: f64,
     /// Load that a target which started a moment ago is charged.
     pub cold_charge: f64,
 }
@@ -43,6 +49,7 @@
             zone_charge: 0.06,
             spread: 0.12,
             fade: Duration::from_millis(1_500),
+            old_version_charge: 0.1,
             cold_charge: 0.3,
         }
     }
@@ -83,6 +90,7 @@
             return Choice::NoTarget;
         }
         let mean = mean_of_others(&able, now);
+        let newest = need.model.and_then(|model| newest_version(&able, model));
         // Failure guarded: when most targets fail, for example for want of something behind them,
         // ejecting them all would turn a service that answers some requests into one that answers
         // none. Beyond half of the targets ejections do not count.
@@ -94,7 +102,12 @@
             if !row.health.admits(row.own_in_flight, spared, now) {
                 continue;
             }
-            let Some(cost) = self.cost(row, mean, now) else { continue };
+            let Some(mut cost) = self.cost(row, mean, now) else { continue };
+            if need.model.and_then(|model| row.held_version(model)) != newest {
+                // What was cut off once must not be cut off again.
+                let times = if need.tried.is_empty() { 1.0 } else { RESUMED_CHARGE };
+                cost += self.policy.old_version_charge * times;
+            }
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, id));
             }
@@ -159,6 +172,11 @@
     }
 }
 
+/// The newest version of a model that any of the targets holds.
+fn newest_version(able: &[(&TargetId, &TargetRow)], model: &ModelName) -> Option<u64> {
+    able.iter().filter_map(|(_, row)| row.held_version(model)).max()
+}
+
 /// The others' requests at a mean target, from samples less than a second old.
 fn mean_of_others(able: &[(&TargetId, &TargetRow)], now: Instant) -> f64 {
     const FRESH: Duration = Duration::from_secs(1);
--- a/crates/stager/src/dialect.rs
+++ b/crates/stager/src/dialect.rs
@@ -49,8 +49,9 @@
     /// # Errors
     /// Says what cannot be read.
     fn read_report(&self, body: &[u8]) -> Result<EngineReport, String>;
-    /// Orders an engine to take what is staged.
-    fn order(&self, model: &ModelName, version: u64) -> EngineCall;
+    /// Orders an engine to take what is staged, either after its running requests have ended or
+    /// at once, which cuts them off.
+    fn order(&self, model: &ModelName, version: u64, cut: bool) -> EngineCall;
     /// Reads how it took the order, by the status.
     fn read_order(&self, status: u16) -> OrderOutcome;
     /// Stages a chunk.
--- a/crates/stager/src/follow.rs
+++ b/crates/stager/src/follow.rs
@@ -53,6 +53,7 @@
             reply = current.agent(call) => Some(reply),
             // News of the engine are told at once.
             _ = report.changed() => None,
+            () = held.tell.notified() => None,
         };
         match reply {
             None => {}
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -17,7 +17,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::{Mutex, watch},
+    sync::{Mutex, Notify, watch},
     time::Instant,
 };
 
@@ -85,6 +85,10 @@
     /// What the engine last said, and when.
     pub(crate) report: watch::Sender<Option<EngineReport>>,
     pub(crate) report_at: Cell<Instant>,
+    /// Whether an order is about to be given or being carried out.
+    pub(crate) ordering: Cell<bool>,
+    /// Wakes the task that tells control of the engine.
+    pub(crate) tell: Notify,
     /// Whether the engine is looked at often.
     pub(crate) hurry: Cell<bool>,
     pub(crate) chunks: RefCell<ChunkStore>,
@@ -108,6 +112,8 @@
             plan: watch::Sender::new(None),
             report: watch::Sender::new(None),
             report_at: Cell::new(Instant::now()),
+            ordering: Cell::new(false),
+            tell: Notify::new(),
             hurry: Cell::new(false),
             chunks: RefCell::default(),
             distrusts_peers: Cell::new(false),
@@ -135,7 +141,7 @@
         Some(EngineNews {
             address: self.options.target,
             models: report.models.clone(),
-            loading: report.busy,
+            loading: report.busy || self.ordering.get(),
             age_millis: self.report_at.get().elapsed().as_millis() as u64,
         })
     }
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -8,6 +8,8 @@
 
 /// Pause before an order that was refused or lost is thought over again.
 const ORDER_PAUSE: Duration = Duration::from_millis(150);
+/// Time by which entries are told of an order before the engine is: two hops between regions.
+const TELL_AHEAD: Duration = Duration::from_millis(30);
 /// How long an engine may take after an accepted order: its running answers end within their
 /// deadlines, and loading takes parts of a second.
 const LOAD_LIMIT: Duration = Duration::from_secs(12);
@@ -22,11 +24,22 @@
 }
 
 /// Orders the engine to take the staged version, and waits until it has. Returns whether it has.
-pub(crate) async fn take(shared: &StagerShared, key: &WeightsKey) -> bool {
+pub(crate) async fn take(shared: &StagerShared, key: &WeightsKey, cut: bool) -> bool {
     if !stage(shared, key).await {
         return false;
     }
-    let call = shared.dialect.order(&key.model, key.version);
+    // Entries are told before the engine is, so that no request meets an engine that refuses it.
+    shared.ordering.set(true);
+    shared.tell.notify_one();
+    tokio::time::sleep(TELL_AHEAD).await;
+    let taken = order(shared, key, cut).await;
+    shared.ordering.set(false);
+    shared.tell.notify_one();
+    taken
+}
+
+async fn order(shared: &StagerShared, key: &WeightsKey, cut: bool) -> bool {
+    let call = shared.dialect.order(&key.model, key.version, cut);
     shared.metrics.orders.inc();
     let outcome = match shared.call_engine(&call).await {
         Ok(reply) => shared.dialect.read_order(reply.status),
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -82,7 +82,7 @@
         return;
     }
     await_turn(shared, wanted, key).await;
-    switch::take(shared, key).await;
+    switch::take(shared, key, wanted.plan.may_cut).await;
 }
 
 /// Learns the digests of a version, and what of it the engine has staged already.
