Few instances draw a version from the origin, in its zone first

Cause: 68 agents drew their chunks at once over the origin's 4.4 Mbit/s; all chunks arrived together after seconds, many after their timeout, and were drawn again.

Change: of the swarm only four draw, in one order that all compute alike; who hangs is passed over as before.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -44,6 +44,9 @@
 /// up before the events of live answers on the same narrow link; it showed as pauses of up to
 /// 1.4 s in streams while weights spread.
 const UPLOAD_SHARE: f64 = 0.85;
+/// Agents that draw a version from the origin: enough to keep its link busy while one of them
+/// hangs.
+const DRAWERS: usize = 4;
 /// Chunks fetched from peers at a time: as many bytes may queue before a request on the link.
 const PEER_FETCHES: usize = 3;
 
@@ -251,6 +254,7 @@
             planner: PlannerPolicy {
                 peer_fetches: PEER_FETCHES,
                 fetches_per_peer: 1,
+                drawers: DRAWERS,
                 ..PlannerPolicy::default()
             },
             upload_bytes_per_second: (self.settings.link_mbps * UPLOAD_SHARE * 125_000.0) as u64,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -96,6 +96,7 @@
         target: &place.target,
         organisation: request.organisation(),
         time_left: request.deadline.saturating_duration_since(Instant::now()),
+        urgent: request.answering,
         last_event: request.last_event.as_deref(),
         body: &request.body,
     };
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -28,6 +28,9 @@
     pub organisation: Option<&'a OrganisationName>,
     /// What is left of the caller's time.
     pub time_left: Duration,
+    /// Whether a caller waits in the middle of its answer, so that engines should take the request
+    /// before others.
+    pub urgent: bool,
     /// Last event that the caller has, where a stream goes on; `None` leaves the caller's own word.
     pub last_event: Option<&'a str>,
     /// Body of the request.
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -63,7 +63,8 @@
             zone: shared.options.zone.clone(),
         };
         let policy = shared.options.planner;
-        let planner = SwarmPlanner::new(own, policy, weights.held().clone(), Duration::ZERO);
+        let mut planner = SwarmPlanner::new(own, policy, weights.held().clone(), Duration::ZERO);
+        planner.set_origin_zone(plan.origin_zone.clone());
         Rc::new(Self {
             shared: shared.clone(),
             key: weights.key.clone(),
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -44,6 +44,10 @@
     /// Most chunks drawn from the origin or store at a time, while the swarm is small; one in a
     /// larger swarm, whose members together keep the origin's link busy anyway.
     pub origin_fetches: usize,
+    /// Most instances of the swarm that draw from the origin at a time. Few of them get their first
+    /// chunks soon, and the swarm begins to exchange; many share the origin's link so thinly that
+    /// all their chunks arrive together at the end.
+    pub drawers: usize,
     /// Most neighbours.
     pub neighbours: usize,
     /// Time without a new chunk after which the instances that should have drawn the missing ones
@@ -63,6 +67,7 @@
             peer_fetches: 6,
             fetches_per_peer: 2,
             origin_fetches: 2,
+            drawers: usize::MAX,
             neighbours: 16,
             stall_limit: Duration::from_secs(2),
             zone_patience: Duration::from_millis(250),
@@ -146,6 +151,8 @@
     policy: PlannerPolicy,
     chunks: Vec<ChunkRow>,
     have: ChunkSet,
+    /// Availability zone of the origin, if it matters.
+    origin_zone: Option<ZoneName>,
     /// The whole announced swarm, without this instance.
     swarm: Vec<PlannerPeer>,
     neighbours: IndexMap<InstanceName, PeerRow>,
@@ -170,6 +177,7 @@
             policy,
             chunks,
             have,
+            origin_zone: None,
             swarm: Vec::new(),
             neighbours: IndexMap::new(),
             stalled: IndexMap::new(),
@@ -201,6 +209,12 @@
         self.neighbours.keys()
     }
 
+    /// Prefers instances in the origin's availability zone for drawing from it, so that what they
+    /// draw crosses zones only on its way to the others.
+    pub fn set_origin_zone(&mut self, zone: ZoneName) {
+        self.origin_zone = Some(zone);
+    }
+
     /// Takes in the announced swarm; chooses neighbours from it. The number of neighbours is
     /// bounded, so that an instance's work does not grow with the swarm. Two thirds come from the
     /// own availability zone; the others keep zones connected. Which ones is decided by the same
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -7,6 +7,8 @@
 use egretseam_proto::InstanceName;
 use std::time::Duration;
 
+/// Stands for no chunk; orders the instances that may draw from the origin.
+const DRAWER_SALT: ChunkIndex = u32::MAX - 1;
 /// Ranks beyond this all count as last.
 const MAX_RANK: u32 = 8;
 /// Pause of a holder that is waited out rather than drawing its chunk from the origin.
@@ -56,11 +58,12 @@
             return None;
         }
         let allowed = self.allowed_rank();
+        let drawers = self.other_drawers()?;
         let wanted = |chunk: &ChunkIndex| {
             let row = &self.chunks[*chunk as usize];
             let frugal = self.policy.origin_copies == 1;
             let elsewhere = frugal && self.is_held(*chunk, now);
-            !row.present && row.active.is_empty() && !elsewhere && self.rank(*chunk) < allowed
+            !row.present && row.active.is_empty() && !elsewhere && self.rank(*chunk, &drawers) < allowed
         };
         let chunk = (0..self.have.len())
             .filter(wanted)
@@ -108,16 +111,24 @@
         };
         let missing: Vec<ChunkIndex> = (0..self.have.len()).filter(missing).collect();
         for chunk in missing {
-            let ahead = self.swarm.iter().filter(|peer| !self.is_passed_over(&peer.name));
-            let first = ahead.max_by_key(|peer| score(&peer.name, chunk));
-            let Some(first) = first else { return };
-            if score(&first.name, chunk) > score(&self.own.name, chunk) {
+            let (ahead, is_drawer) = self.drawers_ahead();
+            let first = ahead.into_iter().max_by_key(|peer| score(&peer.name, chunk));
+            let Some(first) = first.cloned() else { return };
+            if !is_drawer || score(&first.name, chunk) > score(&self.own.name, chunk) {
                 tracing::info!(own = %self.own.name, over = %first.name, chunk, "passing over");
                 self.stalled.insert(first.name.clone(), now + STALLED_FOR);
             }
         }
     }
 
+    /// The other drawers, and whether this instance is one too.
+    fn drawers_ahead(&self) -> (Vec<&PlannerPeer>, bool) {
+        match self.other_drawers() {
+            Some(others) => (others, true),
+            None => (self.first_drawers(), false),
+        }
+    }
+
     /// How long this instance starves before it passes others over. Before anybody near has a
     /// single chunk, starving says little: in a large swarm each member's part of the origin's link
     /// is thin, and those with nothing to draw wait for the first chunks of the others.
@@ -135,18 +146,37 @@
     }
 
     /// This instance's place among the announced swarm for `chunk`, by rendezvous hashing.
-    fn rank(&self, chunk: ChunkIndex) -> u32 {
+    fn rank(&self, chunk: ChunkIndex, drawers: &[&PlannerPeer]) -> u32 {
         let own = score(&self.own.name, chunk);
-        let mut rank = 0;
-        for peer in &self.swarm {
-            if score(&peer.name, chunk) > own && !self.is_passed_over(&peer.name) {
-                rank += 1;
-                if rank >= MAX_RANK {
-                    break;
-                }
-            }
+        let ahead = |peer: &&&PlannerPeer| score(&peer.name, chunk) > own;
+        drawers.iter().filter(ahead).take(MAX_RANK as usize).count() as u32
+    }
+
+    /// The other instances that may draw from the origin, or `None` if this one may not. Every
+    /// instance comes to the same list, as far as they agree on who is passed over.
+    fn other_drawers(&self) -> Option<Vec<&PlannerPeer>> {
+        let mut others = self.first_drawers();
+        if others.len() < self.policy.drawers {
+            return Some(others);
+        }
+        let last = others.pop()?;
+        (self.drawer_key(&self.own) < self.drawer_key(last)).then_some(others)
+    }
+
+    /// The first of the other instances in the order in which they may draw.
+    fn first_drawers(&self) -> Vec<&PlannerPeer> {
+        let mut others: Vec<&PlannerPeer> =
+            self.swarm.iter().filter(|peer| !self.is_passed_over(&peer.name)).collect();
+        if others.len() > self.policy.drawers {
+            others.sort_by_key(|peer| self.drawer_key(peer));
+            others.truncate(self.policy.drawers);
         }
-        rank
+        others
+    }
+
+    fn drawer_key(&self, peer: &PlannerPeer) -> (bool, u64) {
+        let is_far = self.origin_zone.as_ref().is_some_and(|zone| *zone != peer.zone);
+        (is_far, score(&peer.name, DRAWER_SALT))
     }
 
     fn next_peer(&self, now: Duration) -> Option<FetchOrder> {
