Load of targets through control in datagrams; targets drawn by their free places

Change: agents look at their engines every 100 ms and tell control in datagrams, control tells all entries what changed every 50 ms; own requests since the sample are added exactly.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -18,6 +18,7 @@
 const LOG_PORT: u16 = 0;
 const FEED_PORT: u16 = 1;
 const CHUNK_PORT: u16 = 2;
+const LOAD_PORT: u16 = 3;
 const METRICS_PORT: u16 = 10;
 
 /// The platform's network is private and gives processes no secret, so the preface only keeps
@@ -46,7 +47,7 @@
 const UPLOAD_SHARE: f64 = 0.85;
 /// Agents that draw a version from the origin: enough to keep its link busy while one of them
 /// hangs.
-const DRAWERS: usize = 4;
+const DRAWERS: usize = 6;
 /// Chunks fetched from peers at a time: as many bytes may queue before a request on the link.
 const PEER_FETCHES: usize = 3;
 
@@ -166,6 +167,11 @@
         bind_listener(address).with_context(|| format!("listen on {address}"))
     }
 
+    fn bind_datagrams(&self, offset: u16) -> anyhow::Result<std::net::UdpSocket> {
+        let address = self.peer_address(offset);
+        std::net::UdpSocket::bind(address).with_context(|| format!("datagrams at {address}"))
+    }
+
     fn entry(
         &self,
         entry: &FleetEntry,
@@ -175,6 +181,7 @@
             callers: self.bind(entry.caller_address)?,
             health: self.bind(entry.health_address)?,
             directory: self.bind(entry.directory_address)?,
+            loads: self.bind_datagrams(LOAD_PORT)?,
         };
         let settings = self.settings;
         let options = GatewayOptions {
@@ -211,6 +218,7 @@
             calls: self.bind(control.call_address)?,
             peers: self.bind(log_address)?,
             feeds: self.bind(feed_address)?,
+            loads: self.bind_datagrams(FEED_PORT)?,
         };
         let secret = PeerSecret::derive(PEER_TOKEN);
         let name = settings.instance.to_string();
@@ -231,6 +239,7 @@
             feed_address: feed_address.to_string(),
             feed_seeds: self.seeds.feeds.clone(),
             feed_port: feed_address.port(),
+            load_port: self.settings.first_peer_port + LOAD_PORT,
             announce_interval: settings.announce_interval,
         };
         let runtime = RegistrarRuntime::start(options, dialect, listeners, self.metrics);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod events;
 mod follow;
 mod forward;
+mod loads;
 mod options;
 mod place;
 mod pool;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -5,7 +5,7 @@
 use egretseam_serving::{PlacementPolicy, RetryPolicy, WaitPolicy};
 use std::{
     cell::RefCell,
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, UdpSocket},
     rc::Rc,
     time::Duration,
 };
@@ -19,6 +19,8 @@
     pub health: TcpListener,
     /// For callers' questions for addresses.
     pub directory: TcpListener,
+    /// For control's datagrams.
+    pub loads: UdpSocket,
 }
 
 /// Settings of an entry.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -183,7 +183,7 @@
     target: TargetId,
 ) -> Option<PlaceGuard> {
     let address = places.targets.address(&target)?;
-    places.targets.begin(&target);
+    places.targets.begin(&target, Instant::now());
     let (shared, service) = (shared.clone(), service.clone());
     Some(PlaceGuard { shared, service, target, address, ended: false })
 }
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -3,7 +3,7 @@
 use crate::{
     caller,
     dialect::CallerDialect,
-    directory, follow,
+    directory, follow, loads,
     options::{GatewayListeners, GatewayOptions},
     place,
     shared::{GatewayShared, StopPhase},
@@ -60,6 +60,9 @@
         accept(&shared, listeners.health, directory::serve_health)?;
         accept(&shared, listeners.directory, directory::serve_lookups)?;
         actix_rt::spawn(follow::follow_all(Rc::downgrade(&shared), left));
+        listeners.loads.set_nonblocking(true)?;
+        let datagrams = tokio::net::UdpSocket::from_std(listeners.loads)?;
+        actix_rt::spawn(loads::hear(Rc::downgrade(&shared), datagrams));
         actix_rt::spawn(sweep(Rc::downgrade(&shared)));
         actix_rt::spawn(pump(Rc::downgrade(&shared)));
         Ok(Self { shared, leaving })
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod feed;
 mod front;
+mod loads;
 mod mirror;
 mod options;
 mod publish;
--- /dev/null
+++ b/crates/registrar/src/loads.rs
@@ -0,0 +1,69 @@
+//! Passing on how busy targets are: agents' datagrams come in, and what changed goes out to every
+//! entry in one datagram, so that neither agents nor entries speak to each other one by one.
+
+use crate::shared::RegistrarShared;
+use egretseam_rpc::{BusyTarget, LoadDatagram, MAX_DATAGRAM, MAX_SAMPLES};
+use indexmap::IndexMap;
+use std::{
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Duration,
+};
+use tokio::{net::UdpSocket, time::Instant};
+
+/// How long samples are gathered. Adds to their age, and divides the number of datagrams.
+const GATHER: Duration = Duration::from_millis(50);
+
+/// Passes samples on for as long as the registrar lives.
+pub(crate) async fn pass_on(shared: Weak<RegistrarShared>, socket: UdpSocket) {
+    let mut gathered: IndexMap<SocketAddr, u16> = IndexMap::new();
+    let mut due = Instant::now() + GATHER;
+    let mut buffer = [0; MAX_DATAGRAM];
+    loop {
+        let received = tokio::time::timeout_at(due, socket.recv_from(&mut buffer)).await;
+        let Some(shared) = shared.upgrade() else { return };
+        match received {
+            Ok(Ok((length, _))) => gather(&shared, &buffer[..length], &mut gathered),
+            Ok(Err(error)) => {
+                tracing::debug!(%error, "a datagram could not be received");
+                tokio::time::sleep(GATHER).await;
+            }
+            Err(_) => {
+                due = Instant::now() + GATHER;
+                send(&shared, &socket, &mut gathered).await;
+            }
+        }
+    }
+}
+
+fn gather(shared: &RegistrarShared, bytes: &[u8], gathered: &mut IndexMap<SocketAddr, u16>) {
+    match LoadDatagram::decode(&shared.options.control.secret, bytes) {
+        Some(datagram) => {
+            gathered.extend(datagram.samples.iter().map(|sample| (sample.address, sample.busy)));
+        }
+        None => tracing::debug!("a datagram that is not ours was dropped"),
+    }
+}
+
+async fn send(
+    shared: &Rc<RegistrarShared>,
+    socket: &UdpSocket,
+    gathered: &mut IndexMap<SocketAddr, u16>,
+) {
+    let samples: Vec<BusyTarget> =
+        gathered.drain(..).map(|(address, busy)| BusyTarget { address, busy }).collect();
+    let entries: Vec<SocketAddr> = {
+        let entries = shared.entries.borrow();
+        let port = shared.options.load_port;
+        let at = |address: SocketAddr| SocketAddr::new(address.ip(), port);
+        entries.iter().map(|sighting| at(sighting.record.address)).collect()
+    };
+    for part in samples.chunks(MAX_SAMPLES) {
+        let bytes = LoadDatagram::encode(&shared.options.control.secret, part);
+        for entry in &entries {
+            if let Err(error) = socket.send_to(&bytes, entry).await {
+                tracing::debug!(%entry, %error, "a datagram could not be sent");
+            }
+        }
+    }
+}
--- a/crates/registrar/src/options.rs
+++ b/crates/registrar/src/options.rs
@@ -1,7 +1,12 @@
 //! Settings of a registrar.
 
 use egretseam_control::ControlOptions;
-use std::{cell::RefCell, net::TcpListener, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::{TcpListener, UdpSocket},
+    rc::Rc,
+    time::Duration,
+};
 
 /// Bound listeners of a registrar.
 #[derive(Debug)]
@@ -12,6 +17,8 @@
     pub peers: TcpListener,
     /// For feeds.
     pub feeds: TcpListener,
+    /// For agents' datagrams.
+    pub loads: UdpSocket,
 }
 
 /// Settings of a registrar.
@@ -27,6 +34,8 @@
     pub feed_seeds: Rc<RefCell<Vec<String>>>,
     /// Port at which every member's feed is reached, beside the log's port of the same host.
     pub feed_port: u16,
+    /// Port at which every entry is told how busy targets are.
+    pub load_port: u16,
     /// Time between two announcements of a target.
     pub announce_interval: Duration,
 }
--- a/crates/registrar/src/runtime.rs
+++ b/crates/registrar/src/runtime.rs
@@ -3,7 +3,7 @@
 use crate::{
     dialect::ControlDialect,
     feed::FeedHandler,
-    front, mirror,
+    front, loads, mirror,
     options::{RegistrarListeners, RegistrarOptions},
     publish,
     shared::RegistrarShared,
@@ -56,6 +56,9 @@
         actix_rt::spawn(publish::watch_log(Rc::downgrade(&shared)));
         actix_rt::spawn(publish::expire(Rc::downgrade(&shared)));
         actix_rt::spawn(mirror::mirror_all(Rc::downgrade(&shared)));
+        listeners.loads.set_nonblocking(true)?;
+        let datagrams = tokio::net::UdpSocket::from_std(listeners.loads)?;
+        actix_rt::spawn(loads::pass_on(Rc::downgrade(&shared), datagrams));
         Ok(Self { control, _feeds: feeds, _shared: shared })
     }
 
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -9,11 +9,13 @@
 //! ([`EntryService`]). Agents behind gates never speak to control: at 12,000 targets their calls
 //! would exceed what a control member may spend, while each entry carries the few dozen that report
 //! to it. A fleet without gates has two relations more: [`FeedService`], by which control passes
-//! news of targets on, and [`ChunkService`], by which agents exchange weights.
+//! news of targets on, and [`ChunkService`], by which agents exchange weights. How busy targets are
+//! goes from agents to control and on to entries in datagrams ([`LoadDatagram`]).
 
 mod control_client;
 mod feed;
 mod link;
+mod loads;
 mod preface;
 mod server;
 mod wire;
@@ -25,6 +27,7 @@
         FeedRoster, FeedService, FeedServiceClient, SwarmPeer, WeightsKey, WeightsPlan,
     },
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
+    loads::{BusyTarget, LoadDatagram, MAX_DATAGRAM, MAX_SAMPLES},
     preface::PeerSecret,
     server::{RpcOptions, RpcServer, serve_chunks, serve_control, serve_entry, serve_feed},
     wire::{
--- /dev/null
+++ b/crates/rpc/src/loads.rs
@@ -0,0 +1,43 @@
+//! How busy targets are, in datagrams: a lost one is replaced by the next a moment later, so nothing
+//! is worth a connection, an acknowledgement or a repeat.
+
+use crate::preface::PeerSecret;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Most samples in one datagram, so that it fits into one packet.
+pub const MAX_SAMPLES: usize = 96;
+/// Largest datagram.
+pub const MAX_DATAGRAM: usize = 1_400;
+
+/// How busy one target is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BusyTarget {
+    /// The target's address.
+    pub address: SocketAddr,
+    /// Requests that it runs or has waiting.
+    pub busy: u16,
+}
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadDatagram {
+    /// Shows that the sender is one of ours; see [`PeerSecret::datagram_tag`].
+    tag: u64,
+    /// Samples.
+    pub samples: Vec<BusyTarget>,
+}
+
+impl LoadDatagram {
+    /// The bytes of a datagram with these samples.
+    pub fn encode(secret: &PeerSecret, samples: &[BusyTarget]) -> Vec<u8> {
+        let datagram = Self { tag: secret.datagram_tag(), samples: samples.to_vec() };
+        postcard::to_stdvec(&datagram).expect("in-memory encoding does not fail")
+    }
+
+    /// Reads a datagram; `None` if it is not one of ours.
+    pub fn decode(secret: &PeerSecret, bytes: &[u8]) -> Option<Self> {
+        let datagram: Self = postcard::from_bytes(bytes).ok()?;
+        (datagram.tag == secret.datagram_tag()).then_some(datagram)
+    }
+}
--- a/crates/rpc/src/preface.rs
+++ b/crates/rpc/src/preface.rs
@@ -34,6 +34,14 @@
         blake3::Hash::from(blake3::derive_key(CONTEXT, &self.0)).to_hex().to_string()
     }
 
+    /// The mark of our datagrams. It keeps misdirected ones out; whoever can read the network can
+    /// copy it, as with the preface.
+    pub(crate) fn datagram_tag(&self) -> u64 {
+        const CONTEXT: &str = "egretseam datagram tag v1";
+        let key = blake3::derive_key(CONTEXT, &self.0);
+        u64::from_le_bytes(key[..8].try_into().expect("eight bytes"))
+    }
+
     pub(crate) async fn offer(&self, stream: &mut TcpStream) -> io::Result<()> {
         stream.write_all(&self.0).await
     }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -1,9 +1,10 @@
 //! Placing a request: which target gets it, or why none does.
 //!
 //! Answers the load pattern of several entries that fill the same targets with views that lag by
-//! hundreds of milliseconds. All of them chasing the emptiest target would flood it, so targets
-//! that look alike within [`PlacementPolicy::spread`] are drawn at random, and what an entry does
-//! not see of the others' requests fades from the last sample to the service's mean.
+//! hundreds of milliseconds. All of them chasing the emptiest target would flood it. A target is
+//! therefore drawn at random by the free part of its places ([`PlacementPolicy::favour`]), so that
+//! what all entries send until the next sample spreads as the free places do; and what an entry
+//! does not see of the others' requests fades from the last sample to the service's mean.
 
 use crate::{
     news::{TargetId, TargetState},
@@ -24,6 +25,9 @@
 /// How much more a request that was tried before is charged for a target that will soon switch.
 const RESUMED_CHARGE: f64 = 6.0;
 
+/// Least free part that a target counts with while it has a place at all.
+const LEAST_FREE: f64 = 0.02;
+
 /// Weights of a choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementPolicy {
@@ -31,8 +35,9 @@
     pub fill: f64,
     /// Load that a target in another availability zone is charged, in parts of its places.
     pub zone_charge: f64,
-    /// Load differences below which targets count as alike.
-    pub spread: f64,
+    /// Power of the free part of a target's places by which it is drawn: 0 draws evenly, 1 fills
+    /// all alike, more favours the emptier ones but lets entries with the same view flood them.
+    pub favour: i32,
     /// Time in which a sample of the others' load fades to the mean.
     pub fade: Duration,
     /// Load that a target is charged while others hold a newer version: it will soon switch, and
@@ -47,7 +52,7 @@
         Self {
             fill: 1.0,
             zone_charge: 0.06,
-            spread: 0.12,
+            favour: 2,
             fade: Duration::from_millis(1_500),
             old_version_charge: 0.1,
             cold_charge: 0.3,
@@ -97,7 +102,7 @@
         let ejected = able.iter().filter(|(_, row)| row.health.is_ejected(now)).count();
         let spared = ejected * 2 > able.len();
         let untried = able.iter().filter(|(id, _)| !need.tried.contains(*id));
-        let mut best: Option<(f64, &TargetId)> = None;
+        let mut weighted: Vec<(f64, &TargetId)> = Vec::new();
         for (id, row) in untried {
             if !row.health.admits(row.own_in_flight, spared, now) {
                 continue;
@@ -108,11 +113,10 @@
                 let times = if need.tried.is_empty() { 1.0 } else { RESUMED_CHARGE };
                 cost += self.policy.old_version_charge * times;
             }
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, id));
-            }
+            let free = (1.0 - cost).max(LEAST_FREE);
+            weighted.push((free.powi(self.policy.favour), id));
         }
-        best.map_or(Choice::Full, |(_, id)| Choice::Target(id.clone()))
+        draw(&weighted).map_or(Choice::Full, |id| Choice::Target(id.clone()))
     }
 
     /// Places left at the targets that could take such a request, as far as this entry knows.
@@ -156,7 +160,7 @@
             cost += self.policy.cold_charge;
         }
         cost += row.health.failure_rate();
-        Some(cost + rand::rng().random::<f64>() * self.policy.spread)
+        Some(cost)
     }
 
     /// Requests expected at the target: this entry's own exactly, the others' by the last sample.
@@ -172,6 +176,17 @@
     }
 }
 
+/// Draws one of several by their weights.
+fn draw<'a>(weighted: &[(f64, &'a TargetId)]) -> Option<&'a TargetId> {
+    let total: f64 = weighted.iter().map(|(weight, _)| weight).sum();
+    let mut left = rand::rng().random::<f64>() * total;
+    let drawn = weighted.iter().find(|(weight, _)| {
+        left -= weight;
+        left <= 0.0
+    });
+    drawn.or(weighted.last()).map(|(_, id)| *id)
+}
+
 /// The newest version of a model that any of the targets holds.
 fn newest_version(able: &[(&TargetId, &TargetRow)], model: &ModelName) -> Option<u64> {
     able.iter().filter_map(|(_, row)| row.held_version(model)).max()
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -8,7 +8,7 @@
 };
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
 use indexmap::IndexMap;
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
 /// How long a target that left is remembered; see the registry's limit of the same kind.
@@ -17,6 +17,10 @@
 /// announce themselves about once a second, so one that lives is announced anew well within it.
 const RESTART_GRACE: Duration = Duration::from_secs(4);
 
+/// How long an entry remembers how many requests of its own a target had; longer than any sample
+/// is old.
+const OWN_MEMORY: Duration = Duration::from_secs(1);
+
 /// How busy a target was at some moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadSample {
@@ -47,6 +51,8 @@
     /// When the target stops being slow after its start.
     pub(crate) cold_until: Instant,
     pub(crate) own_in_flight: u32,
+    /// This entry's requests there over the last second, for samples that come late.
+    own_history: VecDeque<(Instant, u32)>,
     pub(crate) load: Option<LoadSample>,
     pub(crate) health: TargetHealth,
     sightings: IndexMap<u32, Sighting>,
@@ -61,6 +67,7 @@
             loading: false,
             cold_until: told_at(news.age_millis, now),
             own_in_flight: 0,
+            own_history: VecDeque::new(),
             load: None,
             health: TargetHealth::default(),
             sightings: IndexMap::new(),
@@ -77,6 +84,33 @@
         !self.sightings.is_empty() && self.sightings.values().all(silent)
     }
 
+    /// Remembers how many requests of this entry are there from `now` on.
+    fn own_changed(&mut self, now: Instant) {
+        self.own_history.push_back((now, self.own_in_flight));
+        while self.own_history.len() > 1
+            && now.saturating_duration_since(self.own_history[1].0) > OWN_MEMORY
+        {
+            self.own_history.pop_front();
+        }
+    }
+
+    /// How many requests of this entry were there at some earlier moment.
+    fn own_at(&self, moment: Instant) -> u32 {
+        let before = self.own_history.iter().rev().find(|(at, _)| *at <= moment);
+        before.map_or(0, |(_, own)| *own)
+    }
+
+    /// Takes a sample in unless a later one is known. What this entry itself had there at that
+    /// moment is taken out of it, so that its own requests since are not forgotten and its earlier
+    /// ones not counted twice.
+    fn note_load(&mut self, busy: u32, measured_at: Instant) {
+        if self.load.is_some_and(|held| held.at > measured_at) {
+            return;
+        }
+        let own = self.own_at(measured_at);
+        self.load = Some(LoadSample { busy, own, at: measured_at });
+    }
+
     pub(crate) fn held_version(&self, model: &ModelName) -> Option<u64> {
         let held = self.models.iter().find(|held| held.model == *model);
         held.map(|held| held.version)
@@ -241,22 +275,23 @@
     /// Notes how busy a target says it is.
     pub fn note_load(&mut self, id: &TargetId, busy: u32, now: Instant) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.load = Some(LoadSample { busy, own: row.own_in_flight, at: now });
+            row.note_load(busy, now);
         }
     }
 
-    /// Notes how busy the target at an address was `age` ago.
-    pub fn note_load_at(&mut self, address: SocketAddr, busy: u32, now: Instant) {
+    /// Notes how busy the target at an address was at some earlier moment.
+    pub fn note_load_at(&mut self, address: SocketAddr, busy: u32, measured_at: Instant) {
         let same_address = |row: &&mut TargetRow| row.record.address == address;
         for row in self.rows.values_mut().filter(same_address) {
-            row.load = Some(LoadSample { busy, own: row.own_in_flight, at: now });
+            row.note_load(busy, measured_at);
         }
     }
 
     /// Notes that a request goes to a target.
-    pub fn begin(&mut self, id: &TargetId) {
+    pub fn begin(&mut self, id: &TargetId, now: Instant) {
         if let Some(row) = self.rows.get_mut(id) {
             row.own_in_flight += 1;
+            row.own_changed(now);
         }
     }
 
@@ -264,6 +299,7 @@
     pub fn end(&mut self, id: &TargetId, outcome: AttemptOutcome, now: Instant) -> bool {
         let Some(row) = self.rows.get_mut(id) else { return false };
         row.own_in_flight = row.own_in_flight.saturating_sub(1);
+        row.own_changed(now);
         row.health.note(outcome, now)
     }
 
--- a/crates/stager/src/engine.rs
+++ b/crates/stager/src/engine.rs
@@ -4,8 +4,9 @@
 use std::{rc::Weak, time::Duration};
 use tokio::time::Instant;
 
-/// Time between two looks while nothing happens: bounds how long a restarted engine stands empty.
-const USUAL_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two looks while nothing happens: bounds how old the load is that entries are told,
+/// beside the time by which engines' reports lag, and how long a restarted engine stands empty.
+const USUAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks while an order is in progress: entries learn from it when the engine
 /// takes requests again.
 const HURRIED_INTERVAL: Duration = Duration::from_millis(40);
--- a/crates/stager/src/follow.rs
+++ b/crates/stager/src/follow.rs
@@ -59,6 +59,7 @@
             None => {}
             Some(Ok(reply)) => {
                 (run, seen) = (reply.run, reply.seen);
+                held.member.set(address.parse().ok());
                 members = take(&held, reply, members);
             }
             Some(Err(error)) => {
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -12,6 +12,7 @@
 mod digests;
 mod engine;
 mod follow;
+mod loads;
 mod options;
 mod runtime;
 mod shared;
--- a/crates/stager/src/runtime.rs
+++ b/crates/stager/src/runtime.rs
@@ -3,7 +3,7 @@
 use crate::{
     chunks::ChunkHandler,
     dialect::EngineDialect,
-    engine, follow,
+    engine, follow, loads,
     options::{StagerListeners, StagerOptions},
     shared::StagerShared,
     work,
@@ -44,6 +44,7 @@
         let chunks = serve_chunks(listeners.chunks, secret, RpcOptions::default(), handler)?;
         actix_rt::spawn(engine::watch(Rc::downgrade(&shared)));
         actix_rt::spawn(follow::follow(Rc::downgrade(&shared)));
+        actix_rt::spawn(loads::tell(Rc::downgrade(&shared)));
         actix_rt::spawn(work::work(Rc::downgrade(&shared)));
         Ok(Self { _shared: shared, _chunks: chunks })
     }
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -13,6 +13,7 @@
 use prometheus::IntCounter;
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -89,6 +90,8 @@
     pub(crate) ordering: Cell<bool>,
     /// Wakes the task that tells control of the engine.
     pub(crate) tell: Notify,
+    /// The control member that is followed at present.
+    pub(crate) member: Cell<Option<SocketAddr>>,
     /// Whether the engine is looked at often.
     pub(crate) hurry: Cell<bool>,
     pub(crate) chunks: RefCell<ChunkStore>,
@@ -114,6 +117,7 @@
             report_at: Cell::new(Instant::now()),
             ordering: Cell::new(false),
             tell: Notify::new(),
+            member: Cell::new(None),
             hurry: Cell::new(false),
             chunks: RefCell::default(),
             distrusts_peers: Cell::new(false),
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -13,7 +13,12 @@
     ChunkSet, FetchFailure, FetchOrder, PlannerPeer, SourceChoice, SwarmPlanner,
 };
 use indexmap::IndexMap;
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{
     sync::{Notify, mpsc},
     time::Instant,
@@ -43,6 +48,8 @@
     began: Instant,
     /// How often each chunk came with a wrong digest.
     wrong: RefCell<IndexMap<u32, u32>>,
+    /// Chunks drawn from the origin.
+    from_origin: Cell<u32>,
     wake: Notify,
 }
 
@@ -74,10 +81,16 @@
             origin: Rc::new(tokio::sync::Mutex::new(KeptClient::new(plan.origin))),
             began: Instant::now(),
             wrong: RefCell::default(),
+            from_origin: Cell::new(0),
             wake: Notify::new(),
         })
     }
 
+    /// Chunks drawn from the origin so far.
+    pub(crate) fn from_origin(&self) -> u32 {
+        self.from_origin.get()
+    }
+
     /// Takes in who takes part. Each neighbour's chunks are followed by a task that ends with the
     /// transfer.
     pub(crate) fn set_peers(self: &Rc<Self>, peers: &[SwarmPeer]) {
@@ -156,7 +169,10 @@
             }
         };
         match &order.source {
-            SourceChoice::Upstream => self.shared.metrics.chunks_from_origin.inc(),
+            SourceChoice::Upstream => {
+                self.from_origin.set(self.from_origin.get() + 1);
+                self.shared.metrics.chunks_from_origin.inc();
+            }
             SourceChoice::Peer(_) => self.shared.metrics.chunks_from_peers.inc(),
         }
         let now = self.now();
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -210,6 +210,7 @@
     tracing::info!(
         version = key.version,
         millis = began.elapsed().as_millis() as u64,
+        from_origin = transfer.from_origin(),
         "all chunks are here"
     );
 }
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -63,7 +63,10 @@
             let row = &self.chunks[*chunk as usize];
             let frugal = self.policy.origin_copies == 1;
             let elsewhere = frugal && self.is_held(*chunk, now);
-            !row.present && row.active.is_empty() && !elsewhere && self.rank(*chunk, &drawers) < allowed
+            !row.present
+                && row.active.is_empty()
+                && !elsewhere
+                && self.rank(*chunk, &drawers) < allowed
         };
         let chunk = (0..self.have.len())
             .filter(wanted)
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -181,7 +181,7 @@
     table.note_load(&id(2), 0, now);
     for _ in 0..4 {
         assert_eq!(choose(&table, &[], now), Choice::Target(id(2)));
-        table.begin(&id(2));
+        table.begin(&id(2), now);
     }
     assert_eq!(choose(&table, &[], now), Choice::Full);
     // What others do there fades, so that nobody is avoided for ever on an old word.
@@ -194,13 +194,13 @@
     let now = Instant::now();
     let mut table = table(&[1, 2], now);
     for at in 0..100 {
-        table.begin(&id(1));
+        table.begin(&id(1), now);
         let outcome = if at % 50 == 49 { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
         assert!(!table.end(&id(1), outcome, now), "one in fifty must stay in service");
     }
     let mut rested = false;
     for at in 0..12 {
-        table.begin(&id(2));
+        table.begin(&id(2), now);
         let outcome = if at % 2 == 0 { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
         rested |= table.end(&id(2), outcome, now);
     }
