--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -45,11 +45,16 @@
     pub(crate) service: ServiceName,
     pub(crate) received_at: Instant,
     pub(crate) deadline: Instant,
-    /// Whether the deadline is the route's rather than the caller's.
     /// Last event passed on to the caller by this entry, if any.
     pub(crate) last_event: Option<String>,
     /// Whether the head of the answer has been sent to the caller.
     pub(crate) answering: bool,
+    /// Time spent waiting for places.
+    pub(crate) waited: Duration,
+    /// Time from the request to the head of its answer.
+    pub(crate) first_byte: Duration,
+    /// Status of the answer passed on.
+    pub(crate) status: u16,
 }
 
 impl RequestState {
@@ -128,6 +133,9 @@
         deadline: received_at + limit,
         last_event: None,
         answering: false,
+        waited: Duration::ZERO,
+        first_byte: Duration::ZERO,
+        status: 0,
     })
 }
 
@@ -148,7 +156,10 @@
     let mut unreached = 0;
     let mut may_have_run = false;
     loop {
-        let placed = match find_place(shared, caller, request, &tried).await {
+        let began = Instant::now();
+        let found = find_place(shared, caller, request, &tried).await;
+        request.waited += began.elapsed();
+        let placed = match found {
             Some(Ok(placed)) => placed,
             Some(Err(refusal)) if !may_have_run => return Err(refusal),
             Some(Err(_)) => return give_up(request, AttemptFailure::Broken),
@@ -156,7 +167,10 @@
         };
         tried.push(placed.target.clone());
         let failure = match one_attempt(shared, caller, request, placed, arrivals).await {
-            Ok(after) => return Ok(after),
+            Ok(after) => {
+                log_answer(shared, request, &tried, after);
+                return Ok(after);
+            }
             Err(failure) => failure,
         };
         if failure == AttemptFailure::CallerLeft {
@@ -180,6 +194,31 @@
     }
 }
 
+/// One line for each answer that was passed on whole.
+fn log_answer(
+    shared: &GatewayShared,
+    request: &RequestState,
+    tried: &[TargetId],
+    after: AfterRequest,
+) {
+    tracing::info!(
+        request_id = %request.terms.id,
+        route = request.route.name,
+        service = %request.service,
+        organisation = request.organisation().map_or("", OrganisationName::as_str),
+        config_version = shared.config_version(),
+        target_id = tried.last().map_or("", |target| target.0.as_str()),
+        tried = tried.len(),
+        waited_millis = request.waited.as_millis() as u64,
+        first_byte_millis = request.first_byte.as_millis() as u64,
+        elapsed_millis = request.received_at.elapsed().as_millis() as u64,
+        status = request.status,
+        last_event = request.last_event.as_deref().unwrap_or(""),
+        closes = after != AfterRequest::Keep,
+        "answered"
+    );
+}
+
 /// One line for each decision to leave a target.
 fn log_failure(request: &RequestState, tried: &[TargetId], failure: AttemptFailure) {
     let target = tried.last().map_or("", |target| target.0.as_str());
@@ -228,7 +267,12 @@
 
 fn caller_left(shared: &GatewayShared, request: &RequestState) -> AfterRequest {
     shared.metrics.callers_left.inc();
-    tracing::debug!(request_id = %request.terms.id, "the caller left");
+    tracing::info!(
+        request_id = %request.terms.id,
+        elapsed_millis = request.received_at.elapsed().as_millis() as u64,
+        events_passed = request.last_event.as_deref().unwrap_or(""),
+        "the caller left"
+    );
     AfterRequest::Abort
 }
 
@@ -284,8 +328,11 @@
             return Err(failure);
         }
     };
-    let first_byte = request.received_at.elapsed().as_secs_f64();
-    shared.metrics.first_byte_seconds.observe(first_byte);
+    if !request.answering {
+        request.first_byte = request.received_at.elapsed();
+        request.status = answer.head.status;
+        shared.metrics.first_byte_seconds.observe(request.first_byte.as_secs_f64());
+    }
     let end = pass_on(shared, caller, request, &placed.target, answer).await;
     match end {
         RelayEnd::Whole(after) => {
--- a/src/commands/fleet.rs
+++ b/src/commands/fleet.rs
@@ -3,7 +3,7 @@
 use anyhow::Context;
 use clap::Args;
 use egretseam_config::FleetSettings;
-use egretseam_daemon::{FleetDialects, FleetRuntime};
+use egretseam_daemon::{FleetDialects, FleetRuntime, LogBudget};
 use egretseam_platform::{PlatformCallers, PlatformControl, PlatformEngine, SETTINGS_VARIABLE};
 use std::{
     path::{Path, PathBuf},
@@ -11,7 +11,11 @@
     time::Duration,
 };
 use tokio::signal::unix::{SignalKind, signal};
+use tracing_appender::non_blocking::NonBlocking;
+use tracing_subscriber::{filter::LevelFilter, layer::SubscriberExt, util::SubscriberInitExt};
 
+/// How often lines that the budget left out are counted in the log.
+const LEFT_OUT_INTERVAL: Duration = Duration::from_secs(1);
 /// How often the settings are looked at: they may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -26,8 +30,9 @@
 impl FleetCommand {
     pub(super) fn execute(self) -> anyhow::Result<()> {
         let settings = read(&self.settings)?;
-        start_log();
-        actix_rt::System::new().block_on(run(self.settings, settings))
+        let (writer, _flush) = tracing_appender::non_blocking(std::io::stdout());
+        let budget = start_log(writer);
+        actix_rt::System::new().block_on(run(self.settings, settings, budget))
     }
 }
 
@@ -37,16 +42,35 @@
     FleetSettings::parse(&text).with_context(|| format!("settings {shown}"))
 }
 
-fn start_log() {
-    tracing_subscriber::fmt()
+/// Sends log lines to standard output, one JSON object a line. A reader that falls behind costs
+/// lines, never time.
+fn start_log(writer: NonBlocking) -> LogBudget {
+    let budget = LogBudget::default();
+    let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
         .with_target(false)
-        .with_writer(std::io::stdout)
+        .with_writer(writer);
+    tracing_subscriber::registry()
+        .with(LevelFilter::INFO)
+        .with(budget.clone())
+        .with(lines)
         .init();
+    budget
 }
 
-async fn run(path: PathBuf, settings: FleetSettings) -> anyhow::Result<()> {
+/// Says what the budget left out.
+async fn report_left_out(budget: LogBudget) {
+    loop {
+        tokio::time::sleep(LEFT_OUT_INTERVAL).await;
+        for (kind, lines) in budget.take_left_out() {
+            tracing::warn!(kind, lines, "log lines were left out");
+        }
+    }
+}
+
+async fn run(path: PathBuf, settings: FleetSettings, budget: LogBudget) -> anyhow::Result<()> {
+    actix_rt::spawn(report_left_out(budget));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
