--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -48,6 +48,10 @@
 /// Agents that draw a version from the origin: enough to keep its link busy while one of them
 /// hangs.
 const DRAWERS: usize = 6;
+/// How long a chunk that is in another zone is waited for in the own one. Failure guarded: all
+/// agents of a zone fetch across a link between regions that live answers share, and requests and
+/// callers' leaving reach targets most of a second late.
+const ZONE_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Chunks fetched from peers at a time: as many bytes may queue before a request on the link.
 const PEER_FETCHES: usize = 3;
 
@@ -264,6 +268,7 @@
                 peer_fetches: PEER_FETCHES,
                 fetches_per_peer: 1,
                 drawers: DRAWERS,
+                zone_patience: ZONE_PATIENCE,
                 ..PlannerPolicy::default()
             },
             upload_bytes_per_second: (self.settings.link_mbps * UPLOAD_SHARE * 125_000.0) as u64,
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -91,6 +91,11 @@
         self.from_origin.get()
     }
 
+    /// Chunks fetched from other availability zones so far.
+    pub(crate) fn across_zones(&self) -> u64 {
+        self.planner.borrow().cross_zone_chunks()
+    }
+
     /// Takes in who takes part. Each neighbour's chunks are followed by a task that ends with the
     /// transfer.
     pub(crate) fn set_peers(self: &Rc<Self>, peers: &[SwarmPeer]) {
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -211,6 +211,7 @@
         version = key.version,
         millis = began.elapsed().as_millis() as u64,
         from_origin = transfer.from_origin(),
+        across_zones = transfer.across_zones(),
         "all chunks are here"
     );
 }
