--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -51,7 +51,7 @@
     fn default() -> Self {
         Self {
             fill: 1.0,
-            zone_charge: 0.06,
+            zone_charge: 0.25,
             favour: 2,
             fade: Duration::from_millis(1_500),
             old_version_charge: 0.1,
