--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -105,12 +105,14 @@
         connection.write(&bytes).await.map_err(|_| AttemptFailure::Broken)?;
         read_own_head(shared, &mut connection, request).await
     };
+    let began = Instant::now();
     let answered = tokio::select! {
         answered = tokio::time::timeout_at(patience, exchange) => answered,
         // Failure guarded: a target that goes on working for a caller that left. Dropping the
         // connection tells it.
         () = caller.closed(SENT_AHEAD) => return Err(AttemptFailure::CallerLeft),
     };
+    note_first_byte(shared, place, began);
     let (head, marks) = answered.map_err(|_| AttemptFailure::Silent)??;
     if let Some(busy) = marks.busy {
         let now = Instant::now();
@@ -128,6 +130,13 @@
     Ok(answer)
 }
 
+/// An attempt that was waited for in vain counts with the time it was waited for.
+fn note_first_byte(shared: &GatewayShared, place: &PlaceGuard, began: Instant) {
+    let now = Instant::now();
+    let took = now.saturating_duration_since(began);
+    shared.places.borrow_mut().targets.note_first_byte(&place.target, took, now);
+}
+
 async fn connection_to(
     shared: &GatewayShared,
     place: &PlaceGuard,
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -143,6 +143,16 @@
     pub version: u64,
 }
 
+/// A chunk as an agent gives it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChunkReply {
+    /// The chunk.
+    pub bytes: Bytes,
+    /// Milliseconds that it waited for its turn on the giver's link; the rest of the time that a
+    /// fetch took went to the network.
+    pub queued_millis: u64,
+}
+
 /// Calls that an agent answers to other agents.
 #[tarpc::service]
 pub trait ChunkService {
@@ -152,5 +162,5 @@
     /// The digests of all chunks, if the agent knows them.
     async fn digests(key: WeightsKey) -> Option<Vec<[u8; 32]>>;
     /// One chunk.
-    async fn chunk(key: WeightsKey, index: u32) -> Option<Bytes>;
+    async fn chunk(key: WeightsKey, index: u32) -> Option<ChunkReply>;
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -23,8 +23,8 @@
 pub use crate::{
     control_client::{ControlClient, SubmitError},
     feed::{
-        AgentCall, AgentReply, ChunkService, ChunkServiceClient, FeedCall, FeedReader, FeedReply,
-        FeedRoster, FeedService, FeedServiceClient, SwarmPeer, WeightsKey, WeightsPlan,
+        AgentCall, AgentReply, ChunkReply, ChunkService, ChunkServiceClient, FeedCall, FeedReader,
+        FeedReply, FeedRoster, FeedService, FeedServiceClient, SwarmPeer, WeightsKey, WeightsPlan,
     },
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
     loads::{BusyTarget, LoadDatagram, MAX_DATAGRAM, MAX_SAMPLES},
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     feed::{
-        AgentCall, AgentReply, ChunkServiceClient, FeedCall, FeedReply, FeedServiceClient,
-        WeightsKey,
+        AgentCall, AgentReply, ChunkReply, ChunkServiceClient, FeedCall, FeedReply,
+        FeedServiceClient, WeightsKey,
     },
     preface::PeerSecret,
     server::codec,
@@ -12,7 +12,6 @@
         ReportCall, ReportReply, SubmitReply, WatchCall, WatchReply, WatcherReport,
     },
 };
-use bytes::Bytes;
 use egretseam_catalog::{CatalogCommand, HistoryRecord};
 use egretseam_proto::ProfileName;
 use egretseam_replica::{Envelope, MemberRecord};
@@ -240,7 +239,11 @@
     ///
     /// # Errors
     /// See [`CallError`].
-    pub async fn chunk(&self, key: WeightsKey, index: u32) -> Result<Option<Bytes>, CallError> {
+    pub async fn chunk(
+        &self,
+        key: WeightsKey,
+        index: u32,
+    ) -> Result<Option<ChunkReply>, CallError> {
         let client = self.client().await?;
         let reply = client.chunk(self.context(Duration::ZERO), key, index).await;
         self.settle(reply)
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -43,6 +43,9 @@
     /// Load that a target is charged while others hold a newer version: it will soon switch, and
     /// what runs there is then cut off or waited for.
     pub old_version_charge: f64,
+    /// Load that a target is charged for each time that its first bytes take as long again as
+    /// usual in its service: a slow process, or a link that others have filled.
+    pub slow_charge: f64,
     /// Load that a target which started a moment ago is charged.
     pub cold_charge: f64,
 }
@@ -55,6 +58,7 @@
             favour: 2,
             fade: Duration::from_millis(1_500),
             old_version_charge: 0.1,
+            slow_charge: 0.25,
             cold_charge: 0.3,
         }
     }
@@ -95,6 +99,7 @@
             return Choice::NoTarget;
         }
         let mean = mean_of_others(&able, now);
+        let usual = usual_first_byte(&able, now);
         let newest = need.model.and_then(|model| newest_version(&able, model));
         // Failure guarded: when most targets fail, for example for want of something behind them,
         // ejecting them all would turn a service that answers some requests into one that answers
@@ -108,6 +113,7 @@
                 continue;
             }
             let Some(mut cost) = self.cost(row, mean, now) else { continue };
+            cost += self.policy.slow_charge * slowness(row, usual, now);
             if need.model.and_then(|model| row.held_version(model)) != newest {
                 // What was cut off once must not be cut off again.
                 let times = if need.tried.is_empty() { 1.0 } else { RESUMED_CHARGE };
@@ -176,6 +182,28 @@
     }
 }
 
+/// Times to the first byte below which nobody counts as slow.
+const QUICK: Duration = Duration::from_millis(100);
+/// How many times the usual a target may be charged for.
+const MOST_SLOWNESS: f64 = 3.0;
+
+/// The time to the first byte at the middle target.
+fn usual_first_byte(able: &[(&TargetId, &TargetRow)], now: Instant) -> Duration {
+    let mut times: Vec<Duration> = able.iter().filter_map(|(_, row)| row.first_byte(now)).collect();
+    if times.is_empty() {
+        return QUICK;
+    }
+    let middle = times.len() / 2;
+    *times.select_nth_unstable(middle).1
+}
+
+/// How many times longer than usual a target takes, beyond one and a half times.
+fn slowness(row: &TargetRow, usual: Duration, now: Instant) -> f64 {
+    let Some(own) = row.first_byte(now) else { return 0.0 };
+    let times = own.as_secs_f64() / usual.max(QUICK).as_secs_f64();
+    (times - 1.5).clamp(0.0, MOST_SLOWNESS)
+}
+
 /// Draws one of several by their weights.
 fn draw<'a>(weighted: &[(f64, &'a TargetId)]) -> Option<&'a TargetId> {
     let total: f64 = weighted.iter().map(|(weight, _)| weight).sum();
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -17,6 +17,10 @@
 /// announce themselves about once a second, so one that lives is announced anew well within it.
 const RESTART_GRACE: Duration = Duration::from_secs(4);
 
+/// Weight of the newest answer in the mean time to the first byte.
+const NEW_WEIGHT: f64 = 0.35;
+/// How long a mean time to the first byte counts without a new answer.
+const FIRST_BYTE_MEMORY: Duration = Duration::from_secs(3);
 /// How long an entry remembers how many requests of its own a target had; longer than any sample
 /// is old.
 const OWN_MEMORY: Duration = Duration::from_secs(1);
@@ -55,6 +59,8 @@
     own_history: VecDeque<(Instant, u32)>,
     pub(crate) load: Option<LoadSample>,
     pub(crate) health: TargetHealth,
+    /// Mean time to the first byte of an answer, and when it was last measured.
+    first_byte: Option<(Duration, Instant)>,
     sightings: IndexMap<u32, Sighting>,
 }
 
@@ -70,6 +76,7 @@
             own_history: VecDeque::new(),
             load: None,
             health: TargetHealth::default(),
+            first_byte: None,
             sightings: IndexMap::new(),
         }
     }
@@ -84,6 +91,22 @@
         !self.sightings.is_empty() && self.sightings.values().all(silent)
     }
 
+    /// Takes in the time to an answer's first byte.
+    fn note_first_byte(&mut self, took: Duration, now: Instant) {
+        let mean = match self.first_byte {
+            Some((held, _)) => held.mul_f64(1.0 - NEW_WEIGHT) + took.mul_f64(NEW_WEIGHT),
+            None => took,
+        };
+        self.first_byte = Some((mean, now));
+    }
+
+    /// Mean time to the first byte, if it was measured lately. An old one is forgotten, so that a
+    /// target that was slow is tried again.
+    pub(crate) fn first_byte(&self, now: Instant) -> Option<Duration> {
+        let (mean, at) = self.first_byte?;
+        (now.saturating_duration_since(at) < FIRST_BYTE_MEMORY).then_some(mean)
+    }
+
     /// Remembers how many requests of this entry are there from `now` on.
     fn own_changed(&mut self, now: Instant) {
         self.own_history.push_back((now, self.own_in_flight));
@@ -303,6 +326,14 @@
         row.health.note(outcome, now)
     }
 
+    /// Notes how long a request at a target took to its first byte, or how long it was waited for
+    /// in vain.
+    pub fn note_first_byte(&mut self, id: &TargetId, took: Duration, now: Instant) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.note_first_byte(took, now);
+        }
+    }
+
     /// Where a target answers.
     pub fn address(&self, id: &TargetId) -> Option<SocketAddr> {
         self.rows.get(id).map(|row| row.record.address)
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -2,11 +2,11 @@
 
 use crate::{digests::WeightDigests, shared::StagerShared};
 use bytes::Bytes;
-use egretseam_rpc::{ChunkService, WeightsKey};
+use egretseam_rpc::{ChunkReply, ChunkService, WeightsKey};
 use egretseam_swarm::ChunkSet;
 use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 /// Longest wait for news of chunks that a peer may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -97,9 +97,10 @@
         Some(chunks.get(&key)?.digests.chunks.clone())
     }
 
-    async fn chunk(self, _: Context, key: WeightsKey, index: u32) -> Option<Bytes> {
+    async fn chunk(self, _: Context, key: WeightsKey, index: u32) -> Option<ChunkReply> {
         let chunk = self.shared.chunks.borrow().get(&key)?.chunk(index)?;
+        let began = Instant::now();
         self.shared.uploads.take(chunk.len()).await;
-        Some(chunk)
+        Some(ChunkReply { bytes: chunk, queued_millis: began.elapsed().as_millis() as u64 })
     }
 }
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -48,11 +48,18 @@
     began: Instant,
     /// How often each chunk came with a wrong digest.
     wrong: RefCell<IndexMap<u32, u32>>,
+    /// Mean time that a chunk spends on the network.
+    network_time: Cell<Duration>,
     /// Chunks drawn from the origin.
     from_origin: Cell<u32>,
     wake: Notify,
 }
 
+/// Time that the chunks under way may take together before live requests on the link: three of the
+/// usual 60 ms, which is a chunk's own 27 ms at 7.3 Mbit/s behind one or two others.
+const NETWORK_BUDGET: Duration = Duration::from_millis(240);
+/// Weight of the newest chunk in the mean.
+const NETWORK_WEIGHT: f64 = 0.3;
 /// Times that one chunk may come with a wrong digest before the digest is doubted.
 const WRONG_DIGEST: u32 = 5;
 
@@ -81,6 +88,7 @@
             origin: Rc::new(tokio::sync::Mutex::new(KeptClient::new(plan.origin))),
             began: Instant::now(),
             wrong: RefCell::default(),
+            network_time: Cell::new(Duration::ZERO),
             from_origin: Cell::new(0),
             wake: Notify::new(),
         })
@@ -195,8 +203,13 @@
             SourceChoice::Peer(name) => {
                 let link = self.links.borrow().get(name).cloned();
                 let link = link.ok_or(FetchFailure::Absent)?;
+                let began = Instant::now();
                 match link.chunk(self.key.clone(), order.chunk).await {
-                    Ok(Some(bytes)) => Ok(bytes),
+                    Ok(Some(reply)) => {
+                        let queued = Duration::from_millis(reply.queued_millis);
+                        self.note_network_time(began.elapsed().saturating_sub(queued));
+                        Ok(reply.bytes)
+                    }
                     Ok(None) => Err(FetchFailure::Absent),
                     Err(_) => Err(FetchFailure::Unreachable),
                 }
@@ -204,6 +217,21 @@
         }
     }
 
+    /// Fetches fewer chunks at a time over a slow link.
+    ///
+    /// Failure guarded: chunks under way queue before live requests on the same link. On one that
+    /// was squeezed to a tenth, three of them delayed a caller's leaving by 0.8 s, and its target
+    /// went on working for nobody.
+    fn note_network_time(&self, took: Duration) {
+        let held = self.network_time.get();
+        let mean = held.mul_f64(1.0 - NETWORK_WEIGHT) + took.mul_f64(NETWORK_WEIGHT);
+        self.network_time.set(mean);
+        let usual = self.shared.options.planner.peer_fetches as f64;
+        let fitting = NETWORK_BUDGET.as_secs_f64() / mean.as_secs_f64().max(1e-3);
+        let fetches = fitting.clamp(1.0, usual) as usize;
+        self.planner.borrow_mut().set_peer_fetches(fetches);
+    }
+
     async fn fetch_origin(&self, chunk: u32) -> Result<Bytes, FetchFailure> {
         let call = self.shared.dialect.origin_chunk(&self.key.model, self.key.version, chunk);
         let mut origin = self.origin.lock().await;
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -209,6 +209,12 @@
         self.neighbours.keys()
     }
 
+    /// Sets how many chunks are fetched from peers at a time, for a link that turns out wider or
+    /// narrower than expected.
+    pub fn set_peer_fetches(&mut self, fetches: usize) {
+        self.policy.peer_fetches = fetches.max(1);
+    }
+
     /// Prefers instances in the origin's availability zone for drawing from it, so that what they
     /// draw crosses zones only on its way to the others.
     pub fn set_origin_zone(&mut self, zone: ZoneName) {
--- a/src/commands/fleet.rs
+++ b/src/commands/fleet.rs
@@ -51,11 +51,7 @@
         .flatten_event(true)
         .with_target(false)
         .with_writer(writer);
-    tracing_subscriber::registry()
-        .with(LevelFilter::INFO)
-        .with(budget.clone())
-        .with(lines)
-        .init();
+    tracing_subscriber::registry().with(LevelFilter::INFO).with(budget.clone()).with(lines).init();
     budget
 }
 
