--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -46,7 +46,10 @@
             chunks_from_origin: counter("chunks_from_origin", "Chunks drawn from the origin."),
             chunks_from_peers: counter("chunks_from_peers", "Chunks taken from other agents."),
             chunks_bad: counter("chunks_bad", "Chunks dropped for a wrong digest."),
-            chunks_rotten: counter("chunks_rotten", "Staged chunks found spoilt and put again."),
+            chunks_rotten: counter(
+                "chunks_rotten",
+                "Staged chunks that were not what they must be and were put again.",
+            ),
             orders: counter("orders", "Orders to the engine."),
             orders_refused: counter(
                 "orders_refused",
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -10,6 +10,8 @@
 const ORDER_PAUSE: Duration = Duration::from_millis(150);
 /// Time by which entries are told of an order before the engine is: two hops between regions.
 const TELL_AHEAD: Duration = Duration::from_millis(30);
+/// Passes over the staged chunks before the order is put off; one stages, one finds all well.
+const MOST_PASSES: u32 = 5;
 /// How long an engine may take after an accepted order: its running answers end within their
 /// deadlines, and loading takes parts of a second.
 const LOAD_LIMIT: Duration = Duration::from_secs(12);
@@ -84,30 +86,42 @@
 
 /// Makes what is staged at the engine what it must be.
 ///
-/// Failure guarded: staged bytes can turn bad at any time, and the engine takes them unchecked. It
-/// would show as answers from spoilt weights. Every chunk is read back and compared right before
-/// the order, and put again where it differs.
+/// Failure guarded: staged bytes can turn bad at any time, also right after they were staged, and
+/// the engine takes them unchecked. It would show as answers from spoilt weights. Every chunk is
+/// read back and compared right before the order, until one pass over all finds nothing to mend.
 async fn stage(shared: &StagerShared, key: &WeightsKey) -> bool {
-    let Some(digests) = shared.chunks.borrow().get(key).map(|weights| weights.digests.clone())
-    else {
-        return false;
-    };
+    for _ in 0..MOST_PASSES {
+        match mend_staged(shared, key).await {
+            Some(0) => return true,
+            Some(mended) => tracing::info!(version = key.version, mended, "staged chunks"),
+            None => break,
+        }
+    }
+    tokio::time::sleep(ORDER_PAUSE).await;
+    false
+}
+
+/// Puts every chunk that is not staged as it must be; returns how many, or `None` if one could not
+/// be put.
+async fn mend_staged(shared: &StagerShared, key: &WeightsKey) -> Option<u32> {
+    let digests = shared.chunks.borrow().get(key)?.digests.clone();
+    let mut mended = 0;
     for index in 0..digests.count() {
         let staged = read_back(shared, key, index).await;
+        let was_staged = staged.is_some();
         if staged.is_some_and(|bytes| digests.matches(index, &bytes)) {
             continue;
         }
-        shared.metrics.chunks_rotten.inc();
-        let Some(bytes) = shared.chunks.borrow().get(key).and_then(|weights| weights.chunk(index))
-        else {
-            return false;
-        };
+        if was_staged {
+            shared.metrics.chunks_rotten.inc();
+        }
+        let bytes = shared.chunks.borrow().get(key)?.chunk(index)?;
         if !put(shared, key, index, bytes).await {
-            tokio::time::sleep(ORDER_PAUSE).await;
-            return false;
+            return None;
         }
+        mended += 1;
     }
-    true
+    Some(mended)
 }
 
 /// A staged chunk, if the engine has one.
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -95,7 +95,7 @@
     }
 
     /// Chunks drawn from the origin so far.
-    pub(crate) fn from_origin(&self) -> u32 {
+    pub(crate) fn drawn_chunks(&self) -> u32 {
         self.from_origin.get()
     }
 
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -210,7 +210,7 @@
     tracing::info!(
         version = key.version,
         millis = began.elapsed().as_millis() as u64,
-        from_origin = transfer.from_origin(),
+        from_origin = transfer.drawn_chunks(),
         across_zones = transfer.across_zones(),
         "all chunks are here"
     );
--- /dev/null
+++ b/tests/all/drawers.rs
@@ -0,0 +1,139 @@
+//! Who draws a version from the origin.
+
+use egretseam_proto::{InstanceName, ZoneName};
+use egretseam_swarm::{
+    ChunkSet, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy, SourceChoice, SwarmPlanner,
+};
+use std::time::Duration;
+
+const CHUNKS: u32 = 64;
+const DRAWERS: usize = 3;
+
+fn peer(number: usize) -> PlannerPeer {
+    let zone = format!("z{}", number % 3);
+    PlannerPeer {
+        name: InstanceName::try_from(format!("10.0.0.{number}")).expect("a valid name"),
+        zone: ZoneName::try_from(zone).expect("a valid name"),
+    }
+}
+
+fn planners(count: usize) -> Vec<SwarmPlanner> {
+    let swarm: Vec<PlannerPeer> = (0..count).map(peer).collect();
+    let policy = PlannerPolicy { drawers: DRAWERS, ..PlannerPolicy::default() };
+    let planner = |own: &PlannerPeer| {
+        let have = ChunkSet::new(CHUNKS);
+        let mut planner = SwarmPlanner::new(own.clone(), policy, have, Duration::ZERO);
+        planner.set_origin_zone(ZoneName::try_from("z1").expect("a valid name"));
+        planner.set_swarm(&swarm);
+        planner
+    };
+    swarm.iter().map(planner).collect()
+}
+
+/// Every order for the origin until nobody has any left, by who gave it.
+fn draw_all(
+    planners: &mut [SwarmPlanner],
+    skip: Option<usize>,
+    now: Duration,
+) -> Vec<(usize, u32)> {
+    let mut drawn = Vec::new();
+    loop {
+        let before = drawn.len();
+        for (number, planner) in planners.iter_mut().enumerate() {
+            if Some(number) == skip {
+                continue;
+            }
+            for order in planner.plan(now) {
+                if order.source == SourceChoice::Upstream {
+                    drawn.push((number, order.chunk));
+                    planner.note_fetched(&order, now);
+                }
+            }
+        }
+        if drawn.len() == before {
+            return drawn;
+        }
+    }
+}
+
+#[test]
+fn a_few_instances_of_the_origins_zone_draw_each_chunk_once() {
+    let mut planners = planners(30);
+    let drawn = draw_all(&mut planners, None, Duration::ZERO);
+    let mut chunks: Vec<u32> = drawn.iter().map(|(_, chunk)| *chunk).collect();
+    chunks.sort_unstable();
+    assert_eq!(chunks, (0..CHUNKS).collect::<Vec<u32>>());
+    let mut drawers: Vec<usize> = drawn.iter().map(|(number, _)| *number).collect();
+    drawers.sort_unstable();
+    drawers.dedup();
+    assert_eq!(drawers.len(), DRAWERS);
+    assert!(drawers.iter().all(|number| number % 3 == 1), "{drawers:?} are in the origin's zone");
+}
+
+/// What operators would see: a version that stops short of the whole. A drawer hangs; the others
+/// that starve must come to the same next one, and not all draw.
+#[test]
+fn another_draws_when_a_drawer_hangs() {
+    let mut planners = planners(12);
+    let first = draw_all(&mut planners, None, Duration::ZERO);
+    let hanging = first[0].0;
+    let mut planners = self::planners(12);
+    let drawn = draw_all(&mut planners, Some(hanging), Duration::ZERO);
+    assert!(drawn.len() < CHUNKS as usize);
+    let mut all = drawn;
+    for step in 1..120 {
+        let now = Duration::from_millis(step * 250);
+        exchange(&mut planners, hanging, now);
+        all.extend(draw_all(&mut planners, Some(hanging), now + Duration::from_millis(20)));
+    }
+    let mut chunks: Vec<u32> = all.iter().map(|(_, chunk)| *chunk).collect();
+    chunks.sort_unstable();
+    let total = chunks.len();
+    chunks.dedup();
+    assert_eq!(chunks.len(), CHUNKS as usize);
+    assert!(total <= CHUNKS as usize * 2, "{total} chunks were drawn");
+}
+
+/// Everybody but the hanging one tells what it has and fetches what the others have.
+fn exchange(planners: &mut [SwarmPlanner], hanging: usize, now: Duration) {
+    let haves: Vec<ChunkSet> = planners.iter().map(|planner| planner.have().clone()).collect();
+    for (number, planner) in planners.iter_mut().enumerate() {
+        if number == hanging {
+            continue;
+        }
+        for (other, have) in haves.iter().enumerate() {
+            planner.note_have(&peer(other).name, have.clone(), now);
+        }
+        loop {
+            let orders = planner.plan(now);
+            let from_peers: Vec<&FetchOrder> =
+                orders.iter().filter(|order| !is_upstream(order)).collect();
+            for order in &from_peers {
+                planner.note_fetched(order, now);
+            }
+            // An order for the origin is not carried out here; it pauses that source.
+            for order in orders.iter().filter(|order| is_upstream(order)) {
+                planner.note_failed(order, FetchFailure::Busy(Duration::from_millis(1)), now);
+            }
+            if from_peers.is_empty() {
+                break;
+            }
+        }
+    }
+}
+
+#[test]
+fn a_drawer_that_cannot_reach_the_origin_pauses() {
+    let mut planners = planners(12);
+    let order = planners.iter_mut().find_map(|planner| {
+        let order = planner.plan(Duration::ZERO).into_iter().find(is_upstream)?;
+        planner.note_failed(&order, FetchFailure::Unreachable, Duration::ZERO);
+        assert!(!planner.plan(Duration::from_millis(100)).iter().any(is_upstream));
+        planner.plan(Duration::from_secs(1)).into_iter().find(is_upstream)
+    });
+    assert!(order.is_some());
+}
+
+fn is_upstream(order: &FetchOrder) -> bool {
+    order.source == SourceChoice::Upstream
+}
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -4,4 +4,6 @@
 mod answers;
 mod bed;
 mod changes;
+mod engines;
 mod placing;
+mod weights;
--- /dev/null
+++ b/tests/all/fleet/engines.rs
@@ -0,0 +1,162 @@
+//! Scripted engines and an origin, for what agents bring to them.
+
+use bytes::Bytes;
+use egretseam_h1::{BodyReader, ConnectionOptions, HeadWriter, HttpConnection, RequestHead};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+};
+
+/// Chunks of a version.
+pub(super) const CHUNKS: u32 = 12;
+
+/// The right bytes of a chunk.
+pub(super) fn chunk(version: u64, index: u32) -> Bytes {
+    Bytes::from(format!("version {version} chunk {index} ").repeat(40))
+}
+
+type Answer = (u16, Bytes);
+
+async fn serve(
+    listener: tokio::net::TcpListener,
+    answer: impl Fn(&RequestHead, Bytes) -> Answer + Clone + 'static,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let answer = answer.clone();
+        actix_rt::spawn(async move {
+            let options = ConnectionOptions::default();
+            let mut connection = HttpConnection::new(stream, &options).expect("set up");
+            while let Ok(Some(head)) = connection.read_request(16_384).await {
+                let reader = BodyReader::new(head.framing);
+                let Ok(body) = connection.read_body(reader, 1 << 20).await else { return };
+                let (status, body) = answer(&head, body);
+                let bytes = HeadWriter::response(status, b"Status").finish_with(&body);
+                if connection.write(&bytes).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+fn number(head: &RequestHead, name: &str) -> Option<u64> {
+    head.query(name)?.parse().ok()
+}
+
+/// The origin of weights.
+#[derive(Default)]
+pub(super) struct ScriptedOrigin {
+    /// Chunks given.
+    pub(super) given: Cell<u32>,
+    /// How many of the next chunks are spoilt.
+    pub(super) spoil_chunks: Cell<u32>,
+    /// How many of the next lists of digests are spoilt.
+    pub(super) spoil_digests: Cell<u32>,
+}
+
+fn take_one(count: &Cell<u32>) -> bool {
+    let left = count.get();
+    count.set(left.saturating_sub(1));
+    left > 0
+}
+
+impl ScriptedOrigin {
+    pub(super) async fn start(host: IpAddr) -> (Rc<Self>, SocketAddr) {
+        let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let origin = Rc::new(Self::default());
+        let serving = origin.clone();
+        actix_rt::spawn(serve(listener, move |head, _| serving.answer(head)));
+        (origin, address)
+    }
+
+    fn answer(&self, head: &RequestHead) -> Answer {
+        let version = number(head, "version").unwrap_or(1);
+        if head.path().starts_with("/manifest/") {
+            let mut digests: Vec<String> = (0..CHUNKS)
+                .map(|index| hex::encode(Sha256::digest(chunk(version, index))))
+                .collect();
+            if take_one(&self.spoil_digests) {
+                digests[3] = hex::encode(Sha256::digest(b"spoilt"));
+            }
+            let list = json!({
+                "model": "chat", "version": version, "chunkBytes": 1, "layers": 4,
+                "digests": digests
+            });
+            return (200, Bytes::from(list.to_string()));
+        }
+        let Some(index) = number(head, "num") else { return (404, Bytes::new()) };
+        self.given.set(self.given.get() + 1);
+        if take_one(&self.spoil_chunks) {
+            return (200, Bytes::from("spoilt"));
+        }
+        (200, chunk(version, index as u32))
+    }
+}
+
+/// An engine that takes whatever is staged, and remembers whether it was right.
+#[derive(Default)]
+pub(super) struct ScriptedEngine {
+    staged: RefCell<BTreeMap<u64, Bytes>>,
+    /// Version that it holds; 0 for none.
+    pub(super) version: Cell<u64>,
+    /// Orders with anything but the whole version staged.
+    pub(super) bad_orders: Cell<u32>,
+    /// Modes of the orders.
+    pub(super) modes: RefCell<Vec<String>>,
+    /// How many of the next staged chunks turn bad where they lie.
+    pub(super) rot: Cell<u32>,
+}
+
+impl ScriptedEngine {
+    pub(super) async fn start(host: IpAddr) -> (Rc<Self>, SocketAddr) {
+        let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let engine = Rc::new(Self::default());
+        let serving = engine.clone();
+        actix_rt::spawn(serve(listener, move |head, body| serving.answer(head, body)));
+        (engine, address)
+    }
+
+    fn answer(&self, head: &RequestHead, body: Bytes) -> Answer {
+        let index = number(head, "num").unwrap_or(u64::MAX);
+        match (&head.method[..], head.path()) {
+            (b"GET", "/report") => {
+                let held = json!([{"name": "chat", "version": self.version.get()}]);
+                let models = if self.version.get() == 0 { json!([]) } else { held };
+                let report = json!({"models": models, "busy": false, "active": 0, "queued": 0});
+                (200, Bytes::from(report.to_string()))
+            }
+            (b"PUT", "/stage-put/chat") => {
+                let kept = if take_one(&self.rot) { Bytes::from("rotten") } else { body };
+                self.staged.borrow_mut().insert(index, kept);
+                (200, Bytes::new())
+            }
+            (b"GET", "/stage-get/chat") => match self.staged.borrow().get(&index) {
+                Some(bytes) => (200, bytes.clone()),
+                None => (404, Bytes::new()),
+            },
+            (b"POST", "/order") => self.take_order(&body),
+            _ => (404, Bytes::new()),
+        }
+    }
+
+    fn take_order(&self, body: &[u8]) -> Answer {
+        let order: serde_json::Value = serde_json::from_slice(body).expect("JSON");
+        let version = order["version"].as_u64().expect("a version");
+        let staged = self.staged.borrow();
+        let whole = (0..CHUNKS).all(|index| {
+            staged.get(&u64::from(index)).is_some_and(|bytes| *bytes == chunk(version, index))
+        });
+        if !whole {
+            self.bad_orders.set(self.bad_orders.get() + 1);
+        }
+        self.modes.borrow_mut().push(order["mode"].as_str().unwrap_or_default().to_owned());
+        self.version.set(version);
+        (202, Bytes::new())
+    }
+}
--- /dev/null
+++ b/tests/all/fleet/weights.rs
@@ -0,0 +1,157 @@
+//! Named versions reach engines whole, whatever is spoilt on the way.
+
+use super::{
+    bed::{FleetBed, usual_config},
+    engines::{CHUNKS, ScriptedEngine, ScriptedOrigin},
+};
+use egretseam_config::{FleetAgent, FleetSettings};
+use egretseam_daemon::FleetRuntime;
+use egretseam_proto::ServiceName;
+use serde_json::{Value, json};
+use std::{rc::Rc, time::Duration};
+
+struct WeightsBed {
+    bed: FleetBed,
+    origin: Rc<ScriptedOrigin>,
+    engines: Vec<Rc<ScriptedEngine>>,
+    _agents: Vec<FleetRuntime>,
+}
+
+fn config(origin: std::net::SocketAddr, resumable: bool) -> Value {
+    let mut config = usual_config(2);
+    config["services"].as_array_mut().expect("a list").push(json!({
+        "name": "runners", "maxConnections": 100,
+        "engine": {"slots": 4, "models": [{"name": "chat"}], "chunks": CHUNKS, "chunkBytes": 1}
+    }));
+    config["services"][1]["origin"] = json!(origin.to_string());
+    let route = &mut config["routes"][2];
+    route["service"] = json!("runners");
+    route["streamResume"] = json!(resumable);
+    config
+}
+
+impl WeightsBed {
+    /// Starts so many engines with agents. Before a version is named they bring version 1.
+    async fn start(count: usize, resumable: bool) -> Self {
+        let mut bed = FleetBed::start().await;
+        let (origin, address) = ScriptedOrigin::start(bed.host()).await;
+        let mut this = Self { bed, origin, engines: Vec::new(), _agents: Vec::new() };
+        this.bed.replace(2, &config(address, resumable)).await;
+        this.bed.wait_for_version(2).await;
+        for _ in 0..count {
+            this.add().await;
+        }
+        this
+    }
+
+    async fn add(&mut self) {
+        let host = self.bed.host();
+        let (engine, target) = ScriptedEngine::start(host).await;
+        let beat = json!({
+            "service": "runners", "address": target.to_string(), "zone": "z1", "slots": 4,
+            "state": "ready", "coldLeftMs": 0, "models": [], "seq": 1
+        });
+        let path = format!("/instances/e-{}/heartbeat", target.ip());
+        assert_eq!(self.bed.call("POST", &path, &beat.to_string()).await.0, 200);
+        let settings = FleetSettings {
+            host,
+            entry: None,
+            agent: Some(FleetAgent {
+                target_address: target,
+                service: ServiceName::try_from("runners").expect("a valid name"),
+            }),
+            ..self.bed.settings.clone()
+        };
+        let agent = FleetRuntime::start(settings, &super::bed::dialects()).expect("it starts");
+        self._agents.push(agent);
+        self.engines.push(engine);
+    }
+
+    async fn name(&self, version: u64) {
+        let body = json!({"model": "chat", "version": version}).to_string();
+        assert_eq!(self.bed.call("POST", "/version-put", &body).await.0, 200);
+    }
+
+    async fn wait_for(&self, version: u64) {
+        let all_hold = || self.engines.iter().all(|engine| engine.version.get() == version);
+        self.bed.wait_until(all_hold).await;
+        let bad: u32 = self.engines.iter().map(|engine| engine.bad_orders.get()).sum();
+        assert_eq!(bad, 0, "an engine took weights that were not whole");
+    }
+}
+
+#[actix_rt::test]
+async fn a_named_version_reaches_every_engine_and_the_origin_gives_it_about_once() {
+    let mut bed = WeightsBed::start(5, true).await;
+    bed.wait_for(1).await;
+    let before = bed.origin.given.get();
+    bed.name(2).await;
+    bed.wait_for(2).await;
+    let given = bed.origin.given.get() - before;
+    assert!(given <= CHUNKS * 2, "{given} chunks drawn for {CHUNKS}");
+    // One that comes later is brought to the newest version by its peers.
+    bed.add().await;
+    bed.wait_for(2).await;
+    assert!(bed.origin.given.get() - before <= CHUNKS * 2 + CHUNKS / 2);
+}
+
+/// What users would see: answers from spoilt weights. Chunks are spoilt on their way from the
+/// origin, and staged ones turn bad where they lie; the engine takes whatever is staged. Nothing
+/// but the whole version may be staged when it is ordered.
+#[actix_rt::test]
+async fn spoilt_and_rotten_chunks_never_reach_an_engine() {
+    let bed = WeightsBed::start(3, true).await;
+    bed.wait_for(1).await;
+    bed.origin.spoil_chunks.set(5);
+    for engine in &bed.engines {
+        engine.rot.set(4);
+    }
+    bed.name(2).await;
+    bed.wait_for(2).await;
+}
+
+/// What users would see: a version that never arrives. The list of digests itself is spoilt, so
+/// every sound chunk looks bad; the agents must doubt the list and ask for it anew.
+#[actix_rt::test]
+async fn spoilt_digests_are_doubted_in_the_end() {
+    let bed = WeightsBed::start(2, true).await;
+    bed.wait_for(1).await;
+    bed.origin.spoil_digests.set(1);
+    bed.name(2).await;
+    bed.wait_for(2).await;
+}
+
+/// What users would see: an engine that is up and serves nobody. It restarts and holds nothing,
+/// while its staged chunks are still there; the agent orders it to take them again.
+#[actix_rt::test]
+async fn a_restarted_engine_gets_its_weights_back() {
+    let bed = WeightsBed::start(2, true).await;
+    bed.name(2).await;
+    bed.wait_for(2).await;
+    let drawn = bed.origin.given.get();
+    bed.engines[0].version.set(0);
+    bed.wait_for(2).await;
+    assert_eq!(bed.origin.given.get(), drawn, "nothing is fetched again");
+}
+
+#[actix_rt::test]
+async fn versions_named_in_quick_succession_end_with_the_newest() {
+    let bed = WeightsBed::start(3, true).await;
+    for version in 2..=5 {
+        bed.name(version).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    bed.wait_for(5).await;
+}
+
+/// What users would see: an answer cut off for good. An engine that is told to cut its requests off
+/// may be told so only where all of them can go on elsewhere.
+#[actix_rt::test]
+async fn engines_cut_requests_off_only_where_they_may_go_on() {
+    for (resumable, mode) in [(true, "preempt"), (false, "queue")] {
+        let bed = WeightsBed::start(1, resumable).await;
+        bed.name(2).await;
+        bed.wait_for(2).await;
+        assert_eq!(bed.engines[0].modes.borrow().last().map(String::as_str), Some(mode));
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,7 +3,9 @@
 mod bad_input;
 mod caller_codec;
 mod catalog_model;
+mod drawers;
 mod fleet;
+mod fleet_settings;
 mod group_faults;
 mod group_model;
 mod group_repair;
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -251,3 +251,60 @@
     let tight = SwitchTiming { bound: Duration::from_secs(1), ..timing };
     assert_eq!(SwitchSchedule::new(tight).turn(5, 6), Duration::ZERO, "too late to wait");
 }
+
+#[actix_rt::test]
+async fn when_most_targets_fail_none_is_left_out() {
+    let now = Instant::now();
+    let mut table = table(&[1, 2, 3], now);
+    for host in [1, 2, 3] {
+        for _ in 0..6 {
+            table.begin(&id(host), now);
+            table.end(&id(host), AttemptOutcome::Failed, now);
+        }
+    }
+    assert!(matches!(choose(&table, &[], now), Choice::Target(_)));
+}
+
+/// What users would see: every seventh answer takes seconds. One target works slowly, or its link
+/// is full; its answers come, so it does not fail. It must get far less than its part, and be tried
+/// again when nothing was heard of it for a while.
+#[actix_rt::test]
+async fn slow_targets_get_less() {
+    let now = Instant::now();
+    let mut table = table(&[1, 2, 3], now);
+    for (host, millis) in [(1, 120), (2, 150), (3, 1_500)] {
+        table.note_first_byte(&id(host), Duration::from_millis(millis), now);
+    }
+    let drawn =
+        |now| (0..600).filter(|_| choose(&table, &[], now) == Choice::Target(id(3))).count();
+    assert!(drawn(now) < 40, "{} of 600", drawn(now));
+    assert!(drawn(now + Duration::from_secs(4)) > 120);
+}
+
+/// What users would see: answers in seconds while most targets idle. Many entries have the same view
+/// of the targets, a third of a second old, and all send to the target that looks emptiest. Drawn by
+/// the free places, no target may get much more than it has room for.
+#[actix_rt::test]
+async fn entries_with_the_same_old_view_do_not_flood_a_target() {
+    const ENTRIES: usize = 16;
+    const TARGETS: u8 = 20;
+    let now = Instant::now();
+    let hosts: Vec<u8> = (1..=TARGETS).collect();
+    let mut entries: Vec<TargetTable> = (0..ENTRIES).map(|_| table(&hosts, now)).collect();
+    // Two targets look empty, the others three quarters full.
+    for entry in &mut entries {
+        for host in &hosts {
+            entry.note_load(&id(*host), if *host <= 2 { 0 } else { 3 }, now);
+        }
+    }
+    let mut arrivals = vec![0_u32; usize::from(TARGETS) + 1];
+    for round in 0..24 {
+        let entry = &mut entries[round % ENTRIES];
+        let Choice::Target(target) = choose(entry, &[], now) else { panic!("there is room") };
+        entry.begin(&target, now);
+        let host: usize = target.0.trim_start_matches("i-").parse().expect("a number");
+        arrivals[host] += 1;
+    }
+    let flooded = arrivals[1].max(arrivals[2]);
+    assert!(flooded <= 13, "{flooded} of 24 requests went to a target with 4 places: {arrivals:?}");
+}
