--- a/tests/all/serving_config.rs
+++ b/tests/all/serving_config.rs
@@ -52,14 +52,17 @@
     assert_eq!((picked(0), picked(u32::MAX)), ("orders".to_owned(), "store".to_owned()));
 }
 
+/// What makes a proper configuration improper.
+type Change<'a> = &'a dyn Fn(&mut Value);
+
 #[test]
 fn configurations_that_break_a_rule_are_refused() {
-    let with = |change: &dyn Fn(&mut Value)| {
+    let with = |change: Change<'_>| {
         let mut config = config(2, json!([route("one", "a.example", "/x/")]));
         change(&mut config);
         check(&config).expect_err("must be refused")
     };
-    let cases: [(&str, &dyn Fn(&mut Value)); 8] = [
+    let cases: [(&str, Change); 8] = [
         ("no service nowhere", &|c| c["routes"][0]["service"] = json!("nowhere")),
         ("timeout is 0", &|c| c["routes"][0]["timeoutMs"] = json!(0)),
         ("same host and prefix", &|c| {
