--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -27,9 +27,9 @@
 /// How long callers may keep the directory's answer. Some keep it three times as long, which must
 /// end well before a stopping process does.
 const ADDRESS_LIFETIME: Duration = Duration::from_secs(1);
-/// Margin by which requests stop going to targets with an older version before the bound: the
-/// time on the way, and waiting in an engine that is full.
-const VERSION_MARGIN: Duration = Duration::from_millis(1_200);
+/// Margin by which requests stop going to targets with an older version before the bound, beside
+/// the time that they wait in an engine: the time on the way.
+const VERSION_MARGIN: Duration = Duration::from_millis(600);
 /// Entries of the log behind a snapshot. A configuration has up to a hundred KiB, so this bounds
 /// the memory of the log to a few MiB.
 const SNAPSHOT_EVERY: u64 = 24;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -146,10 +146,7 @@
         if row.record.state != TargetState::Ready || row.loading || row.is_silent(now) {
             return false;
         }
-        let Some(model) = model else { return true };
-        // Failure guarded: a request that begins on old weights after the bound. Past it, a target
-        // that is not known to hold the named version or a later one gets nothing.
-        row.held_version(model).is_some_and(|held| held >= self.lowest_version(model, now))
+        model.is_none_or(|model| self.begins_allowed(row, model, now))
     }
 
     fn cost(&self, row: &TargetRow, mean: f64, now: Instant) -> Option<f64> {
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -21,6 +21,11 @@
 const NEW_WEIGHT: f64 = 0.35;
 /// How long a mean time to the first byte counts without a new answer.
 const FIRST_BYTE_MEMORY: Duration = Duration::from_secs(3);
+/// Time to the first byte that is assumed at least.
+const USUAL_FIRST_BYTE: Duration = Duration::from_millis(300);
+/// How many times its first bytes' mean time a request may take to begin: waits in a full engine
+/// spread to about twice their mean.
+const WAITS_AHEAD: u32 = 2;
 /// How long an entry remembers how many requests of its own a target had; longer than any sample
 /// is old.
 const OWN_MEMORY: Duration = Duration::from_secs(1);
@@ -288,13 +293,25 @@
         }
     }
 
-    /// The oldest version on which a request may begin now.
-    pub(crate) fn lowest_version(&self, model: &ModelName, now: Instant) -> u64 {
+    /// The oldest version on which a request that begins at `moment` may do so.
+    fn lowest_version(&self, model: &ModelName, moment: Instant) -> u64 {
         let floors = self.floors.get(model).into_iter().flatten();
-        let enforced = floors.filter(|floor| floor.enforced_at <= now);
+        let enforced = floors.filter(|floor| floor.enforced_at <= moment);
         enforced.map(|floor| floor.version).max().unwrap_or(0)
     }
 
+    /// Whether a request that is sent to a target now begins there on a version that is allowed.
+    ///
+    /// Failure guarded: a request that begins on old weights after the bound. Past it, a target that
+    /// is not known to hold the named version or a later one gets nothing; and since a request waits
+    /// in a full engine before it begins, one with old weights is left earlier by some multiple of
+    /// the time that its first bytes take.
+    pub(crate) fn begins_allowed(&self, row: &TargetRow, model: &ModelName, now: Instant) -> bool {
+        let Some(held) = row.held_version(model) else { return false };
+        let wait = row.first_byte(now).unwrap_or_default().max(USUAL_FIRST_BYTE);
+        held >= self.lowest_version(model, now + wait * WAITS_AHEAD)
+    }
+
     /// Notes how busy a target says it is.
     pub fn note_load(&mut self, id: &TargetId, busy: u32, now: Instant) {
         if let Some(row) = self.rows.get_mut(id) {
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -158,6 +158,28 @@
     assert_eq!(choose(&table, &[], second_bound), Choice::Target(id(2)));
 }
 
+/// What users would see: an answer from weights that operators replaced. A request is sent in time
+/// to a target with old weights, waits there for a place for more than a second because all targets
+/// are full, and begins after the bound. The longer a target's first bytes take, the earlier before
+/// the bound requests must stop going to it while its weights are old.
+#[actix_rt::test]
+async fn full_targets_with_old_weights_are_left_earlier() {
+    let now = Instant::now();
+    let mut table = table(&[1], now);
+    table.note_version(
+        &NamedVersion { model: model(), version: 2, age_millis: 0 },
+        VERSION_LIMIT,
+        now,
+    );
+    let bound = now + VERSION_LIMIT;
+    let at = bound - Duration::from_millis(1_500);
+    assert_eq!(choose(&table, &[], at), Choice::Target(id(1)));
+    table.note_first_byte(&id(1), Duration::from_millis(1_200), at);
+    assert_eq!(choose(&table, &[], at), Choice::NoTarget);
+    let early = bound - Duration::from_millis(4_000);
+    assert_eq!(choose(&table, &[], early), Choice::Target(id(1)));
+}
+
 #[actix_rt::test]
 async fn an_agent_is_believed_over_an_older_announcement() {
     let now = Instant::now();
