--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -24,6 +24,9 @@
 const PATIENCE_OBJECTIVES: u32 = 4;
 const SHORTEST_PATIENCE: Duration = Duration::from_millis(350);
 const LONGEST_PATIENCE: Duration = Duration::from_millis(1_800);
+/// How long after the last moment for sending to old weights a request is still waited for there;
+/// the rest of the margin before the bound is for the word to reach the engine.
+const LEAVE_SLACK: Duration = Duration::from_millis(200);
 /// Most targets that are tried without reaching any of them.
 const MAX_UNREACHED: usize = 4;
 /// When callers should come back that found no target: about what a restart takes.
@@ -313,7 +316,7 @@
     placed: PlaceGuard,
     arrivals: u32,
 ) -> Result<AfterRequest, AttemptFailure> {
-    let patience = patience(request, arrivals);
+    let patience = patience(shared, request, &placed.target, arrivals);
     let opened = attempt::open_answer(shared, caller, request, &placed, patience).await;
     let answer = match opened {
         Ok(answer) => answer,
@@ -365,14 +368,25 @@
 }
 
 /// Until when the answer must begin.
-fn patience(request: &RequestState, arrivals: u32) -> Instant {
+fn patience(
+    shared: &GatewayShared,
+    request: &RequestState,
+    target: &TargetId,
+    arrivals: u32,
+) -> Instant {
     let route = &request.route;
     let may_repeat = route.kind.may_repeat() && arrivals + 1 < route.max_attempts;
     if !may_repeat {
         return request.deadline;
     }
     let limit = (route.objective * PATIENCE_OBJECTIVES).clamp(SHORTEST_PATIENCE, LONGEST_PATIENCE);
-    (Instant::now() + limit).min(request.deadline)
+    let patience = (Instant::now() + limit).min(request.deadline);
+    let model = request.terms.model.as_ref();
+    let places = shared.places.borrow();
+    // Failure guarded: a request waits in a full engine until after the bound and begins on old
+    // weights. It is taken back before, while there is still time to close its connection.
+    let leave_by = model.and_then(|model| places.targets.leave_by(target, model));
+    leave_by.map_or(patience, |leave_by| patience.min(leave_by + LEAVE_SLACK))
 }
 
 async fn pass_on(
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -300,6 +300,14 @@
         enforced.map(|floor| floor.version).max().unwrap_or(0)
     }
 
+    /// By when a request that was sent to a target must have begun there, if the target's weights
+    /// must not be used for ever.
+    pub fn leave_by(&self, id: &TargetId, model: &ModelName) -> Option<Instant> {
+        let held = self.rows.get(id)?.held_version(model)?;
+        let newer = self.floors.get(model)?.iter().filter(|floor| floor.version > held);
+        newer.map(|floor| floor.enforced_at).min()
+    }
+
     /// Whether a request that is sent to a target now begins there on a version that is allowed.
     ///
     /// Failure guarded: a request that begins on old weights after the bound. Past it, a target that
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -180,6 +180,26 @@
     assert_eq!(choose(&table, &[], early), Choice::Target(id(1)));
 }
 
+/// What users would see: an answer from weights that operators replaced. Just before the bound all
+/// entries send to the last targets that do not switch yet, and requests wait there past it. One
+/// that has not begun by then must be taken back and go elsewhere.
+#[actix_rt::test]
+async fn requests_leave_old_weights_before_the_bound() {
+    let now = Instant::now();
+    let mut table = table(&[1], now);
+    let (target, model) = (id(1), model());
+    assert_eq!(table.leave_by(&target, &model), None);
+    for (version, later) in [(2, 0), (3, 4)] {
+        let named = NamedVersion { model: model.clone(), version, age_millis: 0 };
+        table.note_version(&named, VERSION_LIMIT, now + Duration::from_secs(later));
+    }
+    assert_eq!(table.leave_by(&target, &model), Some(now + VERSION_LIMIT));
+    let switched =
+        EngineNews { address: address(1), models: held(2), loading: false, age_millis: 0 };
+    table.note_engine(&switched, now);
+    assert_eq!(table.leave_by(&target, &model), Some(now + VERSION_LIMIT + Duration::from_secs(4)));
+}
+
 #[actix_rt::test]
 async fn an_agent_is_believed_over_an_older_announcement() {
     let now = Instant::now();
