--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod requests;
 mod scrape;
 mod slopes;
+mod soak;
 mod usage;
 
 use clap::{Parser, Subcommand};
@@ -24,6 +25,7 @@
     Control(control::ControlCommand),
     Requests(requests::RequestsCommand),
     Slopes(slopes::SlopesCommand),
+    Soak(soak::SoakCommand),
 }
 
 fn main() -> ExitCode {
@@ -32,6 +34,7 @@
         BenchVerb::Control(command) => command.execute(),
         BenchVerb::Requests(command) => command.execute(),
         BenchVerb::Slopes(command) => command.execute(),
+        BenchVerb::Soak(command) => command.execute(),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/bench/src/soak.rs
@@ -0,0 +1,212 @@
+//! `egretseam-bench soak`: the real programs as separate processes on loopback, faults from outside
+//! of them in series and overlapping, and the promises checked by what callers and targets see.
+//!
+//! A fleet without gates: control members and entries are processes; targets, callers and an
+//! operator are stand-ins here. Each target stands behind a loopback relay that delays, resets, cuts
+//! one way or silences its connections; processes are stopped, frozen, killed and restarted by
+//! signals. Only processes that the soak started are signalled, by their ids.
+
+mod checks;
+mod fleet;
+mod relay;
+mod stand_ins;
+
+use anyhow::{Context, bail};
+use checks::SoakLedger;
+use clap::Args;
+use fleet::{ProcessKind, SoakFleet};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use relay::RelayFault;
+use stand_ins::{CallerTask, OperatorTask, SoakTarget};
+use std::{path::PathBuf, rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// Shortest and longest time between two faults.
+const FAULT_GAP: std::ops::Range<u64> = 300..1_500;
+/// Shortest and longest time that a fault lasts.
+const FAULT_TIME: std::ops::Range<u64> = 400..3_000;
+/// Time after the last fault within which the fleet serves again.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Part of the requests after that time that must be served.
+const SERVED_AFTER: f64 = 0.95;
+/// How long the requests after recovery are counted.
+const AFTERWARDS: Duration = Duration::from_secs(3);
+
+/// Run the real programs under faults and check their promises.
+#[derive(Args, Debug)]
+pub(super) struct SoakCommand {
+    /// Decides the faults and the load; drawn and printed if absent.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Seconds during which faults begin.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// Entries, beside three control members.
+    #[arg(long, default_value_t = 5)]
+    entries: usize,
+    /// Callers, each with one request at a time.
+    #[arg(long, default_value_t = 24)]
+    callers: usize,
+    /// The program; by default the one beside this.
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+impl SoakCommand {
+    pub(super) fn execute(self) -> anyhow::Result<()> {
+        let seed = self.seed.unwrap_or_else(rand::random);
+        println!("seed {seed}");
+        let program = match &self.program {
+            Some(program) => program.clone(),
+            None => std::env::current_exe()?.with_file_name("egretseam"),
+        };
+        actix_rt::System::new().block_on(run(self, seed, program))
+    }
+}
+
+async fn run(command: SoakCommand, seed: u64, program: PathBuf) -> anyhow::Result<()> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let ledger = Rc::new(SoakLedger::default());
+    let mut fleet = SoakFleet::start(&program, command.entries, &mut random)
+        .with_context(|| format!("start {}", program.display()))?;
+    let mut targets = Vec::new();
+    for number in 0..4 {
+        targets.push(SoakTarget::start(number, fleet.control_calls(), ledger.clone()).await?);
+    }
+    let operator = OperatorTask::start(fleet.control_calls(), ledger.clone());
+    operator.wait_first().await?;
+    for number in 0..command.callers {
+        CallerTask::start(number, fleet.entry_addresses(), ledger.clone(), random.random());
+    }
+    let began = Instant::now();
+    let end = began + Duration::from_secs(command.seconds);
+    let mut pending: Vec<(Instant, Undo)> = Vec::new();
+    while Instant::now() < end || !pending.is_empty() {
+        let next_undo = pending.iter().map(|(at, _)| *at).min();
+        let gap = Duration::from_millis(random.random_range(FAULT_GAP));
+        let wake = next_undo.unwrap_or(end).min(Instant::now() + gap);
+        tokio::time::sleep_until(wake).await;
+        undo_due(&mut pending, &mut fleet, &targets, began)?;
+        if Instant::now() < end && next_undo.is_none_or(|at| Instant::now() < at) {
+            let lasts = Duration::from_millis(random.random_range(FAULT_TIME));
+            let undo = inject(&mut fleet, &targets, &ledger, &mut random, began)?;
+            pending.push((Instant::now() + lasts, undo));
+        }
+        fleet.restart_exited()?;
+    }
+    finish(&fleet, &operator, &ledger, began).await
+}
+
+/// How a fault ends.
+enum Undo {
+    Restart(usize),
+    Continue(usize),
+    Heal(usize),
+}
+
+fn say(began: Instant, text: &str) {
+    println!("{:8.3} {text}", began.elapsed().as_secs_f64());
+}
+
+/// Begins one fault, drawn by the seed.
+fn inject(
+    fleet: &mut SoakFleet,
+    targets: &[Rc<SoakTarget>],
+    ledger: &SoakLedger,
+    random: &mut SmallRng,
+    began: Instant,
+) -> anyhow::Result<Undo> {
+    if random.random_bool(0.4) {
+        let number = random.random_range(0..targets.len());
+        let fault = RelayFault::ALL[random.random_range(0..RelayFault::ALL.len())];
+        say(began, &format!("{fault:?} before target {number}"));
+        ledger.note_fault();
+        targets[number].set_fault(fault);
+        return Ok(Undo::Heal(number));
+    }
+    // A lost majority of control may stop changes, but nothing may be lost or taken back.
+    let number = random.random_range(0..fleet.count());
+    let name = fleet.name(number);
+    match random.random_range(0..3) {
+        0 => {
+            say(began, &format!("SIGKILL {name}"));
+            ledger.note_fault();
+            fleet.kill(number)?;
+            Ok(Undo::Restart(number))
+        }
+        1 => {
+            say(began, &format!("SIGSTOP {name}"));
+            ledger.note_fault();
+            fleet.freeze(number)?;
+            Ok(Undo::Continue(number))
+        }
+        _ => {
+            say(began, &format!("SIGTERM {name}"));
+            if fleet.kind(number) == ProcessKind::Control {
+                ledger.note_fault();
+            }
+            fleet.terminate(number)?;
+            Ok(Undo::Restart(number))
+        }
+    }
+}
+
+fn undo_due(
+    pending: &mut Vec<(Instant, Undo)>,
+    fleet: &mut SoakFleet,
+    targets: &[Rc<SoakTarget>],
+    began: Instant,
+) -> anyhow::Result<()> {
+    let now = Instant::now();
+    let due: Vec<Undo> = {
+        let (due, kept) = std::mem::take(pending).into_iter().partition(|(at, _)| *at <= now);
+        *pending = kept;
+        let due: Vec<(Instant, Undo)> = due;
+        due.into_iter().map(|(_, undo)| undo).collect()
+    };
+    for undo in due {
+        match undo {
+            Undo::Restart(number) => {
+                say(began, &format!("restart {}", fleet.name(number)));
+                fleet.restart_when_gone(number);
+            }
+            Undo::Continue(number) => {
+                say(began, &format!("SIGCONT {}", fleet.name(number)));
+                fleet.thaw(number)?;
+            }
+            Undo::Heal(number) => {
+                say(began, &format!("heal target {number}"));
+                targets[number].set_fault(RelayFault::None);
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn finish(
+    fleet: &SoakFleet,
+    operator: &OperatorTask,
+    ledger: &SoakLedger,
+    began: Instant,
+) -> anyhow::Result<()> {
+    say(began, "no more faults");
+    tokio::time::sleep(RECOVERY).await;
+    ledger.begin_afterwards();
+    tokio::time::sleep(AFTERWARDS).await;
+    let (asked, served) = ledger.afterwards();
+    if (served as f64) < asked as f64 * SERVED_AFTER {
+        ledger.violation("", format!("{served} of {asked} requests were served after recovery"));
+    }
+    operator.check_last(ledger).await;
+    ledger.check_runs();
+    let violations = ledger.violations();
+    println!("{}", ledger.summary());
+    for (id, text) in &violations {
+        println!("VIOLATION {text}");
+        fleet.print_lines(id)?;
+    }
+    if !violations.is_empty() {
+        bail!("{} promise(s) broken", violations.len());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/soak/fleet.rs
@@ -0,0 +1,210 @@
+//! The processes: settings, starts, signals, logs.
+
+use anyhow::Context;
+use rand::{RngExt, rngs::SmallRng};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::{
+    fs::{File, OpenOptions},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+};
+use tempfile::TempDir;
+
+const CONTROL_MEMBERS: usize = 3;
+const PEER_PORT: u16 = 27_700;
+const CALL_PORT: u16 = 28_000;
+const CALLER_PORT: u16 = 28_005;
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProcessKind {
+    Control,
+    Entry,
+}
+
+struct ProcessRow {
+    kind: ProcessKind,
+    name: String,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    /// Whether it is to run again once it has ended.
+    restart: bool,
+}
+
+/// All processes of one soak; they are killed when this is dropped.
+pub(super) struct SoakFleet {
+    program: PathBuf,
+    rows: Vec<ProcessRow>,
+    hosts: Vec<IpAddr>,
+    folder: TempDir,
+}
+
+impl SoakFleet {
+    /// Starts three control members and so many entries, each at a loopback host of its own.
+    pub(super) fn start(
+        program: &Path,
+        entries: usize,
+        random: &mut SmallRng,
+    ) -> anyhow::Result<Self> {
+        let (high, low): (u8, u8) = (random.random_range(1..250), random.random());
+        let host = |number: usize| IpAddr::V4(Ipv4Addr::new(127, high, low, number as u8 + 1));
+        let hosts: Vec<IpAddr> = (0..CONTROL_MEMBERS + entries).map(host).collect();
+        let folder = TempDir::new().context("a folder for the processes")?;
+        let mut fleet = Self { program: program.to_owned(), rows: Vec::new(), hosts, folder };
+        for number in 0..fleet.hosts.len() {
+            let is_control = number < CONTROL_MEMBERS;
+            let kind = if is_control { ProcessKind::Control } else { ProcessKind::Entry };
+            let name = format!("{kind:?}-{number}").to_lowercase();
+            let settings = fleet.folder.path().join(format!("{name}.json"));
+            std::fs::write(&settings, fleet.settings(number, &name, true).to_string())?;
+            let log = fleet.folder.path().join(format!("{name}.log"));
+            let row = ProcessRow { kind, name, settings, log, child: None, restart: false };
+            fleet.rows.push(row);
+            fleet.spawn(number)?;
+        }
+        // Only the first start founds the group.
+        for (number, row) in fleet.rows.iter().enumerate() {
+            let settings = fleet.settings(number, &row.name, false);
+            std::fs::write(&row.settings, settings.to_string())?;
+        }
+        Ok(fleet)
+    }
+
+    fn settings(&self, number: usize, name: &str, founding: bool) -> Value {
+        let host = self.hosts[number];
+        let at = |port: u16| SocketAddr::new(host, port).to_string();
+        let seeds: Vec<String> =
+            self.control_calls().iter().map(SocketAddr::to_string).collect();
+        let mut settings = json!({
+            "instance": name, "zone": format!("z{}", number % 3), "host": host.to_string(),
+            "first_peer_port": PEER_PORT, "control_seeds": seeds, "link_mbps": 1000.0,
+            "founding": founding, "announce_interval_seconds": 0.5, "tolerated_losses": 1,
+            "stop_limit_seconds": 5.0, "version_limit_seconds": 8.0, "retry_ratio": 0.2,
+            "retry_window_seconds": 10.0, "retry_minimum": 100
+        });
+        if number < CONTROL_MEMBERS {
+            let folder = self.folder.path().join(format!("data-{name}"));
+            settings["control"] = json!({"call_address": at(CALL_PORT), "data_folder": folder});
+        } else {
+            settings["entry"] = json!({
+                "caller_address": at(CALLER_PORT), "health_address": at(CALLER_PORT + 1),
+                "directory_address": at(CALLER_PORT + 2)
+            });
+        }
+        settings
+    }
+
+    fn spawn(&mut self, number: usize) -> anyhow::Result<()> {
+        let row = &mut self.rows[number];
+        let log: File = OpenOptions::new().create(true).append(true).open(&row.log)?;
+        let child = Command::new(&self.program)
+            .arg("fleet")
+            .arg("--settings")
+            .arg(&row.settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        row.child = Some(child);
+        row.restart = false;
+        Ok(())
+    }
+
+    /// Where targets and operators call.
+    pub(super) fn control_calls(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter().take(CONTROL_MEMBERS);
+        hosts.map(|host| SocketAddr::new(*host, CALL_PORT)).collect()
+    }
+
+    /// Where callers connect.
+    pub(super) fn entry_addresses(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter().skip(CONTROL_MEMBERS);
+        hosts.map(|host| SocketAddr::new(*host, CALLER_PORT)).collect()
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub(super) fn name(&self, number: usize) -> &str {
+        &self.rows[number].name
+    }
+
+    pub(super) fn kind(&self, number: usize) -> ProcessKind {
+        self.rows[number].kind
+    }
+
+    fn signal(&self, number: usize, signal: Signal) -> anyhow::Result<()> {
+        let Some(child) = &self.rows[number].child else { return Ok(()) };
+        let pid = Pid::from_child(child);
+        match kill_process(pid, signal) {
+            Ok(()) | Err(rustix::io::Errno::SRCH) => Ok(()),
+            Err(error) => Err(error).with_context(|| format!("signal {}", self.rows[number].name)),
+        }
+    }
+
+    pub(super) fn kill(&self, number: usize) -> anyhow::Result<()> {
+        self.signal(number, Signal::KILL)
+    }
+
+    pub(super) fn freeze(&self, number: usize) -> anyhow::Result<()> {
+        self.signal(number, Signal::STOP)
+    }
+
+    pub(super) fn thaw(&self, number: usize) -> anyhow::Result<()> {
+        self.signal(number, Signal::CONT)
+    }
+
+    pub(super) fn terminate(&self, number: usize) -> anyhow::Result<()> {
+        self.signal(number, Signal::TERM)
+    }
+
+    /// Has a process run again as soon as it has ended.
+    pub(super) fn restart_when_gone(&mut self, number: usize) {
+        self.rows[number].restart = true;
+    }
+
+    /// Starts processes again that have ended and are to run.
+    pub(super) fn restart_exited(&mut self) -> anyhow::Result<()> {
+        for number in 0..self.rows.len() {
+            let row = &mut self.rows[number];
+            let ended = match &mut row.child {
+                Some(child) => child.try_wait()?.is_some(),
+                None => true,
+            };
+            if ended && row.restart {
+                self.spawn(number)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Prints what all processes logged about a request.
+    pub(super) fn print_lines(&self, id: &str) -> anyhow::Result<()> {
+        if id.is_empty() {
+            return Ok(());
+        }
+        for row in &self.rows {
+            let log = std::fs::read_to_string(&row.log)?;
+            for line in log.lines().filter(|line| line.contains(id)) {
+                println!("    {} {line}", row.name);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for SoakFleet {
+    fn drop(&mut self) {
+        for row in &mut self.rows {
+            if let Some(child) = &mut row.child {
+                // It may have ended already; then there is nothing to end.
+                child.kill().ok();
+                child.wait().ok();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -0,0 +1,320 @@
+//! Targets, callers and an operator.
+
+use super::{
+    checks::SoakLedger,
+    relay::{self, RelayFault},
+};
+use anyhow::bail;
+use bytes::Bytes;
+use egretseam_h1::{
+    BodyReader, CallRequest, ConnectionOptions, HeadWriter, HttpConnection, RequestHead,
+    chunk_frame, exchange, last_chunk,
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde_json::{Value, json};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{net::TcpStream, time::Instant};
+
+const KEY: &str = "soak-key";
+const HOST: &str = "soak.example";
+const EVENTS: u64 = 6;
+/// Work of one request, and pause between two events.
+const WORK: Duration = Duration::from_millis(15);
+const ANNOUNCE: Duration = Duration::from_millis(500);
+const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+const CALLER_LIMIT: Duration = Duration::from_millis(4_000);
+/// Time between two changes of the configuration.
+const CHANGE: Duration = Duration::from_millis(700);
+/// Time after an acknowledgement from which a read must not be older.
+const READ_BOUND: Duration = Duration::from_secs(2);
+
+/// Calls some control member; the answer's status, or `None` without one.
+async fn call(address: SocketAddr, method: &str, target: &str, body: &str) -> Option<(u16, Bytes)> {
+    let content_type = "application/json";
+    let body = body.as_bytes();
+    let call =
+        CallRequest { method, target, content_type, body, limit: CALL_LIMIT, max_body: 1 << 20 };
+    let reply = exchange(address, &call).await.ok()?;
+    Some((reply.status, reply.body))
+}
+
+/// A target behind a relay; every run goes into the ledger.
+pub(super) struct SoakTarget {
+    fault: Rc<Cell<RelayFault>>,
+    ledger: Rc<SoakLedger>,
+    id: String,
+}
+
+impl SoakTarget {
+    pub(super) async fn start(
+        number: usize,
+        control: Vec<SocketAddr>,
+        ledger: Rc<SoakLedger>,
+    ) -> anyhow::Result<Rc<Self>> {
+        let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await?;
+        let fault = Rc::new(Cell::new(RelayFault::None));
+        let address = relay::start(listener.local_addr()?, fault.clone()).await?;
+        let id = format!("soak-{number}-{}", address.port());
+        let target = Rc::new(Self { fault, ledger, id });
+        actix_rt::spawn(target.clone().announce(address, control));
+        let serving = target.clone();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(serving.clone().serve(stream));
+            }
+        });
+        Ok(target)
+    }
+
+    pub(super) fn set_fault(&self, fault: RelayFault) {
+        self.fault.set(fault);
+    }
+
+    async fn announce(self: Rc<Self>, address: SocketAddr, control: Vec<SocketAddr>) {
+        let path = format!("/instances/{}/heartbeat", self.id);
+        for sequence in 1_u64.. {
+            let beat = json!({
+                "service": "soak", "address": address.to_string(), "zone": "z0", "slots": 32,
+                "state": "ready", "coldLeftMs": 0, "seq": sequence
+            });
+            for at in 0..control.len() {
+                let member = control[(sequence as usize + at) % control.len()];
+                let reply = call(member, "POST", &path, &beat.to_string()).await;
+                if reply.is_some_and(|(status, _)| status == 200) {
+                    break;
+                }
+            }
+            tokio::time::sleep(ANNOUNCE).await;
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let options = ConnectionOptions::default();
+        let Ok(mut connection) = HttpConnection::new(stream, &options) else { return };
+        while let Ok(Some(head)) = connection.read_request(65_536).await {
+            let reader = BodyReader::new(head.framing);
+            if connection.read_body(reader, 1 << 20).await.is_err() {
+                return;
+            }
+            if !self.answer(&mut connection, &head).await {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, connection: &mut HttpConnection, head: &RequestHead) -> bool {
+        let id = head.headers.text("X-Request-Id").unwrap_or_default().to_owned();
+        if head.headers.text("X-Target-Instance") != Some(self.id.as_str()) {
+            let bytes = HeadWriter::response(421, b"Misdirected Request").finish_with(b"");
+            return connection.write(&bytes).await.is_ok();
+        }
+        self.ledger.note_run(&id);
+        tokio::time::sleep(WORK).await;
+        let mut writer = HeadWriter::response(200, b"OK");
+        writer.text("X-Request-Id", &id).text("X-Response-Signature", &self.id);
+        if !head.path().starts_with("/stream/") {
+            return connection.write(&writer.finish_with(id.as_bytes())).await.is_ok();
+        }
+        writer.text("Transfer-Encoding", "chunked");
+        if connection.write(&writer.finish()).await.is_err() {
+            return false;
+        }
+        let from: u64 = head.headers.parse("Last-Event-Id").unwrap_or(0);
+        for event in from + 1..=EVENTS {
+            tokio::time::sleep(WORK).await;
+            let event = chunk_frame(format!("id: {event}\ndata: {id}\n\n").as_bytes());
+            if connection.write(&event).await.is_err() {
+                return false;
+            }
+        }
+        connection.write(last_chunk()).await.is_ok()
+    }
+}
+
+/// A caller that sends request after request, on a kept connection while it lasts.
+pub(super) struct CallerTask {
+    name: usize,
+    entries: Vec<SocketAddr>,
+    ledger: Rc<SoakLedger>,
+    random: SmallRng,
+}
+
+impl CallerTask {
+    pub(super) fn start(
+        name: usize,
+        entries: Vec<SocketAddr>,
+        ledger: Rc<SoakLedger>,
+        seed: u64,
+    ) {
+        let task = Self { name, entries, ledger, random: SmallRng::seed_from_u64(seed) };
+        actix_rt::spawn(task.run());
+    }
+
+    async fn run(mut self) {
+        let mut kept: Option<HttpConnection> = None;
+        for number in 0_u64.. {
+            let pause = Duration::from_millis(self.random.random_range(5..60));
+            tokio::time::sleep(pause).await;
+            let Some(mut connection) = self.connection(kept.take()).await else { continue };
+            let kind = ["once", "safe", "stream"][self.random.random_range(0..3)];
+            let id = format!("c{}-{number}-{kind}", self.name);
+            if self.ask(&mut connection, kind, &id).await {
+                kept = Some(connection);
+            }
+        }
+    }
+
+    async fn connection(&mut self, kept: Option<HttpConnection>) -> Option<HttpConnection> {
+        let kept = kept.filter(HttpConnection::is_quiet);
+        if kept.is_some() && self.random.random_bool(0.9) {
+            return kept;
+        }
+        let address = self.entries[self.random.random_range(0..self.entries.len())];
+        HttpConnection::open(address, CALL_LIMIT, &ConnectionOptions::default()).await.ok()
+    }
+
+    /// Sends one request and checks its answer; returns whether the connection goes on.
+    async fn ask(&self, connection: &mut HttpConnection, kind: &str, id: &str) -> bool {
+        self.ledger.note_sent(id, kind == "once");
+        let began_calm = self.ledger.is_calm();
+        let millis = CALLER_LIMIT.as_millis();
+        let text = format!(
+            "POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: {millis}\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 2\r\n\r\nhi"
+        );
+        let work = async {
+            connection.write(text.as_bytes()).await.ok()?;
+            let head = connection.read_response().await.ok()?;
+            let reader = BodyReader::new(head.framing(b"POST"));
+            let body = connection.read_body(reader, 1 << 20).await.ok();
+            Some((head, body))
+        };
+        let answer = tokio::time::timeout(CALLER_LIMIT, work).await.ok().flatten();
+        let Some((head, body)) = answer else {
+            self.ledger.note_failure(id, 0);
+            return false;
+        };
+        match (head.status, body) {
+            (200, Some(body)) => {
+                self.check_body(kind, id, &body);
+                self.ledger.note_answered();
+            }
+            (200, None) => {
+                if began_calm && self.ledger.is_calm() {
+                    self.ledger.violation(id, format!("{id} was cut off by nothing but a stop"));
+                }
+                self.ledger.note_failure(id, 0);
+                return false;
+            }
+            (status, _) => self.ledger.note_failure(id, status),
+        }
+        !head.headers.wants_close()
+    }
+
+    fn check_body(&self, kind: &str, id: &str, body: &[u8]) {
+        let expected = if kind == "stream" {
+            (1..=EVENTS).map(|event| format!("id: {event}\ndata: {id}\n\n")).collect()
+        } else {
+            id.to_owned()
+        };
+        if body != expected.as_bytes() {
+            let text = String::from_utf8_lossy(body);
+            self.ledger.violation(id, format!("{id} got another answer: {text:?}"));
+        }
+    }
+}
+
+/// An operator that replaces the configuration again and again and reads it back.
+pub(super) struct OperatorTask {
+    acknowledged: Rc<RefCell<Vec<(u64, Instant)>>>,
+    control: Vec<SocketAddr>,
+}
+
+fn config(version: u64) -> Value {
+    let route = |kind: &str, name: &str| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 3500, "targetLatencyMs": 300, "service": "soak", "maxAttempts": 3,
+            "streamResume": true
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [route("non_idempotent", "once"), route("idempotent", "safe"),
+                   route("streaming", "stream")],
+        "services": [{"name": "soak", "healthPath": "/healthz", "maxConnections": 500}],
+        "tenants": [{"name": "soak", "apiKeys": [KEY]}]
+    })
+}
+
+impl OperatorTask {
+    pub(super) fn start(control: Vec<SocketAddr>, ledger: Rc<SoakLedger>) -> Self {
+        let acknowledged: Rc<RefCell<Vec<(u64, Instant)>>> = Rc::default();
+        let task = Self { acknowledged: acknowledged.clone(), control: control.clone() };
+        actix_rt::spawn(async move {
+            for version in 1.. {
+                let body = config(version).to_string();
+                let mut at = version as usize;
+                // Sent again, to another member, until it is acknowledged.
+                loop {
+                    let member = control[at % control.len()];
+                    let reply = call(member, "POST", "/config/replace", &body).await;
+                    if reply.is_some_and(|(status, _)| status == 200) {
+                        break;
+                    }
+                    at += 1;
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+                acknowledged.borrow_mut().push((version, Instant::now()));
+                read_all(&control, &acknowledged, &ledger).await;
+                tokio::time::sleep(CHANGE).await;
+            }
+        });
+        task
+    }
+
+    pub(super) async fn wait_first(&self) -> anyhow::Result<()> {
+        let deadline = Instant::now() + Duration::from_secs(20);
+        while self.acknowledged.borrow().is_empty() {
+            if Instant::now() > deadline {
+                bail!("the first configuration is never acknowledged");
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    /// Some member must give the newest acknowledged configuration, and none an older one.
+    pub(super) async fn check_last(&self, ledger: &SoakLedger) {
+        let answered = read_all(&self.control, &self.acknowledged, ledger).await;
+        if answered == 0 {
+            ledger.violation("", "no member can read the configuration after recovery".to_owned());
+        }
+    }
+}
+
+/// Reads the configuration at every member; returns how many answered.
+async fn read_all(
+    control: &[SocketAddr],
+    acknowledged: &RefCell<Vec<(u64, Instant)>>,
+    ledger: &SoakLedger,
+) -> usize {
+    let mut answered = 0;
+    for member in control {
+        let now = Instant::now();
+        let due = acknowledged.borrow().iter().rev().find(|(_, at)| now - *at > READ_BOUND).copied();
+        let Some((200, body)) = call(*member, "GET", "/config/read", "").await else { continue };
+        answered += 1;
+        let read: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let version = read["version"].as_u64().unwrap_or(0);
+        if due.is_some_and(|(due, _)| version < due) {
+            ledger.violation("", format!("{member} reads version {version}, {due:?} is accepted"));
+        }
+    }
+    answered
+}
