Few instances draw when an origin comes back

Cause: while the origin is gone every agent starves and passes one drawer after the other over, until each takes itself for the only one (24 of 24 draw in the new test, which failed first). At most twice the drawers are passed over now.

--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -76,8 +76,7 @@
     fn settings(&self, number: usize, name: &str, founding: bool) -> Value {
         let host = self.hosts[number];
         let at = |port: u16| SocketAddr::new(host, port).to_string();
-        let seeds: Vec<String> =
-            self.control_calls().iter().map(SocketAddr::to_string).collect();
+        let seeds: Vec<String> = self.control_calls().iter().map(SocketAddr::to_string).collect();
         let mut settings = json!({
             "instance": name, "zone": format!("z{}", number % 3), "host": host.to_string(),
             "first_peer_port": PEER_PORT, "control_seeds": seeds, "link_mbps": 1000.0,
--- a/crates/bench/src/soak/stand_ins.rs
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -145,12 +145,7 @@
 }
 
 impl CallerTask {
-    pub(super) fn start(
-        name: usize,
-        entries: Vec<SocketAddr>,
-        ledger: Rc<SoakLedger>,
-        seed: u64,
-    ) {
+    pub(super) fn start(name: usize, entries: Vec<SocketAddr>, ledger: Rc<SoakLedger>, seed: u64) {
         let task = Self { name, entries, ledger, random: SmallRng::seed_from_u64(seed) };
         actix_rt::spawn(task.run());
     }
@@ -307,7 +302,8 @@
     let mut answered = 0;
     for member in control {
         let now = Instant::now();
-        let due = acknowledged.borrow().iter().rev().find(|(_, at)| now - *at > READ_BOUND).copied();
+        let due =
+            acknowledged.borrow().iter().rev().find(|(_, at)| now - *at > READ_BOUND).copied();
         let Some((200, body)) = call(*member, "GET", "/config/read", "").await else { continue };
         answered += 1;
         let read: Value = serde_json::from_slice(&body).unwrap_or_default();
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -364,6 +364,9 @@
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
 /// How often that pause doubles at most.
 const MOST_DOUBLINGS: u32 = 6;
+/// Pause after the origin could not be reached. Short: a service may wait for its last chunks, and
+/// few instances ask.
+const UPSTREAM_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a single wrong chunk or claim.
 const SLIP_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after too many of them.
@@ -372,7 +375,7 @@
 fn upstream_pause(failure: FetchFailure) -> Duration {
     match failure {
         FetchFailure::Busy(pause) => pause,
-        FetchFailure::Unreachable => Duration::from_millis(500),
+        FetchFailure::Unreachable => UPSTREAM_PAUSE,
         FetchFailure::Corrupt => SLIP_PAUSE,
         FetchFailure::Absent => Duration::from_secs(2),
     }
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -9,6 +9,8 @@
 
 /// Stands for no chunk; orders the instances that may draw from the origin.
 const DRAWER_SALT: ChunkIndex = u32::MAX - 1;
+/// How many times the drawers' number may be passed over at a time.
+const MOST_PASSED_OVER: usize = 2;
 /// Ranks beyond this all count as last.
 const MAX_RANK: u32 = 8;
 /// Pause of a holder that is waited out rather than drawing its chunk from the origin.
@@ -114,6 +116,12 @@
         };
         let missing: Vec<ChunkIndex> = (0..self.have.len()).filter(missing).collect();
         for chunk in missing {
+            // Failure guarded: while the origin itself is gone everybody starves. Passing ever more
+            // over, each instance would take itself for the only drawer left, and all would draw
+            // everything when the origin is back.
+            if self.stalled.len() >= self.policy.drawers.saturating_mul(MOST_PASSED_OVER) {
+                return;
+            }
             let (ahead, is_drawer) = self.drawers_ahead();
             let first = ahead.into_iter().max_by_key(|peer| score(&peer.name, chunk));
             let Some(first) = first.cloned() else { return };
--- a/tests/all/drawers.rs
+++ b/tests/all/drawers.rs
@@ -18,10 +18,18 @@
 }
 
 fn planners(count: usize) -> Vec<SwarmPlanner> {
+    planners_with(count, 0)
+}
+
+/// Planners of so many instances that all have the first `held` chunks.
+fn planners_with(count: usize, held: u32) -> Vec<SwarmPlanner> {
     let swarm: Vec<PlannerPeer> = (0..count).map(peer).collect();
     let policy = PlannerPolicy { drawers: DRAWERS, ..PlannerPolicy::default() };
     let planner = |own: &PlannerPeer| {
-        let have = ChunkSet::new(CHUNKS);
+        let mut have = ChunkSet::new(CHUNKS);
+        for chunk in 0..held {
+            have.insert(chunk);
+        }
         let mut planner = SwarmPlanner::new(own.clone(), policy, have, Duration::ZERO);
         planner.set_origin_zone(ZoneName::try_from("z1").expect("a valid name"));
         planner.set_swarm(&swarm);
@@ -122,6 +130,31 @@
     }
 }
 
+/// What users would see: no service for seconds after the origin is back. While nobody can reach the
+/// origin, everybody starves and passes one drawer over after the other, until each takes itself for
+/// the only one left and draws everything. Only so many may be passed over.
+#[test]
+fn few_draw_when_the_origin_comes_back() {
+    let mut planners = planners_with(24, CHUNKS - 12);
+    let mut now = Duration::ZERO;
+    let fail = |planner: &mut SwarmPlanner, now: Duration| {
+        for order in planner.plan(now) {
+            planner.note_failed(&order, FetchFailure::Unreachable, now);
+        }
+    };
+    for _ in 0..160 {
+        planners.iter_mut().for_each(|planner| fail(planner, now));
+        now += Duration::from_millis(50);
+    }
+    let mut drawers = 0;
+    for planner in &mut planners {
+        let draws = |planner: &mut SwarmPlanner, at| planner.plan(at).iter().any(is_upstream);
+        drawers +=
+            usize::from((0..20).any(|step| draws(planner, now + Duration::from_millis(step * 50))));
+    }
+    assert!((1..=DRAWERS * 3).contains(&drawers), "{drawers} of 24 draw");
+}
+
 #[test]
 fn a_drawer_that_cannot_reach_the_origin_pauses() {
     let mut planners = planners(12);
