--- a/crates/bench/src/soak/stand_ins.rs
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -7,11 +7,12 @@
 use anyhow::bail;
 use bytes::Bytes;
 use egretseam_h1::{
-    BodyReader, CallRequest, ConnectionOptions, HeadWriter, HttpConnection, RequestHead,
-    chunk_frame, exchange, last_chunk,
+    BodyReader, CallRequest, ConnectionOptions, HttpConnection, RequestHead, chunk_frame, exchange,
+    last_chunk,
 };
+use egretseam_platform::stand_in;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -23,6 +24,10 @@
 const KEY: &str = "soak-key";
 const HOST: &str = "soak.example";
 const EVENTS: u64 = 6;
+/// Requests that a target says it runs at a time.
+const SLOTS: u32 = 32;
+/// Timeout of the routes in milliseconds.
+const ROUTE_MILLIS: u64 = 3_500;
 /// Work of one request, and pause between two events.
 const WORK: Duration = Duration::from_millis(15);
 const ANNOUNCE: Duration = Duration::from_millis(500);
@@ -76,15 +81,12 @@
     }
 
     async fn announce(self: Rc<Self>, address: SocketAddr, control: Vec<SocketAddr>) {
-        let path = format!("/instances/{}/heartbeat", self.id);
         for sequence in 1_u64.. {
-            let beat = json!({
-                "service": "soak", "address": address.to_string(), "zone": "z0", "slots": 32,
-                "state": "ready", "coldLeftMs": 0, "seq": sequence
-            });
+            let (path, beat) =
+                stand_in::announcement(&self.id, "soak", address, "z0", SLOTS, sequence);
             for at in 0..control.len() {
                 let member = control[(sequence as usize + at) % control.len()];
-                let reply = call(member, "POST", &path, &beat.to_string()).await;
+                let reply = call(member, "POST", &path, &beat).await;
                 if reply.is_some_and(|(status, _)| status == 200) {
                     break;
                 }
@@ -108,15 +110,14 @@
     }
 
     async fn answer(&self, connection: &mut HttpConnection, head: &RequestHead) -> bool {
-        let id = head.headers.text("X-Request-Id").unwrap_or_default().to_owned();
-        if head.headers.text("X-Target-Instance") != Some(self.id.as_str()) {
-            let bytes = HeadWriter::response(421, b"Misdirected Request").finish_with(b"");
+        let id = stand_in::request_id(head).to_owned();
+        if !stand_in::is_meant_for(head, &self.id) {
+            let bytes = stand_in::misdirected().finish_with(b"");
             return connection.write(&bytes).await.is_ok();
         }
         self.ledger.note_run(&id);
         tokio::time::sleep(WORK).await;
-        let mut writer = HeadWriter::response(200, b"OK");
-        writer.text("X-Request-Id", &id).text("X-Response-Signature", &self.id);
+        let mut writer = stand_in::answer(200, &id, &self.id);
         if !head.path().starts_with("/stream/") {
             return connection.write(&writer.finish_with(id.as_bytes())).await.is_ok();
         }
@@ -124,8 +125,7 @@
         if connection.write(&writer.finish()).await.is_err() {
             return false;
         }
-        let from: u64 = head.headers.parse("Last-Event-Id").unwrap_or(0);
-        for event in from + 1..=EVENTS {
+        for event in stand_in::last_event(head) + 1..=EVENTS {
             tokio::time::sleep(WORK).await;
             let event = chunk_frame(format!("id: {event}\ndata: {id}\n\n").as_bytes());
             if connection.write(&event).await.is_err() {
@@ -177,11 +177,8 @@
     async fn ask(&self, connection: &mut HttpConnection, kind: &str, id: &str) -> bool {
         self.ledger.note_sent(id, kind == "once");
         let began_calm = self.ledger.is_calm();
-        let millis = CALLER_LIMIT.as_millis();
-        let text = format!(
-            "POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\
-             X-Deadline-Ms: {millis}\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 2\r\n\r\nhi"
-        );
+        let millis = CALLER_LIMIT.as_millis() as u64;
+        let text = stand_in::caller_request(&format!("/{kind}/x"), HOST, id, KEY, millis);
         let work = async {
             connection.write(text.as_bytes()).await.ok()?;
             let head = connection.read_response().await.ok()?;
@@ -230,30 +227,14 @@
     control: Vec<SocketAddr>,
 }
 
-fn config(version: u64) -> Value {
-    let route = |kind: &str, name: &str| {
-        json!({
-            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": 3500, "targetLatencyMs": 300, "service": "soak", "maxAttempts": 3,
-            "streamResume": true
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [route("non_idempotent", "once"), route("idempotent", "safe"),
-                   route("streaming", "stream")],
-        "services": [{"name": "soak", "healthPath": "/healthz", "maxConnections": 500}],
-        "tenants": [{"name": "soak", "apiKeys": [KEY]}]
-    })
-}
-
 impl OperatorTask {
     pub(super) fn start(control: Vec<SocketAddr>, ledger: Rc<SoakLedger>) -> Self {
         let acknowledged: Rc<RefCell<Vec<(u64, Instant)>>> = Rc::default();
         let task = Self { acknowledged: acknowledged.clone(), control: control.clone() };
         actix_rt::spawn(async move {
             for version in 1.. {
-                let body = config(version).to_string();
+                let body = stand_in::configuration(version, HOST, "soak", KEY, ROUTE_MILLIS);
+                let body = body.to_string();
                 let mut at = version as usize;
                 // Sent again, to another member, until it is acknowledged.
                 loop {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod clock;
 mod driver;
+mod group_tasks;
 mod handler;
 mod operator;
 mod outbox;
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::LogClock,
     driver::{self, ControlInput},
+    group_tasks,
     handler::ControlHandler,
     repair::RepairPolicy,
     watchers::WatcherTable,
@@ -242,8 +243,8 @@
         let handler = ControlHandler::new(shared.clone());
         let server = serve_control(listener, secret, RpcOptions::default(), handler.clone())?;
         let driver = actix_rt::spawn(driver::run(shared.clone(), opened, receiver));
-        actix_rt::spawn(driver::watch_entries(Rc::downgrade(&shared)));
-        actix_rt::spawn(driver::ask_to_join(Rc::downgrade(&shared)));
+        actix_rt::spawn(group_tasks::watch_entries(Rc::downgrade(&shared)));
+        actix_rt::spawn(group_tasks::ask_to_join(Rc::downgrade(&shared)));
         Ok(Self { shared, server, handler, driver: Some(driver) })
     }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -5,7 +5,7 @@
 use egretseam_config::{FleetAgent, FleetControl, FleetEntry, FleetSettings};
 use egretseam_control::{ControlOptions, GroupFormation, RepairPolicy};
 use egretseam_gateway::{CallerDialect, GatewayListeners, GatewayOptions, GatewayRuntime};
-use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection, bind_listener};
+use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection, bind_listener, spawn_accept};
 use egretseam_http::DaemonMetrics;
 use egretseam_registrar::{ControlDialect, RegistrarListeners, RegistrarOptions, RegistrarRuntime};
 use egretseam_rpc::PeerSecret;
@@ -285,22 +285,9 @@
     /// Serves the metrics to whoever asks.
     fn metrics(&self) -> anyhow::Result<()> {
         let listener = self.bind(self.peer_address(METRICS_PORT))?;
-        let listener = tokio::net::TcpListener::from_std(listener)?;
         let metrics = self.metrics.clone();
-        actix_rt::spawn(async move {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        actix_rt::spawn(serve_metrics(stream, metrics.clone()));
-                    }
-                    Err(error) => {
-                        tracing::warn!(%error, "accept failed");
-                        tokio::time::sleep(Duration::from_millis(50)).await;
-                    }
-                }
-            }
-        });
-        Ok(())
+        spawn_accept(listener, move |stream| Some(serve_metrics(stream, metrics.clone())))
+            .context("serve metrics")
     }
 }
 
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -8,6 +8,7 @@
     place,
     shared::{GatewayShared, StopPhase},
 };
+use egretseam_h1::spawn_accept;
 use egretseam_http::DaemonMetrics;
 use egretseam_serving::TargetId;
 use std::{
@@ -21,8 +22,6 @@
 
 /// How often what is old is dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause after the system refused a connection, for example for want of descriptors.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 /// Part of the time to stop during which new requests are still served: callers keep a list of
 /// addresses for up to three of its lifetimes, and answers begun then can still end in time.
 const SERVING_SHARE: f64 = 0.4;
@@ -111,25 +110,8 @@
     F: Fn(Rc<GatewayShared>, TcpStream) -> Fut + 'static,
     Fut: Future<Output = ()> + 'static,
 {
-    listener.set_nonblocking(true)?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
     let shared = Rc::downgrade(shared);
-    actix_rt::spawn(async move {
-        loop {
-            let accepted = listener.accept().await;
-            let Some(shared) = shared.upgrade() else { return };
-            match accepted {
-                Ok((stream, _)) => {
-                    actix_rt::spawn(serve(shared, stream));
-                }
-                Err(error) => {
-                    tracing::warn!(%error, "accept failed");
-                    tokio::time::sleep(ACCEPT_BACKOFF).await;
-                }
-            }
-        }
-    });
-    Ok(())
+    spawn_accept(listener, move |stream| Some(serve(shared.upgrade()?, stream)))
 }
 
 async fn sweep(shared: Weak<GatewayShared>) {
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -8,8 +8,10 @@
 //!
 //! [`HttpConnection`] reads and writes; [`RequestHead`] and [`ResponseHead`] are parsed heads whose
 //! headers share one buffer; [`BodyReader`] hands out a body piece by piece; [`HeadWriter`] builds
-//! heads; [`exchange`] makes one call on a connection of its own.
+//! heads; [`exchange`] makes one call on a connection of its own; [`spawn_accept`] serves a
+//! listener.
 
+mod accept;
 mod body;
 mod connection;
 mod exchange;
@@ -17,6 +19,7 @@
 mod writer;
 
 pub use crate::{
+    accept::spawn_accept,
     body::{BodyFraming, BodyReader},
     connection::{ConnectionOptions, HttpConnection, ReadError, bind_listener},
     exchange::{CallReply, CallRequest, ExchangeError, KeptClient, exchange},
--- a/crates/registrar/src/runtime.rs
+++ b/crates/registrar/src/runtime.rs
@@ -9,14 +9,12 @@
     shared::RegistrarShared,
 };
 use egretseam_control::ControlRuntime;
+use egretseam_h1::spawn_accept;
 use egretseam_http::DaemonMetrics;
 use egretseam_rpc::{RpcOptions, RpcServer, serve_feed};
-use std::{io, net::TcpListener, rc::Rc, time::Duration};
+use std::{io, rc::Rc};
 use thiserror::Error;
 
-/// Pause after the system refused a connection, for example for want of descriptors.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-
 /// Why a registrar could not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -52,7 +50,10 @@
         let shared = Rc::new(RegistrarShared::new(options, dialect, handler, metrics));
         let feed = FeedHandler::new(shared.clone());
         let feeds = serve_feed(listeners.feeds, secret, RpcOptions::default(), feed)?;
-        accept(&shared, listeners.calls)?;
+        let serving = Rc::downgrade(&shared);
+        spawn_accept(listeners.calls, move |stream| {
+            Some(front::serve(serving.upgrade()?, stream))
+        })?;
         actix_rt::spawn(publish::watch_log(Rc::downgrade(&shared)));
         actix_rt::spawn(publish::expire(Rc::downgrade(&shared)));
         actix_rt::spawn(mirror::mirror_all(Rc::downgrade(&shared)));
@@ -67,25 +68,3 @@
         self.control.stop().await;
     }
 }
-
-fn accept(shared: &Rc<RegistrarShared>, listener: TcpListener) -> io::Result<()> {
-    listener.set_nonblocking(true)?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
-    let shared = Rc::downgrade(shared);
-    actix_rt::spawn(async move {
-        loop {
-            let accepted = listener.accept().await;
-            let Some(shared) = shared.upgrade() else { return };
-            match accepted {
-                Ok((stream, _)) => {
-                    actix_rt::spawn(front::serve(shared, stream));
-                }
-                Err(error) => {
-                    tracing::warn!(%error, "accept failed");
-                    tokio::time::sleep(ACCEPT_BACKOFF).await;
-                }
-            }
-        }
-    });
-    Ok(())
-}
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -57,65 +57,29 @@
     }
 }
 
-/// Serves [`ControlService`] on the current thread.
-///
-/// # Errors
-/// Fails if the listener cannot be made non-blocking.
-pub fn serve_control(
-    listener: TcpListener,
-    secret: PeerSecret,
-    options: RpcOptions,
-    service: impl ControlService + Clone + 'static,
-) -> io::Result<RpcServer> {
-    spawn_accept(listener, secret, options, move |stream, options| {
-        serve_stream(stream, options, service.clone().serve())
-    })
-}
-
-/// Serves [`EntryService`] on the current thread.
-///
-/// # Errors
-/// Fails if the listener cannot be made non-blocking.
-pub fn serve_entry(
-    listener: TcpListener,
-    secret: PeerSecret,
-    options: RpcOptions,
-    service: impl EntryService + Clone + 'static,
-) -> io::Result<RpcServer> {
-    spawn_accept(listener, secret, options, move |stream, options| {
-        serve_stream(stream, options, service.clone().serve())
-    })
-}
-
-/// Serves [`FeedService`] on the current thread.
-///
-/// # Errors
-/// Fails if the listener cannot be made non-blocking.
-pub fn serve_feed(
-    listener: TcpListener,
-    secret: PeerSecret,
-    options: RpcOptions,
-    service: impl FeedService + Clone + 'static,
-) -> io::Result<RpcServer> {
-    spawn_accept(listener, secret, options, move |stream, options| {
-        serve_stream(stream, options, service.clone().serve())
-    })
+macro_rules! serve {
+    ($name:ident, $service:ident) => {
+        #[doc = concat!("Serves [`", stringify!($service), "`] on the current thread.")]
+        ///
+        /// # Errors
+        /// Fails if the listener cannot be made non-blocking.
+        pub fn $name(
+            listener: TcpListener,
+            secret: PeerSecret,
+            options: RpcOptions,
+            service: impl $service + Clone + 'static,
+        ) -> io::Result<RpcServer> {
+            spawn_accept(listener, secret, options, move |stream, options| {
+                serve_stream(stream, options, service.clone().serve())
+            })
+        }
+    };
 }
 
-/// Serves [`ChunkService`] on the current thread.
-///
-/// # Errors
-/// Fails if the listener cannot be made non-blocking.
-pub fn serve_chunks(
-    listener: TcpListener,
-    secret: PeerSecret,
-    options: RpcOptions,
-    service: impl ChunkService + Clone + 'static,
-) -> io::Result<RpcServer> {
-    spawn_accept(listener, secret, options, move |stream, options| {
-        serve_stream(stream, options, service.clone().serve())
-    })
-}
+serve!(serve_control, ControlService);
+serve!(serve_entry, EntryService);
+serve!(serve_feed, FeedService);
+serve!(serve_chunks, ChunkService);
 
 async fn serve_stream<S>(stream: TcpStream, options: RpcOptions, serve: S)
 where
