--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -75,6 +75,7 @@
     }
     let operator = OperatorTask::start(fleet.control_calls(), ledger.clone());
     operator.wait_first().await?;
+    fleet.end_founding()?;
     for number in 0..command.callers {
         CallerTask::start(number, fleet.entry_addresses(), ledger.clone(), random.random());
     }
--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -65,12 +65,17 @@
             fleet.rows.push(row);
             fleet.spawn(number)?;
         }
-        // Only the first start founds the group.
-        for (number, row) in fleet.rows.iter().enumerate() {
-            let settings = fleet.settings(number, &row.name, false);
+        Ok(fleet)
+    }
+
+    /// Says in all settings that the system has started before. Only once the group stands: a
+    /// process that is slow to read its settings must still find that it founds.
+    pub(super) fn end_founding(&self) -> anyhow::Result<()> {
+        for (number, row) in self.rows.iter().enumerate() {
+            let settings = self.settings(number, &row.name, false);
             std::fs::write(&row.settings, settings.to_string())?;
         }
-        Ok(fleet)
+        Ok(())
     }
 
     fn settings(&self, number: usize, name: &str, founding: bool) -> Value {
