--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -48,6 +48,8 @@
     began: Instant,
     /// How often each chunk came with a wrong digest.
     wrong: RefCell<IndexMap<u32, u32>>,
+    /// Whether the origin answered last.
+    origin_answers: Cell<bool>,
     /// Mean time that a chunk spends on the network.
     network_time: Cell<Duration>,
     /// Chunks drawn from the origin.
@@ -88,6 +90,7 @@
             origin: Rc::new(tokio::sync::Mutex::new(KeptClient::new(plan.origin))),
             began: Instant::now(),
             wrong: RefCell::default(),
+            origin_answers: Cell::new(true),
             network_time: Cell::new(Duration::ZERO),
             from_origin: Cell::new(0),
             wake: Notify::new(),
@@ -232,10 +235,18 @@
         self.planner.borrow_mut().set_peer_fetches(fetches);
     }
 
+    /// One line when the origin is lost and one when it is back.
+    fn note_origin(&self, answers: bool) {
+        if self.origin_answers.replace(answers) != answers {
+            tracing::info!(answers, version = self.key.version, "the origin of weights");
+        }
+    }
+
     async fn fetch_origin(&self, chunk: u32) -> Result<Bytes, FetchFailure> {
         let call = self.shared.dialect.origin_chunk(&self.key.model, self.key.version, chunk);
-        let mut origin = self.origin.lock().await;
-        match origin.call(&request(&call, CHUNK_LIMIT)).await {
+        let answer = self.origin.lock().await.call(&request(&call, CHUNK_LIMIT)).await;
+        self.note_origin(answer.is_ok());
+        match answer {
             Ok(reply) if reply.status == 200 => Ok(reply.body),
             Ok(reply) if matches!(reply.status, 404 | 410) => Err(FetchFailure::Absent),
             Ok(_) => Err(FetchFailure::Busy(Duration::from_millis(100))),
--- a/src/commands/fleet.rs
+++ b/src/commands/fleet.rs
@@ -49,6 +49,8 @@
     let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false)
         .with_target(false)
         .with_writer(writer);
     tracing_subscriber::registry().with(LevelFilter::INFO).with(budget.clone()).with(lines).init();
