--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -128,6 +128,11 @@
             if !is_drawer || score(&first.name, chunk) > score(&self.own.name, chunk) {
                 tracing::info!(own = %self.own.name, over = %first.name, chunk, "passing over");
                 self.stalled.insert(first.name.clone(), now + STALLED_FOR);
+                // With few drawers one at a time is enough: if it was the origin that hung and not
+                // the drawer, the others' lists stay alike.
+                if self.policy.drawers != usize::MAX {
+                    return;
+                }
             }
         }
     }
