--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -239,7 +239,6 @@
         });
         let options = RegistrarOptions {
             control: member,
-            zone: settings.zone.to_string(),
             feed_address: feed_address.to_string(),
             feed_seeds: self.seeds.feeds.clone(),
             feed_port: feed_address.port(),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use egretseam_h1::HeadWriter;
-use egretseam_proto::{RefusalReason, RequestVerdict};
+use egretseam_proto::RequestVerdict;
 use std::time::Duration;
 
 /// Why a request ends without its target's answer.
@@ -161,13 +161,3 @@
         head.finish_with(self.kind.slug().as_bytes())
     }
 }
-
-/// The nearest reason of the product's own metrics.
-impl From<RefusalKind> for RefusalReason {
-    fn from(kind: RefusalKind) -> Self {
-        match kind {
-            RefusalKind::Expired | RefusalKind::ExpiredUnsent => Self::DeadlineExceeded,
-            _ => Self::BrokenAnswer,
-        }
-    }
-}
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -98,11 +98,6 @@
         Self::new(stream, options)
     }
 
-    /// The other end.
-    pub fn peer(&self) -> io::Result<SocketAddr> {
-        self.stream.peer_addr()
-    }
-
     /// Whether bytes were read that nobody has taken.
     pub fn has_buffered(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/registrar/src/options.rs
+++ b/crates/registrar/src/options.rs
@@ -26,8 +26,6 @@
 pub struct RegistrarOptions {
     /// The control member.
     pub control: ControlOptions,
-    /// Availability zone, for logs.
-    pub zone: String,
     /// Where this member's feed is reached.
     pub feed_address: String,
     /// `host:port` of the feeds of members to begin with.
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -125,17 +125,6 @@
         draw(&weighted).map_or(Choice::Full, |id| Choice::Target(id.clone()))
     }
 
-    /// Places left at the targets that could take such a request, as far as this entry knows.
-    pub fn free_places(&self, need: &PlacementNeed<'_>, now: Instant) -> f64 {
-        let Some(ids) = self.services.get(need.service) else { return 0.0 };
-        let rows = ids.iter().filter_map(|id| Some((id, self.rows.get(id)?)));
-        let able: Vec<_> = rows.filter(|(_, row)| self.is_able(row, need.model, now)).collect();
-        let mean = mean_of_others(&able, now);
-        let free =
-            |row: &TargetRow| f64::from(row.record.slots) - self.expected_load(row, mean, now);
-        able.iter().map(|(_, row)| free(row).max(0.0)).sum()
-    }
-
     fn sample<'a>(&self, ids: &'a [TargetId]) -> impl Iterator<Item = &'a TargetId> + use<'a> {
         let count = ids.len().min(MAX_CANDIDATES);
         let start = if ids.len() > count { rand::rng().random_range(0..ids.len()) } else { 0 };
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -178,9 +178,4 @@
     pub fn live(&self) -> impl Iterator<Item = &TargetRecord> {
         self.rows.values().filter(|row| !row.silent).map(|row| &row.record)
     }
-
-    /// The service and state of one target.
-    pub fn get(&self, id: &TargetId) -> Option<&TargetRecord> {
-        self.rows.get(id).map(|row| &row.record)
-    }
 }
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -368,10 +368,4 @@
     pub fn is_ready(&self, id: &TargetId) -> bool {
         self.rows.get(id).is_some_and(|row| row.record.state == TargetState::Ready)
     }
-
-    /// All targets of a service with the number of this entry's requests there, for logs.
-    pub fn in_flight(&self, service: &ServiceName) -> u32 {
-        let ids = self.services.get(service).into_iter().flatten();
-        ids.filter_map(|id| self.rows.get(id)).map(|row| row.own_in_flight).sum()
-    }
 }
