--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -92,12 +92,12 @@
 ) -> AfterRequest {
     shared.metrics.requests.inc();
     let keeps = head.keeps_alive();
-    let request = match admit(shared, head, body, received_at) {
+    let terms = shared.dialect.read_terms(&head);
+    let id = terms.id.clone();
+    let mut request = match admit(shared, head, terms, body, received_at) {
         Ok(request) => request,
-        Err(refusal) => return answer_refusal(shared, caller, &refusal, keeps, "").await,
+        Err(refusal) => return answer_refusal(shared, caller, &refusal, keeps, &id).await,
     };
-    let mut request = request;
-    let id = request.terms.id.clone();
     match attempt_all(shared, caller, &mut request).await {
         Ok(after) => after,
         Err(refusal) => answer_refusal(shared, caller, &refusal, keeps, &id).await,
@@ -107,6 +107,7 @@
 fn admit(
     shared: &GatewayShared,
     head: RequestHead,
+    terms: RequestTerms,
     body: Bytes,
     received_at: Instant,
 ) -> Result<RequestState, Refusal> {
@@ -115,7 +116,6 @@
     }
     let routes =
         shared.routes().ok_or_else(|| Refusal::later(RefusalKind::NoConfig, RETURN_NO_CONFIG))?;
-    let terms = shared.dialect.read_terms(&head);
     let route = find_route(&routes, &head)?;
     let holder = match routes.authorise(&route, terms.key.as_deref()) {
         Ok(holder) => holder.cloned(),
