--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -98,27 +98,14 @@
         if able.is_empty() {
             return Choice::NoTarget;
         }
-        let mean = mean_of_others(&able, now);
-        let usual = usual_first_byte(&able, now);
-        let newest = need.model.and_then(|model| newest_version(&able, model));
-        // Failure guarded: when most targets fail, for example for want of something behind them,
-        // ejecting them all would turn a service that answers some requests into one that answers
-        // none. Beyond half of the targets ejections do not count.
-        let ejected = able.iter().filter(|(_, row)| row.health.is_ejected(now)).count();
-        let spared = ejected * 2 > able.len();
+        let view = ServiceView::of(&able, need.model, now);
         let untried = able.iter().filter(|(id, _)| !need.tried.contains(*id));
         let mut weighted: Vec<(f64, &TargetId)> = Vec::new();
         for (id, row) in untried {
-            if !row.health.admits(row.own_in_flight, spared, now) {
+            if !row.health.admits(row.own_in_flight, view.spared, now) {
                 continue;
             }
-            let Some(mut cost) = self.cost(row, mean, now) else { continue };
-            cost += self.policy.slow_charge * slowness(row, usual, now);
-            if need.model.and_then(|model| row.held_version(model)) != newest {
-                // What was cut off once must not be cut off again.
-                let times = if need.tried.is_empty() { 1.0 } else { RESUMED_CHARGE };
-                cost += self.policy.old_version_charge * times;
-            }
+            let Some(cost) = self.cost(row, need, &view, now) else { continue };
             let free = (1.0 - cost).max(LEAST_FREE);
             weighted.push((free.powi(self.policy.favour), id));
         }
@@ -138,9 +125,16 @@
         model.is_none_or(|model| self.begins_allowed(row, model, now))
     }
 
-    fn cost(&self, row: &TargetRow, mean: f64, now: Instant) -> Option<f64> {
+    /// The taken part of a target's places and what it is charged besides; `None` if it is full.
+    fn cost(
+        &self,
+        row: &TargetRow,
+        need: &PlacementNeed<'_>,
+        view: &ServiceView,
+        now: Instant,
+    ) -> Option<f64> {
         let slots = f64::from(row.record.slots.max(1));
-        let load = self.expected_load(row, mean, now);
+        let load = self.expected_load(row, view.mean_others, now);
         if load >= slots * self.policy.fill {
             return None;
         }
@@ -151,6 +145,12 @@
         if now < row.cold_until {
             cost += self.policy.cold_charge;
         }
+        if need.model.and_then(|model| row.held_version(model)) != view.newest {
+            // What was cut off once must not be cut off again.
+            let times = if need.tried.is_empty() { 1.0 } else { RESUMED_CHARGE };
+            cost += self.policy.old_version_charge * times;
+        }
+        cost += self.policy.slow_charge * slowness(row, view.usual_first_byte, now);
         cost += row.health.failure_rate();
         Some(cost)
     }
@@ -190,6 +190,34 @@
     (times - 1.5).clamp(0.0, MOST_SLOWNESS)
 }
 
+/// What the targets of a service have in common at one moment.
+struct ServiceView {
+    /// The others' requests at a mean target.
+    mean_others: f64,
+    /// Time to the first byte at the middle target.
+    usual_first_byte: Duration,
+    /// Newest version of the wanted model.
+    newest: Option<u64>,
+    /// Whether ejections do not count.
+    ///
+    /// Failure guarded: when most targets fail, for example for want of something behind them,
+    /// ejecting them all would turn a service that answers some requests into one that answers
+    /// none. Beyond half of the targets ejections do not count.
+    spared: bool,
+}
+
+impl ServiceView {
+    fn of(able: &[(&TargetId, &TargetRow)], model: Option<&ModelName>, now: Instant) -> Self {
+        let ejected = able.iter().filter(|(_, row)| row.health.is_ejected(now)).count();
+        Self {
+            mean_others: mean_of_others(able, now),
+            usual_first_byte: usual_first_byte(able, now),
+            newest: model.and_then(|model| newest_version(able, model)),
+            spared: ejected * 2 > able.len(),
+        }
+    }
+}
+
 /// Draws one of several by their weights.
 fn draw<'a>(weighted: &[(f64, &'a TargetId)]) -> Option<&'a TargetId> {
     let total: f64 = weighted.iter().map(|(weight, _)| weight).sum();
