Free places of a full engine are split among entries; a wait leaves time for reading

All entries hear at the same moment that a place is free, each has requests waiting and sends one; engines hold queues from which nothing can be taken back. Not the waiting limit, not slow engines (130 ms before and after at the same engines). Change: an entry may have at an engine what it had by the last sample and its part of what was free then; a wait ends where 1.3 of the usual time to the first byte would be left.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -230,9 +230,11 @@
         for member in &roster.members {
             self.followed.name(member);
         }
-        let mut places = shared.places.borrow_mut();
-        for named in &roster.versions {
-            places.targets.note_version(named, shared.options.version_limit, now);
+        {
+            let mut places = shared.places.borrow_mut();
+            for named in &roster.versions {
+                places.targets.note_version(named, shared.options.version_limit, now);
+            }
         }
         shared.note_roster(self.source, Some(roster.entries));
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -156,8 +156,9 @@
     }
     let (sender, receiver) = oneshot::channel();
     let request = WaitingRequest { model: call.model.cloned(), tried: call.tried.to_vec(), sender };
+    let usual = places.targets.usual_first_byte(call.service, now);
     let queue = places.queue(call.service);
-    let give_up_at = (now + queue.wait_limit(call.objective)).min(call.latest);
+    let give_up_at = (now + queue.wait_limit(call.objective, usual)).min(call.latest);
     match queue.push(call.priority, give_up_at, request, now) {
         Ok(ticket) => {
             let (shared, service) = (shared.clone(), call.service.clone());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -174,7 +174,9 @@
             }
             None => {}
         }
-        *self.roster.borrow_mut() = EntryRoster::merged(rosters.values(), Instant::now());
+        let roster = EntryRoster::merged(rosters.values(), Instant::now());
+        self.places.borrow_mut().targets.set_sharers(roster.ready_count());
+        *self.roster.borrow_mut() = roster;
     }
 
     /// Counts a caller's request towards a service's retry budget.
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -40,6 +40,8 @@
     pub favour: i32,
     /// Time in which a sample of the others' load fades to the mean.
     pub fade: Duration,
+    /// How long an entry keeps to its part of an engine's places after a sample.
+    pub part_life: Duration,
     /// Load that a target is charged while others hold a newer version: it will soon switch, and
     /// what runs there is then cut off or waited for.
     pub old_version_charge: f64,
@@ -57,6 +59,7 @@
             zone_charge: 0.25,
             favour: 2,
             fade: Duration::from_millis(1_500),
+            part_life: Duration::from_millis(1_100),
             old_version_charge: 0.1,
             slow_charge: 0.25,
             cold_charge: 0.3,
@@ -112,6 +115,13 @@
         draw(&weighted).map_or(Choice::Full, |id| Choice::Target(id.clone()))
     }
 
+    /// The usual time from sending a request of a service on to the first byte of its answer.
+    pub fn usual_first_byte(&self, service: &ServiceName, now: Instant) -> Duration {
+        let Some(ids) = self.services.get(service) else { return QUICK };
+        let rows = self.sample(ids).filter_map(|id| Some((id, self.rows.get(id)?)));
+        usual_first_byte(&rows.collect::<Vec<_>>(), now)
+    }
+
     fn sample<'a>(&self, ids: &'a [TargetId]) -> impl Iterator<Item = &'a TargetId> + use<'a> {
         let count = ids.len().min(MAX_CANDIDATES);
         let start = if ids.len() > count { rand::rng().random_range(0..ids.len()) } else { 0 };
@@ -135,7 +145,7 @@
     ) -> Option<f64> {
         let slots = f64::from(row.record.slots.max(1));
         let load = self.expected_load(row, view.mean_others, now);
-        if load >= slots * self.policy.fill {
+        if load >= slots * self.policy.fill || self.has_its_part(row, need, now) {
             return None;
         }
         let mut cost = load / slots;
@@ -155,6 +165,15 @@
         Some(cost)
     }
 
+    /// Whether this entry has its part of an engine's places, by a sample that is fresh. Plain
+    /// services answer within some ten milliseconds, so that any sample of them is stale.
+    fn has_its_part(&self, row: &TargetRow, need: &PlacementNeed<'_>, now: Instant) -> bool {
+        let fresh = row
+            .load
+            .filter(|sample| now.saturating_duration_since(sample.at) < self.policy.part_life);
+        need.model.is_some() && fresh.is_some_and(|sample| row.own_in_flight >= sample.granted)
+    }
+
     /// Requests expected at the target: this entry's own exactly, the others' by the last sample.
     fn expected_load(&self, row: &TargetRow, mean: f64, now: Instant) -> f64 {
         let own = f64::from(row.own_in_flight);
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -39,6 +39,32 @@
     pub own: u32,
     /// When.
     pub at: Instant,
+    /// How many requests of its own this entry may have there by this sample; see
+    /// [`TargetTable::set_sharers`].
+    pub granted: u32,
+}
+
+/// What one entry may take of a target's places.
+#[derive(Clone, Copy, Debug)]
+struct EntryPart {
+    /// Requests that a target may hold, as a multiple of its places.
+    fill: f64,
+    /// This entry's part of what is free.
+    share: f64,
+}
+
+impl EntryPart {
+    /// How many requests of its own an entry may have at a target with so many places, of which so
+    /// many were taken, `own` of them by this entry: its own again when they end, and its part of
+    /// the free ones. Parts below one are given by chance, so that together the entries take what
+    /// is free. Of a target that holds too many each gives back alike.
+    fn granted(self, places: f64, busy: u32, own: u32) -> u32 {
+        let (busy, own) = (f64::from(busy), f64::from(own));
+        let granted =
+            if busy <= places { own + (places - busy) * self.share } else { own * places / busy };
+        let by_chance = f64::from(rand::random_bool(granted.fract()));
+        (granted.floor() + by_chance) as u32
+    }
 }
 
 /// What one control member says about whether a target still announces itself.
@@ -131,12 +157,14 @@
     /// Takes a sample in unless a later one is known. What this entry itself had there at that
     /// moment is taken out of it, so that its own requests since are not forgotten and its earlier
     /// ones not counted twice.
-    fn note_load(&mut self, busy: u32, measured_at: Instant) {
+    fn note_load(&mut self, busy: u32, measured_at: Instant, part: EntryPart) {
         if self.load.is_some_and(|held| held.at > measured_at) {
             return;
         }
         let own = self.own_at(measured_at);
-        self.load = Some(LoadSample { busy, own, at: measured_at });
+        let places = f64::from(self.record.slots.max(1)) * part.fill;
+        let granted = part.granted(places, busy, own);
+        self.load = Some(LoadSample { busy, own, at: measured_at, granted });
     }
 
     pub(crate) fn held_version(&self, model: &ModelName) -> Option<u64> {
@@ -166,6 +194,8 @@
     gone: IndexMap<TargetId, Instant>,
     engines: IndexMap<SocketAddr, (EngineNews, Instant)>,
     floors: IndexMap<ModelName, Vec<VersionFloor>>,
+    /// Entries that send to the same targets, this one among them.
+    sharers: usize,
 }
 
 impl TargetTable {
@@ -179,9 +209,25 @@
             gone: IndexMap::new(),
             engines: IndexMap::new(),
             floors: IndexMap::new(),
+            sharers: 1,
         }
     }
 
+    /// Notes how many entries send to the same targets, this one among them.
+    ///
+    /// Answers the load pattern of a full service: all entries are told at the same moment that a
+    /// place is free, all have requests waiting, and each would send one. With nine entries engines
+    /// then held 20 requests in 16 places on average, and the time to the first byte at the middle
+    /// request was 490 ms instead of 270 ms. Each entry therefore takes its part of what is free,
+    /// and keeps what it has.
+    pub fn set_sharers(&mut self, entries: usize) {
+        self.sharers = entries.max(1);
+    }
+
+    fn own_part(&self) -> EntryPart {
+        EntryPart { fill: self.policy.fill, share: 1.0 / self.sharers as f64 }
+    }
+
     /// Takes in what control member `source` passes on about a target.
     pub fn note_target(&mut self, source: u32, news: &TargetNews, now: Instant) {
         let id = &news.record.id;
@@ -322,16 +368,18 @@
 
     /// Notes how busy a target says it is.
     pub fn note_load(&mut self, id: &TargetId, busy: u32, now: Instant) {
+        let part = self.own_part();
         if let Some(row) = self.rows.get_mut(id) {
-            row.note_load(busy, now);
+            row.note_load(busy, now, part);
         }
     }
 
     /// Notes how busy the target at an address was at some earlier moment.
     pub fn note_load_at(&mut self, address: SocketAddr, busy: u32, measured_at: Instant) {
+        let part = self.own_part();
         let same_address = |row: &&mut TargetRow| row.record.address == address;
         for row in self.rows.values_mut().filter(same_address) {
-            row.note_load(busy, measured_at);
+            row.note_load(busy, measured_at, part);
         }
     }
 
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -20,6 +20,13 @@
     /// Part of the latency objective that a request may spend waiting; the rest is for reading
     /// its prompt at the target.
     pub objective_share: f64,
+    /// Time kept for the first byte at the target, as a multiple of what is usual there. A request
+    /// that waits longer is late however soon it is then read, and keeps the next one from being
+    /// in time.
+    pub reading_reserve: f64,
+    /// Shortest limit of a wait, whatever is usual at the targets: about what it takes until one
+    /// of a full engine's places comes free.
+    pub shortest: Duration,
     /// Longest wait whatever the objective.
     pub longest: Duration,
     /// Most requests waiting.
@@ -34,6 +41,8 @@
     fn default() -> Self {
         Self {
             objective_share: 0.6,
+            reading_reserve: 1.3,
+            shortest: Duration::from_millis(60),
             longest: Duration::from_secs(1),
             max_waiters: 512,
             shortest_return: Duration::from_millis(400),
@@ -87,9 +96,12 @@
         self.waiters.is_empty()
     }
 
-    /// How long a request with this objective may wait.
-    pub fn wait_limit(&self, objective: Duration) -> Duration {
-        objective.mul_f64(self.policy.objective_share).min(self.policy.longest)
+    /// How long a request with this objective may wait, where answers usually begin so long after
+    /// the request is sent on.
+    pub fn wait_limit(&self, objective: Duration, usual_first_byte: Duration) -> Duration {
+        let reading = usual_first_byte.mul_f64(self.policy.reading_reserve);
+        let left = objective.saturating_sub(reading).max(self.policy.shortest);
+        left.min(objective.mul_f64(self.policy.objective_share)).min(self.policy.longest)
     }
 
     /// Counts a request that got a place, for the prediction.
--- /dev/null
+++ b/crates/testkit/src/batch_engine.rs
@@ -0,0 +1,113 @@
+//! A model of an engine that works on its requests in passes.
+
+use std::{collections::VecDeque, time::Duration};
+use tokio::time::Instant;
+
+/// How an engine works.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineModel {
+    /// Requests that write at the same time.
+    pub slots: usize,
+    /// One pass, in which every request that writes makes one event.
+    pub pass: Duration,
+    /// Reading one prompt, which lengthens the pass in which it is read.
+    pub read: Duration,
+    /// Events of an answer.
+    pub events: u32,
+}
+
+impl Default for EngineModel {
+    /// Sixteen slots, passes of six steps of about 7 ms, and a mean prompt and answer.
+    fn default() -> Self {
+        Self {
+            slots: 16,
+            pass: Duration::from_millis(43),
+            read: Duration::from_millis(32),
+            events: 20,
+        }
+    }
+}
+
+/// What became of a request in a pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineEvent {
+    /// Its first event was made.
+    Began(u64),
+    /// Its last event was made.
+    Ended(u64),
+}
+
+struct WritingRequest {
+    id: u64,
+    left: u32,
+}
+
+/// One engine.
+pub struct BatchEngine {
+    model: EngineModel,
+    queue: VecDeque<u64>,
+    /// Read in the present pass.
+    reading: Vec<u64>,
+    writing: Vec<WritingRequest>,
+    pass_ends: Instant,
+    idle: bool,
+}
+
+impl BatchEngine {
+    /// An engine with nothing to do.
+    pub fn new(model: EngineModel, now: Instant) -> Self {
+        Self {
+            model,
+            queue: VecDeque::new(),
+            reading: Vec::new(),
+            writing: Vec::new(),
+            pass_ends: now,
+            idle: true,
+        }
+    }
+
+    /// A request arrives.
+    pub fn arrive(&mut self, id: u64, now: Instant) {
+        self.queue.push_back(id);
+        if self.idle {
+            self.begin_pass(now);
+        }
+    }
+
+    /// Requests that run or wait.
+    pub fn busy(&self) -> usize {
+        self.queue.len() + self.reading.len() + self.writing.len()
+    }
+
+    /// Works up to `now`; returns what happened.
+    pub fn work(&mut self, now: Instant) -> Vec<EngineEvent> {
+        let mut events = Vec::new();
+        while !self.idle && self.pass_ends <= now {
+            self.end_pass(&mut events);
+            self.begin_pass(self.pass_ends);
+        }
+        events
+    }
+
+    fn begin_pass(&mut self, now: Instant) {
+        let free = self.model.slots.saturating_sub(self.writing.len());
+        self.reading = self.queue.drain(..free.min(self.queue.len())).collect();
+        self.idle = self.reading.is_empty() && self.writing.is_empty();
+        let reading = self.model.read * self.reading.len() as u32;
+        self.pass_ends = now + self.model.pass + reading;
+    }
+
+    fn end_pass(&mut self, events: &mut Vec<EngineEvent>) {
+        for id in self.reading.drain(..) {
+            events.push(EngineEvent::Began(id));
+            self.writing.push(WritingRequest { id, left: self.model.events });
+        }
+        for request in &mut self.writing {
+            request.left -= 1;
+            if request.left == 0 {
+                events.push(EngineEvent::Ended(request.id));
+            }
+        }
+        self.writing.retain(|request| request.left > 0);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/service_load.rs
@@ -0,0 +1,257 @@
+//! A service of several engines under load from several entries, each with its own view: the real
+//! tables and queues of entries, modelled engines, and reports that lag.
+
+use crate::batch_engine::{BatchEngine, EngineEvent, EngineModel};
+use egretseam_proto::{ModelName, ServiceName, ZoneName};
+use egretseam_serving::{
+    AttemptOutcome, Choice, HeldModel, PlacementNeed, PlacementPolicy, TargetId, TargetNews,
+    TargetRecord, TargetState, TargetTable, WaitPolicy, WaitQueue,
+};
+use indexmap::IndexMap;
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+/// Steps of the simulated time.
+const STEP: Duration = Duration::from_millis(5);
+/// Time between two reports of an engine.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// How old a report is when entries have it.
+const REPORT_AGE: Duration = Duration::from_millis(280);
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadScript {
+    /// Entries.
+    pub entries: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Requests a second.
+    pub rate: f64,
+    /// For how long.
+    pub length: Duration,
+    /// Time to the first event within which an answer is in time.
+    pub objective: Duration,
+    /// Whether entries know of each other.
+    pub aware: bool,
+    /// Choice of targets.
+    pub placement: PlacementPolicy,
+    /// Waiting.
+    pub waiting: WaitPolicy,
+    /// Engines.
+    pub engine: EngineModel,
+}
+
+/// What came of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadResult {
+    /// Requests.
+    pub asked: u32,
+    /// Answers whose first event came in time.
+    pub in_time: u32,
+    /// Answers that began later.
+    pub late: u32,
+    /// Requests turned away, on arrival or after a wait.
+    pub refused: u32,
+}
+
+struct LoadEntry {
+    table: TargetTable,
+    queue: WaitQueue<u64>,
+}
+
+struct PlacedRequest {
+    due: Instant,
+    sent: Instant,
+    entry: usize,
+    target: usize,
+}
+
+/// The service while it is played.
+struct ServiceLoad {
+    script: LoadScript,
+    service: ServiceName,
+    model: ModelName,
+    entries: Vec<LoadEntry>,
+    engines: Vec<BatchEngine>,
+    due: IndexMap<u64, Instant>,
+    placed: IndexMap<u64, PlacedRequest>,
+    /// Reports under way: when they arrive, and how busy each engine was.
+    reports: VecDeque<(Instant, Vec<u32>)>,
+    result: LoadResult,
+}
+
+/// Plays a script.
+///
+/// # Panics
+/// Panics if the tables name a target that does not exist.
+pub fn play_load(script: &LoadScript) -> LoadResult {
+    let start = Instant::now();
+    let mut load = ServiceLoad::new(*script, start);
+    let mut now = start;
+    let mut owed = 0.0;
+    let mut number = 0;
+    let mut report_due = start;
+    while now < start + script.length {
+        now += STEP;
+        load.work(now);
+        if now >= report_due {
+            report_due += REPORT_INTERVAL;
+            load.report(now);
+        }
+        load.hear(now);
+        owed += script.rate * STEP.as_secs_f64() * rand::random_range(0.0..2.0);
+        while owed >= 1.0 {
+            owed -= 1.0;
+            number += 1;
+            load.arrive(number, now);
+        }
+        load.pump(now);
+    }
+    load.result
+}
+
+impl ServiceLoad {
+    fn new(script: LoadScript, now: Instant) -> Self {
+        let name = "a valid name";
+        let service = ServiceName::try_from("runners").expect(name);
+        let model = ModelName::try_from("chat").expect(name);
+        let zone = ZoneName::try_from("z1").expect(name);
+        let entry = |_| {
+            let mut table = TargetTable::new(script.placement, zone.clone());
+            if script.aware {
+                table.set_sharers(script.entries);
+            }
+            for number in 0..script.engines {
+                let record = target_record(number, &script, &service, &model, &zone);
+                table.note_target(0, &TargetNews { record, silent: false, age_millis: 0 }, now);
+            }
+            LoadEntry { table, queue: WaitQueue::new(script.waiting) }
+        };
+        Self {
+            entries: (0..script.entries).map(entry).collect(),
+            engines: (0..script.engines).map(|_| BatchEngine::new(script.engine, now)).collect(),
+            script,
+            service,
+            model,
+            due: IndexMap::new(),
+            placed: IndexMap::new(),
+            reports: VecDeque::new(),
+            result: LoadResult::default(),
+        }
+    }
+
+    fn work(&mut self, now: Instant) {
+        for engine in 0..self.engines.len() {
+            for event in self.engines[engine].work(now) {
+                match event {
+                    EngineEvent::Began(id) => self.began(id, now),
+                    EngineEvent::Ended(id) => self.ended(id, now),
+                }
+            }
+        }
+    }
+
+    fn began(&mut self, id: u64, now: Instant) {
+        let Some(placed) = self.placed.get(&id) else { return };
+        let table = &mut self.entries[placed.entry].table;
+        table.note_first_byte(&target_id(placed.target), now - placed.sent, now);
+        if now - placed.due <= self.script.objective {
+            self.result.in_time += 1;
+        } else {
+            self.result.late += 1;
+        }
+    }
+
+    fn ended(&mut self, id: u64, now: Instant) {
+        let Some(placed) = self.placed.swap_remove(&id) else { return };
+        let table = &mut self.entries[placed.entry].table;
+        table.end(&target_id(placed.target), AttemptOutcome::Answered, now);
+    }
+
+    fn report(&mut self, now: Instant) {
+        let busy = self.engines.iter().map(|engine| engine.busy() as u32).collect();
+        self.reports.push_back((now + REPORT_AGE, busy));
+    }
+
+    fn hear(&mut self, now: Instant) {
+        while self.reports.front().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, busy)) = self.reports.pop_front() else { return };
+            for entry in &mut self.entries {
+                for (number, busy) in busy.iter().enumerate() {
+                    entry.table.note_load_at(address(number), *busy, now - REPORT_AGE);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, id: u64, now: Instant) {
+        self.result.asked += 1;
+        self.due.insert(id, now);
+        let at = rand::random_range(0..self.entries.len());
+        if self.entries[at].queue.is_empty() && self.place(at, id, now) {
+            return;
+        }
+        let usual = self.entries[at].table.usual_first_byte(&self.service, now);
+        let queue = &mut self.entries[at].queue;
+        let give_up_at = now + queue.wait_limit(self.script.objective, usual);
+        if queue.push(1, give_up_at, id, now).is_err() {
+            self.result.refused += 1;
+        }
+    }
+
+    fn pump(&mut self, now: Instant) {
+        for at in 0..self.entries.len() {
+            self.result.refused += self.entries[at].queue.expired(now).len() as u32;
+            loop {
+                let first = self.entries[at].queue.iter().next().map(|(ticket, id)| (ticket, *id));
+                let Some((ticket, id)) = first else { break };
+                if !self.place(at, id, now) {
+                    break;
+                }
+                self.entries[at].queue.remove(ticket);
+            }
+        }
+    }
+
+    fn place(&mut self, at: usize, id: u64, now: Instant) -> bool {
+        let need = PlacementNeed { service: &self.service, model: Some(&self.model), tried: &[] };
+        let Choice::Target(target) = self.entries[at].table.choose(&need, now) else {
+            return false;
+        };
+        self.entries[at].table.begin(&target, now);
+        self.entries[at].queue.note_placed(now);
+        let number: usize = target.0.parse().expect("targets are named by number");
+        self.engines[number].arrive(id, now);
+        let due = self.due.swap_remove(&id).unwrap_or(now);
+        self.placed.insert(id, PlacedRequest { due, sent: now, entry: at, target: number });
+        true
+    }
+}
+
+fn target_id(number: usize) -> TargetId {
+    TargetId(number.to_string())
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + number as u16))
+}
+
+fn target_record(
+    number: usize,
+    script: &LoadScript,
+    service: &ServiceName,
+    model: &ModelName,
+    zone: &ZoneName,
+) -> TargetRecord {
+    TargetRecord {
+        id: target_id(number),
+        service: service.clone(),
+        address: address(number),
+        zone: zone.clone(),
+        slots: script.engine.slots as u32,
+        state: TargetState::Ready,
+        sequence: 1,
+        cold_millis: 0,
+        models: vec![HeldModel { model: model.clone(), version: 1 }],
+    }
+}
--- a/tests/all/waiting.rs
+++ b/tests/all/waiting.rs
@@ -1,6 +1,7 @@
 //! Waiting for a place, being turned away, and the shared retry budget, under replayed load.
 
-use egretseam_serving::{RetryBudget, RetryPolicy, WaitPolicy, WaitQueue};
+use egretseam_serving::{PlacementPolicy, RetryBudget, RetryPolicy, WaitPolicy, WaitQueue};
+use egretseam_testkit::{EngineModel, LoadScript, play_load};
 use proptest::prelude::*;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -32,7 +33,7 @@
         queue.note_placed(now);
         now += step;
     }
-    let limit = queue.wait_limit(OBJECTIVE);
+    let limit = queue.wait_limit(OBJECTIVE, Duration::from_millis(100));
     let mut taken = Vec::new();
     for number in 0..100 {
         taken.extend(queue.push(1, now + limit, number, now).ok());
@@ -64,6 +65,35 @@
     assert_eq!(queue.iter().next().map(|(_, name)| *name), Some("urgent"));
 }
 
+fn full_service() -> LoadScript {
+    LoadScript {
+        entries: 9,
+        engines: 20,
+        // A twentieth more than the 11.9 a second that each engine can answer.
+        rate: 250.0,
+        length: Duration::from_secs(12),
+        objective: OBJECTIVE,
+        aware: true,
+        placement: PlacementPolicy::default(),
+        waiting: WaitPolicy::default(),
+        engine: EngineModel::default(),
+    }
+}
+
+/// What users would see: while a service is full nearly every answer begins late, although a small
+/// part turned away would be enough to have the others in time. Nine entries hear at the same
+/// moment that an engine has a place free, each has requests waiting and sends one, and the engine
+/// holds a queue from which nothing can be taken back.
+#[actix_rt::test]
+async fn entries_share_what_is_free_in_a_full_service() {
+    let blind = play_load(&LoadScript { aware: false, ..full_service() });
+    let aware = play_load(&full_service());
+    let share = |count: u32, of: u32| f64::from(count) / f64::from(of);
+    let (before, after) = (share(blind.in_time, blind.asked), share(aware.in_time, aware.asked));
+    assert!(after > before + 0.2, "in time: {after:.3}, each for itself {before:.3}");
+    assert!(after > 0.65, "in time: {after:.3}");
+}
+
 #[test]
 fn refused_callers_return_spread_out() {
     let queue: WaitQueue<()> = WaitQueue::new(WaitPolicy::default());
