What was committed is served before anybody leads

Every member had all of it on disk but did not know that it was committed. Ruled out: reading the disk (7 ms), targets' announcements (within 30 ms). Change: members note the commit index on disk, once a tick at most, and hand out at the start what was noted. Entries not known to be committed are not handed out: two operators may have sent different contents under one version. Test: what_was_committed_is_served_before_anybody_leads fails without it; group_model (random crashes) passes.

--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -127,6 +127,9 @@
         /// Whether entries behind the snapshot still belong to the log.
         keep_tail: bool,
     },
+    /// Notes that everything up to this index is committed. Without it a member knows after a
+    /// restart only what a leader tells it, and has nothing to serve while none is elected.
+    Commit(LogIndex),
 }
 
 /// A confirmed read: state at or behind `index` is current as of the read's start.
--- a/crates/replica/src/node.rs
+++ b/crates/replica/src/node.rs
@@ -147,6 +147,8 @@
     group: Option<GroupId>,
     table: LogTable,
     commit: LogIndex,
+    /// Commit index that was last noted on disk.
+    commit_noted: LogIndex,
     /// Last entry handed to the driver for applying.
     handed: LogIndex,
     /// Last entry known to be on this member's disk.
@@ -170,6 +172,7 @@
         seed: u64,
     ) -> Self {
         let table = LogTable::new(state.snapshot, state.entries);
+        let commit = state.commit.min(table.last_index()).max(table.snapshot().index);
         let mut node = Self {
             id: identity.id,
             config,
@@ -177,7 +180,8 @@
             random: spread_seed(seed, identity.id),
             hard: state.hard,
             group: state.hard.group.or(identity.group),
-            commit: table.snapshot().index,
+            commit,
+            commit_noted: commit,
             handed: table.snapshot().index,
             synced: table.last_index(),
             table,
@@ -253,6 +257,7 @@
     /// that jumps back cannot shorten a timeout that already runs.
     pub fn tick(&mut self, now: Duration) {
         self.now = self.now.max(now);
+        self.note_commit();
         if self.is_leader() {
             self.tick_leader();
         } else if self.now >= self.election_deadline {
@@ -260,6 +265,19 @@
         }
     }
 
+    /// Notes on disk what is committed, at most once a tick; syncs of entries are not delayed by it.
+    ///
+    /// Failure guarded: all members restart at once. What they had applied is on their disks, but
+    /// until one of them is elected none knows that it is committed, and those who follow them are
+    /// without a configuration for the time of an election. What was noted is committed for good,
+    /// so a member may hand it out before it has heard of any leader.
+    fn note_commit(&mut self) {
+        if self.commit > self.commit_noted {
+            self.commit_noted = self.commit;
+            self.output.writes.push(LogWrite::Commit(self.commit));
+        }
+    }
+
     /// Takes one message in.
     pub fn receive(&mut self, envelope: Envelope) {
         if !self.accepts(&envelope) {
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -99,6 +99,8 @@
     pub snapshot: SnapshotImage,
     /// Entries behind it.
     pub entries: Vec<LogEntry>,
+    /// Last entry that was known to be committed, as far as that was noted; later ones may be.
+    pub commit: LogIndex,
 }
 
 impl RecoveredState {
@@ -125,7 +127,9 @@
                 let last = image.index;
                 self.entries.retain(|entry| keep_tail && entry.index > last);
                 self.snapshot = image;
+                self.commit = self.commit.max(last);
             }
+            LogWrite::Commit(index) => self.commit = self.commit.max(index),
         }
         Ok(())
     }
@@ -289,6 +293,7 @@
             LogWrite::Snapshot { image, keep_tail: false },
             LogWrite::HardState(state.hard),
             LogWrite::Append(state.entries),
+            LogWrite::Commit(state.commit),
         ];
         self.bytes = replace_log(&self.folder, &kept)?;
         self.log =
--- a/crates/testkit/src/group.rs
+++ b/crates/testkit/src/group.rs
@@ -83,6 +83,7 @@
                     data: Vec::new(),
                 },
                 entries: Vec::new(),
+                commit: LogIndex(1),
             };
             sim.push_member(number, Some(GROUP), disk);
         }
--- a/tests/all/group_faults.rs
+++ b/tests/all/group_faults.rs
@@ -320,3 +320,28 @@
         sim.run(Duration::from_millis(37));
     }
 }
+
+/// Callers are refused for the time of an election after all of control was killed and is back at
+/// once: every member has the configuration on its disk, and none knows that it is committed. What
+/// was committed a moment before the kill is applied at the start, without any leader.
+#[test]
+fn what_was_committed_is_served_before_anybody_leads() {
+    let mut sim = GroupSim::new(3, ReplicaConfig::default());
+    let leader = sim.run_until_led();
+    let token = sim.submit(leader, organisation_edit(1));
+    sim.run(Duration::from_millis(200));
+    assert!(matches!(sim.reply(token), SimReply::Applied(_)), "{:?}", sim.reply(token));
+    for number in 0..3 {
+        sim.crash(number);
+    }
+    for number in 0..3 {
+        sim.restart(number);
+    }
+    // One tick, far below the shortest election timeout.
+    sim.run(Duration::from_millis(30));
+    assert_eq!(sim.leader(), None);
+    for number in 0..3 {
+        let organisations = sim.catalog(number).view().organisations.len();
+        assert_eq!(organisations, 1, "member {number}");
+    }
+}
