Callers whose own entries do not answer are sent elsewhere, and keep that longer

Tests: callers_whose_own_entries_do_not_answer_are_sent_elsewhere, and the lookup of another zone in placing.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -27,6 +27,9 @@
 /// How long callers may keep the directory's answer. Some keep it three times as long, which must
 /// end well before a stopping process does.
 const ADDRESS_LIFETIME: Duration = Duration::from_secs(1);
+/// How long callers keep the entries' addresses that an entry of another zone told them: two seconds
+/// in vain before each question cost less of four seconds than of one.
+const FAR_ADDRESS_LIFETIME: Duration = Duration::from_secs(4);
 /// Margin by which requests stop going to targets with an older version before the bound, beside
 /// the time that they wait in an engine: the time on the way.
 const VERSION_MARGIN: Duration = Duration::from_millis(600);
@@ -207,6 +210,7 @@
             },
             version_limit: settings.version_limit.saturating_sub(VERSION_MARGIN),
             address_lifetime: ADDRESS_LIFETIME,
+            far_address_lifetime: FAR_ADDRESS_LIFETIME,
             stop_limit: settings.stop_limit,
         };
         let runtime = GatewayRuntime::start(options, dialect, listeners, self.metrics);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -16,11 +16,12 @@
 pub(crate) async fn serve_lookups(shared: Rc<GatewayShared>, stream: TcpStream) {
     serve(stream, |head| match shared.dialect.read_lookup(head) {
         Some(query) => {
-            let addresses = addresses(&shared, query.zone.as_deref());
+            let far = is_far(&shared, query.zone.as_deref());
+            let addresses = addresses(&shared, query.zone.as_deref(), far);
             if addresses.is_empty() {
                 return answer(503, "Service Unavailable", b"no entry is known");
             }
-            let lifetime = shared.options.address_lifetime;
+            let lifetime = lifetime(&shared, far);
             answer(200, "OK", &shared.dialect.write_lookup(&addresses, lifetime))
         }
         None => answer(404, "Not Found", b"no such call"),
@@ -48,13 +49,33 @@
     head.finish_with(body)
 }
 
-fn addresses(shared: &GatewayShared, zone: Option<&str>) -> Vec<SocketAddr> {
+fn addresses(shared: &GatewayShared, zone: Option<&str>, far: bool) -> Vec<SocketAddr> {
     let mut roster = shared.roster.borrow_mut();
     // This entry knows best whether it is ready itself.
     roster.note(shared.record(), Instant::now());
+    if far {
+        let elsewhere = roster.addresses_elsewhere(zone, MAX_ADDRESSES);
+        if !elsewhere.is_empty() {
+            return elsewhere;
+        }
+    }
     roster.addresses(zone, MAX_ADDRESSES)
 }
 
+/// Whether a caller of another zone asks. Callers ask the nearest entries first, so those of its
+/// own zone did not answer it.
+///
+/// Failure guarded: all entries of a zone are dark, and its callers ask each of them in vain before
+/// they ask here. Asking anew every second, they spend two of three seconds on that, and on the way
+/// to entries that are still listed; it shows as late answers for that zone alone.
+fn is_far(shared: &GatewayShared, zone: Option<&str>) -> bool {
+    zone.is_some_and(|zone| zone != shared.options.zone.as_str())
+}
+
+fn lifetime(shared: &GatewayShared, far: bool) -> Duration {
+    if far { shared.options.far_address_lifetime } else { shared.options.address_lifetime }
+}
+
 async fn serve(stream: TcpStream, answer: impl Fn(&egretseam_h1::RequestHead) -> bytes::Bytes) {
     let Ok(mut connection) = HttpConnection::new(stream, &ConnectionOptions::default()) else {
         return;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -47,6 +47,9 @@
     pub version_limit: Duration,
     /// How long callers may keep the answer to a lookup.
     pub address_lifetime: Duration,
+    /// The same for callers of other availability zones. They ask here after the entries of their
+    /// own zone did not answer, which takes them up to a second each.
+    pub far_address_lifetime: Duration,
     /// Time from the order to stop until the process must have ended.
     pub stop_limit: Duration,
 }
--- a/crates/serving/src/entries.rs
+++ b/crates/serving/src/entries.rs
@@ -78,6 +78,13 @@
         self.rows.values().filter(|row| row.record.ready).count()
     }
 
+    /// Addresses for a caller whom the entries of its own `zone` do not answer: those of others.
+    pub fn addresses_elsewhere(&self, zone: Option<&str>, most: usize) -> Vec<SocketAddr> {
+        let ready = self.rows.values().map(|row| &row.record).filter(|record| record.ready);
+        let elsewhere = ready.filter(|record| zone != Some(record.zone.as_str()));
+        elsewhere.map(|record| record.address).take(most).collect()
+    }
+
     /// Addresses for a caller in `zone`: those of its own zone if they are enough, else all.
     pub fn addresses(&self, zone: Option<&str>, most: usize) -> Vec<SocketAddr> {
         let ready = || self.rows.values().map(|row| &row.record).filter(|record| record.ready);
--- a/tests/all/fleet/placing.rs
+++ b/tests/all/fleet/placing.rs
@@ -47,6 +47,11 @@
     let body: Value = serde_json::from_slice(&reply.body).expect("JSON");
     assert_eq!(body["addresses"][0], bed.caller_address().to_string());
     assert!(body["ttlS"].as_f64().is_some_and(|lifetime| lifetime > 0.0));
+    // A caller of another zone has asked its own zone's entries in vain; it keeps the answer longer.
+    let far = get(entry.directory_address, "/lookup?name=a.example&region=r&zone=z9").await;
+    let far: Value = serde_json::from_slice(&far.body).expect("JSON");
+    assert_eq!(far["addresses"], body["addresses"]);
+    assert!(far["ttlS"].as_f64() > body["ttlS"].as_f64());
     assert_eq!(get(entry.directory_address, "/other").await.status, 404);
     assert_eq!(get(entry.health_address, "/readyz").await.status, 200);
 }
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -253,6 +253,25 @@
     assert_eq!(choose(&table, &[id(1)], later), Choice::Target(id(2)), "it is tried again");
 }
 
+/// What users would see: all callers of a zone are late, and some get no connection at all. Every
+/// entry of the zone is dark and still listed; a caller whom none of them answered asks elsewhere
+/// and must not be sent back to them.
+#[actix_rt::test]
+async fn callers_whose_own_entries_do_not_answer_are_sent_elsewhere() {
+    let entry = |run: u64, zone_name: &str| EntryRecord {
+        name: format!("e{run}"),
+        run,
+        zone: zone(zone_name),
+        address: address(run as u8),
+        ready: true,
+    };
+    let listed = vec![entry(1, "z1"), entry(2, "z1"), entry(3, "z2"), entry(4, "z3")];
+    let roster = EntryRoster::merged([&listed].into_iter(), Instant::now());
+    assert_eq!(roster.addresses(Some("z1"), 64), [address(1), address(2)]);
+    assert_eq!(roster.addresses_elsewhere(Some("z1"), 64), [address(3), address(4)]);
+    assert_eq!(roster.addresses_elsewhere(Some("z1"), 1), [address(3)]);
+}
+
 /// What users would see: callers are sent to an entry that has stopped. One control member has not
 /// heard of its stopping yet and still lists it as ready; the member that has must win.
 #[actix_rt::test]
