Turns count from when the chunks are there; what is staged is not fetched while the engine starts

First: turns were spread from a fixed 3.7 s after naming; there the transfer takes 6.3 to 7 s (origin of 4.38 Mbit/s), so the turns of 40% of the engines were past when it ended. Turns now count from when an agent's own chunks are there. Second: the origin sent 2.0 copies. Agents start 1.5 s before their engines there; reading back what is staged failed, and 51 agents drew version 1 anew. Before a version is named they now wait for the engine.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -39,8 +39,6 @@
 /// Silence after which a lost control member is replaced: longer than a killed process takes to be
 /// back, shorter than the time after which the platform may take the next one.
 const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
-/// Time after naming a version before which engines do not switch; about what the transfer takes.
-const EARLIEST_SWITCH: Duration = Duration::from_millis(3_700);
 /// Time before the version's bound by which the last engine is told to switch.
 const SWITCH_RESERVE: Duration = Duration::from_millis(1_600);
 
@@ -278,11 +276,7 @@
                 ..PlannerPolicy::default()
             },
             upload_bytes_per_second: (self.settings.link_mbps * UPLOAD_SHARE * 125_000.0) as u64,
-            timing: SwitchTiming {
-                bound: self.settings.version_limit,
-                reserve: SWITCH_RESERVE,
-                earliest: EARLIEST_SWITCH,
-            },
+            timing: SwitchTiming { bound: self.settings.version_limit, reserve: SWITCH_RESERVE },
         };
         let runtime = StagerRuntime::start(options, dialect, listeners, self.metrics);
         runtime.context("start the agent")
--- a/crates/serving/src/switch_schedule.rs
+++ b/crates/serving/src/switch_schedule.rs
@@ -2,8 +2,11 @@
 //!
 //! Answers the load pattern of a version change under full load: an engine that takes weights
 //! accepts nothing until its running answers are done, so all engines at once would leave nobody
-//! to serve. Each instance takes its turn by its rank among the peers, spread over the time that
-//! is left before the old version must not be used any more.
+//! to serve. Each instance takes its turn by its rank among the peers, spread over the time from
+//! when its chunks are there, as they are at the others about then, to when the old version must
+//! not be used any more. A fixed beginning would do for one size of transfer only: where it took
+//! twice as long, the turns of half of the engines were past when it ended, and they all went at
+//! once.
 
 use std::time::Duration;
 
@@ -14,9 +17,6 @@
     pub bound: Duration,
     /// Time kept free before the bound for the last answers to end and the weights to load.
     pub reserve: Duration,
-    /// Time after naming before which nobody switches; about what the transfer takes, so that the
-    /// turns are spread over the time that really is left.
-    pub earliest: Duration,
 }
 
 /// Turns of the instances of one service.
@@ -31,11 +31,11 @@
         Self { timing }
     }
 
-    /// Time after naming at which the instance of `rank` among `count` may switch.
-    pub fn turn(&self, rank: usize, count: usize) -> Duration {
+    /// Time after naming at which the instance of `rank` among `count` may switch whose chunks were
+    /// all there so long after naming.
+    pub fn turn(&self, ready: Duration, rank: usize, count: usize) -> Duration {
         let last = self.timing.bound.saturating_sub(self.timing.reserve);
-        let span = last.saturating_sub(self.timing.earliest);
         let part = rank as f64 / count.max(1) as f64;
-        self.timing.earliest.min(last) + span.mul_f64(part)
+        ready + last.saturating_sub(ready).mul_f64(part)
     }
 }
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -70,6 +70,12 @@
 /// Takes the next steps towards `key`; returns when nothing is left to do for now.
 async fn bring(shared: &Rc<StagerShared>, wanted: &HeldPlan, key: &WeightsKey) {
     let known = shared.chunks.borrow().get(key).is_some();
+    if !known && wanted.plan.version.is_none() && shared.report.borrow().is_none() {
+        // Failure guarded: an engine that is not up yet seems to have nothing staged, and every
+        // agent fetches what lies beside it already. It shows as a whole copy drawn from the origin
+        // at every start of the system. Before anything is named there is no hurry.
+        return;
+    }
     if !known && !begin(shared, wanted, key).await {
         tokio::time::sleep(DIGESTS_PAUSE).await;
         return;
@@ -246,7 +252,8 @@
     let own = peer_name(shared.options.target);
     let names = ranked(&wanted.plan.peers, key.version);
     let rank = names.iter().position(|(name, _)| *name == own).unwrap_or(0);
-    let turn = SwitchSchedule::new(shared.options.timing).turn(rank, names.len());
+    let ready = wanted.due_from.elapsed();
+    let turn = SwitchSchedule::new(shared.options.timing).turn(ready, rank, names.len());
     tracing::info!(
         rank,
         of = names.len(),
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -121,11 +121,22 @@
         let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
         let address = listener.local_addr().expect("bound");
         let engine = Rc::new(Self::default());
-        let serving = engine.clone();
-        actix_rt::spawn(serve(listener, move |head, body| serving.answer(head, body)));
+        engine.serve_at(listener);
         (engine, address)
     }
 
+    /// Answers from now on.
+    pub(super) fn serve_at(self: &Rc<Self>, listener: tokio::net::TcpListener) {
+        let serving = self.clone();
+        actix_rt::spawn(serve(listener, move |head, body| serving.answer(head, body)));
+    }
+
+    /// Stages a whole version.
+    pub(super) fn stage(&self, version: u64) {
+        let chunks = (0..CHUNKS).map(|index| (u64::from(index), chunk(version, index)));
+        self.staged.borrow_mut().extend(chunks);
+    }
+
     fn answer(&self, head: &RequestHead, body: Bytes) -> Answer {
         let index = number(head, "num").unwrap_or(u64::MAX);
         match (&head.method[..], head.path()) {
--- a/tests/all/fleet/weights.rs
+++ b/tests/all/fleet/weights.rs
@@ -8,7 +8,7 @@
 use egretseam_daemon::FleetRuntime;
 use egretseam_proto::ServiceName;
 use serde_json::{Value, json};
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 struct WeightsBed {
     bed: FleetBed,
@@ -47,6 +47,10 @@
     async fn add(&mut self) {
         let host = self.bed.host();
         let (engine, target) = ScriptedEngine::start(host).await;
+        self.add_at(engine, target).await;
+    }
+
+    async fn add_at(&mut self, engine: Rc<ScriptedEngine>, target: SocketAddr) {
         let beat = json!({
             "service": "runners", "address": target.to_string(), "zone": "z1", "slots": 4,
             "state": "ready", "coldLeftMs": 0, "models": [], "seq": 1
@@ -54,7 +58,7 @@
         let path = format!("/instances/e-{}/heartbeat", target.ip());
         assert_eq!(self.bed.call("POST", &path, &beat.to_string()).await.0, 200);
         let settings = FleetSettings {
-            host,
+            host: target.ip(),
             entry: None,
             agent: Some(FleetAgent {
                 target_address: target,
@@ -183,3 +187,23 @@
     bed.wait_for(2).await;
     assert!(bed.engines[0].cut.get() > 990, "it was ordered at once");
 }
+
+/// What operators would see: a whole copy of the weights drawn from the origin at every start of the
+/// system. Agents are up before their engines; what is staged beside an engine that does not answer
+/// yet must not be taken for missing.
+#[actix_rt::test]
+async fn what_is_staged_is_not_fetched_while_the_engine_starts() {
+    let mut bed = WeightsBed::start(0, true).await;
+    let host = bed.bed.host();
+    let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
+    let target = listener.local_addr().expect("bound");
+    drop(listener);
+    let engine = Rc::new(ScriptedEngine::default());
+    engine.stage(1);
+    bed.add_at(engine.clone(), target).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let listener = tokio::net::TcpListener::bind(target).await.expect("the port is still free");
+    engine.serve_at(listener);
+    bed.wait_for(1).await;
+    assert_eq!(bed.origin.given.get(), 0, "chunks were drawn that are staged");
+}
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -299,18 +299,20 @@
 
 #[test]
 fn turns_are_spread_over_the_time_before_the_bound() {
-    let timing = SwitchTiming {
-        bound: Duration::from_secs(8),
-        reserve: Duration::from_secs(2),
-        earliest: Duration::from_secs(3),
-    };
+    let timing = SwitchTiming { bound: Duration::from_secs(8), reserve: Duration::from_secs(2) };
     let schedule = SwitchSchedule::new(timing);
-    let turns: Vec<Duration> = (0..6).map(|rank| schedule.turn(rank, 6)).collect();
-    assert_eq!(turns[0], Duration::from_secs(3));
-    assert!(turns.windows(2).all(|pair| pair[0] < pair[1]));
-    assert!(turns[5] < Duration::from_secs(6));
-    let tight = SwitchTiming { bound: Duration::from_secs(1), ..timing };
-    assert_eq!(SwitchSchedule::new(tight).turn(5, 6), Duration::ZERO, "too late to wait");
+    for ready in [0, 3, 5] {
+        let ready = Duration::from_secs(ready);
+        let turns: Vec<Duration> = (0..6).map(|rank| schedule.turn(ready, rank, 6)).collect();
+        assert_eq!(turns[0], ready);
+        let step = (Duration::from_secs(6) - ready) / 6;
+        let even =
+            |pair: &[Duration]| (pair[1] - pair[0]).abs_diff(step) < Duration::from_millis(1);
+        assert!(turns.windows(2).all(even), "{turns:?}");
+        assert!(turns[5] < Duration::from_secs(6));
+    }
+    let late = Duration::from_secs(7);
+    assert_eq!(schedule.turn(late, 5, 6), late, "too late to wait");
 }
 
 #[actix_rt::test]
