Added engines' weights are fetched while the engine starts

Change: while the engine is not up and nothing is named, digests and so chunks are taken from peers, but the origin is not asked.

--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -70,12 +70,6 @@
 /// Takes the next steps towards `key`; returns when nothing is left to do for now.
 async fn bring(shared: &Rc<StagerShared>, wanted: &HeldPlan, key: &WeightsKey) {
     let known = shared.chunks.borrow().get(key).is_some();
-    if !known && wanted.plan.version.is_none() && shared.report.borrow().is_none() {
-        // Failure guarded: an engine that is not up yet seems to have nothing staged, and every
-        // agent fetches what lies beside it already. It shows as a whole copy drawn from the origin
-        // at every start of the system. Before anything is named there is no hurry.
-        return;
-    }
     if !known && !begin(shared, wanted, key).await {
         tokio::time::sleep(DIGESTS_PAUSE).await;
         return;
@@ -127,7 +121,13 @@
     let own = peer_name(shared.options.target);
     let names = ranked(&wanted.plan.peers, key.version);
     let first: Vec<_> = names.iter().take(DIGEST_SOURCES).collect();
-    if first.first().is_none_or(|(name, _)| *name == own) || shared.distrusts_peers.take() {
+    // Failure guarded: an engine that is not up yet seems to have nothing staged, and every agent
+    // fetches what lies beside it already. It shows as a whole copy drawn from the origin at every
+    // start of the system. Before anything is named there is no hurry: what others have is taken,
+    // so that an added engine finds it when it is up, but the origin is not asked.
+    let may_ask_origin = wanted.plan.version.is_some() || shared.report.borrow().is_some();
+    let asks_first = first.first().is_none_or(|(name, _)| *name == own);
+    if may_ask_origin && (asks_first || shared.distrusts_peers.take()) {
         return origin_digests(shared, wanted, key).await;
     }
     let began = Instant::now();
@@ -143,6 +143,9 @@
         }
         tokio::time::sleep(DIGESTS_RETRY).await;
     }
+    if !may_ask_origin {
+        return Err("the engine is not up and no peer has them".to_owned());
+    }
     origin_digests(shared, wanted, key).await
 }
 
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -389,6 +389,26 @@
         self.wait_until(|| self.entry.config_version() >= version).await;
     }
 
+    /// Reads a process's metrics again and again until they are as they should be.
+    pub(super) async fn wait_for_metrics(&self, host: IpAddr, are_right: impl Fn(&str) -> bool) {
+        let address = SocketAddr::new(host, self.settings.first_peer_port + 10);
+        let call = CallRequest {
+            method: "GET",
+            target: "/metrics",
+            content_type: "",
+            body: b"",
+            limit: Duration::from_secs(5),
+            max_body: 1 << 20,
+        };
+        let right = async {
+            let is_right = |body: &Bytes| are_right(&String::from_utf8_lossy(body));
+            while !exchange(address, &call).await.is_ok_and(|reply| is_right(&reply.body)) {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, right).await.expect("the metrics become right");
+    }
+
     pub(super) async fn wait_until(&self, done: impl Fn() -> bool) {
         let wait = async {
             while !done() {
--- a/tests/all/fleet/weights.rs
+++ b/tests/all/fleet/weights.rs
@@ -207,3 +207,24 @@
     bed.wait_for(1).await;
     assert_eq!(bed.origin.given.get(), 0, "chunks were drawn that are staged");
 }
+
+/// What users would see: added engines that serve a second later than they could. Their instances are
+/// there before them, and what the other engines hold must be at hand when they are up.
+#[actix_rt::test]
+async fn an_added_engines_weights_are_fetched_while_it_starts() {
+    let mut bed = WeightsBed::start(2, true).await;
+    bed.wait_for(1).await;
+    let drawn = bed.origin.given.get();
+    let host = bed.bed.host();
+    let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
+    let target = listener.local_addr().expect("bound");
+    drop(listener);
+    let engine = Rc::new(ScriptedEngine::default());
+    bed.add_at(engine.clone(), target).await;
+    let none = "egretseam_stager_chunks_from_peers_total 0\n";
+    bed.bed.wait_for_metrics(host, |text| !text.contains(none)).await;
+    let listener = tokio::net::TcpListener::bind(target).await.expect("the port is still free");
+    engine.serve_at(listener);
+    bed.wait_for(1).await;
+    assert!(bed.origin.given.get() < drawn + CHUNKS, "peers gave most of it");
+}
