--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
     shared::GatewayShared,
 };
 use egretseam_h1::{BodyReader, HttpConnection, ResponseHead};
-use egretseam_serving::AttemptOutcome;
+use egretseam_serving::{AttemptOutcome, TargetId};
 use tokio::time::Instant;
 
 /// Largest body that is read off a refusal to keep its connection.
@@ -105,14 +105,14 @@
         connection.write(&bytes).await.map_err(|_| AttemptFailure::Broken)?;
         read_own_head(shared, &mut connection, request).await
     };
-    let began = Instant::now();
+    let awaited = AwaitedAnswer::begin(shared, place);
     let answered = tokio::select! {
         answered = tokio::time::timeout_at(patience, exchange) => answered,
         // Failure guarded: a target that goes on working for a caller that left. Dropping the
         // connection tells it.
         () = caller.closed(SENT_AHEAD) => return Err(AttemptFailure::CallerLeft),
     };
-    note_first_byte(shared, place, began);
+    awaited.end();
     let (head, marks) = answered.map_err(|_| AttemptFailure::Silent)??;
     if let Some(busy) = marks.busy {
         let now = Instant::now();
@@ -130,11 +130,32 @@
     Ok(answer)
 }
 
-/// An attempt that was waited for in vain counts with the time it was waited for.
-fn note_first_byte(shared: &GatewayShared, place: &PlaceGuard, began: Instant) {
-    let now = Instant::now();
-    let took = now.saturating_duration_since(began);
-    shared.places.borrow_mut().targets.note_first_byte(&place.target, took, now);
+/// A request whose first byte is awaited. Dropped before its end it says nothing of its target.
+struct AwaitedAnswer<'a> {
+    shared: &'a GatewayShared,
+    target: &'a TargetId,
+    sent_at: Instant,
+}
+
+impl<'a> AwaitedAnswer<'a> {
+    fn begin(shared: &'a GatewayShared, place: &'a PlaceGuard) -> Self {
+        let sent_at = Instant::now();
+        let target = &place.target;
+        shared.places.borrow_mut().targets.note_sent(target, sent_at);
+        Self { shared, target, sent_at }
+    }
+
+    /// The first byte came. One that was waited for in vain counts with the time it was waited for.
+    fn end(self) {
+        let now = Instant::now();
+        self.shared.places.borrow_mut().targets.note_first_byte(self.target, self.sent_at, now);
+    }
+}
+
+impl Drop for AwaitedAnswer<'_> {
+    fn drop(&mut self) {
+        self.shared.places.borrow_mut().targets.stop_awaiting(self.target, self.sent_at);
+    }
 }
 
 async fn connection_to(
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -110,7 +110,7 @@
         let untried = able.iter().filter(|(id, _)| !need.tried.contains(*id));
         let mut weighted: Vec<(f64, &TargetId)> = Vec::new();
         for (id, row) in untried {
-            if !row.health.admits(row.own_in_flight, view.spared, now) {
+            if !row.health.admits(row.own_in_flight, view.spared, now) || view.hangs(row, now) {
                 continue;
             }
             let Some(cost) = self.cost(row, need, &view, now) else { continue };
@@ -195,6 +195,9 @@
 
 /// Times to the first byte below which nobody counts as slow.
 const QUICK: Duration = Duration::from_millis(100);
+/// How many times the usual a first byte may take before its target seems to hang: in a full service
+/// one in a hundred takes that long.
+const HANGING_TIMES: u32 = 4;
 /// How many times the usual a target may be charged for.
 const MOST_SLOWNESS: f64 = 3.0;
 
@@ -223,23 +226,37 @@
     usual_first_byte: Duration,
     /// Newest version of the wanted model.
     newest: Option<u64>,
-    /// Whether ejections do not count.
+    /// Whether ejections and hangs do not count.
     ///
     /// Failure guarded: when most targets fail, for example for want of something behind them,
     /// ejecting them all would turn a service that answers some requests into one that answers
-    /// none. Beyond half of the targets ejections do not count.
+    /// none. Beyond half of the targets ejections and hangs do not count.
     spared: bool,
 }
 
 impl ServiceView {
+    /// Whether a target seems to hang: a request awaits its first byte several times as long as
+    /// usual.
+    ///
+    /// Failure guarded: a target freezes, and every entry goes on sending to it until the first
+    /// request has been waited for in vain, 1.6 s with an objective of 0.4 s. It shows as dozens of
+    /// late answers for each target. A charge would not keep them away while all are full.
+    fn hangs(&self, row: &TargetRow, now: Instant) -> bool {
+        let limit = self.usual_first_byte.max(QUICK) * HANGING_TIMES;
+        !self.spared && row.longest_awaited(now).is_some_and(|awaited| awaited > limit)
+    }
+
     fn of(able: &[(&TargetId, &TargetRow)], model: Option<&ModelName>, now: Instant) -> Self {
-        let ejected = able.iter().filter(|(_, row)| row.health.is_ejected(now)).count();
-        Self {
+        let mut view = Self {
             mean_others: mean_of_others(able, now),
             usual_first_byte: usual_first_byte(able, now),
             newest: model.and_then(|model| newest_version(able, model)),
-            spared: ejected * 2 > able.len(),
-        }
+            spared: false,
+        };
+        let left_out = |row: &TargetRow| row.health.is_ejected(now) || view.hangs(row, now);
+        let count = able.iter().filter(|(_, row)| left_out(row)).count();
+        view.spared = count * 2 > able.len();
+        view
     }
 }
 
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -92,6 +92,8 @@
     pub(crate) health: TargetHealth,
     /// Mean time to the first byte of an answer, and when it was last measured.
     first_byte: Option<(Duration, Instant)>,
+    /// When the requests were sent whose first byte is still awaited.
+    awaited: Vec<Instant>,
     sightings: IndexMap<u32, Sighting>,
 }
 
@@ -108,6 +110,7 @@
             load: None,
             health: TargetHealth::default(),
             first_byte: None,
+            awaited: Vec::new(),
             sightings: IndexMap::new(),
         }
     }
@@ -138,6 +141,18 @@
         (now.saturating_duration_since(at) < FIRST_BYTE_MEMORY).then_some(mean)
     }
 
+    /// How long the request that was sent first has been waiting for its first byte.
+    pub(crate) fn longest_awaited(&self, now: Instant) -> Option<Duration> {
+        let first = self.awaited.iter().min()?;
+        Some(now.saturating_duration_since(*first))
+    }
+
+    fn stop_awaiting(&mut self, sent_at: Instant) {
+        if let Some(at) = self.awaited.iter().position(|awaited| *awaited == sent_at) {
+            self.awaited.swap_remove(at);
+        }
+    }
+
     /// Remembers how many requests of this entry are there from `now` on.
     fn own_changed(&mut self, now: Instant) {
         self.own_history.push_back((now, self.own_in_flight));
@@ -399,11 +414,25 @@
         row.health.note(outcome, now)
     }
 
-    /// Notes how long a request at a target took to its first byte, or how long it was waited for
-    /// in vain.
-    pub fn note_first_byte(&mut self, id: &TargetId, took: Duration, now: Instant) {
+    /// Notes that a request was sent to a target.
+    pub fn note_sent(&mut self, id: &TargetId, sent_at: Instant) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.awaited.push(sent_at);
+        }
+    }
+
+    /// Notes that the first byte of an answer came, or that it was waited for in vain until now.
+    pub fn note_first_byte(&mut self, id: &TargetId, sent_at: Instant, now: Instant) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.stop_awaiting(sent_at);
+            row.note_first_byte(now.saturating_duration_since(sent_at), now);
+        }
+    }
+
+    /// Notes that nobody awaits an answer any more; that says nothing of its target.
+    pub fn stop_awaiting(&mut self, id: &TargetId, sent_at: Instant) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.note_first_byte(took, now);
+            row.stop_awaiting(sent_at);
         }
     }
 
--- a/crates/testkit/src/service_load.rs
+++ b/crates/testkit/src/service_load.rs
@@ -169,7 +169,7 @@
     fn began(&mut self, id: u64, now: Instant) {
         let Some(placed) = self.placed.get(&id) else { return };
         let table = &mut self.entries[placed.entry].table;
-        table.note_first_byte(&target_id(placed.target), now - placed.sent, now);
+        table.note_first_byte(&target_id(placed.target), placed.sent, now);
         if now - placed.due <= self.script.objective {
             self.result.in_time += 1;
         } else {
@@ -262,6 +262,7 @@
             return false;
         };
         self.entries[at].table.begin(&target, now);
+        self.entries[at].table.note_sent(&target, now);
         self.entries[at].queue.note_placed(now);
         let number: usize = target.0.parse().expect("targets are named by number");
         self.engines[number].arrive(id, now);
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -174,7 +174,7 @@
     let bound = now + VERSION_LIMIT;
     let at = bound - Duration::from_millis(1_500);
     assert_eq!(choose(&table, &[], at), Choice::Target(id(1)));
-    table.note_first_byte(&id(1), Duration::from_millis(1_200), at);
+    table.note_first_byte(&id(1), at - Duration::from_millis(1_200), at);
     assert_eq!(choose(&table, &[], at), Choice::NoTarget);
     let early = bound - Duration::from_millis(4_000);
     assert_eq!(choose(&table, &[], early), Choice::Target(id(1)));
@@ -328,6 +328,32 @@
     assert!(matches!(choose(&table, &[], now), Choice::Target(_)));
 }
 
+/// What users would see: dozens of late answers for each engine that freezes. It takes requests and
+/// says nothing; each is waited for 1.6 s before it goes elsewhere, and meanwhile others follow it.
+/// A request that has waited several times as long as usual must keep the next ones away, and no
+/// longer than until it is answered or given up.
+#[actix_rt::test]
+async fn a_target_that_hangs_is_left_before_anybody_gave_up() {
+    let start = Instant::now();
+    let mut table = table(&[1, 2, 3, 4], start);
+    let usual = Duration::from_millis(120);
+    for host in 1..=4 {
+        table.note_first_byte(&id(host), start - usual, start);
+    }
+    table.note_sent(&id(1), start);
+    let hits = |table: &TargetTable, now| {
+        (0..400).filter(|_| choose(table, &[], now) == Choice::Target(id(1))).count()
+    };
+    let early = hits(&table, start + usual);
+    assert!((50..150).contains(&early), "nothing to be said yet: {early} of 400");
+    let later = start + Duration::from_millis(600);
+    let late = hits(&table, later);
+    assert!(late < 10, "{late} of 400 at the one that hangs");
+    table.stop_awaiting(&id(1), start);
+    let left = hits(&table, later);
+    assert!((50..150).contains(&left), "its caller left, which is not its fault: {left} of 400");
+}
+
 /// What users would see: every seventh answer takes seconds. One target works slowly, or its link
 /// is full; its answers come, so it does not fail. It must get far less than its part, and be tried
 /// again when nothing was heard of it for a while.
@@ -336,7 +362,7 @@
     let now = Instant::now();
     let mut table = table(&[1, 2, 3], now);
     for (host, millis) in [(1, 120), (2, 150), (3, 1_500)] {
-        table.note_first_byte(&id(host), Duration::from_millis(millis), now);
+        table.note_first_byte(&id(host), now - Duration::from_millis(millis), now);
     }
     let drawn =
         |now| (0..600).filter(|_| choose(&table, &[], now) == Choice::Target(id(3))).count();
