--- a/crates/replica/src/node.rs
+++ b/crates/replica/src/node.rs
@@ -177,7 +177,7 @@
             id: identity.id,
             config,
             now: Duration::ZERO,
-            random: spread_seed(seed, identity.id),
+            random: election::spread_seed(seed, identity.id),
             hard: state.hard,
             group: state.hard.group.or(identity.group),
             commit,
@@ -479,16 +479,6 @@
         self.reset_election_deadline();
     }
 
-    fn reset_election_deadline(&mut self) {
-        // xorshift64: spreads timeouts so that members seldom campaign together.
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        let base = self.config.election_timeout;
-        let spread = self.random % (base.as_micros() as u64).max(1);
-        self.election_deadline = self.now + base + Duration::from_micros(spread);
-    }
-
     fn answer_read(&mut self, from: MemberId, token: ReadToken, index: Option<LogIndex>) {
         if from == self.id {
             self.output.reads.push(ReadGrant { token, index });
@@ -512,13 +502,3 @@
         self.output.send_after_sync.extend(envelope);
     }
 }
-
-/// A well mixed seed. Failure guarded: members whose timeouts follow the same sequence campaign
-/// together again and again and split every vote. It shows as a group that never elects anyone;
-/// seeds that differ in few bits are enough for it, and so is a seed that cancels the id.
-fn spread_seed(seed: u64, id: MemberId) -> u64 {
-    let mut value = seed.rotate_left(32).wrapping_add(id.0).wrapping_add(0x9e37_79b9_7f4a_7c15);
-    value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (value ^ value >> 31) | 1
-}
--- a/crates/replica/src/node/election.rs
+++ b/crates/replica/src/node/election.rs
@@ -6,6 +6,7 @@
     message::{LogIndex, Message, Term},
 };
 use indexmap::IndexSet;
+use std::time::Duration;
 
 impl ReplicaNode {
     /// Asks for pre-votes. Failure guarded: a member cut off for minutes would campaign in ever
@@ -150,4 +151,25 @@
             self.send_now(voter, message.clone());
         }
     }
+
+    /// Puts the next campaign off, by a different time at each member.
+    pub(super) fn reset_election_deadline(&mut self) {
+        // xorshift64: spreads timeouts so that members seldom campaign together.
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        let base = self.config.election_timeout;
+        let spread = self.random % (base.as_micros() as u64).max(1);
+        self.election_deadline = self.now + base + Duration::from_micros(spread);
+    }
+}
+
+/// A well mixed seed. Failure guarded: members whose timeouts follow the same sequence campaign
+/// together again and again and split every vote. It shows as a group that never elects anyone;
+/// seeds that differ in few bits are enough for it, and so is a seed that cancels the id.
+pub(super) fn spread_seed(seed: u64, id: MemberId) -> u64 {
+    let mut value = seed.rotate_left(32).wrapping_add(id.0).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (value ^ value >> 31) | 1
 }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -196,7 +196,7 @@
 /// Times to the first byte below which nobody counts as slow.
 const QUICK: Duration = Duration::from_millis(100);
 /// How many times the usual a first byte may take before its target seems to hang: in a full service
-/// one in a hundred takes that long.
+/// 99 in 100 come within 3.2 times the middle one.
 const HANGING_TIMES: u32 = 4;
 /// How many times the usual a target may be charged for.
 const MOST_SLOWNESS: f64 = 3.0;
--- a/crates/serving/src/switch_schedule.rs
+++ b/crates/serving/src/switch_schedule.rs
@@ -4,9 +4,8 @@
 //! accepts nothing until its running answers are done, so all engines at once would leave nobody
 //! to serve. Each instance takes its turn by its rank among the peers, spread over the time from
 //! when its chunks are there, as they are at the others about then, to when the old version must
-//! not be used any more. A fixed beginning would do for one size of transfer only: where it took
-//! twice as long, the turns of half of the engines were past when it ended, and they all went at
-//! once.
+//! not be used any more. So the turns are spread however long the transfer takes; from a moment
+//! fixed beforehand, all whose turns a long transfer has passed would go at once.
 
 use std::time::Duration;
 
