A caller that is still sending is told that its body is too large

The entry of serve answers as soon as the limit of 8 MiB is passed and closes; what the caller still sends resets the connection before the answer is read. Ruled out: the test (callers see the same). Change: the rest of a body is read off, as many bytes again as the limit and 2 s at most, before the refusal is sent. Test: a_caller_that_is_still_sending_is_told_that_its_body_is_too_large (broken pipe without the change).

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -5,6 +5,10 @@
 use egretseam_proto::{FailureReport, RefusalReason};
 use futures::StreamExt;
 use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+/// Time for reading off what a caller sends beyond the limit; a few MiB arrive within it.
+const READ_OFF_LIMIT: Duration = Duration::from_secs(2);
 
 /// Reads a whole body of at most `limit` bytes.
 ///
@@ -19,6 +23,7 @@
         })?;
         if body.len() + chunk.len() > limit {
             let detail = format!("the limit is {limit} bytes");
+            read_off(payload, limit).await;
             return Err(FailureReport::not_run(RefusalReason::BodyTooLarge, detail));
         }
         body.extend_from_slice(&chunk);
@@ -26,6 +31,23 @@
     Ok(body.freeze())
 }
 
+/// Reads the rest of a body off, up to `most` bytes and some time.
+///
+/// Failure guarded: the connection is closed with the refusal, and a caller that is still sending is
+/// reset before it has read why. It shows as a broken pipe instead of the answer.
+async fn read_off(payload: &mut Payload, most: usize) {
+    let rest = async {
+        let mut read = 0;
+        while let Some(Ok(chunk)) = payload.next().await {
+            read += chunk.len();
+            if read > most {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(READ_OFF_LIMIT, rest).await.ok();
+}
+
 /// Reads a JSON body of at most `limit` bytes.
 ///
 /// # Errors
--- a/tests/all/bad_input.rs
+++ b/tests/all/bad_input.rs
@@ -71,6 +71,33 @@
     }
 }
 
+/// What users would see: a broken connection instead of the word that a body is too large. The caller
+/// is still sending when it is refused, and the close resets it before it has read the answer.
+#[test]
+fn a_caller_that_is_still_sending_is_told_that_its_body_is_too_large() {
+    use std::io::{Read, Write};
+    let test = TestCluster::start(options(1, 0));
+    let address = test.cluster.caller_addresses()[0].to_string();
+    let mut stream = std::net::TcpStream::connect(address).expect("connected");
+    let length = 9 << 20;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {KEY}\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    let piece = vec![b' '; 64 << 10];
+    for sent in 0..length / piece.len() {
+        stream.write_all(&piece).expect("the connection stands until all is sent");
+        if sent > (8 << 20) / piece.len() {
+            // Beyond the limit: time for the refusal to be on its way.
+            std::thread::sleep(std::time::Duration::from_millis(10));
+        }
+    }
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 413");
+}
+
 #[test]
 fn operators_are_told_what_is_wrong() {
     let test = TestCluster::start(options(0, 0));
