--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -44,6 +44,8 @@
     pub detects_retries: Option<bool>,
     /// Most targets that one request may be sent to, below what its route allows.
     pub most_attempts: Option<u64>,
+    /// How long callers of streams stay without an event, at the least.
+    pub callers_stay: Option<Duration>,
     /// Whether entries hear from agents how busy targets are.
     pub hears_loads: Option<bool>,
     /// How long callers of other zones may keep an answer of the directory.
@@ -75,6 +77,7 @@
         quick_share: weight(reader, "quick_share"),
         detects_retries: reader.optional("detects_retries"),
         most_attempts: count(reader, "most_attempts", 64),
+        callers_stay: millis(reader, "callers_stay_millis"),
         hears_loads: reader.optional("hears_loads"),
         far_lifetime: millis(reader, "far_lifetime_millis"),
         seeders: count(reader, "seeders", 100_000),
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -9,7 +9,7 @@
 use egretseam_http::DaemonMetrics;
 use egretseam_registrar::{ControlDialect, RegistrarListeners, RegistrarOptions, RegistrarRuntime};
 use egretseam_rpc::PeerSecret;
-use egretseam_serving::{PlacementPolicy, RetryPolicy, SwitchTiming, WaitPolicy};
+use egretseam_serving::{PlacementPolicy, RetryPolicy, SwitchTiming, USUAL_STAY, WaitPolicy};
 use egretseam_stager::{EngineDialect, StagerListeners, StagerOptions, StagerRuntime};
 use egretseam_swarm::PlannerPolicy;
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
@@ -212,6 +212,7 @@
             far_address_lifetime: policy.far_lifetime.unwrap_or(FAR_ADDRESS_LIFETIME),
             detects_retries: policy.detects_retries.unwrap_or(true),
             most_attempts: policy.most_attempts.map_or(u32::MAX, |most| most as u32),
+            callers_stay: policy.callers_stay.unwrap_or(USUAL_STAY),
             hears_loads: policy.hears_loads.unwrap_or(true),
             stop_limit: settings.stop_limit,
         };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -107,13 +107,22 @@
     };
     let awaited = AwaitedAnswer::begin(shared, place);
     let answered = tokio::select! {
-        answered = tokio::time::timeout_at(patience, exchange) => answered,
-        // Failure guarded: a target that goes on working for a caller that left. Dropping the
-        // connection tells it.
-        () = caller.closed(SENT_AHEAD) => return Err(AttemptFailure::CallerLeft),
+        answered = tokio::time::timeout_at(patience, exchange) => {
+            awaited.end();
+            answered.unwrap_or(Err(AttemptFailure::Silent))
+        }
+        () = caller.closed(SENT_AHEAD) => Err(AttemptFailure::CallerLeft),
+    };
+    let (head, marks) = match answered {
+        Ok(answer) => answer,
+        // Failure guarded: a target works for a caller that left, or on a request that another
+        // target has by now. An orderly close is queued behind the request; a reset discards what
+        // is still queued here and ends what has arrived.
+        Err(failure) => {
+            connection.abort();
+            return Err(failure);
+        }
     };
-    awaited.end();
-    let (head, marks) = answered.map_err(|_| AttemptFailure::Silent)??;
     if let Some(busy) = marks.busy {
         let now = Instant::now();
         shared.places.borrow_mut().targets.note_load(&place.target, busy, now);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -283,12 +283,15 @@
     request: &RequestState,
     tried: &[TargetId],
 ) -> Option<Result<PlaceGuard, Refusal>> {
+    let limits = request.limits(shared.options.callers_stay);
+    let is_first = tried.is_empty();
     let call = PlaceCall {
         service: &request.service,
         model: request.terms.model.as_ref(),
         tried,
         claim: request.claim(),
-        latest: if tried.is_empty() { request.deadline } else { request.limits().wait_until() },
+        begin_by: (!is_first && limits.awaits_stream).then(|| limits.wait_until()),
+        latest: if is_first { request.deadline } else { limits.wait_until() },
     };
     let reply = tokio::select! {
         biased;
@@ -375,7 +378,7 @@
     if !may_repeat {
         return request.deadline;
     }
-    let patience = request.limits().attempt_until(Instant::now());
+    let patience = request.limits(shared.options.callers_stay).attempt_until(Instant::now());
     let model = request.terms.model.as_ref();
     let places = shared.places.borrow();
     // Failure guarded: a request waits in a full engine until after the bound and begins on old
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -54,6 +54,8 @@
     pub detects_retries: bool,
     /// Most targets that one request may be sent to, whatever its route allows.
     pub most_attempts: u32,
+    /// How long callers of streams stay without an event, at the least.
+    pub callers_stay: Duration,
     /// Whether control's datagrams of how busy targets are count.
     pub hears_loads: bool,
     /// Time from the order to stop until the process must have ended.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -19,6 +19,7 @@
     model: Option<ModelName>,
     tried: Vec<TargetId>,
     late: bool,
+    begin_by: Option<Instant>,
     sender: oneshot::Sender<PlaceGuard>,
 }
 
@@ -86,6 +87,8 @@
     pub(crate) model: Option<&'a ModelName>,
     pub(crate) tried: &'a [TargetId],
     pub(crate) claim: WaitClaim,
+    /// See [`PlacementNeed::begin_by`].
+    pub(crate) begin_by: Option<Instant>,
     /// When waiting makes no sense any more.
     pub(crate) latest: Instant,
 }
@@ -147,6 +150,7 @@
         model: call.model,
         tried: call.tried,
         late: call.claim.is_late(),
+        begin_by: call.begin_by,
     };
     let choice = places.targets.choose(&need, now);
     let nobody_waits = places.queue(call.service).is_empty();
@@ -170,6 +174,7 @@
         model: call.model.cloned(),
         tried: call.tried.to_vec(),
         late: claim.is_late(),
+        begin_by: call.begin_by,
         sender,
     };
     let usual = places.targets.usual_first_byte(call.service, now);
@@ -258,6 +263,7 @@
             model: request.model.as_ref(),
             tried: &request.tried,
             late: request.late,
+            begin_by: request.begin_by,
         };
         match places.targets.choose(&need, now) {
             Choice::Target(target) => return Some((ticket, target)),
--- a/crates/serving/src/attempt_limits.rs
+++ b/crates/serving/src/attempt_limits.rs
@@ -15,8 +15,9 @@
 const SHORTEST: Duration = Duration::from_millis(350);
 /// Longest such time.
 const LONGEST: Duration = Duration::from_millis(1_800);
-/// Time that callers of streams stay without an event, at the least.
-const CALLERS_STAY: Duration = Duration::from_millis(2_000);
+/// Time that callers of streams stay without an event, at the least, where settings name none: those
+/// of the first two customers leave after 2.0 to 2.4 s.
+pub const USUAL_STAY: Duration = Duration::from_millis(2_000);
 /// Shortest time that an attempt has after a long wait all the same: most first bytes after an outage
 /// come within it.
 const SHORTEST_AFTER_WAIT: Duration = Duration::from_millis(600);
@@ -32,6 +33,8 @@
     pub received_at: Instant,
     /// When its caller's time ends.
     pub deadline: Instant,
+    /// How long callers of streams stay without an event.
+    pub stay: Duration,
 }
 
 impl AttemptLimits {
@@ -41,7 +44,7 @@
     /// freezes; its caller leaves before the attempt's own limit.
     pub fn attempt_until(&self, now: Instant) -> Instant {
         let usual = (self.objective * OBJECTIVES).clamp(SHORTEST, LONGEST);
-        let stays = CALLERS_STAY.saturating_sub(now.saturating_duration_since(self.received_at));
+        let stays = self.stay.saturating_sub(now.saturating_duration_since(self.received_at));
         let limit =
             if self.awaits_stream { usual.min(stays.max(SHORTEST_AFTER_WAIT)) } else { usual };
         (now + limit).min(self.deadline)
@@ -53,7 +56,7 @@
     /// the caller leaves. It showed as 12 of 13 runs that went on after their callers had left.
     pub fn wait_until(&self) -> Instant {
         if self.awaits_stream {
-            self.deadline.min(self.received_at + CALLERS_STAY)
+            self.deadline.min(self.received_at + self.stay)
         } else {
             self.deadline
         }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -33,7 +33,7 @@
 mod wait_queue;
 
 pub use crate::{
-    attempt_limits::AttemptLimits,
+    attempt_limits::{AttemptLimits, USUAL_STAY},
     config::{
         CallerLimits, Destination, EngineRecord, OrganisationRecord, OriginRecord, RouteKind,
         RouteRecord, ServiceRecord, ServingConfig,
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -102,6 +102,21 @@
     pub tried: &'a [TargetId],
     /// Whether it is late already, so that it leaves the last places to others.
     pub late: bool,
+    /// When its caller leaves, if its answer has not begun: only asked for where another target had
+    /// it before.
+    pub begin_by: Option<Instant>,
+}
+
+impl PlacementNeed<'_> {
+    /// Whether a target is likely to answer before the caller leaves.
+    ///
+    /// Failure guarded: a request that one target did not answer goes to another whose link is
+    /// narrowed, arrives there seconds later and is run for a caller that has left. What is on its
+    /// way cannot be recalled, so it is not sent.
+    fn is_in_time(&self, row: &TargetRow, now: Instant) -> bool {
+        let left = self.begin_by.map(|begin_by| begin_by.saturating_duration_since(now));
+        left.is_none_or(|left| row.begins_within(left, now))
+    }
 }
 
 /// Where a request goes.
@@ -136,7 +151,10 @@
         for (id, row) in untried {
             let spared = view.spared || !self.policy.ejects;
             let hangs = self.policy.skips_hanging && view.hangs(row, now);
-            if hangs || !row.health.admits(row.own_in_flight, spared, now) {
+            if hangs
+                || !need.is_in_time(row, now)
+                || !row.health.admits(row.own_in_flight, spared, now)
+            {
                 continue;
             }
             let Some(cost) = self.cost(row, need, &view, now) else { continue };
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -82,6 +82,8 @@
     pub(crate) loading: bool,
     /// Whether its agent sees no end of its want of weights.
     pub(crate) stalled: bool,
+    /// How long its agent says that requests are on their way over its link; zero for a usual one.
+    pub(crate) link_delay: Duration,
     /// When the target stops being slow after its start.
     pub(crate) cold_until: Instant,
     pub(crate) own_in_flight: u32,
@@ -109,6 +111,7 @@
             heard_at: said_at,
             loading: false,
             stalled: false,
+            link_delay: Duration::ZERO,
             cold_until: said_at,
             own_in_flight: 0,
             own_history: VecDeque::new(),
@@ -150,6 +153,7 @@
         }
         self.loading = news.loading;
         self.stalled = news.stalled;
+        self.link_delay = Duration::from_millis(news.link_delay_millis);
         if news.link_delay_millis > 0 {
             self.note_slowness(Duration::from_millis(news.link_delay_millis), seen_at);
         }
@@ -171,6 +175,12 @@
         }
     }
 
+    /// Whether an answer that a request waits for is likely to begin within `limit`: its link is not
+    /// narrowed, and no first byte of late took longer.
+    pub(crate) fn begins_within(&self, limit: Duration, now: Instant) -> bool {
+        self.link_delay.is_zero() && self.slowest(now).is_none_or(|slowest| slowest <= limit)
+    }
+
     /// The longest time to a first byte of late, also one that is still awaited.
     pub(super) fn slowest(&self, now: Instant) -> Option<Duration> {
         let fresh = |at: Instant| now.saturating_duration_since(at) < SLOWNESS_MEMORY;
--- a/crates/testkit/src/service_load.rs
+++ b/crates/testkit/src/service_load.rs
@@ -298,8 +298,13 @@
 
     fn place(&mut self, at: usize, id: u64, now: Instant) -> bool {
         let late = self.script.late_behind && self.is_late(id, now);
-        let need =
-            PlacementNeed { service: &self.service, model: Some(&self.model), tried: &[], late };
+        let need = PlacementNeed {
+            service: &self.service,
+            model: Some(&self.model),
+            tried: &[],
+            late,
+            begin_by: None,
+        };
         let Choice::Target(target) = self.entries[at].table.choose(&need, now) else {
             return false;
         };
--- a/tests/all/attempt_limits.rs
+++ b/tests/all/attempt_limits.rs
@@ -1,6 +1,6 @@
 //! How long attempts and waits of a request may take.
 
-use egretseam_serving::AttemptLimits;
+use egretseam_serving::{AttemptLimits, USUAL_STAY};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -13,6 +13,7 @@
         objective: Duration::from_millis(400),
         received_at,
         deadline: received_at + Duration::from_secs(6),
+        stay: USUAL_STAY,
     }
 }
 
--- a/tests/all/fleet/answers.rs
+++ b/tests/all/fleet/answers.rs
@@ -203,3 +203,19 @@
     caller.send(&request("/safe/1", "r3", "", "")).await;
     assert_eq!(caller.read().await.expect("whole").body, "r3 by i-1");
 }
+
+/// What operators would see: targets that begin requests whose callers have left. The request is still
+/// queued before a narrow link when the caller leaves; an orderly close waits behind it, and the target
+/// runs it. A reset discards what is queued.
+#[actix_rt::test]
+async fn an_attempt_that_is_given_up_is_reset() {
+    let mut bed = FleetBed::start().await;
+    let target = bed.target("i-1").await;
+    target.then(Script::Hang);
+    let mut caller = bed.caller().await;
+    caller.send(&request("/once/1", "r1", "", "")).await;
+    bed.wait_until(|| target.arrived() == 1).await;
+    drop(caller);
+    bed.wait_until(|| target.abandoned.get() == 1).await;
+    assert_eq!(target.reset_count.get(), 1);
+}
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -89,6 +89,8 @@
     pub(super) arrivals: RefCell<Vec<Arrival>>,
     /// Connections whose far end closed while a request was at work.
     pub(super) abandoned: Cell<u32>,
+    /// Those among them that were reset, not closed in order.
+    pub(super) reset_count: Cell<u32>,
 }
 
 impl ScriptedTarget {
@@ -101,6 +103,7 @@
             script: RefCell::default(),
             arrivals: RefCell::default(),
             abandoned: Cell::new(0),
+            reset_count: Cell::new(0),
         });
         let serving = target.clone();
         actix_rt::spawn(async move {
@@ -183,7 +186,9 @@
             Script::Twice => whole("200 OK", &signed, &own).repeat(2),
             Script::Close => return false,
             Script::Hang => {
-                connection.closed(usize::MAX).await;
+                if connection.wait_for_message().await.is_err() {
+                    self.reset_count.set(self.reset_count.get() + 1);
+                }
                 self.abandoned.set(self.abandoned.get() + 1);
                 return false;
             }
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -2,8 +2,9 @@
 
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
 use egretseam_serving::{
-    AnnounceOutcome, AttemptOutcome, Choice, EntryRecord, EntryRoster, HeldModel, PlacementNeed,
-    PlacementPolicy, TargetId, TargetNews, TargetRecord, TargetRegistry, TargetState, TargetTable,
+    AnnounceOutcome, AttemptOutcome, Choice, EngineNews, EntryRecord, EntryRoster, HeldModel,
+    Incarnation, PlacementNeed, PlacementPolicy, TargetId, TargetNews, TargetRecord,
+    TargetRegistry, TargetState, TargetTable,
 };
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::Instant;
@@ -56,9 +57,18 @@
     table
 }
 
+/// What a request that is not late needs; its caller stays.
+fn need<'a>(
+    service: &'a ServiceName,
+    model: &'a ModelName,
+    tried: &'a [TargetId],
+) -> PlacementNeed<'a> {
+    PlacementNeed { service, model: Some(model), tried, late: false, begin_by: None }
+}
+
 pub(crate) fn choose(table: &TargetTable, tried: &[TargetId], now: Instant) -> Choice {
     let (service, model) = (service(), model());
-    table.choose(&PlacementNeed { service: &service, model: Some(&model), tried, late: false }, now)
+    table.choose(&need(&service, &model, tried), now)
 }
 
 pub(crate) fn id(host: u8) -> TargetId {
@@ -293,3 +303,40 @@
     let flooded = arrivals[1].max(arrivals[2]);
     assert!(flooded <= 13, "{flooded} of 24 requests went to a target with 4 places: {arrivals:?}");
 }
+
+/// What operators would see: targets at work for callers that have left. A target does not answer, the
+/// request goes to another one whose agent reports a narrow link, arrives there two seconds later and
+/// is run for nobody. A further attempt goes only where an answer is likely to begin before the caller
+/// leaves; a first one may go anywhere.
+#[actix_rt::test]
+async fn a_further_attempt_is_not_sent_over_a_narrow_link() {
+    let now = Instant::now();
+    let mut table = table(&[1, 2], now);
+    let (service, model, tried) = (service(), model(), [id(1)]);
+    let leaves = now + Duration::from_millis(500);
+    let further = PlacementNeed { begin_by: Some(leaves), ..need(&service, &model, &tried) };
+    assert_eq!(table.choose(&further, now), Choice::Target(id(2)));
+
+    let engine = |link_delay_millis| EngineNews {
+        address: address(2),
+        incarnation: Incarnation::UNSTATED,
+        models: held(1),
+        loading: false,
+        stalled: false,
+        link_delay_millis,
+        age_millis: 0,
+    };
+    table.note_engine(&engine(500), now);
+    assert_eq!(table.choose(&further, now), Choice::Full);
+    assert_eq!(choose(&table, &tried, now), Choice::Target(id(2)), "its caller stays");
+    table.note_engine(&engine(0), now);
+
+    table.note_first_byte(&id(2), now - Duration::from_millis(700), now);
+    assert_eq!(
+        table.choose(&further, now),
+        Choice::Full,
+        "its answers begin after the caller left"
+    );
+    let patient = PlacementNeed { begin_by: Some(now + Duration::from_secs(1)), ..further };
+    assert_eq!(table.choose(&patient, now), Choice::Target(id(2)));
+}
