--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -4,16 +4,10 @@
 use egretseam_delta::PackedDocument;
 use egretseam_proto::ServiceName;
 use egretseam_rpc::{
-    AgentCall, AgentReply, FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, SwarmPeer,
-    WeightsPlan,
-};
-use egretseam_serving::{ConfigWish, NamedVersion, ServingConfig};
-use indexmap::IndexMap;
-use std::{
-    hash::{DefaultHasher, Hash, Hasher},
-    rc::Rc,
-    time::Duration,
+    AgentCall, AgentReply, FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, WeightsPlan,
 };
+use egretseam_serving::{ConfigWish, NamedVersion};
+use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
 use tokio::time::Instant;
 
@@ -89,22 +83,44 @@
                 self.shared.publish();
             }
         }
-        let seen = if call.run == self.shared.run { call.seen } else { 0 };
-        let plan_number = |shared: &RegistrarShared| {
-            plan(shared, &call.service).map_or(0, |plan| number_of(&plan))
-        };
-        self.wait_for(call.wait_millis, |shared| plan_number(shared) != seen).await;
-        let plan = plan(&self.shared, &call.service);
-        let number = plan.as_ref().map_or(0, number_of);
-        AgentReply {
-            run: self.shared.run,
-            seen: number,
-            plan: plan.filter(|_| number != seen),
-            members: self.shared.members.borrow().clone(),
-        }
+        let is_same_run = call.run == self.shared.run;
+        let seen = if is_same_run { (call.seen, call.peers_seen) } else { (0, 0) };
+        let numbers = |shared: &RegistrarShared| shared.plans.borrow().numbers(&call.service);
+        self.wait_for(call.wait_millis, |shared| numbers(shared) != seen).await;
+        agent_reply(&self.shared, &call.service, seen)
+    }
+}
+
+fn agent_reply(
+    shared: &RegistrarShared,
+    service: &ServiceName,
+    (plan_seen, peers_seen): (u64, u64),
+) -> AgentReply {
+    let plans = shared.plans.borrow();
+    let (seen, peers_number) = plans.numbers(service);
+    let newer = plans.plan(service).filter(|_| seen != plan_seen);
+    AgentReply {
+        run: shared.run,
+        seen,
+        plan: newer.map(|plan| with_age(shared, plan)),
+        peers_seen: peers_number,
+        peers: plans.peers_since(service, peers_seen),
+        members: shared.members.borrow().clone(),
     }
 }
 
+/// A plan with the age that its version has now.
+fn with_age(shared: &RegistrarShared, plan: &WeightsPlan) -> WeightsPlan {
+    let mut plan = plan.clone();
+    let versions = shared.versions.borrow();
+    if let Some(named) = &mut plan.version
+        && let Some((_, since)) = versions.get(&named.model)
+    {
+        named.age_millis = since.elapsed().as_millis() as u64;
+    }
+    plan
+}
+
 fn config_version(shared: &RegistrarShared) -> u64 {
     shared.applied.borrow().as_ref().map_or(0, |config| config.version)
 }
@@ -163,61 +179,3 @@
         versions: named.collect(),
     }
 }
-
-/// What the agents of a service are to bring to their engines.
-fn plan(shared: &RegistrarShared, service: &ServiceName) -> Option<WeightsPlan> {
-    let applied = shared.applied.borrow();
-    let config = applied.as_ref()?;
-    let engine = config.services.get(service)?.engine.as_ref()?;
-    let model = engine.models.first()?.clone();
-    let origin = config.origin()?;
-    let versions = shared.versions.borrow();
-    let version = versions.get(&model).map(|(version, since)| NamedVersion {
-        model: model.clone(),
-        version: *version,
-        age_millis: since.elapsed().as_millis() as u64,
-    });
-    Some(WeightsPlan {
-        model,
-        version,
-        origin: origin.address,
-        origin_zone: origin.zone.clone(),
-        may_cut: may_cut(config, service),
-        peers: peers(shared, service),
-    })
-}
-
-/// Whether all routes to a service allow its requests to go on at another target.
-fn may_cut(config: &ServingConfig, service: &ServiceName) -> bool {
-    let mut leading = config.routes.iter().filter(|route| {
-        route.destinations.iter().any(|destination| destination.service == *service)
-    });
-    leading.all(|route| route.kind.may_repeat() && route.max_attempts > 1)
-}
-
-/// All live targets of a service, in an order that every member gives alike.
-fn peers(shared: &RegistrarShared, service: &ServiceName) -> Vec<SwarmPeer> {
-    let registry = shared.registry.borrow();
-    let mirrors = shared.mirrors.borrow();
-    let live = registry.live().chain(mirrors.live());
-    let mut peers: IndexMap<_, _> = live
-        .filter(|record| record.service == *service)
-        .map(|record| (record.address, record.zone.clone()))
-        .collect();
-    peers.sort_unstable_keys();
-    peers.into_iter().map(|(target, zone)| SwarmPeer { target, zone }).collect()
-}
-
-/// A number that changes with the plan, but not with time.
-fn number_of(plan: &WeightsPlan) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    plan.model.hash(&mut hasher);
-    plan.version.as_ref().map(|version| version.version).hash(&mut hasher);
-    plan.origin.hash(&mut hasher);
-    plan.may_cut.hash(&mut hasher);
-    for peer in &plan.peers {
-        peer.target.hash(&mut hasher);
-        peer.zone.hash(&mut hasher);
-    }
-    hasher.finish().max(1)
-}
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -12,6 +12,7 @@
 mod loads;
 mod mirror;
 mod options;
+mod plans;
 mod publish;
 mod runtime;
 mod shared;
--- a/crates/registrar/src/publish.rs
+++ b/crates/registrar/src/publish.rs
@@ -1,6 +1,6 @@
 //! Brings what the log has applied, and what time does to soft state, to the readers of the feed.
 
-use crate::shared::RegistrarShared;
+use crate::{plans, shared::RegistrarShared};
 use bytes::Bytes;
 use egretseam_serving::ServingConfig;
 use std::{
@@ -57,6 +57,7 @@
     shared.metrics.config_version.set(config.version as i64);
     shared.documents.borrow_mut().push(config.version, Bytes::from(encoded));
     *shared.applied.borrow_mut() = Some(Rc::new(config));
+    plans::refresh_plans(shared);
     shared.publish();
 }
 
@@ -76,6 +77,7 @@
         }
     }
     if news {
+        plans::refresh_plans(shared);
         shared.publish_roster();
     }
 }
@@ -86,7 +88,8 @@
         tokio::time::sleep(EXPIRE_INTERVAL).await;
         let Some(shared) = shared.upgrade() else { return };
         let now = Instant::now();
-        if shared.registry.borrow_mut().expire(now) {
+        let expired = shared.registry.borrow_mut().expire(now);
+        if expired || shared.peers_changed.get() {
             shared.publish();
         }
         let lost = shared.entries.borrow_mut().expire(ENTRY_SILENCE, now);
--- a/crates/registrar/src/shared.rs
+++ b/crates/registrar/src/shared.rs
@@ -1,6 +1,11 @@
 //! State that the tasks of one registrar share. All on one thread.
 
-use crate::{dialect::ControlDialect, mirror::MirrorTable, options::RegistrarOptions};
+use crate::{
+    dialect::ControlDialect,
+    mirror::MirrorTable,
+    options::RegistrarOptions,
+    plans::{self, PlanTable},
+};
 use egretseam_control::ControlHandler;
 use egretseam_delta::DocumentHistory;
 use egretseam_http::DaemonMetrics;
@@ -96,6 +101,10 @@
     pub(crate) applied: RefCell<Option<Rc<ServingConfig>>>,
     /// The same as entries get it, encoded and packed once for all of them.
     pub(crate) documents: RefCell<DocumentHistory>,
+    /// What agents are to bring to their engines.
+    pub(crate) plans: RefCell<PlanTable>,
+    /// Whether targets changed since the lists of peers were worked out.
+    pub(crate) peers_changed: Cell<bool>,
     pub(crate) versions: RefCell<IndexMap<ModelName, (u64, Instant)>>,
     /// `host:port` of the feeds of all members, as far as known.
     pub(crate) members: RefCell<Vec<String>>,
@@ -124,6 +133,8 @@
             entries: RefCell::default(),
             applied: RefCell::new(None),
             documents: RefCell::default(),
+            plans: RefCell::default(),
+            peers_changed: Cell::new(false),
             versions: RefCell::default(),
             members: RefCell::new(members),
             roster_number: Cell::new(1),
@@ -135,6 +146,12 @@
 
     /// Wakes everybody who waits for news.
     pub(crate) fn publish(&self) {
+        let now = Instant::now();
+        let due = plans::are_peers_due(self, now);
+        if due {
+            plans::refresh_peers(self, now);
+        }
+        self.peers_changed.set(!due);
         self.news.send_modify(|number| *number += 1);
     }
 
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use egretseam_delta::PackedDocument;
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
-use egretseam_serving::{ConfigWish, EngineNews, EntryRecord, NamedVersion, TargetId, TargetNews};
+use egretseam_serving::{
+    ConfigWish, EngineNews, EntryRecord, NamedVersion, PeerUpdate, TargetId, TargetNews,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -82,20 +84,13 @@
     pub run: u64,
     /// Number of the plan that the agent has.
     pub seen: u64,
+    /// Number of the latest change of its peers that the agent has.
+    pub peers_seen: u64,
     /// How long the answer may wait for news.
     pub wait_millis: u64,
 }
 
-/// Another agent to exchange chunks with.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SwarmPeer {
-    /// Address of its target; the agent listens at the same host.
-    pub target: SocketAddr,
-    /// Availability zone.
-    pub zone: ZoneName,
-}
-
-/// What an agent is to bring to its engine, and with whom.
+/// What an agent is to bring to its engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightsPlan {
     /// The model.
@@ -109,8 +104,6 @@
     /// Whether every request that may run there can go on elsewhere, so that engines may cut their
     /// requests off to take new weights.
     pub may_cut: bool,
-    /// All live targets of the service.
-    pub peers: Vec<SwarmPeer>,
 }
 
 /// Answers an agent.
@@ -122,6 +115,10 @@
     pub seen: u64,
     /// The plan, if it changed and there is one.
     pub plan: Option<WeightsPlan>,
+    /// Number of the latest change of peers.
+    pub peers_seen: u64,
+    /// What is new among the live targets of the service.
+    pub peers: Vec<PeerUpdate>,
     /// `host:port` of the feeds of all control members.
     pub members: Vec<String>,
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`TargetTable`]: at an entry, the merged news of all control members, beside what the entry's
 //!   own requests showed; [`TargetTable::choose`] places a request.
 //! - [`WaitQueue`]: where requests wait for a place, and when they are rejected instead.
+//! - [`PeerList`]: at control, the agents that exchange chunks, with numbered changes.
 //! - [`PatienceTable`]: how long a caller has been trying.
 //! - [`AttemptLimits`]: how long attempts and waits may take before the caller leaves.
 //! - [`RetryBudget`]: the entry's part of the repeats that a service may get.
@@ -23,6 +24,7 @@
 mod health;
 mod news;
 mod patience;
+mod peer_list;
 mod placement;
 mod raw;
 mod registry;
@@ -46,6 +48,7 @@
         TargetRecord, TargetState,
     },
     patience::PatienceTable,
+    peer_list::{PeerList, PeerMap, PeerUpdate, SwarmPeer, apply_peers},
     placement::{Choice, PlacementNeed, PlacementPolicy},
     raw::{
         ConfigError, RawDestination, RawEngine, RawLimits, RawOrganisation, RawOrigin, RawRoute,
--- a/crates/stager/src/follow.rs
+++ b/crates/stager/src/follow.rs
@@ -4,8 +4,10 @@
     shared::{HeldPlan, StagerShared},
     switch,
 };
-use egretseam_rpc::{AgentCall, AgentReply, FeedLink, LinkOptions};
-use std::{rc::Weak, time::Duration};
+use egretseam_proto::ZoneName;
+use egretseam_rpc::{AgentCall, AgentReply, FeedLink, LinkOptions, WeightsPlan};
+use egretseam_serving::{PeerMap, SwarmPeer, apply_peers};
+use std::{net::SocketAddr, rc::Weak, time::Duration};
 use tokio::time::Instant;
 
 /// How long a call may wait for news of the plan.
@@ -27,7 +29,7 @@
     };
     let mut at: usize = rand::random::<u16>().into();
     let mut link: Option<FeedLink> = None;
-    let (mut run, mut seen) = (0, 0);
+    let mut position = PlanPosition::default();
     loop {
         let Some(held) = shared.upgrade() else { return };
         if members.is_empty() {
@@ -47,8 +49,9 @@
             target: held.options.target,
             service: held.options.service.clone(),
             engine: held.engine_news(),
-            run,
-            seen,
+            run: position.run,
+            seen: position.seen,
+            peers_seen: position.peers_seen,
             wait_millis: CALL_WAIT.as_millis() as u64,
         };
         let reply = tokio::select! {
@@ -60,9 +63,11 @@
         match reply {
             None => {}
             Some(Ok(reply)) => {
-                (run, seen) = (reply.run, reply.seen);
                 held.member.set(address.parse().ok());
-                members = take(&held, reply, members);
+                if !reply.members.is_empty() {
+                    members.clone_from(&reply.members);
+                }
+                position.take(&held, reply);
             }
             Some(Err(error)) => {
                 tracing::info!(member = %address, %error, "a control member does not answer");
@@ -87,29 +92,60 @@
     FeedLink::new(address, shared.options.secret, options)
 }
 
-fn take(shared: &StagerShared, reply: AgentReply, members: Vec<String>) -> Vec<String> {
-    if let Some(plan) = reply.plan {
-        let age = plan.version.as_ref().map_or(0, |named| named.age_millis);
-        let now = Instant::now();
-        let told_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
-        shared.plan.send_modify(|held| {
-            let version = plan.version.as_ref().map(|named| named.version);
-            let same = held
-                .as_ref()
-                .filter(|held| held.plan.version.as_ref().map(|named| named.version) == version);
-            let older = held.as_ref().is_some_and(|held| {
-                held.plan.model == plan.model && held.version() > version.unwrap_or(1)
+/// How far a member's plans have been read, and the peers that came of it.
+#[derive(Default)]
+struct PlanPosition {
+    run: u64,
+    seen: u64,
+    peers_seen: u64,
+    peers: PeerMap,
+}
+
+impl PlanPosition {
+    fn take(&mut self, shared: &StagerShared, reply: AgentReply) {
+        (self.run, self.seen, self.peers_seen) = (reply.run, reply.seen, reply.peers_seen);
+        let has_peers = !reply.peers.is_empty();
+        apply_peers(&mut self.peers, reply.peers);
+        let peers = || {
+            let peer = |(target, zone): (&SocketAddr, &ZoneName)| SwarmPeer {
+                target: *target,
+                zone: zone.clone(),
+            };
+            self.peers.iter().map(peer).collect()
+        };
+        if let Some(plan) = reply.plan {
+            take_plan(shared, plan, peers());
+        } else if has_peers {
+            shared.plan.send_if_modified(|held| {
+                let Some(held) = held else { return false };
+                held.peers = peers();
+                tracing::info!(peers = held.peers.len(), "peers changed");
+                true
             });
-            if older {
-                // A member that is behind; the newest version that was ever named is wanted.
-                return;
-            }
-            let named_at = same.map_or(told_at, |held| held.named_at.min(told_at));
-            tracing::info!(?version, peers = plan.peers.len(), "plan changed");
-            let unmet = held.as_ref().filter(|held| !switch::holds(shared, &held.key()));
-            let due_from = unmet.map_or(named_at, |held| held.due_from.min(named_at));
-            *held = Some(HeldPlan { plan, named_at, due_from });
-        });
+        }
     }
-    if reply.members.is_empty() { members } else { reply.members }
+}
+
+fn take_plan(shared: &StagerShared, plan: WeightsPlan, peers: Vec<SwarmPeer>) {
+    let age = plan.version.as_ref().map_or(0, |named| named.age_millis);
+    let now = Instant::now();
+    let told_at = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
+    shared.plan.send_modify(|held| {
+        let version = plan.version.as_ref().map(|named| named.version);
+        let same = held
+            .as_ref()
+            .filter(|held| held.plan.version.as_ref().map(|named| named.version) == version);
+        let older = held.as_ref().is_some_and(|held| {
+            held.plan.model == plan.model && held.version() > version.unwrap_or(1)
+        });
+        if older {
+            // A member that is behind; the newest version that was ever named is wanted.
+            return;
+        }
+        let named_at = same.map_or(told_at, |held| held.named_at.min(told_at));
+        tracing::info!(?version, peers = peers.len(), "plan changed");
+        let unmet = held.as_ref().filter(|held| !switch::holds(shared, &held.key()));
+        let due_from = unmet.map_or(named_at, |held| held.due_from.min(named_at));
+        *held = Some(HeldPlan { plan, peers, named_at, due_from });
+    });
 }
--- a/crates/stager/src/older.rs
+++ b/crates/stager/src/older.rs
@@ -59,7 +59,7 @@
         let Some(weights) = chunks.get(&key) else { return };
         Transfer::from_peers(&shared, &overtaken.plan, weights)
     };
-    transfer.set_peers(&overtaken.plan.peers);
+    transfer.set_peers(&overtaken.peers);
     // The links are the newest version's for as long as its chunks keep coming.
     while is_newest_coming(&shared) {
         tokio::time::sleep(LOOK_INTERVAL).await;
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -9,7 +9,7 @@
 use egretseam_h1::{CallReply, CallRequest, ExchangeError, KeptClient};
 use egretseam_http::DaemonMetrics;
 use egretseam_rpc::{WeightsKey, WeightsPlan};
-use egretseam_serving::EngineNews;
+use egretseam_serving::{EngineNews, SwarmPeer};
 use egretseam_swarm::{LinkBudget, LinkDelay};
 use prometheus::IntCounter;
 use std::{
@@ -66,6 +66,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct HeldPlan {
     pub(crate) plan: WeightsPlan,
+    /// Agents to exchange chunks with, in the order of their targets' addresses.
+    pub(crate) peers: Vec<SwarmPeer>,
     pub(crate) named_at: Instant,
     /// When the oldest version was named that the engine has not reached yet: its bound comes
     /// first, and any newer version keeps it.
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use egretseam_h1::KeptClient;
 use egretseam_proto::InstanceName;
-use egretseam_rpc::{ChunkLink, LinkOptions, SwarmPeer, WeightsKey, WeightsPlan};
+use egretseam_rpc::{ChunkLink, LinkOptions, WeightsKey, WeightsPlan};
+use egretseam_serving::SwarmPeer;
 use egretseam_swarm::{
     ChunkSet, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy, SourceChoice, SwarmPlanner,
 };
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -8,8 +8,8 @@
     switch,
     transfer::{Transfer, origin_client, peer_name},
 };
-use egretseam_rpc::{ChunkLink, LinkOptions, SwarmPeer, WeightsKey};
-use egretseam_serving::SwitchSchedule;
+use egretseam_rpc::{ChunkLink, LinkOptions, WeightsKey};
+use egretseam_serving::{SwarmPeer, SwitchSchedule};
 use std::{
     rc::{Rc, Weak},
     time::Duration,
@@ -126,7 +126,7 @@
     key: &WeightsKey,
 ) -> Result<WeightDigests, String> {
     let own = peer_name(shared.options.target);
-    let names = ranked(&wanted.plan.peers, key.version);
+    let names = ranked(&wanted.peers, key.version);
     let first: Vec<_> = names.iter().take(DIGEST_SOURCES).collect();
     // Failure guarded: an engine that is not up yet seems to have nothing staged, and every agent
     // fetches what lies beside it already. It shows as a whole copy drawn from the origin at every
@@ -206,7 +206,7 @@
         let Some(weights) = chunks.get(key) else { return };
         Transfer::new(shared, &wanted.plan, weights)
     };
-    transfer.set_peers(&wanted.plan.peers);
+    transfer.set_peers(&wanted.peers);
     let mut plan = shared.plan.subscribe();
     let began = Instant::now();
     let run = transfer.run();
@@ -220,7 +220,7 @@
                 break;
             }
             changed = plan.changed() => {
-                let peers = plan.borrow_and_update().as_ref().map(|now| now.plan.peers.clone());
+                let peers = plan.borrow_and_update().as_ref().map(|now| now.peers.clone());
                 match (changed, peers) {
                     (Ok(()), Some(peers)) => transfer.set_peers(&peers),
                     _ => return,
@@ -279,7 +279,7 @@
 /// This instance's turn to take a version, and how many there are.
 pub(crate) fn rank(shared: &StagerShared, wanted: &HeldPlan) -> (usize, usize) {
     let own = peer_name(shared.options.target);
-    let names = ranked(&wanted.plan.peers, wanted.version());
+    let names = ranked(&wanted.peers, wanted.version());
     let rank = names.iter().position(|(name, _)| *name == own).unwrap_or(0);
     (rank, names.len())
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod http_client;
 mod incarnations;
 mod keyed_requests;
+mod peer_lists;
 mod processes;
 mod scenarios;
 mod seeders;
