--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -229,9 +229,14 @@
     ///
     /// # Errors
     /// See [`CallError`].
-    pub async fn digests(&self, key: WeightsKey) -> Result<Option<Vec<[u8; 32]>>, CallError> {
+    pub async fn digests(
+        &self,
+        key: WeightsKey,
+        wait: Duration,
+    ) -> Result<Option<Vec<[u8; 32]>>, CallError> {
         let client = self.client().await?;
-        let reply = client.digests(self.context(Duration::ZERO), key).await;
+        let wait_millis = wait.as_millis() as u64;
+        let reply = client.digests(self.context(wait), key, wait_millis).await;
         self.settle(reply)
     }
 
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -154,7 +154,12 @@
         Some(HeldReply { chunks: chunks.get(&key)?.held().to_text(), origin_lost })
     }
 
-    async fn digests(self, _: Context, key: WeightsKey) -> Option<Vec<[u8; 32]>> {
+    async fn digests(self, _: Context, key: WeightsKey, wait_millis: u64) -> Option<Vec<[u8; 32]>> {
+        let mut begun = self.shared.weights_begun.subscribe();
+        let known = begun.wait_for(|_| self.shared.chunks.borrow().get(&key).is_some());
+        let wait = Duration::from_millis(wait_millis).min(MAX_WAIT);
+        // Without the digests at the end of the wait the answer is that there are none.
+        let _ = tokio::time::timeout(wait, known).await;
         let chunks = self.shared.chunks.borrow();
         Some(chunks.get(&key)?.digests.chunks.clone())
     }
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod chunks;
 mod dialect;
+mod digest_search;
 mod digests;
 mod engine;
 mod follow;
@@ -23,6 +24,7 @@
 
 pub use crate::{
     dialect::{EngineCall, EngineDialect, EngineReport, OrderOutcome},
+    digest_search::OriginTurns,
     digests::WeightDigests,
     options::{StagerListeners, StagerOptions},
     runtime::{StagerRuntime, StartError},
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -103,6 +103,8 @@
     /// Whether the engine is looked at often.
     pub(crate) hurry: Cell<bool>,
     pub(crate) chunks: RefCell<ChunkStore>,
+    /// Grows with each version whose digests become known here; other agents wait on it.
+    pub(crate) weights_begun: watch::Sender<u64>,
     /// The version before the newest, while it may still be of use.
     pub(crate) older: RefCell<Option<OlderVersion>>,
     /// The last overtaken version that the engine took.
@@ -142,6 +144,7 @@
             member: Cell::new(None),
             hurry: Cell::new(false),
             chunks: RefCell::default(),
+            weights_begun: watch::Sender::new(0),
             older: RefCell::new(None),
             reached: RefCell::new(None),
             switching: Mutex::new(()),
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -2,13 +2,12 @@
 
 use crate::{
     chunks::HeldWeights,
-    digests::WeightDigests,
-    older,
-    shared::{HeldPlan, StagerShared, request},
+    digest_search, older,
+    shared::{HeldPlan, StagerShared},
     switch,
-    transfer::{Transfer, origin_client, peer_name},
+    transfer::{Transfer, peer_name},
 };
-use egretseam_rpc::{ChunkLink, LinkOptions, WeightsKey};
+use egretseam_rpc::WeightsKey;
 use egretseam_serving::{SwarmPeer, SwitchSchedule};
 use std::{
     rc::{Rc, Weak},
@@ -16,18 +15,6 @@
 };
 use tokio::time::Instant;
 
-/// Time for the digests, some KiB.
-const DIGESTS_LIMIT: Duration = Duration::from_millis(1_500);
-/// How long the digests are looked for at other agents before the origin is asked.
-const DIGESTS_FROM_PEERS: Duration = Duration::from_millis(600);
-/// Pause between two rounds over the agents that may have them.
-const DIGESTS_RETRY: Duration = Duration::from_millis(40);
-/// Time for one agent to answer.
-const PEER_DIGESTS_LIMIT: Duration = Duration::from_millis(250);
-/// Agents that are asked for digests.
-const DIGEST_SOURCES: usize = 2;
-/// Pause before the digests are asked for again.
-const DIGESTS_PAUSE: Duration = Duration::from_millis(200);
 /// How often an engine that has what it should is looked at again; changes wake earlier.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -77,9 +64,8 @@
 /// Takes the next steps towards `key`; returns when nothing is left to do for now.
 async fn bring(shared: &Rc<StagerShared>, wanted: &HeldPlan, key: &WeightsKey) {
     let known = shared.chunks.borrow().get(key).is_some();
-    if !known && !begin(shared, wanted, key).await {
-        tokio::time::sleep(DIGESTS_PAUSE).await;
-        return;
+    if !known {
+        begin(shared, key).await;
     }
     let whole = shared.chunks.borrow().get(key).is_some_and(|weights| weights.held().is_full());
     if !whole {
@@ -95,14 +81,8 @@
 }
 
 /// Learns the digests of a version, and what of it the engine has staged already.
-async fn begin(shared: &Rc<StagerShared>, wanted: &HeldPlan, key: &WeightsKey) -> bool {
-    let digests = match fetch_digests(shared, wanted, key).await {
-        Ok(digests) => digests,
-        Err(error) => {
-            tracing::info!(version = key.version, error, "the digests cannot be had");
-            return false;
-        }
-    };
+async fn begin(shared: &Rc<StagerShared>, key: &WeightsKey) {
+    let digests = digest_search::find(shared, key).await;
     tracing::info!(version = key.version, chunks = digests.count(), "fetching a version");
     let mut weights = HeldWeights::new(key.clone(), Rc::new(digests));
     for index in 0..weights.digests.count() {
@@ -115,88 +95,7 @@
         }
     }
     shared.chunks.borrow_mut().weights = Some(weights);
-    true
-}
-
-/// The digests, from other agents where one has them, else from the origin. Only the first in rank
-/// asks the origin at once, so that it sends them about once.
-async fn fetch_digests(
-    shared: &StagerShared,
-    wanted: &HeldPlan,
-    key: &WeightsKey,
-) -> Result<WeightDigests, String> {
-    let own = peer_name(shared.options.target);
-    let names = ranked(&wanted.peers, key.version);
-    let first: Vec<_> = names.iter().take(DIGEST_SOURCES).collect();
-    // Failure guarded: an engine that is not up yet seems to have nothing staged, and every agent
-    // fetches what lies beside it already. It shows as a whole copy drawn from the origin at every
-    // start of the system. Before anything is named there is no hurry: what others have is taken,
-    // so that an added engine finds it when it is up, but the origin is not asked.
-    if !shared.options.fetches_early && shared.report.borrow().is_none() {
-        return Err("the engine is not up".to_owned());
-    }
-    let may_ask_origin = wanted.plan.version.is_some() || shared.report.borrow().is_some();
-    let asks_first = first.first().is_none_or(|(name, _)| *name == own);
-    if may_ask_origin && (asks_first || shared.distrusts_peers.take()) {
-        return origin_digests(shared, wanted, key).await;
-    }
-    let began = Instant::now();
-    while began.elapsed() < DIGESTS_FROM_PEERS {
-        for (_, target) in first.iter().filter(|(name, _)| *name != own) {
-            if let Some(chunks) = peer_digests(shared, *target, key).await {
-                return Ok(WeightDigests {
-                    model: key.model.clone(),
-                    version: key.version,
-                    chunks,
-                });
-            }
-        }
-        tokio::time::sleep(DIGESTS_RETRY).await;
-    }
-    if !may_ask_origin {
-        return Err("the engine is not up and no peer has them".to_owned());
-    }
-    origin_digests(shared, wanted, key).await
-}
-
-async fn peer_digests(
-    shared: &StagerShared,
-    target: std::net::SocketAddr,
-    key: &WeightsKey,
-) -> Option<Vec<[u8; 32]>> {
-    let address = std::net::SocketAddr::new(target.ip(), shared.options.chunk_port);
-    let options = LinkOptions {
-        connect_timeout: PEER_DIGESTS_LIMIT,
-        call_timeout: PEER_DIGESTS_LIMIT,
-        ..LinkOptions::default()
-    };
-    let link = ChunkLink::new(&address.to_string(), shared.options.secret, options);
-    match link.digests(key.clone()).await {
-        Ok(digests) => digests.filter(|digests| !digests.is_empty()),
-        Err(error) => {
-            tracing::debug!(%error, "a peer did not answer for digests");
-            None
-        }
-    }
-}
-
-async fn origin_digests(
-    shared: &StagerShared,
-    wanted: &HeldPlan,
-    key: &WeightsKey,
-) -> Result<WeightDigests, String> {
-    let call = shared.dialect.digests(&key.model, key.version);
-    let mut origin = origin_client(wanted.plan.origin);
-    let reply = origin.call(&request(&call, DIGESTS_LIMIT)).await;
-    let reply = reply.map_err(|error| error.to_string())?;
-    if reply.status != 200 {
-        return Err(format!("status {}", reply.status));
-    }
-    let digests = shared.dialect.read_digests(&reply.body)?;
-    if digests.model != key.model || digests.version != key.version || digests.count() == 0 {
-        return Err("the origin answers with another version".to_owned());
-    }
-    Ok(digests)
+    shared.weights_begun.send_modify(|count| *count += 1);
 }
 
 /// Fetches all chunks, following changes of the swarm meanwhile.
@@ -206,8 +105,10 @@
         let Some(weights) = chunks.get(key) else { return };
         Transfer::new(shared, &wanted.plan, weights)
     };
-    transfer.set_peers(&wanted.peers);
     let mut plan = shared.plan.subscribe();
+    // Peers may have come while the digests were looked for.
+    let current = plan.borrow_and_update().as_ref().map(|now| now.peers.clone());
+    transfer.set_peers(&current.unwrap_or_else(|| wanted.peers.clone()));
     let began = Instant::now();
     let run = transfer.run();
     tokio::pin!(run);
@@ -295,7 +196,7 @@
 }
 
 /// Instances in the order in which they take their turns, with their targets.
-fn ranked(
+pub(crate) fn ranked(
     peers: &[SwarmPeer],
     version: u64,
 ) -> Vec<(egretseam_proto::InstanceName, std::net::SocketAddr)> {
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -9,6 +9,7 @@
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    time::Duration,
 };
 
 /// Chunks of a version.
@@ -23,7 +24,7 @@
 
 async fn serve(
     listener: tokio::net::TcpListener,
-    answer: impl Fn(&RequestHead, Bytes) -> Answer + Clone + 'static,
+    answer: impl AsyncFn(&RequestHead, Bytes) -> Answer + Clone + 'static,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
         let answer = answer.clone();
@@ -33,7 +34,7 @@
             while let Ok(Some(head)) = connection.read_request(16_384).await {
                 let reader = BodyReader::new(head.framing);
                 let Ok(body) = connection.read_body(reader, 1 << 20).await else { return };
-                let (status, body) = answer(&head, body);
+                let (status, body) = answer(&head, body).await;
                 let bytes = HeadWriter::response(status, b"Status").finish_with(&body);
                 if connection.write(&bytes).await.is_err() {
                     return;
@@ -56,6 +57,10 @@
     pub(super) spoil_chunks: Cell<u32>,
     /// Whether it gives nothing from this version on.
     pub(super) lost_from: Cell<Option<u64>>,
+    /// How long a list of digests is on its way.
+    pub(super) list_delay: Cell<Duration>,
+    /// Lists of digests that it gave.
+    pub(super) lists_given: Cell<u32>,
     /// How many of the next lists of digests are spoilt.
     pub(super) spoil_digests: Cell<u32>,
 }
@@ -72,16 +77,21 @@
         let address = listener.local_addr().expect("bound");
         let origin = Rc::new(Self::default());
         let serving = origin.clone();
-        actix_rt::spawn(serve(listener, move |head, _| serving.answer(head)));
+        actix_rt::spawn(serve(listener, async move |head: &RequestHead, _| {
+            serving.answer(head).await
+        }));
         (origin, address)
     }
 
-    fn answer(&self, head: &RequestHead) -> Answer {
+    async fn answer(&self, head: &RequestHead) -> Answer {
         let version = number(head, "version").unwrap_or(1);
+        let wants_list = head.path().starts_with("/manifest/");
         if self.lost_from.get().is_some_and(|first| version >= first) {
             return (503, Bytes::new());
         }
-        if head.path().starts_with("/manifest/") {
+        if wants_list {
+            self.lists_given.set(self.lists_given.get() + 1);
+            tokio::time::sleep(self.list_delay.get()).await;
             let mut digests: Vec<String> = (0..CHUNKS)
                 .map(|index| hex::encode(Sha256::digest(chunk(version, index))))
                 .collect();
@@ -133,7 +143,9 @@
     /// Answers from now on.
     pub(super) fn serve_at(self: &Rc<Self>, listener: tokio::net::TcpListener) {
         let serving = self.clone();
-        actix_rt::spawn(serve(listener, move |head, body| serving.answer(head, body)));
+        actix_rt::spawn(serve(listener, async move |head: &RequestHead, body| {
+            serving.answer(head, body)
+        }));
     }
 
     /// Stages a whole version.
--- a/tests/all/fleet/weights.rs
+++ b/tests/all/fleet/weights.rs
@@ -251,3 +251,19 @@
     bed.wait_for(1).await;
     assert!(bed.origin.given.get() < drawn + CHUNKS, "peers gave most of it");
 }
+
+/// What users would see: no service for seconds after the origin of weights is back. Its link is busy,
+/// so that the first list of digests is on its way for most of a second; every agent that waits for it
+/// asks the origin itself, and the lists of hundreds of agents go before the first chunk. A few agents
+/// ask in turn; the others have the list from each other.
+#[actix_rt::test]
+async fn the_origin_gives_few_lists_over_a_busy_link() {
+    let bed = WeightsBed::start(12, true).await;
+    bed.wait_for(1).await;
+    bed.origin.list_delay.set(Duration::from_millis(800));
+    let before = bed.origin.lists_given.get();
+    bed.name(2).await;
+    bed.wait_for(2).await;
+    let given = bed.origin.lists_given.get() - before;
+    assert!(given <= 9, "{given} lists for 12 agents");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod caller_codec;
 mod catalog_model;
+mod digest_turns;
 mod fleet;
 mod fleet_settings;
 mod group_faults;
