--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -1,6 +1,7 @@
 //! `slopes`: what one more target, watcher, claim, profile, route or chunk costs, at three sizes each.
 
 mod configurations;
+mod samples;
 
 use crate::usage::{LineFit, cpu_seconds, resident_mib};
 use clap::Args;
@@ -64,6 +65,7 @@
             claim_bytes()?,
             claim_time()?,
             change_bytes()?,
+            samples::sample_time()?,
             configurations::whole_bytes()?,
             configurations::log_bytes()?,
             configurations::difference_bytes()?,
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -57,6 +57,10 @@
     /// The last run under a name that left, and when that was heard.
     gone: IndexMap<String, (Incarnation, Instant)>,
     engines: IndexMap<SocketAddr, (EngineNews, Instant)>,
+    /// Runs by their address, which samples of load and news of engines name: two thousand samples a
+    /// second at 184 targets. One takes 0.13 us to note at 1,000 targets, and 1.07 us by a search of
+    /// all rows (`egretseam-bench slopes`).
+    by_address: IndexMap<SocketAddr, Vec<TargetId>>,
     floors: IndexMap<ModelName, Vec<VersionFloor>>,
     /// Entries that send to the same targets, this one among them.
     sharers: usize,
@@ -74,6 +78,7 @@
             current: IndexMap::new(),
             gone: IndexMap::new(),
             engines: IndexMap::new(),
+            by_address: IndexMap::new(),
             floors: IndexMap::new(),
             sharers: 1,
         }
@@ -149,6 +154,7 @@
         }
         let row = TargetRow::new(news, now);
         self.services.entry(row.record.service.clone()).or_default().push(id.clone());
+        self.by_address.entry(row.record.address).or_default().push(id.clone());
         self.rows.insert(id.clone(), row);
         self.current.insert(id.name.clone(), id.incarnation);
         let engine = self.engines.get(&news.record.address).cloned();
@@ -168,9 +174,10 @@
     }
 
     fn apply_engine(&mut self, news: &EngineNews, seen_at: Instant) {
-        let same_address = |row: &&mut TargetRow| row.record.address == news.address;
-        for row in self.rows.values_mut().filter(same_address) {
-            row.note_engine(news, seen_at);
+        for id in self.by_address.get(&news.address).into_iter().flatten() {
+            if let Some(row) = self.rows.get_mut(id) {
+                row.note_engine(news, seen_at);
+            }
         }
     }
 
@@ -192,6 +199,15 @@
         if let Some(ids) = self.services.get_mut(&row.record.service) {
             ids.retain(|other| other != id);
         }
+        let address = row.record.address;
+        let sharing = self.by_address.get_mut(&address);
+        let is_last = sharing.is_some_and(|ids| {
+            ids.retain(|other| other != id);
+            ids.is_empty()
+        });
+        if is_last {
+            self.by_address.swap_remove(&address);
+        }
     }
 
     /// Notes that a control member cannot be reached: its word no longer counts where another's
@@ -288,9 +304,10 @@
     /// Notes how busy the target at an address was at some earlier moment.
     pub fn note_load_at(&mut self, address: SocketAddr, busy: u32, measured_at: Instant) {
         let part = self.own_part();
-        let same_address = |row: &&mut TargetRow| row.record.address == address;
-        for row in self.rows.values_mut().filter(same_address) {
-            row.note_load(busy, measured_at, part);
+        for id in self.by_address.get(&address).into_iter().flatten() {
+            if let Some(row) = self.rows.get_mut(id) {
+                row.note_load(busy, measured_at, part);
+            }
         }
     }
 
