--- a/tests/all/fleet/changes.rs
+++ b/tests/all/fleet/changes.rs
@@ -85,3 +85,28 @@
     assert!(late.headers.wants_close());
     stopping.await.expect("it stops");
 }
+
+/// What users would see: answers that wait behind configurations. An entry gets the whole once, when it
+/// starts, and then only what changed; and what operators read back is what they sent, byte for byte.
+#[actix_rt::test]
+async fn a_change_reaches_an_entry_as_a_difference() {
+    let bed = FleetBed::start().await;
+    let mut text = String::new();
+    for version in 2..=6 {
+        let config = usual_config(version);
+        text = format!("{config:#}\n \t");
+        assert_eq!(bed.call("POST", "/config/replace", &text).await.0, 200);
+        bed.wait_for_version(version).await;
+    }
+    let control = bed.settings.control_seeds[0].ip();
+    let count = |text: &str, name: &str| {
+        let line = text.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.rsplit_once(' ')?.1.parse::<u32>().ok())
+    };
+    bed.wait_for_metrics(control, |metrics| {
+        count(metrics, "egretseam_registrar_configs_whole_total") >= Some(1)
+            && count(metrics, "egretseam_registrar_configs_difference_total") >= Some(5)
+    })
+    .await;
+    assert_eq!(&bed.call("GET", "/config/read", "").await.1[..], text.as_bytes());
+}
--- a/tests/all/serving_documents.rs
+++ b/tests/all/serving_documents.rs
@@ -264,3 +264,57 @@
         prop_assert_eq!(holder.version(), NEWEST);
     }
 }
+
+/// A link that several entries share, first in, first out.
+struct NarrowLink {
+    bytes_per_second: f64,
+    /// Seconds of work that wait before it.
+    backlog: f64,
+}
+
+impl NarrowLink {
+    /// Sends `bytes` after `pause` seconds; returns the seconds until they have arrived.
+    fn send(&mut self, bytes: usize, pause: f64) -> f64 {
+        self.backlog = (self.backlog - pause).max(0.0) + bytes as f64 / self.bytes_per_second;
+        self.backlog
+    }
+}
+
+/// The longest time in seconds that an event of a live answer takes over a link of 27 Mbit/s into a
+/// region, while ten entries there get `changes` of some size each from one member, 0.3 s apart.
+fn longest_event(sizes: impl Iterator<Item = usize>) -> f64 {
+    const ENTRIES: usize = 10;
+    const EVENT: usize = 300;
+    const EVENTS_BETWEEN: usize = 1_500;
+    let mut link = NarrowLink { bytes_per_second: 27e6 / 8.0, backlog: 0.0 };
+    let mut longest: f64 = 0.0;
+    for size in sizes {
+        for _ in 0..ENTRIES {
+            link.send(size, 0.0);
+        }
+        for _ in 0..EVENTS_BETWEEN {
+            longest = longest.max(link.send(EVENT, 0.3 / EVENTS_BETWEEN as f64));
+        }
+    }
+    longest
+}
+
+/// What users would see: a third of all streams pause for longer than a fifth of a second while
+/// operators change a long configuration a dozen times. Their events wait behind it on the links
+/// between regions.
+#[test]
+fn live_answers_do_not_wait_behind_a_storm_of_changes() {
+    let documents: Vec<Vec<u8>> = (1..=13)
+        .map(|version| {
+            encoded(&check(&long_config(version, ROUTES, 1_000 + version)).expect("proper"))
+        })
+        .collect();
+    let whole = longest_event(documents[1..].iter().map(Vec::len));
+    let differences = documents.windows(2).map(|pair| {
+        let packed = PackedDocument::difference(&pair[1], &pair[0]);
+        postcard::to_stdvec(&packed).expect("in memory").len()
+    });
+    let difference = longest_event(differences);
+    assert!(whole > 0.2, "whole documents hold an event up for {whole} s");
+    assert!(difference < 0.01, "differences hold an event up for {difference} s");
+}
