--- a/crates/stager/src/follow.rs
+++ b/crates/stager/src/follow.rs
@@ -29,6 +29,8 @@
     };
     let mut at: usize = rand::random::<u16>().into();
     let mut link: Option<FeedLink> = None;
+    // Whether the member at the other end of the link has answered.
+    let mut has_answered = false;
     let mut position = PlanPosition::default();
     loop {
         let Some(held) = shared.upgrade() else { return };
@@ -41,6 +43,7 @@
         };
         if link.as_ref().is_none_or(|link| link.address() != address) {
             link = Some(feed_link(&held, &address));
+            has_answered = false;
         }
         let Some(current) = &link else { continue };
         let mut report = held.report.subscribe();
@@ -52,7 +55,7 @@
             run: position.run,
             seen: position.seen,
             peers_seen: position.peers_seen,
-            wait_millis: CALL_WAIT.as_millis() as u64,
+            wait_millis: call_wait(has_answered).as_millis() as u64,
         };
         let reply = tokio::select! {
             reply = current.agent(call) => Some(reply),
@@ -63,6 +66,7 @@
         match reply {
             None => {}
             Some(Ok(reply)) => {
+                has_answered = true;
                 held.member.set(address.parse().ok());
                 if !reply.members.is_empty() {
                     members.clone_from(&reply.members);
@@ -83,6 +87,16 @@
     }
 }
 
+/// How long a member may keep a call waiting.
+///
+/// Failure guarded: a control member is frozen, and its machine still accepts connections. An agent that
+/// starts then and asks it first would not know for 2.8 s whether it has no news or hangs. In a play with
+/// 76 added instances a quarter of them had their weights 3.5 s after the others. Until a member has
+/// answered once it is asked for an answer at once, and passed over after [`CALL_SLACK`].
+fn call_wait(has_answered: bool) -> Duration {
+    if has_answered { CALL_WAIT } else { Duration::ZERO }
+}
+
 fn feed_link(shared: &StagerShared, address: &str) -> FeedLink {
     let options = LinkOptions {
         connect_timeout: CONNECT_LIMIT,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod incarnations;
 mod keyed_requests;
 mod peer_lists;
+mod plan_following;
 mod processes;
 mod scenarios;
 mod seeders;
