--- a/crates/stager/src/digest_search.rs
+++ b/crates/stager/src/digest_search.rs
@@ -2,16 +2,16 @@
 //!
 //! Answers the load pattern of hundreds of agents that need the same list at once: a version is named,
 //! everything restarts, or the origin comes back after seconds. Each agent that asked the origin after
-//! 0.6 s cost it 6.5 KB; of 184 that was half a copy of the weights, and the first chunk of a version
-//! left the origin 1.6 s after it was back. Agents wait for each other's list instead, along a tree of
+//! 0.6 s cost it 6.5 KB; of 184 that was half a copy of the weights, and half of the agents knew the list
+//! 2.2 s after the origin was back. Agents wait for each other's list instead, along a tree of
 //! their ranks and at one or two others drawn at random, and the higher an agent's rank, the more
 //! seldom it asks the origin.
 
 use crate::{
     digests::WeightDigests,
+    ranks,
     shared::{HeldPlan, StagerShared, request},
-    transfer::{origin_client, peer_name},
-    work::ranked,
+    transfer::origin_client,
 };
 use egretseam_proto::ZoneName;
 use egretseam_rpc::{ChunkLink, LinkOptions, WeightsKey};
@@ -123,10 +123,9 @@
     is_up || (shared.options.fetches_early && plan.plan.version.is_some())
 }
 
+/// An agent that is not among the peers yet asks last.
 fn own_rank(shared: &StagerShared, plan: &HeldPlan) -> usize {
-    let own = peer_name(shared.options.target);
-    let names = ranked(&plan.peers, plan.version());
-    names.iter().position(|(name, _)| *name == own).unwrap_or(names.len())
+    ranks::own_place(shared, plan).unwrap_or(plan.peers.len())
 }
 
 async fn ask_origin(
@@ -196,7 +195,7 @@
 
 fn parent(shared: &StagerShared, plan: &HeldPlan) -> Option<SocketAddr> {
     let above = own_rank(shared, plan).checked_sub(1)? / TREE_WIDTH;
-    let names = ranked(&plan.peers, plan.version());
+    let names = ranks::ranked(&plan.peers, plan.version());
     names.get(above).map(|(_, target)| *target)
 }
 
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -16,6 +16,7 @@
 mod loads;
 mod older;
 mod options;
+mod ranks;
 mod runtime;
 mod shared;
 mod switch;
--- a/crates/stager/src/older.rs
+++ b/crates/stager/src/older.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     chunks::HeldWeights,
+    ranks,
     shared::{HeldPlan, StagerShared},
     switch,
     transfer::Transfer,
@@ -127,7 +128,7 @@
 
 fn view(shared: &StagerShared, older: &OlderVersion, plan: &HeldPlan) -> OlderVersionView {
     let now = Instant::now();
-    let (rank, count) = work::rank(shared, plan);
+    let (rank, count) = ranks::rank(shared, plan);
     let chunks = shared.chunks.borrow();
     let expected = |weights: &HeldWeights| weights.expected_whole(now);
     OlderVersionView {
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     chunks::HeldWeights,
-    digest_search, older,
+    digest_search, older, ranks,
     shared::{HeldPlan, StagerShared},
     switch,
-    transfer::{Transfer, peer_name},
+    transfer::Transfer,
 };
 use egretseam_rpc::WeightsKey;
-use egretseam_serving::{SwarmPeer, SwitchSchedule};
+use egretseam_serving::SwitchSchedule;
 use std::{
     rc::{Rc, Weak},
     time::Duration,
@@ -158,7 +158,7 @@
     if !serves(shared, wanted) || wanted.plan.version.is_none() {
         return;
     }
-    let (rank, count) = rank(shared, wanted);
+    let (rank, count) = ranks::rank(shared, wanted);
     let due_from = due_from(shared, wanted);
     let turn = SwitchSchedule::new(shared.options.timing).turn(due_from.elapsed(), rank, count);
     tracing::info!(
@@ -177,14 +177,6 @@
     models.into_iter().any(|held| held.model == wanted.plan.model)
 }
 
-/// This instance's turn to take a version, and how many there are.
-pub(crate) fn rank(shared: &StagerShared, wanted: &HeldPlan) -> (usize, usize) {
-    let own = peer_name(shared.options.target);
-    let names = ranked(&wanted.peers, wanted.version());
-    let rank = names.iter().position(|(name, _)| *name == own).unwrap_or(0);
-    (rank, names.len())
-}
-
 /// When the oldest version was named that the engine has not reached: its bound comes first. One
 /// that was overtaken and taken all the same is reached.
 fn due_from(shared: &StagerShared, wanted: &HeldPlan) -> Instant {
@@ -194,24 +186,3 @@
     });
     if reached { wanted.named_at } else { wanted.due_from }
 }
-
-/// Instances in the order in which they take their turns, with their targets.
-pub(crate) fn ranked(
-    peers: &[SwarmPeer],
-    version: u64,
-) -> Vec<(egretseam_proto::InstanceName, std::net::SocketAddr)> {
-    let mut names: Vec<_> =
-        peers.iter().map(|peer| (peer_name(peer.target), peer.target)).collect();
-    names.sort_by_key(|(name, _)| order_of(name.as_str(), version));
-    names
-}
-
-/// An order of instances that every agent computes alike and that differs between versions, so
-/// that not always the same instances go last.
-fn order_of(name: &str, version: u64) -> u64 {
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let start = 0xcbf2_9ce4_8422_2325 ^ version.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
-    let hash = name.bytes().fold(start, fold);
-    hash ^ (hash >> 29)
-}
