--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -166,8 +166,9 @@
     /// The chunks that the agent has, once they are more than `known` or
     /// `wait_millis` have passed; `None` if it knows nothing of those weights.
     async fn held(key: WeightsKey, known: u32, wait_millis: u64) -> Option<HeldReply>;
-    /// The digests of all chunks, once the agent knows them; `None` after `wait_millis` without.
-    async fn digests(key: WeightsKey, wait_millis: u64) -> Option<Vec<[u8; 32]>>;
+    /// The digests of all chunks, once the agent knows them or, if `settled` is set, has had all
+    /// chunks for some seconds; `None` after `wait_millis` without.
+    async fn digests(key: WeightsKey, settled: bool, wait_millis: u64) -> Option<Vec<[u8; 32]>>;
     /// One chunk.
     async fn chunk(key: WeightsKey, index: u32) -> Option<ChunkReply>;
 }
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -232,11 +232,12 @@
     pub async fn digests(
         &self,
         key: WeightsKey,
+        settled: bool,
         wait: Duration,
     ) -> Result<Option<Vec<[u8; 32]>>, CallError> {
         let client = self.client().await?;
         let wait_millis = wait.as_millis() as u64;
-        let reply = client.digests(self.context(wait), key, wait_millis).await;
+        let reply = client.digests(self.context(wait), key, settled, wait_millis).await;
         self.settle(reply)
     }
 
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -15,6 +15,12 @@
 /// one comes about every 50 ms.
 const GAIN_PAUSE: Duration = Duration::from_millis(700);
 
+/// How long all chunks have been here before an agent whose engine is not up yet may take the list of
+/// digests from here. Engines that are started together come up within about three seconds.
+const SETTLED_AFTER: Duration = Duration::from_secs(4);
+/// How often it is looked whether that time is over.
+const SETTLED_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Size that is assumed of chunks that nobody has seen yet.
 const USUAL_CHUNK_BYTES: u64 = 48 * 1024;
 
@@ -29,6 +35,8 @@
     began_with: u32,
     began_at: Instant,
     gained_at: Instant,
+    /// When the last chunk of all was here.
+    whole_at: Option<Instant>,
     /// How many chunks are held; peers wait on it.
     count: watch::Sender<u32>,
 }
@@ -47,6 +55,7 @@
             began_with: 0,
             began_at: now,
             gained_at: now,
+            whole_at: None,
             count: watch::Sender::new(0),
         }
     }
@@ -76,6 +85,9 @@
         if self.held.insert(index) {
             self.chunks[index as usize] = Some(bytes);
             self.gained_at = Instant::now();
+            if self.held.is_full() {
+                self.whole_at = Some(self.gained_at);
+            }
             self.count.send_modify(|count| *count += 1);
         }
     }
@@ -90,6 +102,12 @@
         self.chunks.get(index as usize).cloned().flatten()
     }
 
+    /// Whether all chunks have been here for some seconds.
+    pub(crate) fn is_settled(&self, now: Instant) -> bool {
+        let whole_at = self.whole_at;
+        whole_at.is_some_and(|at| now.saturating_duration_since(at) >= SETTLED_AFTER)
+    }
+
     pub(crate) fn held(&self) -> &ChunkSet {
         &self.held
     }
@@ -154,12 +172,25 @@
         Some(HeldReply { chunks: chunks.get(&key)?.held().to_text(), origin_lost })
     }
 
-    async fn digests(self, _: Context, key: WeightsKey, wait_millis: u64) -> Option<Vec<[u8; 32]>> {
+    async fn digests(
+        self,
+        _: Context,
+        key: WeightsKey,
+        settled: bool,
+        wait_millis: u64,
+    ) -> Option<Vec<[u8; 32]>> {
         let mut begun = self.shared.weights_begun.subscribe();
-        let known = begun.wait_for(|_| self.shared.chunks.borrow().get(&key).is_some());
+        let is_ready = |chunks: &ChunkStore| {
+            chunks.get(&key).is_some_and(|weights| !settled || weights.is_settled(Instant::now()))
+        };
+        let ready = async {
+            while !is_ready(&self.shared.chunks.borrow()) {
+                // News of the digests wakes at once; the rest is a matter of seconds.
+                tokio::time::timeout(SETTLED_INTERVAL, begun.changed()).await.ok();
+            }
+        };
         let wait = Duration::from_millis(wait_millis).min(MAX_WAIT);
-        // Without the digests at the end of the wait the answer is that there are none.
-        let _ = tokio::time::timeout(wait, known).await;
+        tokio::time::timeout(wait, ready).await.ok()?;
         let chunks = self.shared.chunks.borrow();
         Some(chunks.get(&key)?.digests.chunks.clone())
     }
--- a/crates/stager/src/digest_search.rs
+++ b/crates/stager/src/digest_search.rs
@@ -156,7 +156,7 @@
             held = target.map(|target| (target, list_link(shared, target)));
         }
         if let Some((_, link)) = &held
-            && let Some(chunks) = ask_peer(link, key).await
+            && let Some(chunks) = ask_peer(shared, link, key).await
         {
             return WeightDigests { model: key.model.clone(), version: key.version, chunks };
         }
@@ -164,8 +164,23 @@
     }
 }
 
-async fn ask_peer(link: &ChunkLink, key: &WeightsKey) -> Option<Vec<[u8; 32]>> {
-    match link.digests(key.clone(), PEER_WAIT).await {
+/// Failure guarded: at a start of the whole system agents are up before their engines, beside which
+/// all chunks lie staged. The first one whose engine is up passes its list on, and all others fetch a
+/// whole version that they have. It showed as 120 KB/s for each agent instead of 17. While the own
+/// engine is not up, only agents are heard that have had all chunks for longer than a start takes; and
+/// when it comes up, the question is asked anew.
+async fn ask_peer(
+    shared: &StagerShared,
+    link: &ChunkLink,
+    key: &WeightsKey,
+) -> Option<Vec<[u8; 32]>> {
+    let mut report = shared.report.subscribe();
+    let is_up = report.borrow().is_some();
+    let answer = tokio::select! {
+        answer = link.digests(key.clone(), !is_up, PEER_WAIT) => answer,
+        _ = report.wait_for(|report| !is_up && report.is_some()) => return None,
+    };
+    match answer {
         Ok(digests) => digests.filter(|digests| !digests.is_empty()),
         Err(error) => {
             tracing::debug!(%error, "a peer did not answer for digests");
--- a/tests/all/fleet/weights.rs
+++ b/tests/all/fleet/weights.rs
@@ -267,3 +267,28 @@
     let given = bed.origin.lists_given.get() - before;
     assert!(given <= 9, "{given} lists for 12 agents");
 }
+
+/// What operators would see: a copy of the weights for each instance between regions at every start of
+/// the system. One engine is up before the others, its agent has the version and says so at once; the
+/// agents of those that still start must not fetch what is staged beside them.
+#[actix_rt::test]
+async fn what_is_staged_is_not_fetched_from_an_agent_that_started_too() {
+    let mut bed = WeightsBed::start(0, true).await;
+    let (engine, target) = ScriptedEngine::start(bed.bed.host()).await;
+    engine.stage(1);
+    bed.add_at(engine, target).await;
+    let host = bed.bed.host();
+    let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
+    let target = listener.local_addr().expect("bound");
+    drop(listener);
+    let late = Rc::new(ScriptedEngine::default());
+    late.stage(1);
+    bed.add_at(late.clone(), target).await;
+    bed.bed.wait_until(|| bed.engines[0].version.get() == 1).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let listener = tokio::net::TcpListener::bind(target).await.expect("the port is still free");
+    late.serve_at(listener);
+    bed.wait_for(1).await;
+    let none = "egretseam_stager_chunks_from_peers_total 0\n";
+    bed.bed.wait_for_metrics(host, |text| text.contains(none)).await;
+}
