--- a/tests/all/fleet/answers.rs
+++ b/tests/all/fleet/answers.rs
@@ -1,7 +1,7 @@
 //! What callers get when targets fail, and what certainly did not run twice.
 
-use super::bed::{EVENTS, FleetBed, KEY, Script, request};
-use std::time::Duration;
+use super::bed::{EVENTS, FleetBed, KEY, Script, ScriptedTarget, request};
+use std::{rc::Rc, time::Duration};
 
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
     ids.map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
@@ -139,11 +139,8 @@
     }
 }
 
-/// What users would see: targets busy with answers that nobody reads. A caller leaves while its
-/// request is at work; the target must see its connection close.
-#[actix_rt::test]
-async fn a_target_is_told_when_the_caller_leaves() {
-    let mut bed = FleetBed::start().await;
+/// A target whose only request was at work when its caller left, once its connection has ended.
+async fn left_at_work(bed: &mut FleetBed) -> Rc<ScriptedTarget> {
     let target = bed.target("i-1").await;
     target.then(Script::Hang);
     let mut caller = bed.caller().await;
@@ -151,6 +148,15 @@
     bed.wait_until(|| target.arrived() == 1).await;
     drop(caller);
     bed.wait_until(|| target.abandoned.get() == 1).await;
+    target
+}
+
+/// What users would see: targets busy with answers that nobody reads. A caller leaves while its
+/// request is at work; the target must see its connection close.
+#[actix_rt::test]
+async fn a_target_is_told_when_the_caller_leaves() {
+    let mut bed = FleetBed::start().await;
+    let target = left_at_work(&mut bed).await;
 
     target.then(Script::Slow(Duration::from_millis(50)));
     let mut caller = bed.caller().await;
@@ -210,12 +216,6 @@
 #[actix_rt::test]
 async fn an_attempt_that_is_given_up_is_reset() {
     let mut bed = FleetBed::start().await;
-    let target = bed.target("i-1").await;
-    target.then(Script::Hang);
-    let mut caller = bed.caller().await;
-    caller.send(&request("/once/1", "r1", "", "")).await;
-    bed.wait_until(|| target.arrived() == 1).await;
-    drop(caller);
-    bed.wait_until(|| target.abandoned.get() == 1).await;
+    let target = left_at_work(&mut bed).await;
     assert_eq!(target.reset_count.get(), 1);
 }
--- a/tests/all/fleet/weights.rs
+++ b/tests/all/fleet/weights.rs
@@ -50,6 +50,13 @@
         self.add_at(engine, target).await;
     }
 
+    /// Address of a target that does not answer yet.
+    async fn unused_target(&mut self) -> SocketAddr {
+        let host = self.bed.host();
+        let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
+        listener.local_addr().expect("bound")
+    }
+
     async fn add_at(&mut self, engine: Rc<ScriptedEngine>, target: SocketAddr) {
         let beat = json!({
             "service": "runners", "address": target.to_string(), "zone": "z1", "slots": 4,
@@ -217,10 +224,7 @@
 #[actix_rt::test]
 async fn what_is_staged_is_not_fetched_while_the_engine_starts() {
     let mut bed = WeightsBed::start(0, true).await;
-    let host = bed.bed.host();
-    let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
-    let target = listener.local_addr().expect("bound");
-    drop(listener);
+    let target = bed.unused_target().await;
     let engine = Rc::new(ScriptedEngine::default());
     engine.stage(1);
     bed.add_at(engine.clone(), target).await;
@@ -238,14 +242,11 @@
     let mut bed = WeightsBed::start(2, true).await;
     bed.wait_for(1).await;
     let drawn = bed.origin.given.get();
-    let host = bed.bed.host();
-    let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
-    let target = listener.local_addr().expect("bound");
-    drop(listener);
+    let target = bed.unused_target().await;
     let engine = Rc::new(ScriptedEngine::default());
     bed.add_at(engine.clone(), target).await;
     let none = "egretseam_stager_chunks_from_peers_total 0\n";
-    bed.bed.wait_for_metrics(host, |text| !text.contains(none)).await;
+    bed.bed.wait_for_metrics(target.ip(), |text| !text.contains(none)).await;
     let listener = tokio::net::TcpListener::bind(target).await.expect("the port is still free");
     engine.serve_at(listener);
     bed.wait_for(1).await;
@@ -277,10 +278,7 @@
     let (engine, target) = ScriptedEngine::start(bed.bed.host()).await;
     engine.stage(1);
     bed.add_at(engine, target).await;
-    let host = bed.bed.host();
-    let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
-    let target = listener.local_addr().expect("bound");
-    drop(listener);
+    let target = bed.unused_target().await;
     let late = Rc::new(ScriptedEngine::default());
     late.stage(1);
     bed.add_at(late.clone(), target).await;
@@ -290,5 +288,5 @@
     late.serve_at(listener);
     bed.wait_for(1).await;
     let none = "egretseam_stager_chunks_from_peers_total 0\n";
-    bed.bed.wait_for_metrics(host, |text| text.contains(none)).await;
+    bed.bed.wait_for_metrics(target.ip(), |text| text.contains(none)).await;
 }
