--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -83,15 +83,24 @@
     }
 }
 
-/// Sends the request and waits for the head of the answer, at most until `patience`.
+/// How one attempt reaches its target, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptTerms {
+    /// When the answer must begin.
+    pub(crate) patience: Instant,
+    /// Whether the request goes over a new connection although one is kept.
+    pub(crate) opens_connection: bool,
+}
+
+/// Sends the request and waits for the head of the answer.
 pub(crate) async fn open_answer(
     shared: &GatewayShared,
     caller: &mut HttpConnection,
     request: &RequestState,
     place: &PlaceGuard,
-    patience: Instant,
+    terms: AttemptTerms,
 ) -> Result<OpenAnswer, AttemptFailure> {
-    let mut connection = connection_to(shared, place).await?;
+    let mut connection = connection_to(shared, place, terms.opens_connection).await?;
     let send = TargetSend {
         target: &place.target,
         organisation: request.organisation(),
@@ -107,7 +116,7 @@
     };
     let awaited = AwaitedAnswer::begin(shared, place);
     let answered = tokio::select! {
-        answered = tokio::time::timeout_at(patience, exchange) => {
+        answered = tokio::time::timeout_at(terms.patience, exchange) => {
             awaited.end();
             answered.unwrap_or(Err(AttemptFailure::Silent))
         }
@@ -170,8 +179,10 @@
 async fn connection_to(
     shared: &GatewayShared,
     place: &PlaceGuard,
+    opens: bool,
 ) -> Result<HttpConnection, AttemptFailure> {
-    let kept = shared.pool.borrow_mut().take(&place.target, Instant::now());
+    let take = || shared.pool.borrow_mut().take(&place.target, Instant::now());
+    let kept = if opens { None } else { take() };
     if let Some(connection) = kept {
         return Ok(connection);
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,7 +2,7 @@
 //! caller is told when none succeeds.
 
 use crate::{
-    attempt::{self, AttemptFailure, OpenAnswer},
+    attempt::{self, AttemptFailure, AttemptTerms, OpenAnswer},
     dialect::RequestTerms,
     place::{self, PlaceCall, PlaceGuard, PlaceReply},
     refusal::{Refusal, RefusalKind},
@@ -157,8 +157,12 @@
             Some(Err(_)) => return give_up(request, AttemptFailure::Broken),
             None => return Ok(caller_left(shared, request)),
         };
+        let terms = AttemptTerms {
+            patience: patience(shared, request, &placed.target, arrivals),
+            opens_connection: opens_connection(request, &tried),
+        };
         tried.push(placed.target.clone());
-        let failure = match one_attempt(shared, caller, request, placed, arrivals).await {
+        let failure = match one_attempt(shared, caller, request, placed, terms).await {
             Ok(after) => {
                 log_answer(shared, request, &tried, after);
                 return Ok(after);
@@ -201,6 +205,7 @@
         config_version = shared.config_version(),
         target_id = tried.last().map_or("", |target| target.name.as_str()),
         tried = tried.len(),
+        time_left_millis = request.terms.time_left.map_or(0, |left| left.as_millis() as u64),
         tried_before_millis = request.tried_before.as_millis() as u64,
         waited_millis = request.waited.as_millis() as u64,
         first_byte_millis = request.first_byte.as_millis() as u64,
@@ -313,10 +318,9 @@
     caller: &mut HttpConnection,
     request: &mut RequestState,
     placed: PlaceGuard,
-    arrivals: u32,
+    terms: AttemptTerms,
 ) -> Result<AfterRequest, AttemptFailure> {
-    let patience = patience(shared, request, &placed.target, arrivals);
-    let opened = attempt::open_answer(shared, caller, request, &placed, patience).await;
+    let opened = attempt::open_answer(shared, caller, request, &placed, terms).await;
     let answer = match opened {
         Ok(answer) => answer,
         Err(AttemptFailure::OtherTarget) => {
@@ -366,6 +370,17 @@
     failure.outcome()
 }
 
+/// Whether an attempt shows first that its target is near, by the handshake of a new connection.
+///
+/// Failure guarded: a stream's further attempt is queued before a narrowed link that nobody knows of
+/// yet, arrives when its caller has left, and is run all the same. Over a kept connection the request
+/// itself finds out about the link, and cannot be recalled; the handshake ends in the same queue before
+/// anything is sent, and another target is tried. It costs a round trip of some milliseconds of those
+/// that have waited for hundreds.
+fn opens_connection(request: &RequestState, tried: &[TargetId]) -> bool {
+    request.route.kind.is_stream() && !tried.is_empty()
+}
+
 /// Until when the answer must begin.
 fn patience(
     shared: &GatewayShared,
--- a/tests/all/fleet/answers.rs
+++ b/tests/all/fleet/answers.rs
@@ -219,3 +219,24 @@
     let target = left_at_work(&mut bed).await;
     assert_eq!(target.reset_count.get(), 1);
 }
+
+/// What operators would see: targets that begin requests whose callers have left. A stream's first
+/// target fails, and its second attempt waits on a kept connection before a link that narrowed a moment
+/// ago. The handshake of a new connection finds out before anything is sent.
+#[actix_rt::test]
+async fn a_further_attempt_of_a_stream_opens_a_connection() {
+    let mut bed = FleetBed::start().await;
+    let (one, two) = (bed.target("i-1").await, bed.target("i-2").await);
+    let stream = request("/stream/1", "r1", "", "");
+    while one.arrived() == 0 || two.arrived() == 0 {
+        bed.ask(&stream).await.expect("whole");
+    }
+    let opened = || one.opened.get() + two.opened.get();
+    let kept = opened();
+    bed.ask(&stream).await.expect("whole");
+    assert_eq!(opened(), kept, "a first attempt takes a kept connection");
+    one.then(Script::Close);
+    two.then(Script::Close);
+    assert_eq!(bed.ask(&stream).await.expect("whole").status, 502, "both attempts fail");
+    assert_eq!(opened(), kept + 1, "the second attempt opens one");
+}
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -58,6 +58,8 @@
     pub(super) sequence: Cell<u64>,
     script: RefCell<VecDeque<Script>>,
     pub(crate) arrivals: RefCell<Vec<Arrival>>,
+    /// Connections that were opened to it.
+    pub(crate) opened: Cell<u32>,
     /// Connections whose far end closed while a request was at work.
     pub(crate) abandoned: Cell<u32>,
     /// Those among them that were reset, not closed in order.
@@ -73,12 +75,14 @@
             sequence: Cell::new(0),
             script: RefCell::default(),
             arrivals: RefCell::default(),
+            opened: Cell::new(0),
             abandoned: Cell::new(0),
             reset_count: Cell::new(0),
         });
         let serving = target.clone();
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                serving.opened.set(serving.opened.get() + 1);
                 actix_rt::spawn(serving.clone().serve(stream));
             }
         });
