--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -61,7 +61,12 @@
     };
     match attempt_all(shared, caller, &mut request).await {
         Ok(after) => after,
-        Err(refusal) => answer_refusal(shared, caller, &refusal, keeps, &id).await,
+        Err(refusal) => {
+            if refusal.retry_after.is_some() {
+                shared.note_return(&request.route);
+            }
+            answer_refusal(shared, caller, &refusal, keeps, &id).await
+        }
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -143,7 +143,7 @@
             routes_came: Notify::new(),
             places: RefCell::new(places),
             pool: RefCell::default(),
-            patience: RefCell::default(),
+            patience: RefCell::new(PatienceTable::new(options.waiting.shortest_return)),
             budgets: RefCell::default(),
             rosters: RefCell::default(),
             roster: RefCell::default(),
@@ -230,6 +230,11 @@
         terms.time_left.map_or(Duration::ZERO, note)
     }
 
+    /// Counts a caller that is asked to come back.
+    pub(crate) fn note_return(&self, route: &RouteRecord) {
+        self.patience.borrow_mut().note_rejected(&route.name, Instant::now());
+    }
+
     /// Takes one repeat out of a service's budget, if there is one.
     pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
         let entries = self.roster.borrow().iter().count();
--- a/tests/all/waiting.rs
+++ b/tests/all/waiting.rs
@@ -111,7 +111,7 @@
 fn a_callers_time_tells_how_long_it_has_tried() {
     let millis = Duration::from_millis;
     let start = Instant::now();
-    let mut patience = PatienceTable::default();
+    let mut patience = PatienceTable::new(Duration::from_secs(1));
     assert_eq!(patience.note("plan", millis(4_100), start), Duration::ZERO, "nothing is known yet");
     for number in 0..200 {
         let now = start + millis(number * 30);
@@ -147,7 +147,7 @@
 #[test]
 fn callers_who_differ_in_patience_are_not_taken_for_repeats() {
     let start = Instant::now();
-    let mut patience = PatienceTable::default();
+    let mut patience = PatienceTable::new(Duration::from_secs(1));
     for number in 0..400_u64 {
         let left = Duration::from_millis(5_000 + number * 613 % 1_500);
         let now = start + Duration::from_millis(number * 10);
@@ -156,6 +156,52 @@
     }
 }
 
+/// What users would see: under steady overload a quarter of all answers is late, although all but a few
+/// could be in time. Callers give themselves different times, so that those who come back after they
+/// were rejected are taken for new ones and take the places of those. While nobody is rejected, nobody
+/// is taken for one who came back.
+#[test]
+fn callers_who_come_back_are_known_where_patience_differs() {
+    let millis = Duration::from_millis;
+    let start = Instant::now();
+    let mut patience = PatienceTable::new(Duration::from_secs(1));
+    let (mut now, mut missed, mut repeats) = (start, 0, 0);
+    for number in 0..2_000_u64 {
+        now += millis(60);
+        let first = 5_100 + number * 613 % 900;
+        assert!(patience.note("plan", millis(first), now).is_zero(), "{number}: a first try");
+        let rejects = number > 300 && number % 4 == 0;
+        if !rejects {
+            continue;
+        }
+        patience.note_rejected("plan", now);
+        let left = first - 1_000 - number * 37 % 1_000;
+        repeats += 1;
+        missed += u32::from(patience.note("plan", millis(left), now).is_zero());
+    }
+    assert!(missed * 10 < repeats, "{missed} of {repeats} repeats were taken for first tries");
+}
+
+/// A few callers with little patience are not taken for repeats of the others, beyond as many as were
+/// rejected.
+#[test]
+fn impatient_callers_count_as_repeats_no_oftener_than_callers_are_rejected() {
+    let millis = Duration::from_millis;
+    let mut now = Instant::now();
+    let mut patience = PatienceTable::new(Duration::from_secs(1));
+    let mut taken = 0;
+    for number in 0..2_000_u64 {
+        now += millis(20);
+        let differs = number * 613 % 700;
+        let left = if number % 2 == 0 { 6_000 - differs } else { 2_500 - differs };
+        taken += u32::from(!patience.note("plan", millis(left), now).is_zero());
+        if number % 20 == 0 {
+            patience.note_rejected("plan", now);
+        }
+    }
+    assert!(taken <= 300, "{taken} of 2,000, of which 100 were rejected");
+}
+
 /// What users would see: after a burst of four seconds nobody is in time for seconds more, since
 /// those who come back take the places, and each new caller waits behind them.
 #[actix_rt::test]
