--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -3,7 +3,7 @@
 use crate::{digests::WeightDigests, shared::StagerShared};
 use bytes::Bytes;
 use egretseam_rpc::{ChunkReply, ChunkService, HeldReply, WeightsKey};
-use egretseam_swarm::ChunkSet;
+use egretseam_swarm::{ChunkPace, ChunkSet};
 use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
 use tokio::{sync::watch, time::Instant};
@@ -11,10 +11,6 @@
 /// Longest wait for news of chunks that a peer may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
-/// Time without a new chunk after which no more are counted on; over the narrow links of instances
-/// one comes about every 50 ms.
-const GAIN_PAUSE: Duration = Duration::from_millis(700);
-
 /// How long all chunks have been here before an agent whose engine is not up yet may take the list of
 /// digests from here. Engines that are started together come up within about three seconds.
 const SETTLED_AFTER: Duration = Duration::from_secs(4);
@@ -31,10 +27,7 @@
     pub(crate) digests: Rc<WeightDigests>,
     chunks: Vec<Option<Bytes>>,
     held: ChunkSet,
-    /// How many chunks were here at the beginning, when that was, and when the last one came.
-    began_with: u32,
-    began_at: Instant,
-    gained_at: Instant,
+    pace: ChunkPace,
     /// When the last chunk of all was here.
     whole_at: Option<Instant>,
     /// How many chunks are held; peers wait on it.
@@ -46,15 +39,12 @@
         let count = digests.count();
         let chunks = vec![None; count as usize];
         let held = ChunkSet::new(count);
-        let now = Instant::now();
         Self {
             key,
             digests,
             chunks,
             held,
-            began_with: 0,
-            began_at: now,
-            gained_at: now,
+            pace: ChunkPace::new(0, Instant::now()),
             whole_at: None,
             count: watch::Sender::new(0),
         }
@@ -63,30 +53,23 @@
     /// Keeps a chunk that the engine has staged already; it says nothing of how fast they come.
     pub(crate) fn insert_staged(&mut self, index: u32, bytes: Bytes) {
         self.insert(index, bytes);
-        self.began_with = self.held.count();
-        self.began_at = Instant::now();
+        self.pace = ChunkPace::new(self.held.count(), Instant::now());
     }
 
     /// How long it takes until all chunks are here, if they go on coming as they have; `None` if
     /// they have stopped or none has come.
     pub(crate) fn expected_whole(&self, now: Instant) -> Option<Duration> {
-        let missing = self.digests.count() - self.held.count();
-        let gained = self.held.count() - self.began_with;
-        let stopped = now.saturating_duration_since(self.gained_at) > GAIN_PAUSE;
-        if missing == 0 {
-            return Some(Duration::ZERO);
-        }
-        let took = now.saturating_duration_since(self.began_at);
-        (gained > 0 && !stopped).then(|| took.mul_f64(f64::from(missing) / f64::from(gained)))
+        self.pace.expected_whole(self.digests.count(), now)
     }
 
     /// Keeps a chunk that was verified.
     pub(crate) fn insert(&mut self, index: u32, bytes: Bytes) {
         if self.held.insert(index) {
+            let now = Instant::now();
             self.chunks[index as usize] = Some(bytes);
-            self.gained_at = Instant::now();
+            self.pace.note(self.held.count(), now);
             if self.held.is_full() {
-                self.whole_at = Some(self.gained_at);
+                self.whole_at = Some(now);
             }
             self.count.send_modify(|count| *count += 1);
         }
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -10,6 +10,7 @@
 //! [`SwarmPlanner`] decides which chunk to fetch from whom and is free of I/O; [`WeightTransfer`]
 //! carries its plans out; [`WeightStore`] is the disk; [`ChunkHandler`] gives chunks to peers.
 
+mod chunk_pace;
 mod chunk_set;
 mod link_budget;
 mod link_delay;
@@ -21,6 +22,7 @@
 mod transfer;
 
 pub use crate::{
+    chunk_pace::ChunkPace,
     chunk_set::ChunkSet,
     link_budget::LinkBudget,
     link_delay::LinkDelay,
--- a/tests/all/versions.rs
+++ b/tests/all/versions.rs
@@ -5,6 +5,7 @@
     AttemptOutcome, Choice, EngineNews, Incarnation, NamedVersion, OlderVersionUse,
     OlderVersionView, SwitchSchedule, SwitchTiming, TargetState,
 };
+use egretseam_swarm::ChunkPace;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -236,3 +237,25 @@
     table.note_engine(&lacking(2, true), later);
     assert!(!table.is_expected(&service(), later));
 }
+
+/// What users would see: engines that take an overtaken version, out of service twice, although the newest
+/// is here in two seconds. The origin was gone for six, and the pause counted as the chunks' pace.
+#[actix_rt::test]
+async fn a_pause_of_the_origin_does_not_count_as_the_pace_of_chunks() {
+    let millis = Duration::from_millis;
+    let start = Instant::now();
+    let mut pace = ChunkPace::new(0, start);
+    assert_eq!(pace.expected_whole(48, start), None);
+    for held in 1..=8 {
+        pace.note(held, start + millis(50) * held);
+    }
+    let steady = pace.expected_whole(48, start + millis(400)).expect("chunks come");
+    assert_eq!(steady, millis(2_000));
+    let back = start + millis(6_500);
+    assert_eq!(pace.expected_whole(48, back), None, "they stopped coming");
+    for held in 9..=18 {
+        pace.note(held, back + millis(50) * (held - 8));
+    }
+    let expected = pace.expected_whole(48, back + millis(500)).expect("chunks come again");
+    assert!(expected < millis(1_800), "{expected:?}");
+}
