--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -44,7 +44,7 @@
         let changed = self.shared.entries.borrow_mut().note(record.clone(), Instant::now());
         if changed {
             tracing::info!(entry = %record.name, ready = record.ready, run = record.run, "entry changed");
-            self.shared.publish_roster();
+            self.shared.roster_pace.borrow_mut().note_changed(Instant::now());
         }
     }
 }
--- a/crates/registrar/src/publish.rs
+++ b/crates/registrar/src/publish.rs
@@ -11,6 +11,8 @@
 
 /// How often silent targets and entries are looked for.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(200);
+/// How often it is looked whether the roster is to be published.
+const ROSTER_INTERVAL: Duration = Duration::from_millis(50);
 /// How long an entry is listed after it last read this member's feed: twice the wait of a reading
 /// and some slack, so that one lost reading takes nobody out.
 const ENTRY_SILENCE: Duration = Duration::from_millis(2_300);
@@ -82,6 +84,18 @@
     }
 }
 
+/// Publishes the roster when changes of entries have been gathered.
+pub(crate) async fn pace_roster(shared: Weak<RegistrarShared>) {
+    loop {
+        tokio::time::sleep(ROSTER_INTERVAL).await;
+        let Some(shared) = shared.upgrade() else { return };
+        let is_due = shared.roster_pace.borrow_mut().take_due(Instant::now());
+        if is_due {
+            shared.publish_roster();
+        }
+    }
+}
+
 /// Marks what has gone silent, and follows the group's membership.
 pub(crate) async fn expire(shared: Weak<RegistrarShared>) {
     loop {
--- a/crates/registrar/src/runtime.rs
+++ b/crates/registrar/src/runtime.rs
@@ -59,6 +59,7 @@
         actix_rt::spawn(mirror::mirror_all(Rc::downgrade(&shared)));
         listeners.loads.set_nonblocking(true)?;
         let datagrams = tokio::net::UdpSocket::from_std(listeners.loads)?;
+        actix_rt::spawn(publish::pace_roster(Rc::downgrade(&shared)));
         actix_rt::spawn(loads::pass_on(Rc::downgrade(&shared), datagrams));
         Ok(Self { control, _feeds: feeds, _shared: shared })
     }
--- a/crates/registrar/src/shared.rs
+++ b/crates/registrar/src/shared.rs
@@ -11,7 +11,7 @@
 use egretseam_http::DaemonMetrics;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{ControlClient, LinkOptions};
-use egretseam_serving::{EntryRoster, ServingConfig, TargetRegistry};
+use egretseam_serving::{EntryRoster, RosterPace, ServingConfig, TargetRegistry};
 use indexmap::IndexMap;
 use prometheus::{IntCounter, IntGauge};
 use std::{
@@ -109,6 +109,8 @@
     /// `host:port` of the feeds of all members, as far as known.
     pub(crate) members: RefCell<Vec<String>>,
     pub(crate) roster_number: Cell<u64>,
+    /// Gathers changes of the entries before the roster is published.
+    pub(crate) roster_pace: RefCell<RosterPace>,
     /// Grows with everything that a reader may wait for.
     pub(crate) news: watch::Sender<u64>,
     client: RefCell<Option<(Vec<String>, Rc<ControlClient>)>>,
@@ -138,6 +140,7 @@
             versions: RefCell::default(),
             members: RefCell::new(members),
             roster_number: Cell::new(1),
+            roster_pace: RefCell::default(),
             news: watch::Sender::new(0),
             client: RefCell::new(None),
             options,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -29,6 +29,7 @@
 mod raw;
 mod registry;
 mod retry_budget;
+mod roster_pace;
 mod route_table;
 mod switch_schedule;
 mod target_table;
@@ -56,6 +57,7 @@
     },
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
     retry_budget::{RetryBudget, RetryPolicy},
+    roster_pace::RosterPace,
     route_table::{AccessError, KeyHolder, RouteTable},
     switch_schedule::{OlderVersionUse, OlderVersionView, SwitchSchedule, SwitchTiming},
     target_table::{LoadSample, TargetTable},
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -3,7 +3,7 @@
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
 use egretseam_serving::{
     AnnounceOutcome, AttemptOutcome, Choice, EngineNews, EntryRecord, EntryRoster, HeldModel,
-    Incarnation, PlacementNeed, PlacementPolicy, TargetId, TargetNews, TargetRecord,
+    Incarnation, PlacementNeed, PlacementPolicy, RosterPace, TargetId, TargetNews, TargetRecord,
     TargetRegistry, TargetState, TargetTable,
 };
 use std::{net::SocketAddr, time::Duration};
@@ -226,6 +226,32 @@
     assert_eq!(others, [11]);
 }
 
+/// What operators would see: control members that send megabytes when a fleet starts. A hundred and fifty
+/// entries say within 0.3 s that they are there; the list goes out a few times and not for each of them,
+/// and the last of them is in it soon.
+#[actix_rt::test]
+async fn entries_that_start_together_are_passed_on_together() {
+    let start = Instant::now();
+    let tick = Duration::from_millis(50);
+    let mut pace = RosterPace::default();
+    let (mut sent, mut last_sent) = (0, start);
+    for millis in 0..600 {
+        let now = start + Duration::from_millis(millis);
+        if millis < 300 && millis % 2 == 0 {
+            pace.note_changed(now);
+        }
+        let is_tick = Duration::from_millis(millis % 50).is_zero();
+        if is_tick && pace.take_due(now) {
+            sent += 1;
+            last_sent = now;
+        }
+    }
+    assert!((2..=4).contains(&sent), "{sent} times for 150 changes");
+    let last_change = start + Duration::from_millis(298);
+    assert!(last_sent >= last_change && last_sent <= last_change + tick * 3);
+    assert!(!pace.take_due(start + Duration::from_secs(9)), "nothing is left to pass on");
+}
+
 /// What users would see: callers are sent to an entry that has stopped. One control member has not
 /// heard of its stopping yet and still lists it as ready; the member that has must win.
 #[actix_rt::test]
