--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -56,8 +56,8 @@
             loads_failed: metrics
                 .counter("egretseam_agent_loads_failed_total", "Loads that failed."),
             reports: metrics.counter("egretseam_agent_reports_total", "Reports sent to entries."),
-            origin_bytes: metrics.gauge("egretseam_agent_origin_bytes", "Drawn from the origin."),
-            store_bytes: metrics.gauge("egretseam_agent_store_bytes", "Drawn from the store."),
+            origin_bytes: metrics.gauge("egretseam_agent_origin_bytes", "Fetched from the origin."),
+            store_bytes: metrics.gauge("egretseam_agent_store_bytes", "Fetched from the store."),
             peer_bytes: metrics.gauge("egretseam_agent_peer_bytes", "Fetched from peers."),
             bad_chunks: metrics.gauge("egretseam_agent_bad_chunks", "Chunks that did not match."),
             chunks_have: metrics.gauge("egretseam_agent_chunks_have", "Chunks present."),
--- a/crates/agent/src/weights.rs
+++ b/crates/agent/src/weights.rs
@@ -70,7 +70,7 @@
     let transfer =
         WeightTransfer::new(&shared.store, &manifest, own, options, sources, budget, chunks)?;
     let guard = TransferGuard { shared: shared.clone(), transfer: transfer.clone() };
-    // Before the first plan: an instance that believes it is alone draws everything itself.
+    // Before the first plan: an instance that believes it is alone fetches everything itself.
     transfer.set_swarm(announced(shared));
     let feed = feed_swarm(shared, &transfer);
     let result = tokio::select! {
--- a/crates/bench/src/burst.rs
+++ b/crates/bench/src/burst.rs
@@ -34,7 +34,7 @@
     Fast,
     /// One copy from the origin.
     Frugal,
-    /// Baseline: every instance draws everything from the origin.
+    /// Baseline: every instance fetches everything from the origin.
     OriginOnly,
     /// Baseline: a binary tree.
     Tree,
--- a/crates/catalog/src/spec.rs
+++ b/crates/catalog/src/spec.rs
@@ -6,7 +6,7 @@
 
 /// Most adapters that one profile may name.
 const MAX_ADAPTERS: usize = 64;
-/// Most copies that a profile may draw from the origin.
+/// Most copies that a profile may fetch from the origin.
 const MAX_ORIGIN_COPIES: u32 = 4;
 /// Highest weight of an organisation's share.
 const MAX_WEIGHT: u32 = 1_000;
@@ -64,7 +64,7 @@
     /// Most targets out of service at once for a switch.
     #[serde(default = "one")]
     pub max_unavailable: u32,
-    /// Copies that may be drawn from the origin: 1 is most frugal, 4 is fastest.
+    /// Copies that may be fetched from the origin: 1 is most frugal, 4 is fastest.
     #[serde(default = "one")]
     pub origin_copies: u32,
     /// Most requests in progress at one target.
--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -50,7 +50,7 @@
     pub hears_loads: Option<bool>,
     /// How long callers of other zones may keep an answer of the directory.
     pub far_lifetime: Option<Duration>,
-    /// Agents that draw a version from the origin.
+    /// Agents that fetch a version from the origin.
     pub seeders: Option<u64>,
     /// Part of an instance's link that chunks for other agents may take.
     pub upload_share: Option<f64>,
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -46,8 +46,8 @@
 /// up before the events of live answers on the same narrow link; it showed as pauses of up to
 /// 1.4 s in streams while weights spread.
 const UPLOAD_SHARE: f64 = 0.85;
-/// Agents that draw a version from the origin: enough to keep its link busy while one of them
-/// hangs. What they draw leaves by their links first: with 12 instead of 6 of 24 agents the last
+/// Agents that fetch a version from the origin: enough to keep its link busy while one of them
+/// hangs. What they fetch leaves by their links first: with 12 instead of 6 of 24 agents the last
 /// had all chunks 4.3 s after the naming instead of 4.9 s (one play each).
 const SEEDERS: usize = 12;
 /// How long a chunk that is in another zone is waited for in the own one. Failure guarded: all
--- a/crates/local/src/bound.rs
+++ b/crates/local/src/bound.rs
@@ -9,7 +9,7 @@
     pub origin_rate: f64,
     /// What one instance's link carries in both directions together.
     pub link_rate: f64,
-    /// Most copies that may be drawn from the origin.
+    /// Most copies that may be fetched from the origin.
     pub origin_copies: f64,
 }
 
--- a/crates/local/src/drill.rs
+++ b/crates/local/src/drill.rs
@@ -50,11 +50,11 @@
     pub time_to_n_seconds: f64,
     /// The least time possible with these links and one copy from the origin.
     pub lower_bound_seconds: f64,
-    /// Copies drawn from the origin for the first version.
+    /// Copies fetched from the origin for the first version.
     pub origin_copies: f64,
     /// From the accepted change until all served the second version, under load.
     pub change_seconds: f64,
-    /// Copies drawn from the origin for the second version.
+    /// Copies fetched from the origin for the second version.
     pub change_origin_copies: f64,
     /// Requests sent.
     pub requests: u64,
@@ -107,18 +107,18 @@
     let group = "runners";
     cluster.wait_replicas(group, Some(first.manifest), options.replicas, STEP_LIMIT)?;
     let time_to_n = begun.elapsed();
-    let origin_copies = copies_drawn(&cluster, 0, bytes);
+    let origin_copies = copies_fetched(&cluster, 0, bytes);
     progress("callers begin; changing to version v2 under load");
     let load =
         LoadThread::spawn(load_options(&cluster, options, &first, &second), cluster.ledger.clone());
-    let drawn = cluster.origin.counters.bytes.load(Ordering::Relaxed);
+    let fetched = cluster.origin.counters.bytes.load(Ordering::Relaxed);
     let name = ProfileName::try_from("assistant")?;
     let edit = ConfigEdit::ChangeProfile { name, spec: profile(&second)? };
     cluster.edit(revision, edit)?;
     let begun = Instant::now();
     cluster.wait_replicas(group, Some(second.manifest), options.replicas, STEP_LIMIT)?;
     let change = begun.elapsed();
-    let change_copies = copies_drawn(&cluster, drawn, bytes);
+    let change_copies = copies_fetched(&cluster, fetched, bytes);
     progress("stopping one target gracefully under load");
     cluster.stop_agent("runner-0");
     let counts = load.stop();
@@ -177,9 +177,9 @@
     })
 }
 
-fn copies_drawn(cluster: &LocalCluster, before: u64, bytes: usize) -> f64 {
-    let drawn = cluster.origin.counters.bytes.load(Ordering::Relaxed) - before;
-    drawn as f64 / bytes as f64
+fn copies_fetched(cluster: &LocalCluster, before: u64, bytes: usize) -> f64 {
+    let fetched = cluster.origin.counters.bytes.load(Ordering::Relaxed) - before;
+    fetched as f64 / bytes as f64
 }
 
 fn load_options(
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -156,7 +156,7 @@
 pub struct HeldReply {
     /// Its chunks, as a bitmap's text.
     pub chunks: String,
-    /// Whether the origin did not answer it when it last drew from there.
+    /// Whether the origin did not answer it when it last fetched from there.
     pub origin_lost: bool,
 }
 
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -46,7 +46,7 @@
             metrics.counter(&format!("egretseam_stager_{name}_total"), help)
         };
         Self {
-            chunks_from_origin: counter("chunks_from_origin", "Chunks drawn from the origin."),
+            chunks_from_origin: counter("chunks_from_origin", "Chunks fetched from the origin."),
             chunks_from_peers: counter("chunks_from_peers", "Chunks taken from other agents."),
             chunks_bad: counter("chunks_bad", "Chunks dropped for a wrong digest."),
             chunks_rotten: counter(
@@ -119,7 +119,7 @@
     pub(crate) link: RefCell<LinkDelay>,
     /// How long entries were told that requests are on their way over it.
     told_delay: Cell<Duration>,
-    /// Whether the origin did not answer when this agent last drew from it.
+    /// Whether the origin did not answer when this agent last fetched from it.
     pub(crate) origin_lost: Cell<bool>,
     /// Paces what is given to other agents, so that live answers get through.
     pub(crate) uploads: LinkBudget,
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -58,10 +58,10 @@
     under_way: Cell<usize>,
     /// When the last chunk came from a peer, or the first was asked for after a pause.
     came_at: Cell<Instant>,
-    /// Chunks drawn from the origin.
+    /// Chunks fetched from the origin.
     from_origin: Cell<u32>,
     /// When the last of them was here.
-    drawn_at: Cell<Duration>,
+    origin_done_at: Cell<Duration>,
     wake: Notify,
 }
 
@@ -85,7 +85,7 @@
         Self::with_policy(shared, plan, weights, shared.options.planner)
     }
 
-    /// The same without ever drawing from the origin.
+    /// The same without ever fetching from the origin.
     pub(crate) fn from_peers(
         shared: &Rc<StagerShared>,
         plan: &WeightsPlan,
@@ -121,19 +121,19 @@
             under_way: Cell::new(0),
             came_at: Cell::new(Instant::now()),
             from_origin: Cell::new(0),
-            drawn_at: Cell::new(Duration::ZERO),
+            origin_done_at: Cell::new(Duration::ZERO),
             wake: Notify::new(),
         })
     }
 
-    /// Chunks drawn from the origin so far.
-    pub(crate) fn drawn_chunks(&self) -> u32 {
+    /// Chunks fetched from the origin so far.
+    pub(crate) fn fetched_from_origin(&self) -> u32 {
         self.from_origin.get()
     }
 
     /// Time until the last of them was here.
-    pub(crate) fn drawn_in(&self) -> Duration {
-        self.drawn_at.get()
+    pub(crate) fn origin_done_in(&self) -> Duration {
+        self.origin_done_at.get()
     }
 
     /// Chunks fetched from other availability zones so far.
@@ -222,7 +222,7 @@
         match &order.source {
             SourceChoice::Upstream => {
                 self.from_origin.set(self.from_origin.get() + 1);
-                self.drawn_at.set(self.now());
+                self.origin_done_at.set(self.now());
                 self.shared.metrics.chunks_from_origin.inc();
             }
             SourceChoice::Peer(_) => self.shared.metrics.chunks_from_peers.inc(),
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -132,8 +132,8 @@
     tracing::info!(
         version = key.version,
         millis = began.elapsed().as_millis() as u64,
-        from_origin = transfer.drawn_chunks(),
-        drawn_millis = transfer.drawn_in().as_millis() as u64,
+        from_origin = transfer.fetched_from_origin(),
+        origin_millis = transfer.origin_done_in().as_millis() as u64,
         across_zones = transfer.across_zones(),
         "all chunks are here"
     );
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -1,4 +1,4 @@
-//! Bringing one version of weights to many instances: verified chunk by chunk, drawn from the
+//! Bringing one version of weights to many instances: verified chunk by chunk, fetched from the
 //! origin about once, passed on between peers, and visible to an engine only when whole.
 //!
 //! The invariant: a folder under `whole/` holds exactly the bytes that its manifest names. Chunks
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -4,7 +4,7 @@
 //! a slot is free. Nothing is decided centrally. What makes many instances act as one:
 //!
 //! - Every instance ranks the announced swarm for each chunk by the same hash. The first few ranks,
-//!   as many as the profile allows copies, may draw that chunk from the origin; others wait for it
+//!   as many as the profile allows copies, may fetch that chunk from the origin; others wait for it
 //!   to appear at a peer. So the origin gives each chunk about once without anybody counting.
 //! - When an instance dies, it leaves the announced swarm and the next rank takes its place. When
 //!   one hangs, those that starve pass it over.
@@ -24,33 +24,33 @@
 /// How chunks spread. All but the first are baselines for measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DistributionScheme {
-    /// Peers exchange; the first in rank for a chunk draws it from the origin.
+    /// Peers exchange; the first in rank for a chunk fetches it from the origin.
     Swarm,
     /// Everything comes from the origin.
     OriginOnly,
-    /// Each takes from its parent in a binary tree; the root draws from the origin.
+    /// Each takes from its parent in a binary tree; the root fetches from the origin.
     Tree,
 }
 
 /// How a transfer weighs time against the origin's bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlannerPolicy {
-    /// Copies that may be drawn from the origin.
+    /// Copies that may be fetched from the origin.
     pub origin_copies: u32,
     /// Most chunks fetched from peers at a time.
     pub peer_fetches: usize,
     /// Most chunks fetched from one peer at a time.
     pub fetches_per_peer: usize,
-    /// Most chunks drawn from the origin or store at a time, while the swarm is small; one in a
+    /// Most chunks fetched from the origin or store at a time, while the swarm is small; one in a
     /// larger swarm, whose members together keep the origin's link busy anyway.
     pub origin_fetches: usize,
-    /// Most instances of the swarm that draw from the origin at a time. Few of them get their first
+    /// Most instances of the swarm that fetch from the origin at a time. Few of them get their first
     /// chunks soon, and the swarm begins to exchange; many share the origin's link so thinly that
     /// all their chunks arrive together at the end.
     pub seeders: usize,
     /// Most neighbours.
     pub neighbours: usize,
-    /// Time without a new chunk after which the instances that should have drawn the missing ones
+    /// Time without a new chunk after which the instances that should have fetched the missing ones
     /// are passed over.
     pub stall_limit: Duration,
     /// Time that an instance waits for a chunk to appear in its own availability zone before it
@@ -162,11 +162,11 @@
     stalled: IndexMap<InstanceName, Duration>,
     upstream_active: usize,
     upstream_until: Duration,
-    /// When this instance last drew a chunk of its own part from the origin, or found the origin
+    /// When this instance last fetched a chunk of its own part from the origin, or found the origin
     /// gone.
-    own_draw_at: Duration,
-    /// Chunks of its own part that this instance drew, and when it began.
-    own_draws: u32,
+    own_fetch_at: Duration,
+    /// Chunks of its own part that this instance fetched, and when it began.
+    own_fetches: u32,
     began_at: Duration,
     last_progress: Duration,
     /// When this instance or a neighbour last found the origin gone.
@@ -193,8 +193,8 @@
             stalled: IndexMap::new(),
             upstream_active: 0,
             upstream_until: Duration::ZERO,
-            own_draw_at: now,
-            own_draws: 0,
+            own_fetch_at: now,
+            own_fetches: 0,
             began_at: now,
             last_progress: now,
             origin_lost_at: None,
@@ -229,8 +229,8 @@
         self.policy.peer_fetches = fetches.max(1);
     }
 
-    /// Prefers instances in the origin's availability zone for drawing from it, so that what they
-    /// draw crosses zones only on its way to the others.
+    /// Prefers instances in the origin's availability zone for fetching from it, so that what they
+    /// fetch crosses zones only on its way to the others.
     pub fn set_origin_zone(&mut self, zone: ZoneName) {
         self.origin_zone = Some(zone);
     }
@@ -307,8 +307,8 @@
         self.end_fetch(order);
         self.last_progress = now;
         if order.source == SourceChoice::Upstream && self.is_own_part(order.chunk) {
-            self.own_draw_at = now;
-            self.own_draws += 1;
+            self.own_fetch_at = now;
+            self.own_fetches += 1;
         }
         if let SourceChoice::Peer(name) = &order.source
             && let Some(row) = self.neighbours.get_mut(name)
@@ -334,7 +334,7 @@
             SourceChoice::Upstream => {
                 self.upstream_until = now + upstream_pause(failure);
                 if failure == FetchFailure::Unreachable {
-                    self.own_draw_at = now;
+                    self.own_fetch_at = now;
                     self.note_origin_lost(now);
                 }
             }
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -7,13 +7,13 @@
 use egretseam_proto::InstanceName;
 use std::time::Duration;
 
-/// Stands for no chunk; orders the instances that may draw from the origin.
+/// Stands for no chunk; orders the instances that may fetch from the origin.
 const SEEDER_SALT: ChunkIndex = u32::MAX - 1;
 /// How many times the seeders' number may be passed over at a time.
 const MOST_PASSED_OVER: usize = 2;
 /// Ranks beyond this all count as last.
 const MAX_RANK: u32 = 8;
-/// Pause of a holder that is waited out rather than drawing its chunk from the origin.
+/// Pause of a holder that is waited out rather than fetching its chunk from the origin.
 const WORTH_WAITING: Duration = Duration::from_millis(200);
 /// How many stall times an instance waits for the first chunk of all.
 const FIRST_CHUNK_PATIENCE: u32 = 5;
@@ -30,8 +30,8 @@
 const HEDGE_AFTER: Duration = Duration::from_millis(400);
 /// Chunks by which another's part may be larger before it is overdue.
 const OVERDUE_CHUNKS: u32 = 1;
-/// Shortest time after which one more instance may draw what another should have drawn; what one
-/// has drawn takes some 150 ms until the others know.
+/// Shortest time after which one more instance may fetch what another should have fetched; what one
+/// has fetched takes some 150 ms until the others know.
 const OVERDUE_STEP: Duration = Duration::from_millis(250);
 /// Queues before neighbours' links that differ by less count as alike; about one chunk of the
 /// narrow links of instances.
@@ -64,8 +64,8 @@
         }
     }
 
-    /// A chunk that this instance may draw from the origin: of its own part the one fewest
-    /// neighbours have, so that what is drawn is news to the swarm; else one of another's part that
+    /// A chunk that this instance may fetch from the origin: of its own part the one fewest
+    /// neighbours have, so that what is fetched is news to the swarm; else one of another's part that
     /// is overdue.
     fn next_upstream(&self, now: Duration) -> Option<FetchOrder> {
         if self.upstream_active >= self.origin_slots() || now < self.upstream_until {
@@ -81,33 +81,33 @@
             })
             .min_by_key(|(rank, chunk)| {
                 let holders = self.chunks[*chunk as usize].holders;
-                (*rank, holders, self.draw_order(*rank, *chunk, &seeders))
+                (*rank, holders, self.origin_order(*rank, *chunk, &seeders))
             })
             .map(|(_, chunk)| chunk)?;
         Some(FetchOrder { chunk, source: SourceChoice::Upstream })
     }
 
-    /// How many ranks beyond the usual ones this instance may draw for: one more for each step of
+    /// How many ranks beyond the usual ones this instance may fetch for: one more for each step of
     /// time since its own part was done.
     ///
-    /// Failure guarded: one seeder's link is narrow or disturbed, so that it goes on drawing, but
+    /// Failure guarded: one seeder's link is narrow or disturbed, so that it goes on fetching, but
     /// slowly, and everybody waits for its part; nobody starves long enough to pass it over. It
     /// shows as a version that takes three times as long as the origin needs for it (8.3 s with one
-    /// of six seeders at 0.9 Mbit/s). The ranks keep those that are done from all drawing the same
+    /// of six seeders at 0.9 Mbit/s). The ranks keep those that are done from all fetching the same
     /// chunk.
     fn overdue_ranks(&self, now: Duration) -> u32 {
         if self.policy.seeders == usize::MAX {
             return 0;
         }
-        let since = now.saturating_sub(self.own_draw_at);
+        let since = now.saturating_sub(self.own_fetch_at);
         let steps = since.as_millis() / self.overdue_step().as_millis();
         steps.min(u128::from(MAX_RANK)) as u32
     }
 
     /// Parts differ by some chunks, so their ends do by some times what this instance took for one.
     fn overdue_step(&self) -> Duration {
-        let drawing = self.own_draw_at.saturating_sub(self.began_at);
-        (drawing * OVERDUE_CHUNKS / self.own_draws.max(1)).max(OVERDUE_STEP)
+        let fetching = self.own_fetch_at.saturating_sub(self.began_at);
+        (fetching * OVERDUE_CHUNKS / self.own_fetches.max(1)).max(OVERDUE_STEP)
     }
 
     fn is_wanted_upstream(&self, chunk: ChunkIndex, now: Duration) -> bool {
@@ -117,16 +117,16 @@
         !row.present && row.active.is_empty() && !elsewhere
     }
 
-    /// The order in which chunks of one rank are drawn. Another's part is drawn from its end, where
+    /// The order in which chunks of one rank are fetched. Another's part is fetched from its end, where
     /// the instance that ranks first for it comes last.
-    fn draw_order(&self, rank: u32, chunk: ChunkIndex, seeders: &[&PlannerPeer]) -> u64 {
+    fn origin_order(&self, rank: u32, chunk: ChunkIndex, seeders: &[&PlannerPeer]) -> u64 {
         match first_of(seeders, chunk) {
             Some(first) if rank > 0 => !spread_at(&first.name, chunk),
             _ => self.spread(chunk),
         }
     }
 
-    /// Whether the instance that ranks first for a chunk is a neighbour: what others have drawn is
+    /// Whether the instance that ranks first for a chunk is a neighbour: what others have fetched is
     /// not known here, and is not overdue for that.
     fn knows_first(&self, chunk: ChunkIndex, seeders: &[&PlannerPeer]) -> bool {
         first_of(seeders, chunk).is_some_and(|first| self.neighbours.contains_key(&first.name))
@@ -142,7 +142,7 @@
     }
 
     /// Whether a neighbour has the chunk that is not avoided for longer than a moment. One that
-    /// claims it but gives nothing must not keep everybody from drawing it elsewhere; one that is
+    /// claims it but gives nothing must not keep everybody from fetching it elsewhere; one that is
     /// merely busy is worth the wait.
     fn is_held(&self, chunk: ChunkIndex, now: Duration) -> bool {
         let avoided = |row: &PeerRow| row.avoid_until.saturating_sub(now) > WORTH_WAITING;
@@ -150,7 +150,7 @@
         self.chunks[chunk as usize].holders > 0 && self.neighbours.values().any(holds)
     }
 
-    /// How many ranks may draw from the origin.
+    /// How many ranks may fetch from the origin.
     fn allowed_rank(&self) -> u32 {
         match self.policy.scheme {
             DistributionScheme::Swarm => self.policy.origin_copies,
@@ -160,10 +160,10 @@
         }
     }
 
-    /// Failure guarded: the instance that should draw a chunk hangs while it still announces
+    /// Failure guarded: the instance that should fetch a chunk hangs while it still announces
     /// itself. It shows as a swarm that stops short of the whole. An instance that has gained
     /// nothing for one stall time passes over whoever ranks first for a chunk that nobody has; all
-    /// that starve come to the same list, so the next in rank draws and not everybody. One stall
+    /// that starve come to the same list, so the next in rank fetches and not everybody. One stall
     /// time covers all chunks of the hanging instance, however many there are.
     ///
     /// While the origin itself is gone nobody is passed over: everybody starves, and each would come
@@ -186,7 +186,7 @@
         let missing: Vec<ChunkIndex> = (0..self.have.len()).filter(missing).collect();
         for chunk in missing {
             // Failure guarded: while the origin itself is gone everybody starves. Passing ever more
-            // over, each instance would take itself for the only seeder left, and all would draw
+            // over, each instance would take itself for the only seeder left, and all would fetch
             // everything when the origin is back.
             if self.stalled.len() >= self.policy.seeders.saturating_mul(MOST_PASSED_OVER) {
                 return;
@@ -216,7 +216,7 @@
 
     /// How long this instance starves before it passes others over. Before anybody near has a
     /// single chunk, starving says little: in a large swarm each member's part of the origin's link
-    /// is thin, and those with nothing to draw wait for the first chunks of the others.
+    /// is thin, and those with nothing to fetch wait for the first chunks of the others.
     fn stall_limit(&self) -> Duration {
         let begun = !self.have.is_empty() || self.neighbours.values().any(|r| !r.have.is_empty());
         self.policy.stall_limit * if begun { 1 } else { FIRST_CHUNK_PATIENCE }
@@ -237,7 +237,7 @@
         seeders.iter().filter(ahead).take(MAX_RANK as usize).count() as u32
     }
 
-    /// The other instances that may draw from the origin, or `None` if this one may not. Every
+    /// The other instances that may fetch from the origin, or `None` if this one may not. Every
     /// instance comes to the same list, as far as they agree on who is passed over.
     fn other_seeders(&self) -> Option<Vec<&PlannerPeer>> {
         let mut others = self.first_seeders();
@@ -248,7 +248,7 @@
         (self.seeder_key(&self.own) < self.seeder_key(last)).then_some(others)
     }
 
-    /// The first of the other instances in the order in which they may draw.
+    /// The first of the other instances in the order in which they may fetch.
     fn first_seeders(&self) -> Vec<&PlannerPeer> {
         let mut others: Vec<&PlannerPeer> =
             self.swarm.iter().filter(|peer| !self.is_passed_over(&peer.name)).collect();
--- a/crates/swarm/src/transfer.rs
+++ b/crates/swarm/src/transfer.rs
@@ -77,9 +77,9 @@
     pub have: u32,
     /// Chunks of the version.
     pub total: u32,
-    /// Bytes drawn from the origin.
+    /// Bytes fetched from the origin.
     pub origin_bytes: u64,
-    /// Bytes drawn from the store.
+    /// Bytes fetched from the store.
     pub store_bytes: u64,
     /// Bytes fetched from peers.
     pub peer_bytes: u64,
