--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -161,7 +161,7 @@
             return Ok(PlaceReply::NoTarget(after));
         }
         Choice::Target(target) if nobody_waits => {
-            places.queue(call.service).note_placed(now);
+            note_placed(places.queue(call.service), call.claim.is_late(), now);
             if let Some(guard) = hold(shared, &mut places, call.service, target) {
                 return Ok(PlaceReply::Placed(guard));
             }
@@ -200,6 +200,10 @@
     }
 }
 
+fn note_placed(queue: &mut WaitQueue<WaitingRequest>, is_late: bool, now: Instant) {
+    if is_late { queue.note_late_placed(now) } else { queue.note_placed(now) }
+}
+
 fn full(shared: &GatewayShared, service: &ServiceName) -> PlaceReply {
     let mut places = shared.places.borrow_mut();
     let queue = places.queue(service);
@@ -227,7 +231,7 @@
         let mut places = shared.places.borrow_mut();
         while let Some((ticket, target)) = next_place(&mut places, service, now) {
             let Some(request) = places.queue(service).remove(ticket) else { break };
-            places.queue(service).note_placed(now);
+            note_placed(places.queue(service), ticket.is_late(), now);
             if let Some(guard) = hold(shared, &mut places, service, target) {
                 given.push((request.sender, guard));
             }
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -134,6 +134,13 @@
     number: u64,
 }
 
+impl WaitTicket {
+    /// Whether its request was late already when it came.
+    pub fn is_late(&self) -> bool {
+        matches!(self.rank, WaitRank::Late(_))
+    }
+}
+
 struct Waiter<T> {
     give_up_at: Instant,
     payload: T,
@@ -153,6 +160,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct WaitCounts {
     placed: u32,
+    /// Those among them that were late already.
+    placed_late: u32,
     rejected: u32,
 }
 
@@ -211,6 +220,12 @@
         self.present.placed += 1;
     }
 
+    /// Counts a request that got a place although it was late already, for the prediction.
+    pub fn note_late_placed(&mut self, now: Instant) {
+        self.note_placed(now);
+        self.present.placed_late += 1;
+    }
+
     /// Counts a request that was rejected, on arrival or after a wait in vain.
     pub fn note_rejected(&mut self, now: Instant) {
         self.roll(now);
@@ -238,18 +253,31 @@
 
     /// The wait that a request of this rank must expect, by those before it and the places given
     /// in the last second; `None` while nothing is known.
+    ///
+    /// Failure guarded: all places go to requests that can still be in time, and those that are late are
+    /// held for 1.5 s and rejected then, with too little time left to be served anywhere. How fast places
+    /// come free says nothing to them; how many of them got one of late does.
     pub fn predicted_wait(&mut self, claim: &WaitClaim, now: Instant) -> Option<Duration> {
         self.roll(now);
         let start = self.window_start.unwrap_or(now);
         let span = RATE_WINDOW + now.saturating_duration_since(start);
         let placed = self.before.placed + self.present.placed;
-        let ahead = self.waiters.keys().filter(|ticket| ticket.rank <= claim.rank).count();
+        let tickets = || self.waiters.keys().filter(|ticket| ticket.rank <= claim.rank);
+        let ahead = tickets().count();
+        let late_ahead = tickets().filter(|ticket| ticket.is_late()).count();
         // Places are counted as they are asked for, so a quiet service seems slow. Only a service
         // that was busy, and for which somebody waits already, says how fast places come free.
         if placed < FEWEST_PLACED || ahead == 0 {
             return None;
         }
-        Some(span.mul_f64((ahead + 1) as f64 / f64::from(placed)))
+        if !claim.is_late() {
+            return Some(span.mul_f64((ahead + 1) as f64 / f64::from(placed)));
+        }
+        // One more than were placed, so that a place is hoped for while none was given yet.
+        let placed_late = self.before.placed_late + self.present.placed_late + 1;
+        let before_late = (ahead - late_ahead) as f64 / f64::from(placed);
+        let among_late = (late_ahead + 1) as f64 / f64::from(placed_late);
+        Some(span.mul_f64(before_late + among_late))
     }
 
     /// Adds a request that may wait until `give_up_at`, or gives it back if it must not wait.
--- a/crates/testkit/src/service_load.rs
+++ b/crates/testkit/src/service_load.rs
@@ -310,7 +310,12 @@
         };
         self.entries[at].table.begin(&target, now);
         self.entries[at].table.note_sent(&target, now);
-        self.entries[at].queue.note_placed(now);
+        let queue = &mut self.entries[at].queue;
+        if late {
+            queue.note_late_placed(now)
+        } else {
+            queue.note_placed(now)
+        }
         let number: usize = target.name.parse().expect("targets are named by number");
         self.engines[number].arrive(id, now);
         let due = self.due.swap_remove(&id).unwrap_or(now);
--- a/tests/all/waiting.rs
+++ b/tests/all/waiting.rs
@@ -57,6 +57,33 @@
     assert!(late <= 5, "{late} waited in vain");
 }
 
+/// What users would see: they come back after a rejection, are held for 1.5 s and are rejected again. The
+/// service gives a hundred places a second, all to requests that can still be in time. Those that are late
+/// must be rejected on arrival, but for a few; when some of them get places, as many may wait as will.
+#[actix_rt::test]
+async fn late_requests_are_not_held_while_none_of_them_gets_a_place() {
+    let step = Duration::from_millis(10);
+    let late = WaitClaim::new(1, OBJECTIVE, Duration::from_secs(2));
+    let held = |gives_late: bool| {
+        let mut now = Instant::now();
+        let mut queue = WaitQueue::new(WaitPolicy::default());
+        for number in 0..100 {
+            if gives_late && number % 4 == 0 {
+                queue.note_late_placed(now);
+            } else {
+                queue.note_placed(now);
+            }
+            now += step;
+        }
+        let give_up_at = now + queue.wait_limit(&late, Duration::from_millis(100));
+        (0..100).filter(|number| queue.push(&late, give_up_at, *number, now).is_ok()).count()
+    };
+    let in_vain = held(false);
+    assert!((1..=3).contains(&in_vain), "{in_vain} of 100 are held though none gets a place");
+    let hopeful = held(true);
+    assert!((20..=60).contains(&hopeful), "{hopeful} of 100, where 37 get places in 1.5 s");
+}
+
 #[actix_rt::test]
 async fn urgent_requests_are_taken_where_others_are_rejected() {
     let mut now = Instant::now();
