--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -10,8 +10,8 @@
 /// second after which a lost opening packet would be sent again, so that another target is tried.
 pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// The same for a further attempt of a stream, whose caller leaves within a second: many times a round
-/// trip between regions. Failure guarded: behind a queue that a handshake of 0.35 s shows, the request was
-/// on its way for 0.9 s and was run after its caller had left.
+/// trip between regions. Failure guarded: a handshake that takes longer shows a queue on the way, in which
+/// the request would wait too; one was run 0.5 s after its caller had left.
 pub(crate) const FURTHER_CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Longest time that an idle connection is kept where the target names none.
 const USUAL_KEEP: Duration = Duration::from_secs(4);
