Agents log what their engine holds, and orders whose outcome is not known

Sight for an incident: callers got answers from mixed weights, and no line of the agent said that its engine had gone back to an older version, how many orders the engine had begun, or that an order without an answer was anything else than refused. Each change of the engine's state has a line now, an order without an answer is logged and counted as unknown, and an engine that goes back to an older version in one run is a warning and a counter. Nothing is decided differently.

--- a/crates/stager/src/dialect.rs
+++ b/crates/stager/src/dialect.rs
@@ -27,6 +27,8 @@
     pub models: Vec<HeldModel>,
     /// Whether an order is in progress.
     pub busy: bool,
+    /// Orders that this run of the engine has begun; 0 from one that does not count them.
+    pub orders_begun: u64,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
@@ -40,6 +42,8 @@
     Accepted,
     /// It does not fit the engine's state.
     Refused,
+    /// Nothing came back; the engine may have begun it, or may begin it later.
+    Unknown,
 }
 
 /// What engines and the origin speak.
--- a/crates/stager/src/engine.rs
+++ b/crates/stager/src/engine.rs
@@ -1,6 +1,6 @@
 //! Watching the engine on the own machine, which costs it nothing.
 
-use crate::shared::StagerShared;
+use crate::{dialect::EngineReport, shared::StagerShared};
 use std::{rc::Weak, time::Duration};
 use tokio::time::Instant;
 
@@ -40,12 +40,17 @@
     match report {
         Ok(report) => {
             shared.report_at.set(asked_at);
+            note_versions(shared, &report);
             shared.report.send_if_modified(|held| {
                 let changed = held.as_ref().is_none_or(|held| {
                     held.models != report.models
                         || held.busy != report.busy
                         || held.incarnation != report.incarnation
                 });
+                let before = held.as_ref().map(|held| held.orders_begun);
+                if changed || before != Some(report.orders_begun) {
+                    log_state(&report);
+                }
                 *held = Some(report);
                 changed
             });
@@ -58,3 +63,31 @@
         }
     }
 }
+
+fn log_state(report: &EngineReport) {
+    tracing::info!(
+        models = ?report.models,
+        busy = report.busy,
+        orders_begun = report.orders_begun,
+        incarnation = %report.incarnation,
+        "the engine's state changed"
+    );
+}
+
+/// Counts and logs an engine that holds an older version than before in the same run. Nobody orders
+/// that, so it is the sign of an order that the engine carried out late.
+fn note_versions(shared: &StagerShared, report: &EngineReport) {
+    let Some(now) = report.models.first() else { return };
+    let before = shared.held_before.replace(Some((report.incarnation, now.clone())));
+    let Some((incarnation, before)) = before else { return };
+    let is_same_model = incarnation == report.incarnation && before.model == now.model;
+    if is_same_model && now.version < before.version {
+        shared.metrics.versions_back.inc();
+        tracing::warn!(
+            before = before.version,
+            now = now.version,
+            orders_begun = report.orders_begun,
+            "the engine went back to an older version"
+        );
+    }
+}
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -9,7 +9,7 @@
 use egretseam_h1::{CallReply, CallRequest, ExchangeError, KeptClient};
 use egretseam_http::DaemonMetrics;
 use egretseam_rpc::{WeightsKey, WeightsPlan};
-use egretseam_serving::{EngineNews, SwarmPeer};
+use egretseam_serving::{EngineNews, HeldModel, Incarnation, SwarmPeer};
 use egretseam_swarm::{LinkBudget, LinkDelay};
 use prometheus::IntCounter;
 use std::{
@@ -38,6 +38,8 @@
     pub(crate) chunks_rotten: IntCounter,
     pub(crate) orders: IntCounter,
     pub(crate) orders_refused: IntCounter,
+    pub(crate) orders_unknown: IntCounter,
+    pub(crate) versions_back: IntCounter,
 }
 
 impl StagerMetrics {
@@ -58,6 +60,11 @@
                 "orders_refused",
                 "Orders that did not fit the engine's state.",
             ),
+            orders_unknown: counter("orders_unknown", "Orders without an answer."),
+            versions_back: counter(
+                "versions_back",
+                "Times that the engine went back to an older version in one run.",
+            ),
         }
     }
 }
@@ -94,6 +101,8 @@
     /// What the engine last said, and when.
     pub(crate) report: watch::Sender<Option<EngineReport>>,
     pub(crate) report_at: Cell<Instant>,
+    /// What the engine held when it last held anything, and in which of its runs.
+    pub(crate) held_before: RefCell<Option<(Incarnation, HeldModel)>>,
     /// Whether an order is about to be given or being carried out.
     pub(crate) ordering: Cell<bool>,
     /// Wakes the task that tells control of the engine.
@@ -139,6 +148,7 @@
             plan: watch::Sender::new(None),
             report: watch::Sender::new(None),
             report_at: Cell::new(Instant::now()),
+            held_before: RefCell::new(None),
             ordering: Cell::new(false),
             tell: Notify::new(),
             member: Cell::new(None),
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -76,7 +76,8 @@
         Err(error) => {
             // It may have been accepted; what the engine says next decides.
             tracing::info!(%error, "the order's outcome is not known");
-            OrderOutcome::Refused
+            shared.metrics.orders_unknown.inc();
+            OrderOutcome::Unknown
         }
     };
     tracing::info!(model = %key.model, version = key.version, ?outcome, "ordered the engine to take weights");
@@ -103,8 +104,8 @@
         }
         let busy = shared.report.borrow().as_ref().is_some_and(|report| report.busy);
         let idle_too_long = !busy && began.elapsed() > ORDER_PAUSE;
-        let refused = outcome == OrderOutcome::Refused && !busy;
-        if refused || idle_too_long || began.elapsed() > LOAD_LIMIT {
+        let not_begun = outcome != OrderOutcome::Accepted && !busy;
+        if not_begun || idle_too_long || began.elapsed() > LOAD_LIMIT {
             tokio::time::sleep(ORDER_PAUSE).await;
             return false;
         }
