Failing tests: orders without an answer that engines carry out late

Callers saw streams from weights of another version than the engine named. A scripted engine counts its orders, leaves one unanswered and carries it out after a newer version was staged and taken: it goes back from version 3 to 2, with the chunks of 3. One test where the agent gave the order up after its time, one where a newer version interrupted it.

--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -5,6 +5,8 @@
 mod bed;
 mod changes;
 mod engines;
+mod late_orders;
 mod placing;
 mod reports;
 mod weights;
+mod weights_bed;
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -129,6 +129,11 @@
     pub(super) cut: Cell<u32>,
     /// How many of the next staged chunks turn bad where they lie.
     pub(super) rot: Cell<u32>,
+    /// Orders begun.
+    orders_begun: Cell<u64>,
+    /// How many of the next orders get no answer, and are kept until they are carried out late.
+    pub(super) withhold: Cell<u32>,
+    withheld: RefCell<Vec<Bytes>>,
 }
 
 impl ScriptedEngine {
@@ -144,10 +149,27 @@
     pub(super) fn serve_at(self: &Rc<Self>, listener: tokio::net::TcpListener) {
         let serving = self.clone();
         actix_rt::spawn(serve(listener, async move |head: &RequestHead, body| {
+            let is_order = head.path() == "/order";
+            if is_order && take_one(&serving.withhold) {
+                serving.withheld.borrow_mut().push(body);
+                return std::future::pending().await;
+            }
             serving.answer(head, body)
         }));
     }
 
+    /// Orders that got no answer and are not carried out yet.
+    pub(super) fn withheld_count(&self) -> usize {
+        self.withheld.borrow().len()
+    }
+
+    /// Carries out what was withheld, as it would now.
+    pub(super) fn carry_out_withheld(&self) {
+        for order in self.withheld.take() {
+            self.take_order(&order);
+        }
+    }
+
     /// Stages a whole version.
     pub(super) fn stage(&self, version: u64) {
         let chunks = (0..CHUNKS).map(|index| (u64::from(index), chunk(version, index)));
@@ -164,8 +186,10 @@
                     self.running.set(self.running.get().saturating_sub(1));
                 }
                 let active = self.running.get();
-                let report =
-                    json!({"models": models, "busy": false, "active": active, "queued": 0});
+                let report = json!({
+                    "models": models, "busy": false, "active": active, "queued": 0,
+                    "seq": self.orders_begun.get()
+                });
                 (200, Bytes::from(report.to_string()))
             }
             (b"PUT", "/stage-put/chat") => {
@@ -192,6 +216,11 @@
     fn take_order(&self, body: &[u8]) -> Answer {
         let order: serde_json::Value = serde_json::from_slice(body).expect("JSON");
         let version = order["version"].as_u64().expect("a version");
+        let begun = self.orders_begun.get();
+        if order["expect"].as_u64().is_some_and(|expected| expected != begun) {
+            return (409, Bytes::new());
+        }
+        self.orders_begun.set(begun + 1);
         self.cut.set(self.cut.get() + self.running.replace(0));
         if !self.holds_staged(version) {
             self.bad_orders.set(self.bad_orders.get() + 1);
--- /dev/null
+++ b/tests/all/fleet/late_orders.rs
@@ -0,0 +1,56 @@
+//! Orders that get no answer and are carried out late.
+
+use super::{
+    engines::{CHUNKS, ScriptedEngine},
+    weights_bed::WeightsBed,
+};
+use std::time::Duration;
+
+/// Has `engine` carry out its unanswered orders once all hold `version`, and checks that it goes on
+/// holding it.
+async fn carry_out_late(bed: &WeightsBed, engine: &ScriptedEngine, version: u64) {
+    bed.wait_for(version).await;
+    assert!(engine.withheld_count() > 0, "no order was left unanswered");
+    engine.carry_out_withheld();
+    assert_eq!(engine.version.get(), version, "the engine went back");
+    bed.wait_for(version).await;
+}
+
+/// Callers got streams, status 200 and whole, that an engine made with weights of another version than
+/// the one it named. A version was ordered and the order got no answer; a newer version was staged and
+/// taken; then the engine went back to the first one by itself.
+#[actix_rt::test]
+async fn an_unanswered_order_is_not_carried_out_on_a_newer_versions_chunks() {
+    let mut bed = WeightsBed::start(0, true).await;
+    bed.bed.settings.version_limit = Duration::from_secs(8);
+    for _ in 0..3 {
+        bed.add().await;
+    }
+    bed.wait_for(1).await;
+    bed.origin.lost_from.set(Some(3));
+    let drawn = bed.origin.given.get();
+    bed.name(2).await;
+    bed.bed.wait_until(|| bed.origin.given.get() >= drawn + CHUNKS).await;
+    // Far enough apart that the overtaken version's use is worth a switch.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let engine = bed.engines.iter().find(|engine| engine.version.get() == 1);
+    let engine = engine.expect("one whose turn has not come").clone();
+    engine.withhold.set(1);
+    bed.name(3).await;
+    bed.bed.wait_until(|| engine.withheld_count() == 1).await;
+    bed.origin.lost_from.set(None);
+    carry_out_late(&bed, &engine, 3).await;
+}
+
+/// What users would see: the same, where the newer version is named while the agent still waits for
+/// the answer to its order, and drops what it was doing for the older one.
+#[actix_rt::test]
+async fn an_order_that_a_newer_version_interrupts_is_not_carried_out_on_its_chunks() {
+    let bed = WeightsBed::start(1, true).await;
+    bed.wait_for(1).await;
+    bed.engines[0].withhold.set(1);
+    bed.name(2).await;
+    bed.bed.wait_until(|| bed.engines[0].withheld_count() == 1).await;
+    bed.name(3).await;
+    carry_out_late(&bed, &bed.engines[0], 3).await;
+}
--- /dev/null
+++ b/tests/all/fleet/weights_bed.rs
@@ -0,0 +1,92 @@
+//! A fleet whose targets are scripted engines with agents, and an origin of weights.
+
+use super::{
+    bed::{FleetBed, dialects, usual_config},
+    engines::{CHUNKS, ScriptedEngine, ScriptedOrigin},
+};
+use egretseam_config::{FleetAgent, FleetSettings};
+use egretseam_daemon::FleetRuntime;
+use egretseam_proto::ServiceName;
+use serde_json::{Value, json};
+use std::{net::SocketAddr, rc::Rc};
+
+pub(super) struct WeightsBed {
+    pub(super) bed: FleetBed,
+    pub(super) origin: Rc<ScriptedOrigin>,
+    pub(super) engines: Vec<Rc<ScriptedEngine>>,
+    agents: Vec<FleetRuntime>,
+}
+
+fn config(origin: SocketAddr, resumable: bool) -> Value {
+    let mut config = usual_config(2);
+    config["services"].as_array_mut().expect("a list").push(json!({
+        "name": "runners", "maxConnections": 100,
+        "engine": {"slots": 4, "models": [{"name": "chat"}], "chunks": CHUNKS, "chunkBytes": 1}
+    }));
+    config["services"][1]["origin"] = json!(origin.to_string());
+    let route = &mut config["routes"][2];
+    route["service"] = json!("runners");
+    route["streamResume"] = json!(resumable);
+    config
+}
+
+impl WeightsBed {
+    /// Starts so many engines with agents. Before a version is named they bring version 1.
+    pub(super) async fn start(count: usize, resumable: bool) -> Self {
+        let mut bed = FleetBed::start().await;
+        let (origin, address) = ScriptedOrigin::start(bed.host()).await;
+        let mut this = Self { bed, origin, engines: Vec::new(), agents: Vec::new() };
+        this.bed.replace(2, &config(address, resumable)).await;
+        this.bed.wait_for_version(2).await;
+        for _ in 0..count {
+            this.add().await;
+        }
+        this
+    }
+
+    pub(super) async fn add(&mut self) {
+        let host = self.bed.host();
+        let (engine, target) = ScriptedEngine::start(host).await;
+        self.add_at(engine, target).await;
+    }
+
+    /// Address of a target that does not answer yet.
+    pub(super) async fn unused_target(&mut self) -> SocketAddr {
+        let host = self.bed.host();
+        let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
+        listener.local_addr().expect("bound")
+    }
+
+    pub(super) async fn add_at(&mut self, engine: Rc<ScriptedEngine>, target: SocketAddr) {
+        let beat = json!({
+            "service": "runners", "address": target.to_string(), "zone": "z1", "slots": 4,
+            "state": "ready", "coldLeftMs": 0, "models": [], "seq": 1
+        });
+        let path = format!("/instances/e-{}/heartbeat", target.ip());
+        assert_eq!(self.bed.call("POST", &path, &beat.to_string()).await.0, 200);
+        let settings = FleetSettings {
+            host: target.ip(),
+            entry: None,
+            agent: Some(FleetAgent {
+                target_address: target,
+                service: ServiceName::try_from("runners").expect("a valid name"),
+            }),
+            ..self.bed.settings.clone()
+        };
+        let agent = FleetRuntime::start(settings, &dialects()).expect("it starts");
+        self.agents.push(agent);
+        self.engines.push(engine);
+    }
+
+    pub(super) async fn name(&self, version: u64) {
+        let body = json!({"model": "chat", "version": version}).to_string();
+        assert_eq!(self.bed.call("POST", "/version-put", &body).await.0, 200);
+    }
+
+    pub(super) async fn wait_for(&self, version: u64) {
+        let all_hold = || self.engines.iter().all(|engine| engine.version.get() == version);
+        self.bed.wait_until(all_hold).await;
+        let bad: u32 = self.engines.iter().map(|engine| engine.bad_orders.get()).sum();
+        assert_eq!(bad, 0, "an engine took weights that were not whole");
+    }
+}
