Failing tests: an open order is settled late, and forgotten by an agent that starts again

While an order is open its chunks may turn bad where they lie, and nobody looks until the newer version is here. An agent that is killed with an open order is followed by one that knows of none: an engine that carries the order out while the newer chunks are being staged takes a mix. Agents of the bed run on threads of their own, so that a test can end one as a kill does.

--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -134,6 +134,8 @@
     /// How many of the next orders get no answer, and are kept until they are carried out late.
     pub(super) withhold: Cell<u32>,
     withheld: RefCell<Vec<Bytes>>,
+    /// Whether they are carried out as soon as a chunk in the middle is staged.
+    pub(super) carries_out_midway: Cell<bool>,
 }
 
 impl ScriptedEngine {
@@ -163,6 +165,11 @@
         self.withheld.borrow().len()
     }
 
+    /// Spoils a staged chunk where it lies.
+    pub(super) fn spoil_staged(&self, index: u64) {
+        self.staged.borrow_mut().insert(index, Bytes::from("rotten"));
+    }
+
     /// Carries out what was withheld, as it would now.
     pub(super) fn carry_out_withheld(&self) {
         for order in self.withheld.take() {
@@ -195,6 +202,9 @@
             (b"PUT", "/stage-put/chat") => {
                 let kept = if take_one(&self.rot) { Bytes::from("rotten") } else { body };
                 self.staged.borrow_mut().insert(index, kept);
+                if self.carries_out_midway.get() && index == u64::from(CHUNKS / 2) {
+                    self.carry_out_withheld();
+                }
                 (200, Bytes::new())
             }
             (b"GET", "/stage-get/chat") => match self.staged.borrow().get(&index) {
--- a/tests/all/fleet/late_orders.rs
+++ b/tests/all/fleet/late_orders.rs
@@ -58,3 +58,42 @@
     bed.name(3).await;
     carry_out_late(&bed, &bed.engines[0], 3).await;
 }
+
+/// What users would see: answers from spoilt weights. An order gets no answer and a newer version is
+/// named, whose chunks cannot be had for long; meanwhile a staged chunk turns bad where it lies, and
+/// then the engine carries the order out. An open order must be settled at once, not when the newer
+/// version is here.
+#[actix_rt::test]
+async fn an_open_order_is_settled_while_the_newer_version_cannot_be_had() {
+    let bed = WeightsBed::start(1, true).await;
+    bed.wait_for(1).await;
+    let engine = &bed.engines[0];
+    bed.origin.lost_from.set(Some(3));
+    engine.withhold.set(1);
+    bed.name(2).await;
+    bed.bed.wait_until(|| engine.withheld_count() == 1).await;
+    bed.name(3).await;
+    bed.wait_for(2).await;
+    engine.spoil_staged(5);
+    carry_out_late(&bed, engine, 2).await;
+    bed.origin.lost_from.set(None);
+    bed.wait_for(3).await;
+}
+
+/// What users would see: answers from mixed weights. An agent is killed while its order is unanswered;
+/// the one that starts in its place knows of no order, and while it stages the newer version that was
+/// named meanwhile over the chunks that the order speaks of, the engine carries that out.
+#[actix_rt::test]
+async fn an_agent_that_starts_again_knows_of_an_order_that_may_be_open() {
+    let mut bed = WeightsBed::start(2, true).await;
+    bed.wait_for(1).await;
+    let engine = bed.engines[0].clone();
+    engine.withhold.set(1);
+    bed.name(2).await;
+    bed.bed.wait_until(|| engine.withheld_count() == 1).await;
+    bed.name(3).await;
+    engine.carries_out_midway.set(true);
+    bed.restart_agent(0, Duration::from_millis(50)).await;
+    bed.wait_for(3).await;
+    assert_eq!(engine.withheld_count(), 0, "the order was not carried out midway");
+}
--- a/tests/all/fleet/weights_bed.rs
+++ b/tests/all/fleet/weights_bed.rs
@@ -4,17 +4,19 @@
     bed::{FleetBed, dialects, usual_config},
     engines::{CHUNKS, ScriptedEngine, ScriptedOrigin},
 };
+use actix_rt::Arbiter;
 use egretseam_config::{FleetAgent, FleetSettings};
 use egretseam_daemon::FleetRuntime;
 use egretseam_proto::ServiceName;
 use serde_json::{Value, json};
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 pub(super) struct WeightsBed {
     pub(super) bed: FleetBed,
     pub(super) origin: Rc<ScriptedOrigin>,
     pub(super) engines: Vec<Rc<ScriptedEngine>>,
-    agents: Vec<FleetRuntime>,
+    targets: Vec<SocketAddr>,
+    agents: Vec<Arbiter>,
 }
 
 fn config(origin: SocketAddr, resumable: bool) -> Value {
@@ -35,7 +37,8 @@
     pub(super) async fn start(count: usize, resumable: bool) -> Self {
         let mut bed = FleetBed::start().await;
         let (origin, address) = ScriptedOrigin::start(bed.host()).await;
-        let mut this = Self { bed, origin, engines: Vec::new(), agents: Vec::new() };
+        let mut this =
+            Self { bed, origin, engines: Vec::new(), targets: Vec::new(), agents: Vec::new() };
         this.bed.replace(2, &config(address, resumable)).await;
         this.bed.wait_for_version(2).await;
         for _ in 0..count {
@@ -58,12 +61,33 @@
     }
 
     pub(super) async fn add_at(&mut self, engine: Rc<ScriptedEngine>, target: SocketAddr) {
+        self.announce(target).await;
+        self.agents.push(self.start_agent(target));
+        self.engines.push(engine);
+        self.targets.push(target);
+    }
+
+    /// Ends the agent of the engine at `index`, as a kill does, and starts it again after `down`.
+    pub(super) async fn restart_agent(&mut self, index: usize, down: Duration) {
+        let target = self.targets[index];
+        let agent = self.agents.remove(index);
+        agent.stop();
+        agent.join().expect("its thread ends");
+        tokio::time::sleep(down).await;
+        self.agents.insert(index, self.start_agent(target));
+    }
+
+    async fn announce(&self, target: SocketAddr) {
         let beat = json!({
             "service": "runners", "address": target.to_string(), "zone": "z1", "slots": 4,
             "state": "ready", "coldLeftMs": 0, "models": [], "seq": 1
         });
         let path = format!("/instances/e-{}/heartbeat", target.ip());
         assert_eq!(self.bed.call("POST", &path, &beat.to_string()).await.0, 200);
+    }
+
+    /// Starts an agent on a thread of its own, so that it can be ended as a kill ends a process.
+    fn start_agent(&self, target: SocketAddr) -> Arbiter {
         let settings = FleetSettings {
             host: target.ip(),
             entry: None,
@@ -73,9 +97,15 @@
             }),
             ..self.bed.settings.clone()
         };
-        let agent = FleetRuntime::start(settings, &dialects()).expect("it starts");
-        self.agents.push(agent);
-        self.engines.push(engine);
+        let arbiter = Arbiter::new();
+        arbiter.spawn_fn(move || {
+            let agent = FleetRuntime::start(settings, &dialects()).expect("it starts");
+            actix_rt::spawn(async move {
+                let _agent = agent;
+                std::future::pending::<()>().await;
+            });
+        });
+        arbiter
     }
 
     pub(super) async fn name(&self, version: u64) {
@@ -90,3 +120,11 @@
         assert_eq!(bad, 0, "an engine took weights that were not whole");
     }
 }
+
+impl Drop for WeightsBed {
+    fn drop(&mut self) {
+        for agent in &self.agents {
+            agent.stop();
+        }
+    }
+}
