An open order is given again at once, with its chunks mended

What callers would see: answers from spoilt weights. An order is interrupted by a newer version whose chunks are long in coming; a staged chunk turns bad meanwhile, and the engine carries the order out. Cause: the same as that of the answers from mixed weights, a lost answer that nobody follows up; staged chunks were mended only by whoever ordered next, seconds later. Mend: a task of the agent gives an open order again, as soon as whoever gave it has stopped waiting, and staging mends the chunks each time; once settled the order takes nothing any more. Its load would have come anyway, when the late copy is carried out. Test: an_open_order_is_settled_while_the_newer_version_cannot_be_had, red before, passes. Beside it: the engine is looked at often for as long as the order's guard lives, also where the order is interrupted (the flag stayed set until the next order); staging has a file of its own.

--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -20,6 +20,7 @@
 mod ranks;
 mod runtime;
 mod shared;
+mod staging;
 mod switch;
 mod transfer;
 mod work;
--- a/crates/stager/src/order_ledger.rs
+++ b/crates/stager/src/order_ledger.rs
@@ -71,9 +71,13 @@
         self.open.take_if(|open| open.begun_before != begun);
     }
 
-    /// What the open order would have the engine take, if that is anything but `key`.
+    /// What the open order would have the engine take.
+    pub fn open(&self) -> Option<Rc<WholeWeights>> {
+        self.open.as_ref().map(|open| open.weights.clone())
+    }
+
+    /// The same, if that is anything but `key`.
     pub fn open_for_other(&self, key: &WeightsKey) -> Option<Rc<WholeWeights>> {
-        let open = self.open.as_ref().filter(|open| open.weights.key != *key)?;
-        Some(open.weights.clone())
+        self.open().filter(|weights| weights.key != *key)
     }
 }
--- a/crates/stager/src/runtime.rs
+++ b/crates/stager/src/runtime.rs
@@ -6,7 +6,7 @@
     engine, follow, loads, older,
     options::{StagerListeners, StagerOptions},
     shared::StagerShared,
-    work,
+    switch, work,
 };
 use egretseam_http::DaemonMetrics;
 use egretseam_rpc::{RpcOptions, RpcServer, serve_chunks};
@@ -46,6 +46,7 @@
         actix_rt::spawn(follow::follow(Rc::downgrade(&shared)));
         actix_rt::spawn(loads::tell(Rc::downgrade(&shared)));
         actix_rt::spawn(older::watch(Rc::downgrade(&shared)));
+        actix_rt::spawn(switch::watch_open_orders(Rc::downgrade(&shared)));
         actix_rt::spawn(work::work(Rc::downgrade(&shared)));
         Ok(Self { _shared: shared, _chunks: chunks })
     }
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -207,9 +207,11 @@
         }
     }
 
-    /// Tells entries for as long as the guard lives that the engine takes no requests.
+    /// Tells entries for as long as the guard lives that the engine takes no requests, and looks at
+    /// the engine often.
     pub(crate) fn begin_ordering(&self) -> OrderingGuard<'_> {
         self.ordering.set(true);
+        self.hurry.set(true);
         self.tell.notify_one();
         OrderingGuard { shared: self }
     }
@@ -241,6 +243,7 @@
 impl Drop for OrderingGuard<'_> {
     fn drop(&mut self) {
         self.shared.ordering.set(false);
+        self.shared.hurry.set(false);
         self.shared.tell.notify_one();
     }
 }
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -6,22 +6,23 @@
     engine,
     order_ledger::WholeWeights,
     shared::StagerShared,
+    staging::stage,
 };
-use bytes::Bytes;
 use egretseam_rpc::WeightsKey;
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::{Rc, Weak},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Pause before an order that was refused or lost is thought over again.
-const ORDER_PAUSE: Duration = Duration::from_millis(150);
+pub(crate) const ORDER_PAUSE: Duration = Duration::from_millis(150);
 /// Time by which entries are told of an order before the engine is: two hops between regions.
 const TELL_AHEAD: Duration = Duration::from_millis(30);
 /// How long running answers may end before the others are cut off. Answers last about a second, so
 /// more than half of them do: with 24 engines at usual load 104 streams were cut instead of 196 (one
 /// play each). For longer, the places that come free stand empty: 0.9 s was worth no more than 0.6.
 const DRAIN_LIMIT: Duration = Duration::from_millis(700);
-/// Passes over the staged chunks before the order is put off; one stages, one finds all well.
-const MOST_PASSES: u32 = 5;
 /// How long an engine may take after an accepted order: its running answers end within their
 /// deadlines, and loading takes parts of a second.
 const LOAD_LIMIT: Duration = Duration::from_secs(12);
@@ -64,15 +65,46 @@
 async fn settle(shared: &StagerShared, key: &WeightsKey, cut: bool, drain_until: Instant) -> bool {
     engine::look(shared).await;
     let Some(open) = shared.orders.borrow().open_for_other(key) else { return true };
-    tracing::info!(
-        version = open.key.version,
-        newer = key.version,
-        "an open order is given again before anything newer is staged"
-    );
-    stage_and_order(shared, &open, cut, drain_until).await;
+    give_again(shared, &open, cut, drain_until).await;
     shared.orders.borrow().open_for_other(key).is_none()
 }
 
+async fn give_again(
+    shared: &StagerShared,
+    open: &Rc<WholeWeights>,
+    cut: bool,
+    drain_until: Instant,
+) {
+    tracing::info!(version = open.key.version, "an open order is given again");
+    stage_and_order(shared, open, cut, drain_until).await;
+}
+
+/// Gives the open order again whenever there is one, for as long as the agent lives.
+///
+/// Failure guarded: the chunks of an open order turn bad where they lie, and the engine takes them
+/// when it carries the order out; whoever gave the order was interrupted by a newer version whose
+/// chunks may be long in coming. It shows as answers from spoilt weights. Staging mends them each
+/// time, and an order that is settled takes nothing any more.
+pub(crate) async fn watch_open_orders(shared: Weak<StagerShared>) {
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        let Some(shared) = shared.upgrade() else { return };
+        if shared.orders.borrow().open().is_none() {
+            continue;
+        }
+        // Whoever has just given it waits for its outcome with this lock held.
+        let _switching = shared.switching.lock().await;
+        if !engine::look(&shared).await {
+            continue;
+        }
+        let open = shared.orders.borrow().open();
+        if let Some(open) = open {
+            let cut = shared.plan.borrow().as_ref().is_some_and(|held| held.plan.may_cut);
+            give_again(&shared, &open, cut, Instant::now() + DRAIN_LIMIT).await;
+        }
+    }
+}
+
 async fn stage_and_order(
     shared: &StagerShared,
     weights: &Rc<WholeWeights>,
@@ -123,10 +155,7 @@
         ?outcome,
         "ordered the engine to take weights"
     );
-    shared.hurry.set(true);
-    let taken = await_version(shared, &weights.key, outcome).await;
-    shared.hurry.set(false);
-    taken
+    await_version(shared, &weights.key, outcome).await
 }
 
 async fn send(shared: &StagerShared, order: &WeightsOrder<'_>) -> OrderOutcome {
@@ -172,68 +201,3 @@
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
 }
-
-/// Makes what is staged at the engine what it must be.
-///
-/// Failure guarded: staged bytes can turn bad at any time, also right after they were staged, and
-/// the engine takes them unchecked. It would show as answers from spoilt weights. Every chunk is
-/// read back and compared right before the order, until one pass over all finds nothing to mend.
-async fn stage(shared: &StagerShared, weights: &WholeWeights) -> bool {
-    for _ in 0..MOST_PASSES {
-        match mend_staged(shared, weights).await {
-            Some(0) => return true,
-            Some(mended) => tracing::info!(version = weights.key.version, mended, "staged chunks"),
-            None => break,
-        }
-    }
-    tokio::time::sleep(ORDER_PAUSE).await;
-    false
-}
-
-/// Puts every chunk that is not staged as it must be; returns how many, or `None` if one could not
-/// be put.
-async fn mend_staged(shared: &StagerShared, weights: &WholeWeights) -> Option<u32> {
-    let mut mended = 0;
-    for (index, chunk) in (0..).zip(&weights.chunks) {
-        let staged = read_back(shared, &weights.key, index).await;
-        let was_staged = staged.is_some();
-        if staged.is_some_and(|bytes| weights.digests.matches(index, &bytes)) {
-            continue;
-        }
-        if was_staged {
-            shared.metrics.chunks_rotten.inc();
-        }
-        if !put(shared, &weights.key, index, chunk.clone()).await {
-            return None;
-        }
-        mended += 1;
-    }
-    Some(mended)
-}
-
-/// A staged chunk, if the engine has one.
-pub(crate) async fn read_back(
-    shared: &StagerShared,
-    key: &WeightsKey,
-    index: u32,
-) -> Option<Bytes> {
-    let call = shared.dialect.get_chunk(&key.model, index);
-    let reply = shared.call_engine(&call).await.ok()?;
-    (reply.status == 200).then_some(reply.body)
-}
-
-/// Stages a chunk; returns whether the engine took it.
-async fn put(shared: &StagerShared, key: &WeightsKey, index: u32, bytes: Bytes) -> bool {
-    let call = shared.dialect.put_chunk(&key.model, index, bytes);
-    match shared.call_engine(&call).await {
-        Ok(reply) if reply.status < 300 => true,
-        Ok(reply) => {
-            tracing::info!(status = reply.status, index, "the engine did not take a chunk");
-            false
-        }
-        Err(error) => {
-            tracing::info!(%error, index, "a chunk could not be staged");
-            false
-        }
-    }
-}
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -4,7 +4,7 @@
     chunks::HeldWeights,
     digest_search, older, ranks,
     shared::{HeldPlan, StagerShared},
-    switch,
+    staging, switch,
     transfer::Transfer,
 };
 use egretseam_rpc::WeightsKey;
@@ -86,7 +86,7 @@
     tracing::info!(version = key.version, chunks = digests.count(), "fetching a version");
     let mut weights = HeldWeights::new(key.clone(), Rc::new(digests));
     for index in 0..weights.digests.count() {
-        let staged = switch::read_back(shared, key, index).await;
+        let staged = staging::read_back(shared, key, index).await;
         match staged.filter(|bytes| weights.digests.matches(index, bytes)) {
             Some(bytes) => weights.insert_staged(index, bytes),
             // What is staged is whole or of another version; the first chunk tells.
--- a/tests/all/fleet/late_orders.rs
+++ b/tests/all/fleet/late_orders.rs
@@ -61,8 +61,8 @@
 
 /// What users would see: answers from spoilt weights. An order gets no answer and a newer version is
 /// named, whose chunks cannot be had for long; meanwhile a staged chunk turns bad where it lies, and
-/// then the engine carries the order out. An open order must be settled at once, not when the newer
-/// version is here.
+/// then the engine carries the order out. The agent mended staged chunks only when it ordered, and it
+/// gave nothing again before the newer version was here. An open order must be settled at once.
 #[actix_rt::test]
 async fn an_open_order_is_settled_while_the_newer_version_cannot_be_had() {
     let bed = WeightsBed::start(1, true).await;
