An order without an answer is given again after 0.4 s

Cause: the agent waited 1.5 s for the answer to an order, as for any call to its engine; meanwhile entries send the engine nothing. Since of all copies of an order one begins at most, a further copy is harmless, and the engine answers an order before it loads anything.

--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -26,6 +26,9 @@
 
 /// Time for one call to the engine on the own machine.
 const ENGINE_CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time for the answer to an order, which the engine gives before it loads anything. While it is
+/// awaited nobody is served there, and a further copy does no harm.
+const ORDER_LIMIT: Duration = Duration::from_millis(400);
 /// Steps in which entries are told of a slow link.
 const LINK_DELAY_STEP: Duration = Duration::from_millis(500);
 /// Largest answer of an engine or the origin.
@@ -179,6 +182,11 @@
         self.engine.lock().await.call(&request(call, ENGINE_CALL_LIMIT)).await
     }
 
+    /// Gives the engine an order.
+    pub(crate) async fn order_engine(&self, call: &EngineCall) -> Result<CallReply, ExchangeError> {
+        self.engine.lock().await.call(&request(call, ORDER_LIMIT)).await
+    }
+
     /// Calls the engine on the connection kept for watching it, which staging does not delay.
     pub(crate) async fn watch_engine(&self, call: &EngineCall) -> Result<CallReply, ExchangeError> {
         self.watcher.lock().await.call(&request(call, ENGINE_CALL_LIMIT)).await
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -160,7 +160,7 @@
 
 async fn send(shared: &StagerShared, order: &WeightsOrder<'_>) -> OrderOutcome {
     shared.metrics.orders.inc();
-    let outcome = match shared.call_engine(&shared.dialect.order(order)).await {
+    let outcome = match shared.order_engine(&shared.dialect.order(order)).await {
         Ok(reply) => shared.dialect.read_order(reply.status),
         Err(error) if error.may_have_run() => {
             tracing::info!(%error, "the order's outcome is not known");
--- a/tests/all/fleet/late_orders.rs
+++ b/tests/all/fleet/late_orders.rs
@@ -5,6 +5,7 @@
     weights_bed::WeightsBed,
 };
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Has `engine` carry out its unanswered orders once all hold `version`, and checks that it goes on
 /// holding it.
@@ -80,6 +81,22 @@
     bed.wait_for(3).await;
 }
 
+/// What users would see: engines that serve nobody for two seconds. An order gets no answer, and while
+/// the agent waits for it the engine gets no requests. Copies of an order are harmless, so the next one
+/// is given within half a second.
+#[actix_rt::test]
+async fn an_unanswered_order_is_given_again_within_half_a_second() {
+    let bed = WeightsBed::start(1, true).await;
+    bed.wait_for(1).await;
+    let engine = &bed.engines[0];
+    engine.withhold.set(1);
+    bed.name(2).await;
+    bed.bed.wait_until(|| engine.withheld_count() == 1).await;
+    let began = Instant::now();
+    bed.wait_for(2).await;
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+}
+
 /// What users would see: answers from mixed weights. An agent is killed while its order is unanswered;
 /// the one that starts in its place knows of no order, and while it stages the newer version that was
 /// named meanwhile over the chunks that the order speaks of, the engine carries that out.
