An agent that starts again finds out which order may be open

What callers would see: answers from mixed weights. An agent is killed with an unanswered order; the next one knows of none and stages a newer version, and the engine carries the order out while it does. Mend: an order is only given once a version lies staged whole, so before an agent first stages anything over it, it finds out what lies there: of the wanted version, of the one that the engine holds, or of the one before. If the engine does not hold it, an order for it may be open and is settled like one of the agent's own. Agents keep the digests of three versions whose chunks they dropped, so that those that start again have them from each other; at a usual start the chunks read anyway settle it.

--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use egretseam_rpc::{ChunkReply, ChunkService, HeldReply, WeightsKey};
 use egretseam_swarm::{ChunkPace, ChunkSet};
-use std::{rc::Rc, time::Duration};
+use std::{collections::VecDeque, rc::Rc, time::Duration};
 use tarpc::context::Context;
 use tokio::{sync::watch, time::Instant};
 
@@ -20,6 +20,10 @@
 /// Size that is assumed of chunks that nobody has seen yet.
 const USUAL_CHUNK_BYTES: u64 = 48 * 1024;
 
+/// Versions whose digests are kept without their chunks: those between the one that engines hold and
+/// the newest, in all but the quickest succession.
+const MAX_OTHER_DIGESTS: usize = 3;
+
 /// Verified chunks of one version.
 #[derive(Debug)]
 pub(crate) struct HeldWeights {
@@ -105,8 +109,11 @@
 /// The version being brought to the engine, and one that it has overtaken.
 #[derive(Debug, Default)]
 pub(crate) struct ChunkStore {
-    pub(crate) weights: Option<HeldWeights>,
+    weights: Option<HeldWeights>,
     older: Option<HeldWeights>,
+    /// Digests of versions whose chunks are not kept, the latest last. Agents that start again need
+    /// them to find out what lies staged.
+    other_digests: VecDeque<Rc<WeightDigests>>,
 }
 
 impl ChunkStore {
@@ -118,16 +125,51 @@
         self.weights.iter_mut().chain(&mut self.older).find(|weights| weights.key == *key)
     }
 
+    /// Digests of a version, also of one whose chunks are not kept any more.
+    pub(crate) fn digests(&self, key: &WeightsKey) -> Option<Rc<WeightDigests>> {
+        let held = self.get(key).map(|weights| &weights.digests);
+        let known = || self.other_digests.iter().find(|digests| digests.key() == *key);
+        held.or_else(known).cloned()
+    }
+
+    /// Keeps the digests of a version whose chunks are not kept, in place of the oldest.
+    pub(crate) fn keep_digests(&mut self, digests: &Rc<WeightDigests>) {
+        self.other_digests.retain(|kept| kept.key() != digests.key());
+        self.other_digests.push_back(digests.clone());
+        while self.other_digests.len() > MAX_OTHER_DIGESTS {
+            self.other_digests.pop_front();
+        }
+    }
+
+    /// Begins with the version that is to be brought to the engine.
+    pub(crate) fn begin(&mut self, weights: HeldWeights) {
+        let before = self.weights.replace(weights);
+        self.retire(before);
+    }
+
+    /// Forgets the version that is to be brought to the engine, and its digests.
+    pub(crate) fn forget(&mut self) {
+        self.weights = None;
+    }
+
     /// Sets a version aside that is overtaken, in place of one set aside before.
     pub(crate) fn keep(&mut self, key: &WeightsKey) {
         if self.weights.as_ref().is_some_and(|weights| weights.key == *key) {
-            self.older = self.weights.take();
+            let before = std::mem::replace(&mut self.older, self.weights.take());
+            self.retire(before);
         }
     }
 
-    /// Forgets the version set aside.
+    /// Forgets the chunks of the version set aside.
     pub(crate) fn drop_older(&mut self) {
-        self.older = None;
+        let before = self.older.take();
+        self.retire(before);
+    }
+
+    fn retire(&mut self, weights: Option<HeldWeights>) {
+        if let Some(weights) = weights {
+            self.keep_digests(&weights.digests);
+        }
     }
 }
 
@@ -169,8 +211,9 @@
         wait_millis: u64,
     ) -> Option<Vec<[u8; 32]>> {
         let mut begun = self.shared.weights_begun.subscribe();
-        let is_ready = |chunks: &ChunkStore| {
-            chunks.get(&key).is_some_and(|weights| !settled || weights.is_settled(Instant::now()))
+        let is_ready = |chunks: &ChunkStore| match chunks.get(&key) {
+            Some(weights) => !settled || weights.is_settled(Instant::now()),
+            None => !settled && chunks.digests(&key).is_some(),
         };
         let ready = async {
             while !is_ready(&self.shared.chunks.borrow()) {
@@ -181,7 +224,7 @@
         let wait = Duration::from_millis(wait_millis).min(MAX_WAIT);
         tokio::time::timeout(wait, ready).await.ok()?;
         let chunks = self.shared.chunks.borrow();
-        Some(chunks.get(&key)?.digests.chunks.clone())
+        Some(chunks.digests(&key)?.chunks.clone())
     }
 
     async fn chunk(self, _: Context, key: WeightsKey, index: u32) -> Option<ChunkReply> {
--- a/crates/stager/src/digests.rs
+++ b/crates/stager/src/digests.rs
@@ -1,6 +1,7 @@
 //! What the chunks of a version must be.
 
 use egretseam_proto::ModelName;
+use egretseam_rpc::WeightsKey;
 use sha2::{Digest, Sha256};
 
 /// Digests of a version's chunks.
@@ -15,6 +16,11 @@
 }
 
 impl WeightDigests {
+    /// Model and version.
+    pub fn key(&self) -> WeightsKey {
+        WeightsKey { model: self.model.clone(), version: self.version }
+    }
+
     /// How many chunks there are.
     pub fn count(&self) -> u32 {
         self.chunks.len() as u32
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -13,6 +13,7 @@
 mod digests;
 mod engine;
 mod follow;
+mod former_orders;
 mod loads;
 mod older;
 mod options;
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -126,6 +126,9 @@
     pub(crate) switching: Mutex<()>,
     /// Outlives whoever gave the order: a newer version may interrupt that.
     pub(crate) orders: RefCell<OrderLedger>,
+    /// Whether the ledger holds what the agent before this one may have left open.
+    pub(crate) knows_orders: Cell<bool>,
+    pub(crate) started_at: Instant,
     /// Whether the next digests must come from the origin, since the last ones were wrong.
     pub(crate) distrusts_peers: Cell<bool>,
     /// Whether no chunk comes any more of the version that the engine is to have.
@@ -165,6 +168,8 @@
             reached: RefCell::new(None),
             switching: Mutex::new(()),
             orders: RefCell::default(),
+            knows_orders: Cell::new(false),
+            started_at: Instant::now(),
             distrusts_peers: Cell::new(false),
             stalled: Cell::new(false),
             link: RefCell::new(LinkDelay::new(Duration::ZERO)),
--- a/crates/stager/src/staging.rs
+++ b/crates/stager/src/staging.rs
@@ -1,7 +1,10 @@
 //! Chunks as they lie at the engine: read, put, and made what they must be.
 
-use crate::{order_ledger::WholeWeights, shared::StagerShared, switch::ORDER_PAUSE};
+use crate::{
+    digests::WeightDigests, order_ledger::WholeWeights, shared::StagerShared, switch::ORDER_PAUSE,
+};
 use bytes::Bytes;
+use egretseam_h1::ExchangeError;
 use egretseam_rpc::WeightsKey;
 
 /// Passes over the staged chunks before the order is put off; one stages, one finds all well.
@@ -51,9 +54,36 @@
     key: &WeightsKey,
     index: u32,
 ) -> Option<Bytes> {
+    ask_for(shared, key, index).await.ok().flatten()
+}
+
+/// What lies staged in the places of a version's chunks, up to the first empty one; `None` if the
+/// engine does not say.
+pub(crate) async fn read_all(
+    shared: &StagerShared,
+    digests: &WeightDigests,
+) -> Option<Vec<Option<Bytes>>> {
+    let key = digests.key();
+    let mut staged = Vec::new();
+    for index in 0..digests.count() {
+        let chunk = ask_for(shared, &key, index).await.ok()?;
+        let is_empty = chunk.is_none();
+        staged.push(chunk);
+        if is_empty {
+            break;
+        }
+    }
+    Some(staged)
+}
+
+async fn ask_for(
+    shared: &StagerShared,
+    key: &WeightsKey,
+    index: u32,
+) -> Result<Option<Bytes>, ExchangeError> {
     let call = shared.dialect.get_chunk(&key.model, index);
-    let reply = shared.call_engine(&call).await.ok()?;
-    (reply.status == 200).then_some(reply.body)
+    let reply = shared.call_engine(&call).await?;
+    Ok((reply.status == 200).then_some(reply.body))
 }
 
 /// Stages a chunk; returns whether the engine took it.
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -3,7 +3,7 @@
 use crate::{
     chunks::HeldWeights,
     dialect::{OrderOutcome, WeightsOrder},
-    engine,
+    engine, former_orders,
     order_ledger::WholeWeights,
     shared::StagerShared,
     staging::stage,
@@ -36,6 +36,19 @@
     models.into_iter().any(|held| held.model == key.model && held.version >= key.version)
 }
 
+/// Whether the engine holds just that version.
+pub(crate) fn holds_exactly(shared: &StagerShared, key: &WeightsKey) -> bool {
+    let report = shared.report.borrow();
+    let models = report.iter().flat_map(|report| &report.models);
+    models.into_iter().any(|held| held.model == key.model && held.version == key.version)
+}
+
+/// Finds out what a former agent left open, while nothing is to be staged.
+pub(crate) async fn resolve_former_orders(shared: &StagerShared, key: &WeightsKey) {
+    let _switching = shared.switching.lock().await;
+    former_orders::resolve(shared, key).await;
+}
+
 /// Has the engine take a version that is here whole, and waits until it has. Returns whether it has.
 /// Answers that run there may end until `drain_until`; later ones are cut off if `cut` allows it.
 pub(crate) async fn take(
@@ -48,7 +61,7 @@
     if holds(shared, key) {
         return true;
     }
-    if !settle(shared, key, cut, drain_until).await {
+    if !former_orders::resolve(shared, key).await || !settle(shared, key, cut, drain_until).await {
         return false;
     }
     let whole = shared.chunks.borrow().get(key).and_then(HeldWeights::whole);
--- a/crates/stager/src/work.rs
+++ b/crates/stager/src/work.rs
@@ -71,7 +71,11 @@
     if !whole {
         fetch(shared, wanted, key).await;
     }
-    if switch::holds(shared, key) || shared.report.borrow().is_none() {
+    if shared.report.borrow().is_none() {
+        return;
+    }
+    if switch::holds(shared, key) {
+        switch::resolve_former_orders(shared, key).await;
         return;
     }
     await_turn(shared, wanted).await;
@@ -94,7 +98,10 @@
             None => {}
         }
     }
-    shared.chunks.borrow_mut().weights = Some(weights);
+    if weights.held().is_full() && switch::holds(shared, key) {
+        shared.knows_orders.set(true);
+    }
+    shared.chunks.borrow_mut().begin(weights);
     shared.weights_begun.send_modify(|count| *count += 1);
 }
 
@@ -148,7 +155,7 @@
         version = key.version,
         "the digests match nobody's chunks; asking the origin anew"
     );
-    shared.chunks.borrow_mut().weights = None;
+    shared.chunks.borrow_mut().forget();
     shared.distrusts_peers.set(true);
 }
 
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -165,6 +165,12 @@
         self.withheld.borrow().len()
     }
 
+    /// Stages the first half of a version, as an agent does that is killed meanwhile.
+    pub(super) fn stage_half(&self, version: u64) {
+        let chunks = (0..CHUNKS / 2).map(|index| (u64::from(index), chunk(version, index)));
+        self.staged.borrow_mut().extend(chunks);
+    }
+
     /// Spoils a staged chunk where it lies.
     pub(super) fn spoil_staged(&self, index: u64) {
         self.staged.borrow_mut().insert(index, Bytes::from("rotten"));
--- a/tests/all/fleet/weights_bed.rs
+++ b/tests/all/fleet/weights_bed.rs
@@ -9,14 +9,14 @@
 use egretseam_daemon::FleetRuntime;
 use egretseam_proto::ServiceName;
 use serde_json::{Value, json};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 pub(super) struct WeightsBed {
     pub(super) bed: FleetBed,
     pub(super) origin: Rc<ScriptedOrigin>,
     pub(super) engines: Vec<Rc<ScriptedEngine>>,
     targets: Vec<SocketAddr>,
-    agents: Vec<Arbiter>,
+    agents: Vec<Option<Arbiter>>,
 }
 
 fn config(origin: SocketAddr, resumable: bool) -> Value {
@@ -62,19 +62,21 @@
 
     pub(super) async fn add_at(&mut self, engine: Rc<ScriptedEngine>, target: SocketAddr) {
         self.announce(target).await;
-        self.agents.push(self.start_agent(target));
+        self.agents.push(Some(self.start_agent(target)));
         self.engines.push(engine);
         self.targets.push(target);
     }
 
-    /// Ends the agent of the engine at `index`, as a kill does, and starts it again after `down`.
-    pub(super) async fn restart_agent(&mut self, index: usize, down: Duration) {
-        let target = self.targets[index];
-        let agent = self.agents.remove(index);
+    /// Ends the agent of the engine at `index`, as a kill does.
+    pub(super) fn stop_agent(&mut self, index: usize) {
+        let agent = self.agents[index].take().expect("it runs");
         agent.stop();
         agent.join().expect("its thread ends");
-        tokio::time::sleep(down).await;
-        self.agents.insert(index, self.start_agent(target));
+    }
+
+    /// Starts it again.
+    pub(super) fn start_agent_again(&mut self, index: usize) {
+        self.agents[index] = Some(self.start_agent(self.targets[index]));
     }
 
     async fn announce(&self, target: SocketAddr) {
@@ -123,7 +125,7 @@
 
 impl Drop for WeightsBed {
     fn drop(&mut self) {
-        for agent in &self.agents {
+        for agent in self.agents.iter().flatten() {
             agent.stop();
         }
     }
