--- a/crates/stager/src/former_orders.rs
+++ b/crates/stager/src/former_orders.rs
@@ -47,7 +47,7 @@
     };
     if let FormerOrder::Open(weights) = found {
         tracing::info!(version = weights.key.version, "an earlier agent's order may be open");
-        shared.orders.borrow_mut().give(&Rc::new(weights), begun);
+        shared.orders.borrow_mut().note_sent(&Rc::new(weights), begun);
     }
     shared.knows_orders.set(true);
     true
--- a/crates/stager/src/order_ledger.rs
+++ b/crates/stager/src/order_ledger.rs
@@ -40,7 +40,7 @@
     /// Notes an order, or a further copy of the open one, before it is sent to an engine that has
     /// begun `begun` orders. Returns the count that the copy is to name. An open order for other
     /// weights must have been settled first.
-    pub fn give(&mut self, weights: &Rc<WholeWeights>, begun: u64) -> u64 {
+    pub fn note_sent(&mut self, weights: &Rc<WholeWeights>, begun: u64) -> u64 {
         let open = self.open.take().filter(|open| open.weights.key == weights.key);
         let (begun_before, unanswered) =
             open.map_or((begun, 0), |open| (open.begun_before, open.unanswered));
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -73,26 +73,21 @@
 ///
 /// Failure guarded: the engine carries an unanswered order out seconds later, on the chunks of a
 /// newer version that were staged meanwhile. It shows as whole answers from mixed weights, and as an
-/// engine that goes back to an older version. The order is given again with its own chunks staged,
+/// engine that goes back to an older version. The order is resent with its own chunks staged,
 /// until the engine has answered a copy or begun one; then it refuses all other copies.
 async fn settle(shared: &StagerShared, key: &WeightsKey, cut: bool, drain_until: Instant) -> bool {
     engine::look(shared).await;
     let Some(open) = shared.orders.borrow().open_for_other(key) else { return true };
-    give_again(shared, &open, cut, drain_until).await;
+    resend(shared, &open, cut, drain_until).await;
     shared.orders.borrow().open_for_other(key).is_none()
 }
 
-async fn give_again(
-    shared: &StagerShared,
-    open: &Rc<WholeWeights>,
-    cut: bool,
-    drain_until: Instant,
-) {
-    tracing::info!(version = open.key.version, "an open order is given again");
+async fn resend(shared: &StagerShared, open: &Rc<WholeWeights>, cut: bool, drain_until: Instant) {
+    tracing::info!(version = open.key.version, "an open order is resent");
     stage_and_order(shared, open, cut, drain_until).await;
 }
 
-/// Gives the open order again whenever there is one, for as long as the agent lives.
+/// Resends the open order whenever there is one, for as long as the agent lives.
 ///
 /// Failure guarded: the chunks of an open order turn bad where they lie, and the engine takes them
 /// when it carries the order out; whoever gave the order was interrupted by a newer version whose
@@ -113,7 +108,7 @@
         let open = shared.orders.borrow().open();
         if let Some(open) = open {
             let cut = shared.plan.borrow().as_ref().is_some_and(|held| held.plan.may_cut);
-            give_again(&shared, &open, cut, Instant::now() + DRAIN_LIMIT).await;
+            resend(&shared, &open, cut, Instant::now() + DRAIN_LIMIT).await;
         }
     }
 }
@@ -156,7 +151,7 @@
         return false;
     }
     let begun = shared.report.borrow().as_ref().map_or(0, |report| report.orders_begun);
-    let begun_before = shared.orders.borrow_mut().give(weights, begun);
+    let begun_before = shared.orders.borrow_mut().note_sent(weights, begun);
     let WeightsKey { model, version } = &weights.key;
     let order = WeightsOrder { model, version: *version, cut, begun_before };
     let outcome = send(shared, &order).await;
--- a/tests/all/order_ledger.rs
+++ b/tests/all/order_ledger.rs
@@ -95,7 +95,7 @@
         let wanted = weights(self.wanted);
         let next = self.ledger.open_for_other(&wanted.key).unwrap_or(wanted);
         self.staged = next.key.version;
-        let begun_before = self.ledger.give(&next, self.begun);
+        let begun_before = self.ledger.note_sent(&next, self.begun);
         self.on_the_way.push(SentCopy { version: self.staged, begun_before });
         self.waits = true;
     }
