A chunk that has turned bad does not hold up an agent that starts again

What callers would see: an engine with old weights for 12 s. An agent starts again beside chunks of which one has turned bad; they were no known version's as a whole, so it left the engine alone for as long as an order may be on its way. Cause: of the staged chunks all had to be of the version held or of the wanted one. Mend: if they are not wholly the version before the wanted one, any chunk of the version held or wanted says that no order was open for another one.

--- a/crates/stager/src/former_orders.rs
+++ b/crates/stager/src/former_orders.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     digest_search, digests::WeightDigests, engine, order_ledger::WholeWeights,
-    shared::StagerShared, staging, switch,
+    shared::StagerShared, staging,
 };
 use bytes::Bytes;
 use egretseam_rpc::WeightsKey;
@@ -15,14 +15,6 @@
 /// An order to an engine on the own machine reaches it within this time or not at all.
 const ORDER_LIFETIME: Duration = Duration::from_secs(12);
 
-/// What a former agent may have left behind.
-enum FormerOrder {
-    /// Nothing that could still be carried out.
-    None,
-    /// An order to take what is staged.
-    Open(WholeWeights),
-}
-
 /// Finds out once in the agent's life which order a former agent may have left open, and enters it
 /// into the ledger. `key` is wanted, and its digests are known. Returns whether it is found out.
 ///
@@ -41,11 +33,11 @@
     let Some(staged) = staging::read_all(shared, &wanted).await else { return false };
     // An order is only given once all chunks are staged.
     let whole: Option<Vec<Bytes>> = staged.into_iter().collect();
-    let found = match whole {
-        None => FormerOrder::None,
+    let open = match whole {
+        None => None,
         Some(chunks) => identify(shared, &wanted, chunks).await,
     };
-    if let FormerOrder::Open(weights) = found {
+    if let Some(weights) = open {
         tracing::info!(version = weights.key.version, "an earlier agent's order may be open");
         shared.orders.borrow_mut().note_sent(&Rc::new(weights), begun);
     }
@@ -53,54 +45,80 @@
     true
 }
 
-/// Finds out which version is staged, and whether an order to take it may be open.
+/// What an order that may be open would have the engine take, if there is one. Leaves the engine
+/// alone for as long as an order may be on its way, if nothing says which version is staged.
 async fn identify(
     shared: &StagerShared,
     wanted: &Rc<WeightDigests>,
     chunks: Vec<Bytes>,
-) -> FormerOrder {
-    let view = StagedView { wanted, chunks: &chunks };
-    let found = match view.compare(wanted) {
-        Some(StagedState::Whole) => Some(wanted.clone()),
-        _ => find_staged(shared, &view).await,
-    };
-    let Some(digests) = found else { return FormerOrder::None };
-    let key = digests.key();
-    // An order for what the engine holds begins nothing, and chunks of two versions are left by an
-    // agent that had no order open.
-    if switch::holds_exactly(shared, &key) || view.compare(&digests) != Some(StagedState::Whole) {
-        return FormerOrder::None;
+) -> Option<WholeWeights> {
+    let key = wanted.key();
+    if is_all_of(&chunks, wanted) {
+        // An order for what the engine holds begins nothing.
+        let is_held = held_version(shared, &key) == Some(key.version);
+        return (!is_held).then(|| whole_weights(wanted, chunks));
     }
-    FormerOrder::Open(WholeWeights { key, digests, chunks })
-}
-
-/// Looks for the digests of what is staged among the versions that it may be; gives up when an open
-/// order would have been carried out.
-async fn find_staged(shared: &StagerShared, view: &StagedView<'_>) -> Option<Rc<WeightDigests>> {
-    let WeightsKey { model, version } = view.wanted.key();
-    let held = shared.report.borrow().as_ref().and_then(|report| {
-        let held = report.models.iter().find(|held| held.model == model)?;
-        (held.version != version).then_some(held.version)
-    });
-    let before = version.checked_sub(1).filter(|before| *before > 0 && Some(*before) != held);
-    let look_for = async |version: Option<u64>| {
-        let Some(version) = version else { return future::pending().await };
-        let digests = known_digests(shared, &WeightsKey { model: model.clone(), version }).await;
-        match view.compare(&digests) {
-            Some(_) => digests,
-            None => future::pending().await,
-        }
-    };
     tokio::select! {
-        digests = look_for(held) => Some(digests),
-        digests = look_for(before) => Some(digests),
+        found = compare_with_earlier(shared, wanted, chunks) => found,
         () = tokio::time::sleep_until(shared.started_at + ORDER_LIFETIME) => {
-            tracing::warn!(version, "what is staged is of no known version; nothing was staged over it until now");
+            tracing::warn!(wanted = key.version, "nothing says which version was staged");
             None
         }
     }
 }
 
+/// Compares what is staged with the version that the engine holds and the one before the wanted one.
+/// Never ends if it is neither.
+async fn compare_with_earlier(
+    shared: &StagerShared,
+    wanted: &Rc<WeightDigests>,
+    chunks: Vec<Bytes>,
+) -> Option<WholeWeights> {
+    let WeightsKey { model, version } = wanted.key();
+    let lookup = async |version: Option<u64>| match version {
+        Some(version) => {
+            Some(known_digests(shared, &WeightsKey { model: model.clone(), version }).await)
+        }
+        None => None,
+    };
+    let held = held_version(shared, &wanted.key()).filter(|held| *held != version);
+    let before = version.checked_sub(1).filter(|before| *before > 0 && Some(*before) != held);
+    // The origin still has the list of the one before, and may have dropped that of the one held.
+    if let Some(before) = lookup(before).await
+        && is_all_of(&chunks, &before)
+    {
+        return Some(whole_weights(&before, chunks));
+    }
+    let held = lookup(held).await;
+    if held.as_ref().is_some_and(|held| is_all_of(&chunks, held)) {
+        return None;
+    }
+    // The rest of it has turned bad, or the former agent was staging, which it does with no order open.
+    if has_any_of(&chunks, wanted) || held.is_some_and(|held| has_any_of(&chunks, &held)) {
+        return None;
+    }
+    future::pending().await
+}
+
+fn whole_weights(digests: &Rc<WeightDigests>, chunks: Vec<Bytes>) -> WholeWeights {
+    WholeWeights { key: digests.key(), digests: digests.clone(), chunks }
+}
+
+fn held_version(shared: &StagerShared, key: &WeightsKey) -> Option<u64> {
+    let report = shared.report.borrow();
+    let held = report.as_ref()?.models.iter().find(|held| held.model == key.model)?;
+    Some(held.version)
+}
+
+fn is_all_of(chunks: &[Bytes], digests: &WeightDigests) -> bool {
+    digests.count() as usize == chunks.len()
+        && (0..).zip(chunks).all(|(index, bytes)| digests.matches(index, bytes))
+}
+
+fn has_any_of(chunks: &[Bytes], digests: &WeightDigests) -> bool {
+    (0..).zip(chunks).any(|(index, bytes)| digests.matches(index, bytes))
+}
+
 /// Digests from here or from elsewhere; other agents that look for them have them from here then.
 async fn known_digests(shared: &StagerShared, key: &WeightsKey) -> Rc<WeightDigests> {
     if let Some(digests) = shared.chunks.borrow().digests(key) {
@@ -111,38 +129,3 @@
     shared.weights_begun.send_modify(|count| *count += 1);
     digests
 }
-
-/// How staged chunks compare with a version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StagedState {
-    /// All are of the version.
-    Whole,
-    /// Each is of the version or of the wanted one, some of each.
-    BeingReplaced,
-}
-
-/// Chunks as they lie staged.
-struct StagedView<'a> {
-    wanted: &'a WeightDigests,
-    chunks: &'a [Bytes],
-}
-
-impl StagedView<'_> {
-    fn compare(&self, digests: &WeightDigests) -> Option<StagedState> {
-        let mut is_whole = digests.count() as usize == self.chunks.len();
-        let mut has_any = false;
-        for (index, bytes) in (0..).zip(self.chunks) {
-            let is_of_version = digests.matches(index, bytes);
-            has_any |= is_of_version;
-            is_whole &= is_of_version;
-            if !is_of_version && !self.wanted.matches(index, bytes) {
-                return None;
-            }
-        }
-        match (is_whole, has_any) {
-            (true, _) => Some(StagedState::Whole),
-            (false, true) => Some(StagedState::BeingReplaced),
-            (false, false) => None,
-        }
-    }
-}
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -36,13 +36,6 @@
     models.into_iter().any(|held| held.model == key.model && held.version >= key.version)
 }
 
-/// Whether the engine holds just that version.
-pub(crate) fn holds_exactly(shared: &StagerShared, key: &WeightsKey) -> bool {
-    let report = shared.report.borrow();
-    let models = report.iter().flat_map(|report| &report.models);
-    models.into_iter().any(|held| held.model == key.model && held.version == key.version)
-}
-
 /// Finds out what a former agent left open, while nothing is to be staged.
 pub(crate) async fn resolve_former_orders(shared: &StagerShared, key: &WeightsKey) {
     let _switching = shared.switching.lock().await;
--- a/tests/all/fleet/late_orders.rs
+++ b/tests/all/fleet/late_orders.rs
@@ -116,27 +116,42 @@
     assert_eq!(engine.withheld_count(), 0, "the order was not carried out midway");
 }
 
+/// What became of the staged chunks while their agent was down.
+#[derive(Clone, Copy, Debug)]
+enum StagedMeanwhile {
+    /// They are what the engine holds.
+    Sound,
+    /// One of them has turned bad.
+    Spoilt,
+    /// The agent was killed while it staged the next version.
+    HalfReplaced,
+}
+
 /// What users would see: engines that get new weights seconds late. Agents start again while nothing
-/// is open: what is staged is what the engine holds, or an agent was killed while it staged. They must
-/// not give an order that nobody needs, nor wait for one that nobody gave.
+/// is open: what is staged is what the engine holds, but for a chunk that has turned bad, or an agent was
+/// killed while it staged. They must not give an order that nobody needs, nor wait for one that nobody
+/// gave.
 #[actix_rt::test]
 async fn an_agent_that_starts_again_with_no_order_open_goes_on_at_once() {
-    for half_staged in [false, true] {
+    use StagedMeanwhile::{HalfReplaced, Sound, Spoilt};
+    for staged in [Sound, Spoilt, HalfReplaced] {
         let mut bed = WeightsBed::start(2, true).await;
         bed.wait_for(1).await;
         let engine = bed.engines[0].clone();
         let orders = engine.modes.borrow().len();
-        let began = Instant::now();
-        let down = Duration::from_millis(300);
         bed.stop_agent(0);
         bed.name(2).await;
-        if half_staged {
-            engine.stage_half(2);
+        match staged {
+            Sound => {}
+            Spoilt => engine.spoil_staged(5),
+            HalfReplaced => engine.stage_half(2),
         }
-        tokio::time::sleep(down).await;
+        // By then the other agent has dropped the chunks of the version before.
+        bed.bed.wait_until(|| bed.engines[1].version.get() == 2).await;
+        let began = Instant::now();
         bed.start_agent_again(0);
         bed.wait_for(2).await;
-        assert!(began.elapsed() < down + Duration::from_secs(3), "{:?}", began.elapsed());
-        assert_eq!(engine.modes.borrow().len(), orders + 1, "orders for version 2");
+        assert!(began.elapsed() < Duration::from_secs(3), "{staged:?}: {:?}", began.elapsed());
+        assert_eq!(engine.modes.borrow().len(), orders + 1, "{staged:?}: orders for version 2");
     }
 }
