--- a/crates/stager/src/former_orders.rs
+++ b/crates/stager/src/former_orders.rs
@@ -12,7 +12,7 @@
 use egretseam_rpc::WeightsKey;
 use std::{future, rc::Rc, time::Duration};
 
-/// An order to an engine on the own machine reaches it within this time or not at all.
+/// An order reaches the engine on the own instance within this time or not at all.
 const ORDER_LIFETIME: Duration = Duration::from_secs(12);
 
 /// Finds out once in the agent's life which order a former agent may have left open, and enters it
