--- a/tests/all/fleet/late_orders.rs
+++ b/tests/all/fleet/late_orders.rs
@@ -1,9 +1,6 @@
 //! Orders that get no answer and are carried out late.
 
-use super::{
-    engines::{CHUNKS, ScriptedEngine},
-    weights_bed::WeightsBed,
-};
+use super::{engines::ScriptedEngine, weights_bed::WeightsBed};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -26,18 +23,7 @@
 /// taken the weights` (version 3, 11.676 s) beside the entries' `target changed` (version 2, 12.124 s).
 #[actix_rt::test]
 async fn an_unanswered_order_is_not_carried_out_on_a_newer_versions_chunks() {
-    let mut bed = WeightsBed::start(0, true).await;
-    bed.bed.settings.version_limit = Duration::from_secs(8);
-    for _ in 0..3 {
-        bed.add().await;
-    }
-    bed.wait_for(1).await;
-    bed.origin.lost_from.set(Some(3));
-    let drawn = bed.origin.given.get();
-    bed.name(2).await;
-    bed.bed.wait_until(|| bed.origin.given.get() >= drawn + CHUNKS).await;
-    // Far enough apart that the overtaken version's use is worth a switch.
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let bed = WeightsBed::start_before_an_overtaking().await;
     let engine = bed.engines.iter().find(|engine| engine.version.get() == 1);
     let engine = engine.expect("one whose turn has not come").clone();
     engine.withhold.set(1);
@@ -51,13 +37,9 @@
 /// the answer to its order, and drops what it was doing for the older one.
 #[actix_rt::test]
 async fn an_order_that_a_newer_version_interrupts_is_not_carried_out_on_its_chunks() {
-    let bed = WeightsBed::start(1, true).await;
-    bed.wait_for(1).await;
-    bed.engines[0].withhold.set(1);
-    bed.name(2).await;
-    bed.bed.wait_until(|| bed.engines[0].withheld_count() == 1).await;
+    let (bed, engine) = WeightsBed::start_with_an_open_order(1).await;
     bed.name(3).await;
-    carry_out_late(&bed, &bed.engines[0], 3).await;
+    carry_out_late(&bed, &engine, 3).await;
 }
 
 /// What users would see: answers from spoilt weights. An order gets no answer and a newer version is
@@ -66,17 +48,12 @@
 /// gave nothing again before the newer version was here. An open order must be settled at once.
 #[actix_rt::test]
 async fn an_open_order_is_settled_while_the_newer_version_cannot_be_had() {
-    let bed = WeightsBed::start(1, true).await;
-    bed.wait_for(1).await;
-    let engine = &bed.engines[0];
+    let (bed, engine) = WeightsBed::start_with_an_open_order(1).await;
     bed.origin.lost_from.set(Some(3));
-    engine.withhold.set(1);
-    bed.name(2).await;
-    bed.bed.wait_until(|| engine.withheld_count() == 1).await;
     bed.name(3).await;
     bed.wait_for(2).await;
     engine.spoil_staged(5);
-    carry_out_late(&bed, engine, 2).await;
+    carry_out_late(&bed, &engine, 2).await;
     bed.origin.lost_from.set(None);
     bed.wait_for(3).await;
 }
@@ -86,12 +63,7 @@
 /// is given within half a second.
 #[actix_rt::test]
 async fn an_unanswered_order_is_given_again_within_half_a_second() {
-    let bed = WeightsBed::start(1, true).await;
-    bed.wait_for(1).await;
-    let engine = &bed.engines[0];
-    engine.withhold.set(1);
-    bed.name(2).await;
-    bed.bed.wait_until(|| engine.withheld_count() == 1).await;
+    let (bed, _) = WeightsBed::start_with_an_open_order(1).await;
     let began = Instant::now();
     bed.wait_for(2).await;
     assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
@@ -102,12 +74,7 @@
 /// named meanwhile over the chunks that the order speaks of, the engine carries that out.
 #[actix_rt::test]
 async fn an_agent_that_starts_again_knows_of_an_order_that_may_be_open() {
-    let mut bed = WeightsBed::start(2, true).await;
-    bed.wait_for(1).await;
-    let engine = bed.engines[0].clone();
-    engine.withhold.set(1);
-    bed.name(2).await;
-    bed.bed.wait_until(|| engine.withheld_count() == 1).await;
+    let (mut bed, engine) = WeightsBed::start_with_an_open_order(2).await;
     bed.name(3).await;
     engine.carries_out_midway.set(true);
     bed.stop_agent(0);
@@ -121,12 +88,7 @@
 /// before the wanted one. Other agents still know what it is.
 #[actix_rt::test]
 async fn an_agent_that_starts_again_learns_from_others_what_is_staged() {
-    let mut bed = WeightsBed::start(2, true).await;
-    bed.wait_for(1).await;
-    let engine = bed.engines[0].clone();
-    engine.withhold.set(1);
-    bed.name(2).await;
-    bed.bed.wait_until(|| engine.withheld_count() == 1).await;
+    let (mut bed, engine) = WeightsBed::start_with_an_open_order(2).await;
     bed.stop_agent(0);
     for version in 3..=5 {
         bed.name(version).await;
--- a/tests/all/fleet/weights.rs
+++ b/tests/all/fleet/weights.rs
@@ -75,18 +75,7 @@
 /// one must be taken before the bound is over, also by an engine that is added then.
 #[actix_rt::test]
 async fn an_overtaken_version_is_taken_when_the_newest_cannot_be_had() {
-    let mut bed = WeightsBed::start(0, true).await;
-    bed.bed.settings.version_limit = Duration::from_secs(8);
-    for _ in 0..3 {
-        bed.add().await;
-    }
-    bed.wait_for(1).await;
-    bed.origin.lost_from.set(Some(3));
-    let drawn = bed.origin.given.get();
-    bed.name(2).await;
-    bed.bed.wait_until(|| bed.origin.given.get() >= drawn + CHUNKS).await;
-    // Far enough apart that the overtaken version's use is worth a switch.
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let bed = WeightsBed::start_before_an_overtaking().await;
     bed.name(3).await;
     bed.wait_for(2).await;
     bed.origin.lost_from.set(None);
--- a/tests/all/fleet/weights_bed.rs
+++ b/tests/all/fleet/weights_bed.rs
@@ -9,7 +9,7 @@
 use egretseam_daemon::FleetRuntime;
 use egretseam_proto::ServiceName;
 use serde_json::{Value, json};
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 pub(super) struct WeightsBed {
     pub(super) bed: FleetBed,
@@ -47,6 +47,35 @@
         this
     }
 
+    /// Starts three engines that take their turns. Version 2 is here whole, the first of them may hold
+    /// it, and version 3 will not be had.
+    pub(super) async fn start_before_an_overtaking() -> Self {
+        let mut this = Self::start(0, true).await;
+        this.bed.settings.version_limit = Duration::from_secs(8);
+        for _ in 0..3 {
+            this.add().await;
+        }
+        this.wait_for(1).await;
+        this.origin.lost_from.set(Some(3));
+        let drawn = this.origin.given.get();
+        this.name(2).await;
+        this.bed.wait_until(|| this.origin.given.get() >= drawn + CHUNKS).await;
+        // Far enough apart that the overtaken version's use is worth a switch.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        this
+    }
+
+    /// Starts so many engines, the first of which leaves its order for version 2 unanswered.
+    pub(super) async fn start_with_an_open_order(count: usize) -> (Self, Rc<ScriptedEngine>) {
+        let this = Self::start(count, true).await;
+        this.wait_for(1).await;
+        let engine = this.engines[0].clone();
+        engine.withhold.set(1);
+        this.name(2).await;
+        this.bed.wait_until(|| engine.withheld_count() == 1).await;
+        (this, engine)
+    }
+
     pub(super) async fn add(&mut self) {
         let host = self.bed.host();
         let (engine, target) = ScriptedEngine::start(host).await;
