Failing test: the end of a switch that was reported in vain holds a rollout up

The test takes control's quorum away while the first target loads, for longer than the report is offered to the entries; the second target is not ordered within 20 s.

--- a/tests/all/weights.rs
+++ b/tests/all/weights.rs
@@ -2,11 +2,16 @@
 
 use crate::support::{CHUNK_BYTES, MODEL_BYTES, PATIENCE, TestCluster, model_profile, options};
 use egretseam_catalog::ConfigEdit;
-use egretseam_fakes::{OriginOptions, synthetic_weights};
-use egretseam_local::{CallOutcome, ClusterOptions};
+use egretseam_fakes::{EngineOptions, OriginOptions, synthetic_weights};
+use egretseam_local::{CallOutcome, ClusterOptions, LocalCluster};
 use egretseam_proto::{ManifestId, ModelName, ProfileName, ServiceName, VersionName};
 use egretseam_swarm::{ChunkSet, WeightManifest, WeightStore, WeightStoreError};
-use std::{fs, sync::atomic::Ordering};
+use std::{fs, sync::atomic::Ordering, time::Duration};
+
+/// Longer than a report is offered to one entry after the other.
+const NO_QUORUM: Duration = Duration::from_secs(10);
+/// Time for a quorum and a switch, far less than a grant may be held.
+const AFTER_QUORUM: Duration = Duration::from_secs(20);
 
 fn manifest(seed: u64) -> (WeightManifest, Vec<u8>) {
     let data = synthetic_weights(seed, 300_000);
@@ -201,6 +206,34 @@
     }
 }
 
+/// What users would see: a rollout that stands still for as long as a switch may take. One target has
+/// loaded the new version while control has no quorum, so the report of its switch's end is lost; the
+/// grant was held on to, and the other target waited for it to run out.
+#[test]
+fn a_rollout_goes_on_when_the_end_of_a_switch_was_reported_in_vain() {
+    let load_time = Duration::from_millis(1_000);
+    let engine = EngineOptions { load_time, ..EngineOptions::default() };
+    let mut test = TestCluster::start(ClusterOptions { engine, ..options(2, 0) });
+    let adapter = test.cluster.publish("polish", "v1", 9, 200_000, CHUNK_BYTES).expect("published");
+    let mut spec = model_profile(&test.model);
+    spec.adapters.push(adapter.spec.clone());
+    let name = ProfileName::try_from("model").expect("a valid name");
+    let edit = ConfigEdit::ChangeProfile { name, spec };
+    test.cluster.edit(test.revision, edit).expect("accepted");
+    let orders = |cluster: &LocalCluster| -> u64 {
+        cluster.agents().map(|agent| agent.counters.orders.load(Ordering::Relaxed)).sum()
+    };
+    let ordered = || Ok(orders(&test.cluster) == 3);
+    test.cluster.wait_until("the first switch", PATIENCE, ordered).expect("one is ordered");
+    test.cluster.kill_control(0);
+    test.cluster.kill_control(1);
+    std::thread::sleep(NO_QUORUM);
+    test.cluster.restart_control(0).expect("it starts");
+    test.cluster.restart_control(1).expect("it starts");
+    let both = || Ok(orders(&test.cluster) == 4);
+    test.cluster.wait_until("the second switch", AFTER_QUORUM, both).expect("it is ordered");
+}
+
 /// A profile is retired. Its weights leave the disk, since nothing wants them and the budget for
 /// what is not wanted is 0.
 #[test]
