The end of a switch is reported until it is taken

What users would see: a rollout that stands still for as long as a switch may take, ten minutes by default. Control had no quorum when a target's switch ended; the report was offered once to each entry, and the other targets waited for the grant to run out. Mend: the agent reports the end until an entry says that it was carried out, or the grant has run out; the end counts for its fencing number only, so further reports change nothing.

--- a/crates/agent/src/follower.rs
+++ b/crates/agent/src/follower.rs
@@ -32,6 +32,8 @@
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause before a denied grant is asked for again.
 const DENIED_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before the end of a switch is reported again.
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a transfer or load failed.
 const FAILED_PAUSE: Duration = Duration::from_secs(1);
 /// Part of a grant's time that is kept back, so that an order is never sent as it runs out.
@@ -229,11 +231,25 @@
         fence: grant.fence,
         outcome,
     };
-    // If this is not taken, the grant runs out by itself.
-    submit(shared, &end).await;
+    report_end(shared, &end, asked + shared.options.switch_limit).await;
     true
 }
 
+/// Reports the end of a switch until it is taken, or the grant has run out by itself.
+///
+/// Failure guarded: control has no quorum, or is slow, when a switch ends, and the report is lost. It
+/// shows as a rollout that stands still for as long as a grant may be held. The same end may be
+/// reported any number of times, since it counts for its fencing number only.
+async fn report_end(shared: &Rc<AgentShared>, end: &CatalogCommand, until: Instant) {
+    while submit(shared, end).await.is_none() {
+        if shared.stopping.get() || Instant::now() >= until {
+            tracing::warn!("the end of a switch was not taken; its grant runs out by itself");
+            return;
+        }
+        tokio::time::sleep(REPORT_PAUSE).await;
+    }
+}
+
 fn explain_denial(denial: &SwitchDenial) {
     match denial {
         SwitchDenial::Halted { reason } => tracing::debug!(reason, "the rollout is halted"),
