A server error to an order is no refusal

What callers would see: answers from mixed weights, where an engine fails while it takes an order, answers 5xx and carries it out all the same. Two tests of adapters share their beginning.

--- a/crates/stager/src/dialect.rs
+++ b/crates/stager/src/dialect.rs
@@ -55,7 +55,7 @@
     Accepted,
     /// It does not fit the engine's state, or never reached it.
     Refused,
-    /// Nothing came back; the engine may have begun it, or may begin it later.
+    /// Nothing came back that says; the engine may have begun it, or may begin it later.
     Unknown,
 }
 
--- a/tests/all/fleet/late_orders.rs
+++ b/tests/all/fleet/late_orders.rs
@@ -1,6 +1,8 @@
 //! Orders that get no answer and are carried out late.
 
 use super::{engines::ScriptedEngine, weights_bed::WeightsBed};
+use egretseam_platform::PlatformEngine;
+use egretseam_stager::{EngineDialect, OrderOutcome};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -141,3 +143,20 @@
         assert_eq!(engine.modes.borrow().len(), orders + 1, "{staged:?}: orders for version 2");
     }
 }
+
+/// What users would see: answers from mixed weights. An engine that fails while it takes an order answers
+/// with a server error and carries the order out all the same; only an answer that states a refusal may
+/// count as one.
+#[test]
+fn only_a_stated_refusal_of_an_order_counts_as_one() {
+    let read = |status| PlatformEngine.read_order(status);
+    for status in [200, 202] {
+        assert_eq!(read(status), OrderOutcome::Accepted, "{status}");
+    }
+    for status in [400, 409, 412, 421] {
+        assert_eq!(read(status), OrderOutcome::Refused, "{status}");
+    }
+    for status in [307, 500, 502, 503, 504] {
+        assert_eq!(read(status), OrderOutcome::Unknown, "{status}");
+    }
+}
--- a/tests/all/weights.rs
+++ b/tests/all/weights.rs
@@ -3,7 +3,7 @@
 use crate::support::{CHUNK_BYTES, MODEL_BYTES, PATIENCE, TestCluster, model_profile, options};
 use egretseam_catalog::ConfigEdit;
 use egretseam_fakes::{EngineOptions, OriginOptions, synthetic_weights};
-use egretseam_local::{CallOutcome, ClusterOptions, LocalCluster};
+use egretseam_local::{CallOutcome, ClusterOptions, LocalCluster, PublishedModel};
 use egretseam_proto::{ManifestId, ModelName, ProfileName, ServiceName, VersionName};
 use egretseam_swarm::{ChunkSet, WeightManifest, WeightStore, WeightStoreError};
 use std::{fs, sync::atomic::Ordering, time::Duration};
@@ -183,18 +183,24 @@
     assert_eq!(test.stream("a prompt", 6, &[third.digest]), CallOutcome::Answered);
 }
 
-/// A profile names an adapter beside its model. Both arrive, the engine is ordered once to load
-/// them together, and what it reports is the identity of the pair, so an answer from the model
-/// without its adapter could not pass for one with it.
-#[test]
-fn an_adapter_is_loaded_together_with_its_model() {
-    let test = TestCluster::start(options(2, 0));
+/// Has the profile name an adapter beside its model.
+fn add_adapter(test: &TestCluster) -> PublishedModel {
     let adapter = test.cluster.publish("polish", "v1", 9, 200_000, CHUNK_BYTES).expect("published");
     let mut spec = model_profile(&test.model);
     spec.adapters.push(adapter.spec.clone());
     let name = ProfileName::try_from("model").expect("a valid name");
     let edit = ConfigEdit::ChangeProfile { name, spec };
     test.cluster.edit(test.revision, edit).expect("accepted");
+    adapter
+}
+
+/// A profile names an adapter beside its model. Both arrive, the engine is ordered once to load
+/// them together, and what it reports is the identity of the pair, so an answer from the model
+/// without its adapter could not pass for one with it.
+#[test]
+fn an_adapter_is_loaded_together_with_its_model() {
+    let test = TestCluster::start(options(2, 0));
+    let adapter = add_adapter(&test);
     let mut pair = b"egretseam set 1\n".to_vec();
     pair.extend_from_slice(test.model.manifest.as_bytes());
     pair.extend_from_slice(adapter.manifest.as_bytes());
@@ -214,12 +220,7 @@
     let load_time = Duration::from_millis(1_000);
     let engine = EngineOptions { load_time, ..EngineOptions::default() };
     let mut test = TestCluster::start(ClusterOptions { engine, ..options(2, 0) });
-    let adapter = test.cluster.publish("polish", "v1", 9, 200_000, CHUNK_BYTES).expect("published");
-    let mut spec = model_profile(&test.model);
-    spec.adapters.push(adapter.spec.clone());
-    let name = ProfileName::try_from("model").expect("a valid name");
-    let edit = ConfigEdit::ChangeProfile { name, spec };
-    test.cluster.edit(test.revision, edit).expect("accepted");
+    add_adapter(&test);
     let orders = |cluster: &LocalCluster| -> u64 {
         cluster.agents().map(|agent| agent.counters.orders.load(Ordering::Relaxed)).sum()
     };
