--- a/tests/all/waiting.rs
+++ b/tests/all/waiting.rs
@@ -278,7 +278,7 @@
         outage: Some((Duration::from_secs(4), Duration::from_millis(5_200))),
         ..full_service()
     };
-    // Plays differ by lot, and the mean of a few by as much as the bound at the end.
+    // Targets and returns are drawn by lot; several plays even that out.
     let totals = |script: &LoadScript| {
         let plays = [(); 9].map(|()| play_load(script));
         let sum = |count: fn(&LoadResult) -> u32| plays.iter().map(count).sum::<u32>();
