Orders carry fencing tokens, and agents fence off their predecessors

What callers saw: answers from mixed weights.

Cause: the later agent can only settle an order whose version it can name, and lists of digests die with the agents. It waited 12 s and hoped.

Change: every order has a token that grows from run to run (start time in microseconds, and a count). An order for the version that the engine holds begins nothing but raises its fence; after that it refuses all orders of former agents, and nobody has to know what lies staged. An agent raises it before anything else, so that the next one notices when its clock was set back: it is refused and goes beyond. A probe with a lower token tells whether a former agent gave tokens and whether the engine compares them; where not, the agent waits as before. Report and order go over one connection, so that an engine that has started again between them does not take what is staged.

The version is still looked for, for a second at most: whether an engine compares tokens when an order arrives or when it carries it out is not known, and an order that is resent is settled either way.

--- a/crates/h1/src/exchange.rs
+++ b/crates/h1/src/exchange.rs
@@ -131,16 +131,38 @@
     pub async fn call(&mut self, call: &CallRequest<'_>) -> Result<CallReply, ExchangeError> {
         let connect_limit = self.connect_limit.map_or(call.limit, |limit| limit.min(call.limit));
         let kept = self.connection.take().filter(HttpConnection::is_quiet);
+        let address = self.address;
+        let connection = async {
+            if let Some(connection) = kept {
+                return Ok(connection);
+            }
+            let options = ConnectionOptions::default();
+            let opened = HttpConnection::open(address, connect_limit, &options).await;
+            opened.map_err(ExchangeError::Connect)
+        };
+        self.call_over(connection, call).await
+    }
+
+    /// Makes one call on the connection that the last call left open. It reaches the process that
+    /// answered that call, or none.
+    ///
+    /// # Errors
+    /// See [`ExchangeError`]; nothing is sent where no connection is open.
+    pub async fn call_kept(&mut self, call: &CallRequest<'_>) -> Result<CallReply, ExchangeError> {
+        let kept = self.connection.take().filter(HttpConnection::is_quiet);
+        let closed = || ExchangeError::Connect(io::ErrorKind::NotConnected.into());
+        self.call_over(async { kept.ok_or_else(closed) }, call).await
+    }
+
+    async fn call_over(
+        &mut self,
+        connection: impl Future<Output = Result<HttpConnection, ExchangeError>>,
+        call: &CallRequest<'_>,
+    ) -> Result<CallReply, ExchangeError> {
+        let address = self.address;
         let work = async {
-            let mut connection = match kept {
-                Some(connection) => connection,
-                None => {
-                    let options = ConnectionOptions::default();
-                    let opened = HttpConnection::open(self.address, connect_limit, &options).await;
-                    opened.map_err(ExchangeError::Connect)?
-                }
-            };
-            let reply = connection.call(self.address, call).await?;
+            let mut connection = connection.await?;
+            let reply = connection.call(address, call).await?;
             Ok((connection, reply))
         };
         let done = tokio::time::timeout(call.limit, work).await;
--- a/crates/stager/src/dialect.rs
+++ b/crates/stager/src/dialect.rs
@@ -46,6 +46,8 @@
     pub cut: bool,
     /// Orders that the engine must have begun before this one; with any other count it refuses.
     pub begun_before: u64,
+    /// Fencing token: an engine refuses the order if it has accepted one with a higher token.
+    pub fence: u64,
 }
 
 /// How an engine took an order.
@@ -72,6 +74,8 @@
     fn order(&self, order: &WeightsOrder<'_>) -> EngineCall;
     /// Reads how it took the order, by the status.
     fn read_order(&self, status: u16) -> OrderOutcome;
+    /// Whether the engine refused an order because it has accepted one with a higher fencing token.
+    fn is_fenced_off(&self, status: u16) -> bool;
     /// Stages a chunk.
     fn put_chunk(&self, model: &ModelName, index: u32, bytes: Bytes) -> EngineCall;
     /// Reads a staged chunk back.
--- a/crates/stager/src/former_orders.rs
+++ b/crates/stager/src/former_orders.rs
@@ -7,7 +7,7 @@
 use crate::{
     digest_search,
     digests::{WeightDigests, chunk_digest},
-    engine,
+    engine, fencing,
     order_ledger::WholeWeights,
     shared::StagerShared,
     staging,
@@ -15,9 +15,13 @@
 use bytes::Bytes;
 use egretseam_rpc::WeightsKey;
 use std::{future, rc::Rc, time::Duration};
+use tokio::time::Instant;
 
 /// An order of a former agent that is not carried out within this time is taken for lost.
 const ORDER_LIFETIME: Duration = Duration::from_secs(12);
+/// Time to find out the version of an order that the engine refuses by its token already. Resending it
+/// helps an engine that compared tokens when the order arrived.
+const SHUT_OUT_LIMIT: Duration = Duration::from_secs(1);
 /// Pause before another agent is asked what is staged.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
 
@@ -36,12 +40,20 @@
     }
     let begun = shared.report.borrow().as_ref().map_or(0, |report| report.orders_begun);
     let Some(wanted) = shared.chunks.borrow().digests(key) else { return false };
+    let is_shut_out = fencing::shut_out_former(shared, &key.model).await;
     let Some(staged) = staging::read_all(shared, &wanted).await else { return false };
     // An order is only given once all chunks are staged.
     let whole: Option<Vec<Bytes>> = staged.into_iter().collect();
     let open = match whole {
         None => None,
-        Some(chunks) => identify(shared, key, chunks).await,
+        Some(chunks) => {
+            let until = if is_shut_out {
+                Instant::now() + SHUT_OUT_LIMIT
+            } else {
+                shared.started_at + ORDER_LIFETIME
+            };
+            identify(shared, key, chunks, until).await
+        }
     };
     if let Some(weights) = open {
         tracing::info!(version = weights.key.version, "an earlier agent's order may be open");
@@ -52,17 +64,18 @@
 }
 
 /// What an order that may be open would have the engine take, if there is one. Leaves the engine
-/// alone for as long as an order may be on its way, if nobody knows which version is staged.
+/// alone until then, if nobody knows which version is staged.
 async fn identify(
     shared: &StagerShared,
     wanted: &WeightsKey,
     chunks: Vec<Bytes>,
+    until: Instant,
 ) -> Option<WholeWeights> {
     let staged = StagedChunks::new(shared, wanted, &chunks);
     let verdict = tokio::select! {
         verdict = staged.ask_peers(shared) => verdict,
         verdict = staged.ask_origin(shared) => verdict,
-        () = tokio::time::sleep_until(shared.started_at + ORDER_LIFETIME) => {
+        () = tokio::time::sleep_until(until) => {
             tracing::warn!(wanted = wanted.version, "nobody knows which version is staged");
             StagedVerdict::NoneOpen
         }
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -12,11 +12,13 @@
 mod digest_search;
 mod digests;
 mod engine;
+mod fencing;
 mod follow;
 mod former_orders;
 mod loads;
 mod older;
 mod options;
+mod order_fence;
 mod order_ledger;
 mod ranks;
 mod runtime;
@@ -31,6 +33,7 @@
     digest_search::OriginTurns,
     digests::WeightDigests,
     options::{StagerListeners, StagerOptions},
+    order_fence::OrderFence,
     order_ledger::{OrderLedger, WholeWeights},
     runtime::{StagerRuntime, StartError},
 };
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -5,6 +5,7 @@
     dialect::{EngineCall, EngineDialect, EngineReport},
     older::OlderVersion,
     options::StagerOptions,
+    order_fence::OrderFence,
     order_ledger::OrderLedger,
 };
 use egretseam_h1::{CallReply, CallRequest, ExchangeError, KeptClient};
@@ -17,10 +18,10 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
-    sync::{Mutex, Notify, watch},
+    sync::{Mutex, MutexGuard, Notify, watch},
     time::Instant,
 };
 
@@ -126,6 +127,8 @@
     pub(crate) switching: Mutex<()>,
     /// Outlives whoever gave the order: a newer version may interrupt that.
     pub(crate) orders: RefCell<OrderLedger>,
+    /// Tokens of this agent's orders.
+    pub(crate) fence: RefCell<OrderFence>,
     /// Whether the ledger holds what the agent before this one may have left open.
     pub(crate) knows_orders: Cell<bool>,
     pub(crate) started_at: Instant,
@@ -168,6 +171,7 @@
             reached: RefCell::new(None),
             switching: Mutex::new(()),
             orders: RefCell::default(),
+            fence: RefCell::new(OrderFence::new(since_epoch())),
             knows_orders: Cell::new(false),
             started_at: Instant::now(),
             distrusts_peers: Cell::new(false),
@@ -184,7 +188,7 @@
 
     /// Calls the engine.
     pub(crate) async fn call_engine(&self, call: &EngineCall) -> Result<CallReply, ExchangeError> {
-        self.engine.lock().await.call(&request(call, ENGINE_CALL_LIMIT)).await
+        self.lock_engine().await.call(call).await
     }
 
     /// Gives the engine an order.
@@ -192,6 +196,11 @@
         self.engine.lock().await.call(&request(call, ORDER_LIMIT)).await
     }
 
+    /// Keeps the connection for staging and orders from everybody else.
+    pub(crate) async fn lock_engine(&self) -> EngineConnection<'_> {
+        EngineConnection { client: self.engine.lock().await }
+    }
+
     /// Calls the engine on the connection kept for watching it, which staging does not delay.
     pub(crate) async fn watch_engine(&self, call: &EngineCall) -> Result<CallReply, ExchangeError> {
         self.watcher.lock().await.call(&request(call, ENGINE_CALL_LIMIT)).await
@@ -245,6 +254,26 @@
     }
 }
 
+/// Several calls to the engine in a row.
+pub(crate) struct EngineConnection<'a> {
+    client: MutexGuard<'a, KeptClient>,
+}
+
+impl EngineConnection<'_> {
+    /// Calls the engine.
+    pub(crate) async fn call(&mut self, call: &EngineCall) -> Result<CallReply, ExchangeError> {
+        self.client.call(&request(call, ENGINE_CALL_LIMIT)).await
+    }
+
+    /// Gives an order to the run of the engine that answered the call before.
+    pub(crate) async fn order_kept(
+        &mut self,
+        call: &EngineCall,
+    ) -> Result<CallReply, ExchangeError> {
+        self.client.call_kept(&request(call, ORDER_LIMIT)).await
+    }
+}
+
 /// Failure guarded: a newer version is named while an engine is about to be ordered, and the older
 /// one's switch is given up midway. Without the guard's end entries would be told until the newer
 /// one's switch that the engine takes no requests; it shows as an engine that stands empty for
@@ -261,6 +290,11 @@
     }
 }
 
+/// Time of day; an agent whose clock is before the epoch raises its tokens as it is refused.
+fn since_epoch() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 /// A call as the HTTP client takes it.
 pub(crate) fn request(call: &EngineCall, limit: Duration) -> CallRequest<'_> {
     CallRequest {
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -3,7 +3,7 @@
 use crate::{
     chunks::HeldWeights,
     dialect::{OrderOutcome, WeightsOrder},
-    engine, former_orders,
+    engine, fencing, former_orders,
     order_ledger::WholeWeights,
     shared::StagerShared,
     staging::stage,
@@ -35,10 +35,11 @@
     models.into_iter().any(|held| held.model == key.model && held.version >= key.version)
 }
 
-/// Finds out what a former agent left open, while nothing is to be staged.
+/// Sees to it that no order of a former agent is carried out, while nothing is to be staged.
 pub(crate) async fn resolve_former_orders(shared: &StagerShared, key: &WeightsKey) {
     let _switching = shared.switching.lock().await;
     former_orders::resolve(shared, key).await;
+    fencing::raise(shared, &key.model).await;
 }
 
 /// Has the engine take a version that is here whole, and waits until it has. Returns whether it has.
@@ -53,7 +54,9 @@
     if holds(shared, key) {
         return true;
     }
-    if !former_orders::resolve(shared, key).await || !settle(shared, key, cut, drain_until).await {
+    let is_resolved = former_orders::resolve(shared, key).await;
+    fencing::raise(shared, &key.model).await;
+    if !is_resolved || !settle(shared, key, cut, drain_until).await {
         return false;
     }
     let whole = shared.chunks.borrow().get(key).and_then(HeldWeights::whole);
@@ -145,7 +148,8 @@
     let begun = shared.report.borrow().as_ref().map_or(0, |report| report.orders_begun);
     let begun_before = shared.orders.borrow_mut().note_sent(weights, begun);
     let WeightsKey { model, version } = &weights.key;
-    let order = WeightsOrder { model, version: *version, cut, begun_before };
+    let fence = shared.fence.borrow_mut().next_token();
+    let order = WeightsOrder { model, version: *version, cut, begun_before, fence };
     let outcome = send(shared, &order).await;
     shared.orders.borrow_mut().note_outcome(outcome);
     tracing::info!(
@@ -161,7 +165,12 @@
 async fn send(shared: &StagerShared, order: &WeightsOrder<'_>) -> OrderOutcome {
     shared.metrics.orders.inc();
     let outcome = match shared.order_engine(&shared.dialect.order(order)).await {
-        Ok(reply) => shared.dialect.read_order(reply.status),
+        Ok(reply) => {
+            if shared.dialect.is_fenced_off(reply.status) {
+                shared.fence.borrow_mut().note_fenced_off();
+            }
+            shared.dialect.read_order(reply.status)
+        }
         Err(error) if error.may_have_run() => {
             tracing::info!(%error, "the order's outcome is not known");
             OrderOutcome::Unknown
@@ -172,7 +181,7 @@
         }
     };
     match outcome {
-        OrderOutcome::Accepted => {}
+        OrderOutcome::Accepted => shared.fence.borrow_mut().note_accepted(),
         OrderOutcome::Refused => shared.metrics.orders_refused.inc(),
         OrderOutcome::Unknown => shared.metrics.orders_unknown.inc(),
     }
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -131,9 +131,15 @@
     pub(super) rot: Cell<u32>,
     /// Orders begun.
     orders_begun: Cell<u64>,
+    /// Highest fencing token of an order that was not refused.
+    fence: Cell<u64>,
+    /// Whether it takes orders with a lower one all the same.
+    pub(super) ignores_tokens: Cell<bool>,
     /// How many of the next orders get no answer, and are kept until they are carried out late.
     pub(super) withhold: Cell<u32>,
     withheld: RefCell<Vec<Bytes>>,
+    /// What became of its orders, a line each, for whoever looks for the cause of a failure.
+    history: RefCell<Vec<String>>,
     /// Whether they are carried out as soon as a chunk in the middle is staged.
     pub(super) carries_out_midway: Cell<bool>,
 }
@@ -153,6 +159,7 @@
         actix_rt::spawn(serve(listener, async move |head: &RequestHead, body| {
             let is_order = head.path() == "/order";
             if is_order && take_one(&serving.withhold) {
+                serving.note(&body, "withheld");
                 serving.withheld.borrow_mut().push(body);
                 return std::future::pending().await;
             }
@@ -178,14 +185,17 @@
 
     /// Starts again: it holds nothing, counts anew, and what was on its way to it is gone.
     pub(super) fn restart(&self) {
+        self.history.borrow_mut().push("started again".to_owned());
         self.version.set(0);
         self.orders_begun.set(0);
+        self.fence.set(0);
         self.withheld.borrow_mut().clear();
     }
 
     /// Carries out what was withheld, as it would now.
     pub(super) fn carry_out_withheld(&self) {
         for order in self.withheld.take() {
+            self.note(&order, "carried out late");
             self.take_order(&order);
         }
     }
@@ -236,13 +246,40 @@
         })
     }
 
+    fn note(&self, order: &[u8], outcome: &str) {
+        let order = String::from_utf8_lossy(order);
+        let (begun, held) = (self.orders_begun.get(), self.version.get());
+        let line = format!("{order} {outcome}; begun {begun}, held {held}");
+        self.history.borrow_mut().push(line);
+    }
+
+    /// What became of its orders.
+    pub(super) fn history(&self) -> String {
+        self.history.borrow().join("\n")
+    }
+
     fn take_order(&self, body: &[u8]) -> Answer {
+        let answer = self.judge_order(body);
+        let whole = if self.bad_orders.get() > 0 { ", not whole once" } else { "" };
+        self.note(body, &format!("{}{whole}", answer.0));
+        answer
+    }
+
+    fn judge_order(&self, body: &[u8]) -> Answer {
         let order: serde_json::Value = serde_json::from_slice(body).expect("JSON");
         let version = order["version"].as_u64().expect("a version");
         let begun = self.orders_begun.get();
+        let fence = order["fenceToken"].as_u64();
+        if !self.ignores_tokens.get() && fence.is_some_and(|fence| fence < self.fence.get()) {
+            return (412, Bytes::new());
+        }
         if order["expect"].as_u64().is_some_and(|expected| expected != begun) {
             return (409, Bytes::new());
         }
+        self.fence.set(fence.unwrap_or(self.fence.get()));
+        if version == self.version.get() {
+            return (200, Bytes::new());
+        }
         self.orders_begun.set(begun + 1);
         self.cut.set(self.cut.get() + self.running.replace(0));
         if !self.holds_staged(version) {
--- a/tests/all/fleet/late_orders.rs
+++ b/tests/all/fleet/late_orders.rs
@@ -104,6 +104,40 @@
     assert_eq!(engine.withheld_count(), 0, "the order was not carried out midway");
 }
 
+/// Guards against mixed weights where nobody knows any more what a killed agent had staged and ordered.
+#[actix_rt::test]
+async fn an_order_of_a_killed_agent_is_refused_although_nobody_knows_its_version() {
+    let (mut bed, engine) = WeightsBed::start_with_an_open_order(1).await;
+    bed.stop_agent(0);
+    for version in 3..=5 {
+        bed.name(version).await;
+    }
+    engine.carries_out_midway.set(true);
+    let began = Instant::now();
+    bed.start_agent_again(0);
+    bed.wait_for(5).await;
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+    assert_eq!(engine.withheld_count(), 0, "the order was not carried out midway");
+}
+
+/// Guards against trust in tokens that the engine does not compare: the agent leaves it alone until a
+/// late order can be taken for lost.
+#[actix_rt::test]
+async fn an_engine_that_compares_no_tokens_is_left_alone_while_an_order_may_be_open() {
+    let (mut bed, engine) = WeightsBed::start_with_an_open_order(1).await;
+    engine.ignores_tokens.set(true);
+    bed.stop_agent(0);
+    for version in 3..=5 {
+        bed.name(version).await;
+    }
+    bed.start_agent_again(0);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    engine.carry_out_withheld();
+    bed.check_whole();
+    assert_eq!(engine.version.get(), 2);
+    bed.wait_for(5).await;
+}
+
 /// What became of the staged chunks while their agent was down.
 #[derive(Clone, Copy, Debug)]
 enum StagedMeanwhile {
--- a/tests/all/fleet/order_storm.rs
+++ b/tests/all/fleet/order_storm.rs
@@ -44,7 +44,7 @@
             self.happen().await;
             let pause = self.random.random_range(0..MOST_PAUSE_MILLIS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
-            self.check_whole();
+            self.bed.check_whole();
         }
     }
 
@@ -92,11 +92,6 @@
         self.bed.engines.iter().for_each(carry_out);
         self.bed.wait_for(self.newest).await;
     }
-
-    fn check_whole(&self) {
-        let bad: u32 = self.bed.engines.iter().map(|engine| engine.bad_orders.get()).sum();
-        assert_eq!(bad, 0, "an engine took weights that were not whole");
-    }
 }
 
 /// What users would see: answers from mixed weights, or engines that stay behind for good. Orders get no
--- a/tests/all/fleet/weights_bed.rs
+++ b/tests/all/fleet/weights_bed.rs
@@ -147,8 +147,20 @@
     pub(super) async fn wait_for(&self, version: u64) {
         let all_hold = || self.engines.iter().all(|engine| engine.version.get() == version);
         self.bed.wait_until(all_hold).await;
-        let bad: u32 = self.engines.iter().map(|engine| engine.bad_orders.get()).sum();
-        assert_eq!(bad, 0, "an engine took weights that were not whole");
+        self.check_whole();
+    }
+
+    /// Checks that no engine has taken weights that were not whole.
+    pub(super) fn check_whole(&self) {
+        for engine in &self.engines {
+            let bad = engine.bad_orders.get();
+            assert_eq!(
+                bad,
+                0,
+                "an engine took weights that were not whole; its orders:\n{}",
+                engine.history()
+            );
+        }
     }
 }
 
