Log requests whose callers left before their targets answered

GONE could not be told apart by cause: the log said that a caller had left, not which target had its request, for how long, and what was known of that target's link. One line says so now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -115,12 +115,16 @@
         read_own_head(shared, &mut connection, request).await
     };
     let awaited = AwaitedAnswer::begin(shared, place);
+    let sent_at = Instant::now();
     let answered = tokio::select! {
         answered = tokio::time::timeout_at(terms.patience, exchange) => {
             awaited.end();
             answered.unwrap_or(Err(AttemptFailure::Silent))
         }
-        () = caller.closed(SENT_AHEAD) => Err(AttemptFailure::CallerLeft),
+        () = caller.closed(SENT_AHEAD) => {
+            log_left(shared, request, place, sent_at);
+            Err(AttemptFailure::CallerLeft)
+        }
     };
     let (head, marks) = match answered {
         Ok(answer) => answer,
@@ -148,6 +152,19 @@
     Ok(answer)
 }
 
+/// One line for each request whose caller left before its target answered: how long it was on its way or
+/// at work there by then, and what was known of the target's link.
+fn log_left(shared: &GatewayShared, request: &RequestState, place: &PlaceGuard, sent_at: Instant) {
+    let link_delay = shared.places.borrow().targets.link_delay(&place.target);
+    tracing::info!(
+        request_id = %request.terms.id,
+        target_id = %place.target,
+        awaited_millis = sent_at.elapsed().as_millis() as u64,
+        link_delay_millis = link_delay.as_millis() as u64,
+        "the caller left before its target answered"
+    );
+}
+
 /// A request whose first byte is awaited. Dropped before its end it says nothing of its target.
 struct AwaitedAnswer<'a> {
     shared: &'a GatewayShared,
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -293,6 +293,11 @@
         held >= self.lowest_version(model, now + wait * WAITS_AHEAD)
     }
 
+    /// How long requests are on their way over a target's link by its agent's word; zero for a usual one.
+    pub fn link_delay(&self, id: &TargetId) -> Duration {
+        self.rows.get(id).map_or(Duration::ZERO, |row| row.link_delay)
+    }
+
     /// Notes how busy a target says it is.
     pub fn note_load(&mut self, id: &TargetId, busy: u32, now: Instant) {
         let part = self.own_part();
