Nothing new goes over a link that is known to be narrow

Cause, the second: only further attempts avoided targets whose agents report a narrow link. Change: such targets get no first attempt either while a target is left whose link is not narrow; a request waits, or is rejected at once with a time to return, as where targets are full.

Weighed: leaving them out only while they and other hanging targets are fewer than half. The new test failed before.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -145,13 +145,14 @@
         if need.late && self.reads_enough(&able) {
             return Choice::Full;
         }
-        let view = ServiceView::of(&able, need.model, now);
+        let view = ServiceView::of(&able, need, now);
         let untried = able.iter().filter(|(id, _)| !need.tried.contains(*id));
         let mut weighted: Vec<(f64, &TargetId)> = Vec::new();
         for (id, row) in untried {
             let spared = view.spared || !self.policy.ejects;
             let hangs = self.policy.skips_hanging && view.hangs(row, now);
             if hangs
+                || view.is_behind_narrow_link(row)
                 || !need.is_in_time(row, now)
                 || !row.health.admits(row.own_in_flight, spared, now)
             {
@@ -310,6 +311,8 @@
     /// ejecting them all would turn a service that answers some requests into one that answers
     /// none. Beyond half of the targets ejections and hangs do not count.
     spared: bool,
+    /// Whether the links of all targets that a request has not tried are narrow.
+    all_narrow: bool,
 }
 
 impl ServiceView {
@@ -324,14 +327,27 @@
         !self.spared && row.longest_awaited(now).is_some_and(|awaited| awaited > limit)
     }
 
-    fn of(able: &[(&TargetId, &TargetRow)], model: Option<&ModelName>, now: Instant) -> Self {
+    /// Whether a target's link is narrow while another's is not.
+    ///
+    /// Failure guarded: requests queue before a narrowed link, arrive when their callers have left, and
+    /// are run for nobody. What is on its way cannot be recalled, so it is not sent, also when the other
+    /// targets are full: most callers of streams leave before an event comes over such a link.
+    fn is_behind_narrow_link(&self, row: &TargetRow) -> bool {
+        !self.all_narrow && !row.link_delay.is_zero()
+    }
+
+    fn of(able: &[(&TargetId, &TargetRow)], need: &PlacementNeed<'_>, now: Instant) -> Self {
+        let mut untried = able.iter().filter(|(id, _)| !need.tried.contains(*id));
         let mut view = Self {
             mean_others: mean_of_others(able, now),
             usual_first_byte: usual_first_byte(able, now),
-            newest: model.and_then(|model| newest_version(able, model)),
+            newest: need.model.and_then(|model| newest_version(able, model)),
             spared: false,
+            all_narrow: untried.all(|(_, row)| !row.link_delay.is_zero()),
+        };
+        let left_out = |row: &TargetRow| {
+            row.health.is_ejected(now) || view.hangs(row, now) || view.is_behind_narrow_link(row)
         };
-        let left_out = |row: &TargetRow| row.health.is_ejected(now) || view.hangs(row, now);
         let count = able.iter().filter(|(_, row)| left_out(row)).count();
         view.spared = count * 2 > able.len();
         view
--- a/tests/all/narrow_links.rs
+++ b/tests/all/narrow_links.rs
@@ -1,5 +1,7 @@
 //! What an instance makes of its own link when it narrows.
 
+use crate::serving_tables::{address, choose, held, id, table};
+use egretseam_serving::{Choice, EngineNews, Incarnation};
 use egretseam_swarm::LinkDelay;
 use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
@@ -60,3 +62,42 @@
     }
     assert_eq!(line.link.delay(line.now), None);
 }
+
+/// What the agent beside `host` says of its link.
+fn engine_news(host: u8, link_delay_millis: u64) -> EngineNews {
+    EngineNews {
+        address: address(host),
+        incarnation: Incarnation::UNSTATED,
+        models: held(1),
+        loading: false,
+        stalled: false,
+        link_delay_millis,
+        age_millis: 0,
+    }
+}
+
+/// Guards against requests that arrive when their callers have left: a first attempt goes over a link that is
+/// known to be narrow although others are left.
+#[actix_rt::test]
+async fn nothing_new_goes_over_a_narrow_link_while_another_is_left() {
+    let now = Instant::now();
+    let mut table = table(&[1, 2, 3], now);
+    for host in [1, 2] {
+        table.note_engine(&engine_news(host, 1_000), now);
+    }
+    for _ in 0..50 {
+        assert_eq!(choose(&table, &[], now), Choice::Target(id(3)));
+    }
+    for _ in 0..4 {
+        table.begin(&id(3), now);
+    }
+    assert_eq!(choose(&table, &[], now), Choice::Full, "a place is waited for");
+    let retried = choose(&table, &[id(3)], now);
+    assert!(matches!(retried, Choice::Target(_)), "nothing better is left to it");
+    table.note_engine(&engine_news(3, 1_000), now);
+    assert!(matches!(choose(&table, &[], now), Choice::Target(_)), "there is nothing better");
+    table.note_engine(&engine_news(1, 0), now);
+    for _ in 0..50 {
+        assert_eq!(choose(&table, &[], now), Choice::Target(id(1)), "it has widened");
+    }
+}
