Agents ask each other how long anything is on its way

Change: each agent asks three others four times a second, those of its availability zone first. When every answer takes over 0.8 s, or is awaited for as long, the own link is what they share, and entries hear of it as before. Others that are down, slow or new say nothing; a process that was frozen does not take that time for an answer's.

The test of an agent beside slow answers fails without the questions (it waits for 30 s in vain).

--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -186,4 +186,6 @@
     async fn versions_like(model: ModelName, digests: Vec<[u8; 32]>) -> Vec<VersionDigests>;
     /// One chunk.
     async fn chunk(key: WeightsKey, index: u32) -> Option<ChunkReply>;
+    /// Answers at once, so that the caller knows how long that takes.
+    async fn echo();
 }
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -283,6 +283,16 @@
         self.settle(reply)
     }
 
+    /// See [`crate::ChunkService::echo`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn echo(&self) -> Result<(), CallError> {
+        let client = self.client().await?;
+        let reply = client.echo(self.context(Duration::ZERO)).await;
+        self.settle(reply)
+    }
+
     /// See [`crate::ChunkService::chunk`].
     ///
     /// # Errors
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -258,6 +258,8 @@
             .collect()
     }
 
+    async fn echo(self, _: Context) {}
+
     async fn chunk(self, _: Context, key: WeightsKey, index: u32) -> Option<ChunkReply> {
         let chunk = self.shared.chunks.borrow().get(&key)?.chunk(index)?;
         let began = Instant::now();
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -21,6 +21,7 @@
 mod options;
 mod order_fence;
 mod order_ledger;
+mod probe;
 mod ranks;
 mod runtime;
 mod shared;
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -12,7 +12,7 @@
 use egretseam_http::DaemonMetrics;
 use egretseam_rpc::{WeightsKey, WeightsPlan};
 use egretseam_serving::{EngineNews, HeldModel, Incarnation, SwarmPeer};
-use egretseam_swarm::{LinkBudget, LinkDelay};
+use egretseam_swarm::{LinkBudget, LinkDelay, PathProbe};
 use prometheus::IntCounter;
 use std::{
     cell::{Cell, RefCell},
@@ -140,6 +140,8 @@
     stalled: Cell<bool>,
     /// Whether the own link is narrower than it was said to be.
     pub(crate) link: RefCell<LinkDelay>,
+    /// The same by questions to other agents.
+    pub(crate) path: RefCell<PathProbe>,
     /// How long entries were told that requests are on their way over it.
     told_delay: Cell<Duration>,
     /// Whether the origin did not answer when this agent last fetched from it.
@@ -180,6 +182,7 @@
             distrusts_peers: Cell::new(false),
             stalled: Cell::new(false),
             link: RefCell::new(LinkDelay::new(Duration::ZERO)),
+            path: RefCell::default(),
             told_delay: Cell::new(Duration::ZERO),
             origin_lost: Cell::new(false),
             uploads: LinkBudget::new(Some(options.upload_bytes_per_second)),
@@ -223,7 +226,7 @@
         let now = Instant::now();
         let link = self.link.borrow();
         self.uploads.set_share(link.share(now));
-        let delay = link.delay(now);
+        let delay = link.delay(now).max(self.path.borrow().delay(now));
         let steps = delay.unwrap_or_default().as_secs_f64() / LINK_DELAY_STEP.as_secs_f64();
         let rounded = LINK_DELAY_STEP.mul_f64(steps.ceil());
         if self.told_delay.replace(rounded) != rounded {
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -15,6 +15,7 @@
 mod link_budget;
 mod link_delay;
 mod manifest;
+mod path_probe;
 mod planner;
 mod server;
 mod source;
@@ -27,6 +28,7 @@
     link_budget::LinkBudget,
     link_delay::LinkDelay,
     manifest::{ManifestError, RawManifest, WeightManifest},
+    path_probe::PathProbe,
     planner::{
         ChunkIndex, DistributionScheme, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy,
         SourceChoice, SwarmPlanner,
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -6,6 +6,7 @@
 mod changes;
 mod engines;
 mod late_orders;
+mod narrow_link;
 mod order_storm;
 mod placing;
 mod reports;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod narrow_links;
 mod order_fence;
 mod order_ledger;
+mod path_probe;
 mod peer_lists;
 mod plan_following;
 mod processes;
