An engine's fence that cannot be raised is left for 5 s

Found by reading: an engine that does not take an order for the version it holds, contrary to the platform's page, would get several such orders a second for ever. The new test states the pause; it did not compile before. A comment of the table of contents said the opposite of what it does.

--- a/crates/catalog/src/contents.rs
+++ b/crates/catalog/src/contents.rs
@@ -22,7 +22,7 @@
 }
 
 impl ContentTable {
-    /// Notes what a version is made of, in place of the one noted first.
+    /// Notes what a version is made of. Beyond [`MAX_VERSIONS`] the one that was noted first is forgotten.
     pub(crate) fn note(&mut self, model: &ModelName, version: u64, digest: ContentDigest) {
         let records = self.models.entry(model.clone()).or_default();
         let record = ContentRecord { version, digest };
--- a/crates/stager/src/fencing.rs
+++ b/crates/stager/src/fencing.rs
@@ -10,6 +10,7 @@
 };
 use egretseam_proto::ModelName;
 use egretseam_serving::HeldModel;
+use tokio::time::Instant;
 
 /// Orders given before the fence is put off; answers may be lost, and clocks may have been set back.
 const MOST_TRIES: u32 = 5;
@@ -50,8 +51,8 @@
 /// the fence before it orders anything else, the later one finds out and goes beyond.
 pub(crate) async fn raise(shared: &StagerShared, model: &ModelName) -> bool {
     for _ in 0..MOST_TRIES {
-        if shared.fence.borrow().is_raised() {
-            return true;
+        if !shared.fence.borrow().is_due(Instant::now()) {
+            return shared.fence.borrow().is_raised();
         }
         let token = shared.fence.borrow_mut().next_token();
         match order_held(shared, model, token).await {
@@ -67,7 +68,11 @@
             FenceReply::Unclear => tokio::time::sleep(ORDER_PAUSE).await,
         }
     }
-    shared.fence.borrow().is_raised()
+    let is_raised = shared.fence.borrow().is_raised();
+    if !is_raised {
+        shared.fence.borrow_mut().note_failed(Instant::now());
+    }
+    is_raised
 }
 
 /// Orders the engine to take the version that it holds.
--- a/crates/stager/src/order_fence.rs
+++ b/crates/stager/src/order_fence.rs
@@ -6,11 +6,16 @@
 
 use crate::dialect::EngineReport;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// What a refused token is raised by, in microseconds: more than clocks are set back by, and so much
 /// that a raised token hardly falls among those that the former agent gave its last orders.
 const RAISE_MICROS: u64 = 1 << 32;
 
+/// Pause after the fence could not be raised. An engine that does not take an order for the version that
+/// it holds would otherwise get several a second for ever.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_secs(5);
+
 /// What an agent knows of its engine's fence, and the tokens of its own orders.
 #[derive(Debug)]
 pub struct OrderFence {
@@ -20,6 +25,8 @@
     last_probe: u64,
     /// Whether the engine has accepted an order with one of these tokens in its present run.
     is_raised: bool,
+    /// When it may be tried again to raise the fence.
+    retry_at: Option<Instant>,
 }
 
 impl OrderFence {
@@ -30,6 +37,7 @@
             last: whole(since_epoch.as_micros()),
             last_probe: whole(since_epoch.as_millis()),
             is_raised: false,
+            retry_at: None,
         }
     }
 
@@ -60,6 +68,16 @@
         self.last = self.last.saturating_add(RAISE_MICROS);
     }
 
+    /// Notes that the engine's fence could not be raised.
+    pub fn note_failed(&mut self, now: Instant) {
+        self.retry_at = Some(now + PAUSE_AFTER_FAILURE);
+    }
+
+    /// Whether the engine's fence is to be raised.
+    pub fn is_due(&self, now: Instant) -> bool {
+        !self.is_raised && self.retry_at.is_none_or(|at| now >= at)
+    }
+
     /// Notes what the engine says of itself; in a new run it knows of no token.
     pub fn note_report(&mut self, before: Option<&EngineReport>, now: &EngineReport) {
         let is_new_run = before.is_some_and(|before| {
--- a/tests/all/order_fence.rs
+++ b/tests/all/order_fence.rs
@@ -8,6 +8,7 @@
     test_runner::{Config, RngSeed},
 };
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time of day when the first agent starts.
 const BEGAN: Duration = Duration::from_secs(1_800_000_000);
@@ -128,3 +129,16 @@
         assert_eq!(fence.is_raised(), stays, "{now:?}");
     }
 }
+
+/// Guards against orders without end to an engine that takes none for the version it holds.
+#[actix_rt::test]
+async fn a_fence_that_cannot_be_raised_is_left_for_seconds() {
+    let now = Instant::now();
+    let mut fence = OrderFence::new(BEGAN);
+    assert!(fence.is_due(now));
+    fence.note_failed(now);
+    assert!(!fence.is_due(now + Duration::from_secs(4)));
+    assert!(fence.is_due(now + Duration::from_secs(5)));
+    fence.note_accepted();
+    assert!(!fence.is_due(now + Duration::from_secs(5)), "it is raised");
+}
