Weights go over links in small parts, few at a time, and yield when they are late

Callers saw: GONE.

Cause: the weights themselves. Five chunks of 48 KB were asked for at a time, at the old pace, and as many were given to others; on a narrowed link they take over three seconds, and every request that is sent meanwhile waits behind them.

Now chunks come in parts of 4 KB, each acknowledged to its giver, and a window a direction bounds what is on its way: five parts within an availability zone, three across; it halves when nothing has come promptly for 0.15 s. Parts that later ones overtake are held up elsewhere and do not count. A link's narrowness is told from parts.

One window for near and far parts: agents on both sides of a full link between regions stood still. A first form waited for room with its receipts unsent, and all agents stood still for 0.7 s; they go out first now.

--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -145,14 +145,44 @@
     pub version: u64,
 }
 
-/// A chunk as an agent gives it.
+/// A part that was given; its giver is told once it has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReceipt {
+    /// Whether both agents are in one availability zone.
+    pub is_near: bool,
+    /// Its number among those that the giver gave to near or to far agents.
+    pub number: u64,
+}
+
+/// Asks for a part of a chunk.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCall {
+    /// The weights.
+    pub key: WeightsKey,
+    /// Number of the chunk.
+    pub chunk: u32,
+    /// Where the part begins, in bytes.
+    pub start: u64,
+    /// Longest part that is wanted, in bytes.
+    pub length: u64,
+    /// Whether both agents are in one availability zone.
+    pub is_near: bool,
+    /// Receipt of the part that came before, unless its giver knows.
+    pub receipt: Option<PartReceipt>,
+}
+
+/// A part of a chunk.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChunkReply {
-    /// The chunk.
+pub struct PartReply {
+    /// The part.
     pub bytes: Bytes,
+    /// Size of the whole chunk.
+    pub chunk_bytes: u64,
     /// Milliseconds that it waited for its turn on the giver's link; the rest of the time that a
     /// fetch took went to the network.
     pub queued_millis: u64,
+    /// What the giver is to be told once the part has arrived.
+    pub receipt: PartReceipt,
 }
 
 /// What an agent has of a version.
@@ -184,8 +214,10 @@
     async fn digests(key: WeightsKey, settled: bool, wait_millis: u64) -> Option<Vec<[u8; 32]>>;
     /// Versions of a model of whose chunks at least one has the digest that stands in its place.
     async fn versions_like(model: ModelName, digests: Vec<[u8; 32]>) -> Vec<VersionDigests>;
-    /// One chunk.
-    async fn chunk(key: WeightsKey, index: u32) -> Option<ChunkReply>;
+    /// A part of a chunk, once the agent's link has room for it; `None` if the chunk is not there.
+    async fn part(call: PartCall) -> Option<PartReply>;
+    /// Notes that a part has arrived after which no other is asked for at once.
+    async fn received(receipt: PartReceipt);
     /// Answers at once, so that the caller knows how long that takes.
     async fn echo();
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -23,9 +23,9 @@
 pub use crate::{
     control_client::{ControlClient, SubmitError},
     feed::{
-        AgentCall, AgentReply, ChunkReply, ChunkService, ChunkServiceClient, FeedCall, FeedReader,
-        FeedReply, FeedRoster, FeedService, FeedServiceClient, HeldReply, VersionDigests,
-        WeightsKey, WeightsPlan,
+        AgentCall, AgentReply, ChunkService, ChunkServiceClient, FeedCall, FeedReader, FeedReply,
+        FeedRoster, FeedService, FeedServiceClient, HeldReply, PartCall, PartReceipt, PartReply,
+        VersionDigests, WeightsKey, WeightsPlan,
     },
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
     loads::{BusyTarget, LoadDatagram, MAX_DATAGRAM, MAX_SAMPLES},
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     feed::{
-        AgentCall, AgentReply, ChunkReply, ChunkServiceClient, FeedCall, FeedReply,
-        FeedServiceClient, HeldReply, VersionDigests, WeightsKey,
+        AgentCall, AgentReply, ChunkServiceClient, FeedCall, FeedReply, FeedServiceClient,
+        HeldReply, PartCall, PartReceipt, PartReply, VersionDigests, WeightsKey,
     },
     preface::PeerSecret,
     server::codec,
@@ -293,17 +293,23 @@
         self.settle(reply)
     }
 
-    /// See [`crate::ChunkService::chunk`].
+    /// See [`crate::ChunkService::part`].
     ///
     /// # Errors
     /// See [`CallError`].
-    pub async fn chunk(
-        &self,
-        key: WeightsKey,
-        index: u32,
-    ) -> Result<Option<ChunkReply>, CallError> {
+    pub async fn part(&self, call: PartCall) -> Result<Option<PartReply>, CallError> {
+        let client = self.client().await?;
+        let reply = client.part(self.context(Duration::ZERO), call).await;
+        self.settle(reply)
+    }
+
+    /// See [`crate::ChunkService::received`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn received(&self, receipt: PartReceipt) -> Result<(), CallError> {
         let client = self.client().await?;
-        let reply = client.chunk(self.context(Duration::ZERO), key, index).await;
+        let reply = client.received(self.context(Duration::ZERO), receipt).await;
         self.settle(reply)
     }
 }
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -3,7 +3,9 @@
 use crate::{digests::WeightDigests, order_ledger::WholeWeights, shared::StagerShared};
 use bytes::Bytes;
 use egretseam_proto::ModelName;
-use egretseam_rpc::{ChunkReply, ChunkService, HeldReply, VersionDigests, WeightsKey};
+use egretseam_rpc::{
+    ChunkService, HeldReply, PartCall, PartReceipt, PartReply, VersionDigests, WeightsKey,
+};
 use egretseam_swarm::{ChunkPace, ChunkSet};
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 use tarpc::context::Context;
@@ -18,9 +20,6 @@
 /// How often it is looked whether that time is over.
 const SETTLED_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Size that is assumed of chunks that nobody has seen yet.
-const USUAL_CHUNK_BYTES: u64 = 48 * 1024;
-
 /// Versions whose digests, some KiB each, are kept without their chunks: those that may lie staged
 /// beside an agent that is down while versions follow each other quickly.
 const MAX_OTHER_DIGESTS: usize = 16;
@@ -80,12 +79,6 @@
         }
     }
 
-    /// Size of a chunk, by those that are here; of one of some KiB before any is.
-    pub(crate) fn chunk_bytes(&self) -> u64 {
-        let known = self.chunks.iter().flatten().next();
-        known.map_or(USUAL_CHUNK_BYTES, |bytes| bytes.len() as u64)
-    }
-
     /// All chunks, if they are here.
     pub(crate) fn whole(&self) -> Option<WholeWeights> {
         let chunks = self.chunks.iter().cloned().collect::<Option<Vec<Bytes>>>()?;
@@ -260,10 +253,26 @@
 
     async fn echo(self, _: Context) {}
 
-    async fn chunk(self, _: Context, key: WeightsKey, index: u32) -> Option<ChunkReply> {
-        let chunk = self.shared.chunks.borrow().get(&key)?.chunk(index)?;
+    async fn part(self, _: Context, call: PartCall) -> Option<PartReply> {
+        if let Some(receipt) = call.receipt {
+            self.shared.uploads.note_received(receipt);
+        }
+        let chunk = self.shared.chunks.borrow().get(&call.key)?.chunk(call.chunk)?;
+        let length = chunk.len();
+        let start = usize::try_from(call.start).ok().filter(|start| *start <= length)?;
+        let wanted = usize::try_from(call.length).unwrap_or(length);
+        let bytes = chunk.slice(start..start.saturating_add(wanted).min(length));
         let began = Instant::now();
-        self.shared.uploads.take(chunk.len()).await;
-        Some(ChunkReply { bytes: chunk, queued_millis: began.elapsed().as_millis() as u64 })
+        let receipt = self.shared.uploads.turn(call.is_near, bytes.len()).await;
+        Some(PartReply {
+            bytes,
+            chunk_bytes: length as u64,
+            queued_millis: began.elapsed().as_millis() as u64,
+            receipt,
+        })
+    }
+
+    async fn received(self, _: Context, receipt: PartReceipt) {
+        self.shared.uploads.note_received(receipt);
     }
 }
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`StagerRuntime`] runs three tasks over one table: `engine` watches what the engine holds,
 //! `follow` tells control and learns the plan, `work` brings the plan about with `transfer` (who
 //! fetches which chunk from whom is decided by [`egretseam_swarm::SwarmPlanner`]) and `switch`.
-//! `chunks` gives chunks to other agents. What engines and the origin speak is behind
+//! `chunks` gives chunks to other agents; `downloads` and `uploads` bound what is on its way to and
+//! from them. What engines and the origin speak is behind
 //! [`EngineDialect`].
 
 mod chunks;
@@ -12,6 +13,7 @@
 mod dialect;
 mod digest_search;
 mod digests;
+mod downloads;
 mod engine;
 mod fencing;
 mod follow;
@@ -28,6 +30,7 @@
 mod staging;
 mod switch;
 mod transfer;
+mod uploads;
 mod work;
 
 pub use crate::{
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -3,16 +3,18 @@
 use crate::{
     chunks::ChunkStore,
     dialect::{EngineCall, EngineDialect, EngineReport},
+    downloads::PartDownloads,
     older::OlderVersion,
     options::StagerOptions,
     order_fence::OrderFence,
     order_ledger::OrderLedger,
+    uploads::PartUploads,
 };
 use egretseam_h1::{CallReply, CallRequest, ExchangeError, KeptClient};
 use egretseam_http::DaemonMetrics;
 use egretseam_rpc::{WeightsKey, WeightsPlan};
 use egretseam_serving::{EngineNews, HeldModel, Incarnation, SwarmPeer};
-use egretseam_swarm::{LinkBudget, LinkDelay, PathProbe};
+use egretseam_swarm::PathProbe;
 use prometheus::IntCounter;
 use std::{
     cell::{Cell, RefCell},
@@ -138,16 +140,16 @@
     pub(crate) distrusts_peers: Cell<bool>,
     /// Whether no chunk comes any more of the version that the engine is to have.
     stalled: Cell<bool>,
-    /// Whether the own link is narrower than it was said to be.
-    pub(crate) link: RefCell<LinkDelay>,
-    /// The same by questions to other agents.
+    /// Whether the own link is narrower than it was said to be, by questions to other agents.
     pub(crate) path: RefCell<PathProbe>,
     /// How long entries were told that requests are on their way over it.
     told_delay: Cell<Duration>,
     /// Whether the origin did not answer when this agent last fetched from it.
     pub(crate) origin_lost: Cell<bool>,
-    /// Paces what is given to other agents, so that live answers get through.
-    pub(crate) uploads: LinkBudget,
+    /// Bounds what is fetched from other agents, so that live requests get through.
+    pub(crate) downloads: PartDownloads,
+    /// The same for what is given to them.
+    pub(crate) uploads: PartUploads,
     engine: Mutex<KeptClient>,
     watcher: Mutex<KeptClient>,
 }
@@ -181,11 +183,11 @@
             started_at: Instant::now(),
             distrusts_peers: Cell::new(false),
             stalled: Cell::new(false),
-            link: RefCell::new(LinkDelay::new(Duration::ZERO)),
             path: RefCell::default(),
             told_delay: Cell::new(Duration::ZERO),
             origin_lost: Cell::new(false),
-            uploads: LinkBudget::new(Some(options.upload_bytes_per_second)),
+            downloads: PartDownloads::new(options.upload_bytes_per_second),
+            uploads: PartUploads::new(options.upload_bytes_per_second),
             engine: Mutex::new(KeptClient::new(options.target)),
             watcher: Mutex::new(KeptClient::new(options.target)),
             options,
@@ -220,13 +222,14 @@
         }
     }
 
-    /// Gives less to others over a link that is narrower than it was said to be, and lets entries
-    /// know, in steps, so that they are told seldom.
+    /// Lets less be on its way and gives less to others over a link that is narrower than it was said
+    /// to be, and lets entries know, in steps, so that they are told seldom.
     pub(crate) fn heed_link(&self) {
         let now = Instant::now();
-        let link = self.link.borrow();
-        self.uploads.set_share(link.share(now));
-        let delay = link.delay(now).max(self.path.borrow().delay(now));
+        self.downloads.look(now);
+        self.uploads.look(now);
+        self.uploads.set_share(self.downloads.share(now));
+        let delay = self.downloads.delay(now).max(self.path.borrow().delay(now));
         let steps = delay.unwrap_or_default().as_secs_f64() / LINK_DELAY_STEP.as_secs_f64();
         let rounded = LINK_DELAY_STEP.mul_f64(steps.ceil());
         if self.told_delay.replace(rounded) != rounded {
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -3,6 +3,7 @@
 use crate::{
     chunks::HeldWeights,
     digests::WeightDigests,
+    downloads::{ChunkSource, PartError},
     shared::{StagerShared, request},
 };
 use bytes::Bytes;
@@ -52,12 +53,6 @@
     began: Instant,
     /// How often each chunk came with a wrong digest.
     wrong: RefCell<IndexMap<u32, u32>>,
-    /// Mean time that a chunk spends on the network.
-    network_time: Cell<Duration>,
-    /// Chunks that are being fetched from peers.
-    under_way: Cell<usize>,
-    /// When the last chunk came from a peer, or the first was asked for after a pause.
-    came_at: Cell<Instant>,
     /// Chunks fetched from the origin.
     from_origin: Cell<u32>,
     /// When the last of them was here.
@@ -65,11 +60,6 @@
     wake: Notify,
 }
 
-/// Time that the chunks under way may take together before live requests on the link: five of the
-/// usual 80 ms, which is a chunk's own 27 ms at 7.3 Mbit/s behind two others.
-const NETWORK_BUDGET: Duration = Duration::from_millis(400);
-/// Weight of the newest chunk in the mean.
-const NETWORK_WEIGHT: f64 = 0.3;
 /// Times that one chunk may come with a wrong digest before the digest is doubted.
 const WRONG_DIGEST: u32 = 5;
 
@@ -105,7 +95,6 @@
             name: peer_name(shared.options.target),
             zone: shared.options.zone.clone(),
         };
-        shared.link.borrow_mut().set_expected(expected_time(shared, weights));
         let mut planner = SwarmPlanner::new(own, policy, weights.held().clone(), Duration::ZERO);
         planner.set_origin_zone(plan.origin_zone.clone());
         Rc::new(Self {
@@ -117,9 +106,6 @@
             origin: Rc::new(tokio::sync::Mutex::new(origin_client(plan.origin))),
             began: Instant::now(),
             wrong: RefCell::default(),
-            network_time: Cell::new(Duration::ZERO),
-            under_way: Cell::new(0),
-            came_at: Cell::new(Instant::now()),
             from_origin: Cell::new(0),
             origin_done_at: Cell::new(Duration::ZERO),
             wake: Notify::new(),
@@ -177,6 +163,8 @@
         let (results, mut finished) = mpsc::unbounded_channel::<FetchResult>();
         let mut fetches = FetchTasks::default();
         while !self.planner.borrow().have().is_full() {
+            let at_a_time = self.shared.downloads.fetches();
+            self.planner.borrow_mut().set_peer_fetches(at_a_time);
             let orders = self.planner.borrow_mut().plan(self.now());
             for order in orders {
                 let (transfer, results) = (self.clone(), results.clone());
@@ -193,7 +181,7 @@
                 () = self.wake.notified() => {}
                 () = tokio::time::sleep(PLAN_INTERVAL) => {}
             }
-            self.look_at_link();
+            self.shared.heed_link();
             if self.wrong.borrow().values().any(|count| *count >= WRONG_DIGEST) {
                 return false;
             }
@@ -242,27 +230,19 @@
             SourceChoice::Peer(name) => {
                 let link = self.links.borrow().get(name).cloned();
                 let link = link.ok_or(FetchFailure::Absent)?;
-                let began = Instant::now();
-                let others = self.under_way.get();
-                if others == 0 {
-                    self.came_at.set(began);
-                }
-                self.under_way.set(others + 1);
-                let answer = link.chunk(self.key.clone(), order.chunk).await;
-                self.under_way.set(self.under_way.get() - 1);
+                let is_near = self.planner.borrow().is_near(name);
+                let (key, chunk) = (&self.key, order.chunk);
+                let source = ChunkSource { link: &link, is_near, key, chunk };
+                let answer = self.shared.downloads.chunk(&source).await;
+                self.shared.heed_link();
                 match answer {
-                    Ok(Some(reply)) => {
-                        let queued = Duration::from_millis(reply.queued_millis);
-                        self.planner.borrow_mut().note_queued(name, queued);
-                        self.note_network_time(began.elapsed().saturating_sub(queued), others);
-                        Ok(reply.bytes)
+                    Ok(chunk) => {
+                        self.planner.borrow_mut().note_queued(name, chunk.queued);
+                        Ok(chunk.bytes)
                     }
-                    Ok(None) => Err(FetchFailure::Absent),
-                    Err(_) => {
-                        // One that timed out was on its way for as long at least.
-                        if began.elapsed() >= CHUNK_LIMIT {
-                            self.note_chunk_time(CHUNK_LIMIT, others);
-                        }
+                    Err(PartError::Absent) => Err(FetchFailure::Absent),
+                    Err(PartError::Call(error)) => {
+                        tracing::debug!(%error, "a peer gave no chunk");
                         Err(FetchFailure::Unreachable)
                     }
                 }
@@ -270,40 +250,6 @@
         }
     }
 
-    /// Fetches fewer chunks at a time over a slow link.
-    ///
-    /// Failure guarded: chunks under way queue before live requests on the same link. On one that
-    /// was squeezed to a tenth, three of them delayed a caller's leaving by 0.8 s, and its target
-    /// went on working for nobody.
-    fn note_network_time(&self, took: Duration, others: usize) {
-        self.note_chunk_time(took, others);
-        let held = self.network_time.get();
-        let mean = held.mul_f64(1.0 - NETWORK_WEIGHT) + took.mul_f64(NETWORK_WEIGHT);
-        self.network_time.set(mean);
-        let usual = self.shared.options.planner.peer_fetches as f64;
-        let fitting = NETWORK_BUDGET.as_secs_f64() / mean.as_secs_f64().max(1e-3);
-        let fetches = fitting.clamp(1.0, usual) as usize;
-        self.planner.borrow_mut().set_peer_fetches(fetches);
-    }
-
-    fn note_chunk_time(&self, took: Duration, others: usize) {
-        let now = Instant::now();
-        self.came_at.set(now);
-        self.shared.link.borrow_mut().note(took, others, now);
-        self.shared.heed_link();
-    }
-
-    /// Looks whether chunks have stopped coming although some are under way.
-    fn look_at_link(&self) {
-        let now = Instant::now();
-        let under_way = self.under_way.get();
-        if under_way > 0 {
-            let quiet = now.saturating_duration_since(self.came_at.get());
-            self.shared.link.borrow_mut().note_quiet(quiet, under_way, now);
-        }
-        self.shared.heed_link();
-    }
-
     /// One line when the origin is lost and one when it is back.
     fn note_origin(&self, answers: bool) {
         if self.shared.origin_lost.replace(!answers) == answers {
@@ -324,12 +270,6 @@
     }
 }
 
-/// Time that a chunk takes on the link as it was said to be.
-fn expected_time(shared: &StagerShared, weights: &HeldWeights) -> Duration {
-    let rate = shared.options.upload_bytes_per_second as f64;
-    Duration::from_secs_f64(weights.chunk_bytes() as f64 / rate.max(1.0))
-}
-
 /// A client of the origin.
 ///
 /// Failure guarded: the origin is dark for seconds, and connections that are being opened when it
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -8,7 +8,7 @@
 //! versions can never meet in one file.
 //!
 //! [`SwarmPlanner`] decides which chunk to fetch from whom and is free of I/O; [`WeightTransfer`]
-//! carries its plans out; [`WeightStore`] is the disk; [`ChunkHandler`] gives chunks to peers.
+//! carries its plans out; [`TransferWindow`] bounds what is on its way over a link; [`WeightStore`] is the disk; [`ChunkHandler`] gives chunks to peers.
 
 mod chunk_pace;
 mod chunk_set;
@@ -21,6 +21,7 @@
 mod source;
 mod store;
 mod transfer;
+mod transfer_window;
 
 pub use crate::{
     chunk_pace::ChunkPace,
@@ -39,4 +40,5 @@
     },
     store::{StagedWeights, WeightStore, WeightStoreError, WholeWeights},
     transfer::{TransferError, TransferOptions, TransferReport, TransferSources, WeightTransfer},
+    transfer_window::{MOST_FAR_PARTS, MOST_NEAR_PARTS, PART_BYTES, TransferWindow},
 };
--- a/crates/swarm/src/link_delay.rs
+++ b/crates/swarm/src/link_delay.rs
@@ -1,65 +1,60 @@
-//! Telling from chunks' times that the own link is narrower than it was said to be.
+//! Telling from the times of parts of chunks that the own link is narrower than it was said to be.
 //!
-//! Answers the load pattern of a link that is squeezed to a tenth while weights spread: chunks to
+//! Answers the load pattern of a link that is squeezed to a tenth while weights spread: parts to
 //! and from other instances queue up before live requests, which are then on their way for one or
 //! two seconds, and so is the word that takes them back. An instance sees it first, since all its
-//! chunks take longer from wherever they come.
+//! parts take longer from wherever they come.
 
 use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
-/// Chunks that are looked at. The quickest of them counts: chunks from one slow neighbour say
+/// Parts that are looked at. The quickest of them counts: parts from one slow neighbour say
 /// nothing of the own link.
 const SAMPLES: usize = 4;
-/// How many times the expected a chunk may take before the link counts as narrow; other agents'
-/// chunks and live answers share it.
+/// How many times the expected a part may take before the link counts as narrow; other agents'
+/// parts and live answers share it.
 const NARROW_TIMES: f64 = 2.5;
 
-/// Fewest chunks under way, each from another neighbour, of which none comes.
+/// Fewest parts under way, each from another neighbour, of which none comes.
 const FEWEST_QUIET: usize = 3;
 /// How long what was measured counts without anything new.
 const MEMORY: Duration = Duration::from_secs(8);
 
-/// One chunk that was fetched.
+/// One part that was fetched.
 #[derive(Clone, Copy, Debug)]
-struct ChunkTime {
+struct PartTime {
     took: Duration,
     /// The same as if it had had the link for itself.
     alone: Duration,
 }
 
-impl ChunkTime {
+impl PartTime {
     fn new(took: Duration, others: usize) -> Self {
         // One more for what is given to other instances meanwhile.
         Self { took, alone: took / (others as u32 + 2) }
     }
 }
 
-/// Times of the last chunks that were fetched.
+/// Times of the last parts that were fetched.
 #[derive(Clone, Debug)]
 pub struct LinkDelay {
     expected: Duration,
-    times: VecDeque<ChunkTime>,
-    /// Time without any chunk while some were under way.
-    quiet: Option<ChunkTime>,
+    times: VecDeque<PartTime>,
+    /// Time without any part while some were under way.
+    quiet: Option<PartTime>,
     noted_at: Instant,
 }
 
 impl LinkDelay {
-    /// Nothing measured yet; `expected` is what a chunk takes on the link as it was said to be.
+    /// Nothing measured yet; `expected` is what a part takes on the link as it was said to be.
     pub fn new(expected: Duration) -> Self {
         Self { expected, times: VecDeque::new(), quiet: None, noted_at: Instant::now() }
     }
 
-    /// Sets what a chunk takes on the link as it was said to be; versions differ in their chunks.
-    pub fn set_expected(&mut self, expected: Duration) {
-        self.expected = expected;
-    }
-
-    /// Takes in how long a chunk was on the network, together with so many others of this instance.
+    /// Takes in how long a part was on the network, together with so many others of this instance.
     pub fn note(&mut self, took: Duration, others: usize, now: Instant) {
         self.noted_at = now;
-        let time = ChunkTime::new(took, others);
+        let time = PartTime::new(took, others);
         self.times.push_back(time);
         if self.times.len() > SAMPLES {
             self.times.pop_front();
@@ -69,14 +64,14 @@
         }
     }
 
-    /// Takes in that of so many chunks under way none has come for some time.
+    /// Takes in that of so many parts under way none has come for some time.
     ///
-    /// Failure guarded: chunks that came before the link narrowed outweigh the first that comes after,
+    /// Failure guarded: parts that came before the link narrowed outweigh the first that comes after,
     /// the link counts as usual again for half a second, and requests are sent that are on their way
     /// for longer than their callers stay. What came before a silence says nothing any more; it ends
-    /// with a chunk at the usual pace, or with enough of the slow ones.
+    /// with a part at the usual pace, or with enough of the slow ones.
     pub fn note_quiet(&mut self, quiet: Duration, under_way: usize, now: Instant) {
-        let time = ChunkTime::new(quiet, under_way.saturating_sub(1));
+        let time = PartTime::new(quiet, under_way.saturating_sub(1));
         if under_way < FEWEST_QUIET || !self.is_slow(&time) {
             return;
         }
@@ -88,7 +83,7 @@
         self.quiet = Some(longest.unwrap_or(time));
     }
 
-    fn is_slow(&self, time: &ChunkTime) -> bool {
+    fn is_slow(&self, time: &PartTime) -> bool {
         time.alone > self.expected.mul_f64(NARROW_TIMES)
     }
 
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -223,6 +223,11 @@
         self.neighbours.keys()
     }
 
+    /// Whether a neighbour is in the own availability zone.
+    pub fn is_near(&self, name: &InstanceName) -> bool {
+        self.neighbours.get(name).is_some_and(|row| row.zone == self.own.zone)
+    }
+
     /// Sets how many chunks are fetched from peers at a time, for a link that turns out wider or
     /// narrower than expected.
     pub fn set_peer_fetches(&mut self, fetches: usize) {
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -66,6 +66,8 @@
     pub(super) lists_given: Cell<u32>,
     /// How many of the next lists of digests are spoilt.
     pub(super) spoil_digests: Cell<u32>,
+    /// Size of its chunks where they are larger than what engines expect.
+    pub(super) chunk_bytes: Cell<usize>,
 }
 
 fn take_one(count: &Cell<u32>) -> bool {
@@ -96,7 +98,7 @@
             self.lists_given.set(self.lists_given.get() + 1);
             tokio::time::sleep(self.list_delay.get()).await;
             let mut digests: Vec<String> = (0..CHUNKS)
-                .map(|index| hex::encode(Sha256::digest(chunk(version, index))))
+                .map(|index| hex::encode(Sha256::digest(self.chunk(version, index))))
                 .collect();
             if take_one(&self.spoil_digests) {
                 digests[3] = hex::encode(Sha256::digest(b"spoilt"));
@@ -112,7 +114,13 @@
         if take_one(&self.spoil_chunks) {
             return (200, Bytes::from("spoilt"));
         }
-        (200, chunk(version, index as u32))
+        (200, self.chunk(version, index as u32))
+    }
+
+    fn chunk(&self, version: u64, index: u32) -> Bytes {
+        let mut bytes = chunk(version, index).to_vec();
+        bytes.resize(self.chunk_bytes.get().max(bytes.len()), b'.');
+        Bytes::from(bytes)
     }
 }
 
--- a/tests/all/fleet/narrow_link.rs
+++ b/tests/all/fleet/narrow_link.rs
@@ -1,14 +1,14 @@
-//! An agent whose link narrows.
+//! Agents whose links narrow.
 
-use super::engines::ScriptedEngine;
+use super::engines::{CHUNKS, ScriptedEngine, ScriptedOrigin};
 use crate::serving_tables::{model, service};
 use egretseam_http::DaemonMetrics;
 use egretseam_platform::PlatformEngine;
 use egretseam_proto::{ContentDigest, ModelName, ZoneName};
 use egretseam_rpc::{
-    AgentCall, AgentReply, ChunkReply, ChunkService, FeedCall, FeedReply, FeedService, HeldReply,
-    PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, WeightsPlan, serve_chunks,
-    serve_feed,
+    AgentCall, AgentReply, ChunkService, FeedCall, FeedReply, FeedService, HeldReply, PartCall,
+    PartReceipt, PartReply, PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey,
+    WeightsPlan, serve_chunks, serve_feed,
 };
 use egretseam_serving::{PeerUpdate, SwarmPeer, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
@@ -20,6 +20,10 @@
     time::Duration,
 };
 use tarpc::context::Context;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 /// How long anything may take that is waited for; far above what it takes.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -58,10 +62,12 @@
         Vec::new()
     }
 
-    async fn chunk(self, _: Context, _: WeightsKey, _: u32) -> Option<ChunkReply> {
+    async fn part(self, _: Context, _: PartCall) -> Option<PartReply> {
         None
     }
 
+    async fn received(self, _: Context, _: PartReceipt) {}
+
     async fn echo(self, _: Context) {
         tokio::time::sleep(self.delay.get()).await;
     }
@@ -141,6 +147,119 @@
     tokio::time::timeout(PATIENCE, wait).await.expect("it happens in time");
 }
 
+/// Starts an engine that holds nothing, and an agent beside it.
+async fn start_agent(
+    host: IpAddr,
+    chunk_port: u16,
+    seed: &str,
+    secret: PeerSecret,
+    planner: PlannerPolicy,
+) -> (Rc<ScriptedEngine>, StagerRuntime) {
+    let (engine, target) = ScriptedEngine::start(host).await;
+    let chunks = TcpListener::bind((host, chunk_port)).expect("a free port");
+    let options = StagerOptions {
+        zone: zone(),
+        target,
+        service: service(),
+        secret,
+        seeds: Rc::new(RefCell::new(vec![seed.to_owned()])),
+        chunk_port,
+        planner,
+        upload_bytes_per_second: 1_000_000,
+        fetches_early: true,
+        finishes_older: true,
+        timing: SwitchTiming { bound: Duration::ZERO, reserve: Duration::ZERO },
+    };
+    let listeners = StagerListeners { chunks };
+    let metrics = DaemonMetrics::new();
+    let agent = StagerRuntime::start(options, Rc::new(PlatformEngine), listeners, &metrics);
+    (engine, agent.expect("it starts"))
+}
+
+/// Relays connections to an agent until so many bytes have come from it; counts what comes after that
+/// instead of passing it on, as a link that stands still holds what is on its way.
+struct StallingRelay {
+    agent: SocketAddr,
+    passes: Cell<usize>,
+    held: Cell<usize>,
+}
+
+impl StallingRelay {
+    fn start(self: &Rc<Self>, listener: TcpListener) {
+        listener.set_nonblocking(true).expect("it listens");
+        let listener = tokio::net::TcpListener::from_std(listener).expect("it listens");
+        let relay = self.clone();
+        actix_rt::spawn(async move {
+            while let Ok((fetcher, _)) = listener.accept().await {
+                let relay = relay.clone();
+                actix_rt::spawn(async move { relay.pass(fetcher).await });
+            }
+        });
+    }
+
+    async fn pass(&self, fetcher: TcpStream) {
+        let agent = TcpStream::connect(self.agent).await.expect("the agent listens");
+        let (mut from_fetcher, mut to_fetcher) = fetcher.into_split();
+        let (mut from_agent, mut to_agent) = agent.into_split();
+        let asks = tokio::io::copy(&mut from_fetcher, &mut to_agent);
+        let answers = async {
+            let mut bytes = vec![0; 64 * 1024];
+            while let Ok(count @ 1..) = from_agent.read(&mut bytes).await {
+                if self.passes.get() < count {
+                    self.passes.set(0);
+                    self.held.set(self.held.get() + count);
+                } else {
+                    self.passes.set(self.passes.get() - count);
+                    to_fetcher.write_all(&bytes[..count]).await.expect("the fetcher is there");
+                }
+            }
+        };
+        tokio::join!(asks, answers).0.ok();
+    }
+}
+
+/// Guards against weights that fill a link when it narrows: live requests queue behind them and arrive when
+/// their callers have left.
+#[actix_rt::test]
+async fn little_is_on_its_way_when_a_link_narrows() {
+    const CHUNK_BYTES: usize = 48 * 1024;
+    // Half a second of a link of 0.6 Mbit/s.
+    const MOST_HELD: usize = 37_500;
+    let secret = PeerSecret::derive("a token of the test");
+    let (origin, origin_address) = ScriptedOrigin::start(host(19)).await;
+    origin.chunk_bytes.set(CHUNK_BYTES);
+    let serve = |peers: Vec<SwarmPeer>, number| {
+        let feeds = TcpListener::bind((host(number), 0)).expect("a free port");
+        let seed = feeds.local_addr().expect("bound").to_string();
+        let member = PlanningMember { origin: origin_address, peers, link_delay: Rc::default() };
+        (serve_feed(feeds, secret, RpcOptions::default(), member).expect("it is served"), seed)
+    };
+    let port = {
+        let free = TcpListener::bind((host(11), 0)).expect("a free port");
+        free.local_addr().expect("bound").port()
+    };
+    let (_holders_control, seed) = serve(Vec::new(), 11);
+    let (_, _holder) = start_agent(host(11), port, &seed, secret, PlannerPolicy::default()).await;
+    wait_until(|| origin.given.get() >= CHUNKS).await;
+    let relay = Rc::new(StallingRelay {
+        agent: SocketAddr::new(host(11), port),
+        passes: Cell::new(2 * CHUNK_BYTES),
+        held: Cell::new(0),
+    });
+    let relays = 12..12 + OTHERS;
+    for number in relays.clone() {
+        relay.start(TcpListener::bind((host(number), port)).expect("a free port"));
+    }
+    let peer = |number| SwarmPeer { target: SocketAddr::new(host(number), 8_000), zone: zone() };
+    let (_fetchers_control, seed) = serve(relays.map(peer).collect(), 18);
+    let planner = PlannerPolicy { seeders: 0, fetches_per_peer: 1, ..PlannerPolicy::default() };
+    let (_, _fetcher) = start_agent(host(18), port, &seed, secret, planner).await;
+    wait_until(|| relay.passes.get() == 0).await;
+    // What was asked for before comes over loopback by then.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert!(relay.held.get() <= MOST_HELD, "{} bytes were on their way", relay.held.get());
+}
+
 /// Guards against entries that know nothing of a narrowed link while no weights are spread: live requests
 /// queue before it and arrive when their callers have left.
 #[actix_rt::test]
@@ -158,30 +277,9 @@
     };
     let _control =
         serve_feed(feeds, secret, RpcOptions::default(), member.clone()).expect("it is served");
-    let (engine, target) = ScriptedEngine::start(host(1)).await;
+    let planner = PlannerPolicy::default();
+    let (engine, _agent) = start_agent(host(1), port, &seed, secret, planner).await;
     engine.version.set(1);
-    let chunks = TcpListener::bind((host(1), port)).expect("a free port");
-    let options = StagerOptions {
-        zone: zone(),
-        target,
-        service: service(),
-        secret,
-        seeds: Rc::new(RefCell::new(vec![seed])),
-        chunk_port: port,
-        planner: PlannerPolicy::default(),
-        upload_bytes_per_second: 1_000_000,
-        fetches_early: true,
-        finishes_older: true,
-        timing: SwitchTiming { bound: Duration::ZERO, reserve: Duration::ZERO },
-    };
-    let metrics = DaemonMetrics::new();
-    let _agent = StagerRuntime::start(
-        options,
-        Rc::new(PlatformEngine),
-        StagerListeners { chunks },
-        &metrics,
-    )
-    .expect("it starts");
     wait_until(|| member.link_delay.get() == Some(0)).await;
     // Answers have come by now, or the next ones are awaited in vain.
     tokio::time::sleep(Duration::from_millis(500)).await;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -30,6 +30,7 @@
 mod store;
 mod streams;
 mod support;
+mod transfer_window;
 mod versions;
 mod waiting;
 mod weights;
