--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -9,6 +9,7 @@
 mod narrow_link;
 mod order_storm;
 mod placing;
+mod receipts;
 mod reports;
 mod weights;
 mod weights_bed;
--- a/tests/all/fleet/narrow_link.rs
+++ b/tests/all/fleet/narrow_link.rs
@@ -30,14 +30,19 @@
 /// Other agents.
 const OTHERS: u8 = 3;
 
-fn zone() -> ZoneName {
+pub(super) fn zone() -> ZoneName {
     ZoneName::try_from("z1").expect("a valid name")
 }
 
-fn host(number: u8) -> IpAddr {
+pub(super) fn host(number: u8) -> IpAddr {
     IpAddr::from([127, 77, 0, number])
 }
 
+/// The agent on a host, as others know it.
+pub(super) fn peer(number: u8) -> SwarmPeer {
+    SwarmPeer { target: SocketAddr::new(host(number), 8_000), zone: zone() }
+}
+
 /// An agent that answers as late as is set.
 #[derive(Clone)]
 struct SlowAgent {
@@ -75,13 +80,27 @@
 
 /// A control member that names the other agents and notes what the agent says of its link.
 #[derive(Clone)]
-struct PlanningMember {
+pub(super) struct PlanningMember {
     origin: SocketAddr,
     peers: Vec<SwarmPeer>,
     link_delay: Rc<Cell<Option<u64>>>,
 }
 
 impl PlanningMember {
+    /// Starts to answer; returns where, besides.
+    pub(super) fn start(
+        origin: SocketAddr,
+        peers: Vec<SwarmPeer>,
+        host: IpAddr,
+        secret: PeerSecret,
+    ) -> (Self, RpcServer, String) {
+        let feeds = TcpListener::bind((host, 0)).expect("a free port");
+        let seed = feeds.local_addr().expect("bound").to_string();
+        let member = Self { origin, peers, link_delay: Rc::default() };
+        let server = serve_feed(feeds, secret, RpcOptions::default(), member.clone());
+        (member, server.expect("it is served"), seed)
+    }
+
     fn plan(&self) -> WeightsPlan {
         WeightsPlan {
             model: model(),
@@ -138,7 +157,7 @@
     (port, servers)
 }
 
-async fn wait_until(done: impl Fn() -> bool) {
+pub(super) async fn wait_until(done: impl Fn() -> bool) {
     let wait = async {
         while !done() {
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -147,8 +166,14 @@
     tokio::time::timeout(PATIENCE, wait).await.expect("it happens in time");
 }
 
+/// A port that is free on a host.
+pub(super) fn free_port(host: IpAddr) -> u16 {
+    let free = TcpListener::bind((host, 0)).expect("a free port");
+    free.local_addr().expect("bound").port()
+}
+
 /// Starts an engine that holds nothing, and an agent beside it.
-async fn start_agent(
+pub(super) async fn start_agent(
     host: IpAddr,
     chunk_port: u16,
     seed: &str,
@@ -228,17 +253,9 @@
     let secret = PeerSecret::derive("a token of the test");
     let (origin, origin_address) = ScriptedOrigin::start(host(19)).await;
     origin.chunk_bytes.set(CHUNK_BYTES);
-    let serve = |peers: Vec<SwarmPeer>, number| {
-        let feeds = TcpListener::bind((host(number), 0)).expect("a free port");
-        let seed = feeds.local_addr().expect("bound").to_string();
-        let member = PlanningMember { origin: origin_address, peers, link_delay: Rc::default() };
-        (serve_feed(feeds, secret, RpcOptions::default(), member).expect("it is served"), seed)
-    };
-    let port = {
-        let free = TcpListener::bind((host(11), 0)).expect("a free port");
-        free.local_addr().expect("bound").port()
-    };
-    let (_holders_control, seed) = serve(Vec::new(), 11);
+    let serve = |peers, number| PlanningMember::start(origin_address, peers, host(number), secret);
+    let port = free_port(host(11));
+    let (_, _holders_control, seed) = serve(Vec::new(), 11);
     let (_, _holder) = start_agent(host(11), port, &seed, secret, PlannerPolicy::default()).await;
     wait_until(|| origin.given.get() >= CHUNKS).await;
     let relay = Rc::new(StallingRelay {
@@ -250,8 +267,7 @@
     for number in relays.clone() {
         relay.start(TcpListener::bind((host(number), port)).expect("a free port"));
     }
-    let peer = |number| SwarmPeer { target: SocketAddr::new(host(number), 8_000), zone: zone() };
-    let (_fetchers_control, seed) = serve(relays.map(peer).collect(), 18);
+    let (_, _fetchers_control, seed) = serve(relays.map(peer).collect(), 18);
     let planner = PlannerPolicy { seeders: 0, fetches_per_peer: 1, ..PlannerPolicy::default() };
     let (_, _fetcher) = start_agent(host(18), port, &seed, secret, planner).await;
     wait_until(|| relay.passes.get() == 0).await;
@@ -267,16 +283,9 @@
     let secret = PeerSecret::derive("a token of the test");
     let delay = Rc::new(Cell::new(Duration::ZERO));
     let (port, _others) = start_others(&delay, secret);
-    let peer = |number| SwarmPeer { target: SocketAddr::new(host(number), 8_000), zone: zone() };
-    let feeds = TcpListener::bind((host(1), 0)).expect("a free port");
-    let seed = feeds.local_addr().expect("bound").to_string();
-    let member = PlanningMember {
-        origin: SocketAddr::new(host(9), 1),
-        peers: (2..2 + OTHERS).map(peer).collect(),
-        link_delay: Rc::default(),
-    };
-    let _control =
-        serve_feed(feeds, secret, RpcOptions::default(), member.clone()).expect("it is served");
+    let peers = (2..2 + OTHERS).map(peer).collect();
+    let origin = SocketAddr::new(host(9), 1);
+    let (member, _control, seed) = PlanningMember::start(origin, peers, host(1), secret);
     let planner = PlannerPolicy::default();
     let (engine, _agent) = start_agent(host(1), port, &seed, secret, planner).await;
     engine.version.set(1);
