HTTP server: a planned stop answers the requests that have arrived

A request sent over a kept connection to an entry that stopped as planned could end without any response, and its caller could not tell whether it ran.

Cause: at the end of its wait the entry told actix-http to shut down, which closes idle connections and discards what it has not read, and closed the listener, which resets the connections not yet accepted.

Servers now say `Connection: close` with each response from the start of a stop (`ServerHandle::leave`), drain until no request has arrived for 0.25 s, close a connection only if no request is on it, which they ask of the socket itself, and accept what waits in the queue. A stopping entry no longer lists itself. Agents' gates use the same server and leave in the same way.

--- a/crates/agent/src/runtime.rs
+++ b/crates/agent/src/runtime.rs
@@ -222,6 +222,7 @@
         let deadline = Instant::now() + limit;
         self.shared.stopping.set(true);
         self.shared.set_state(TargetState::Leaving);
+        self.gate.leave();
         // Entries get the report at once. One that is unreachable just now stops routing to this
         // target when its reports cease.
         const NOTIFY_DELAY: Duration = Duration::from_millis(200);
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -35,7 +35,11 @@
 ) -> AddressList {
     let view = shared.view();
     let preferred_zone = zone.unwrap_or(shared.options.zone.as_str());
-    let mut entries: Vec<&EntryRecord> = view.entries.values().filter(|e| !e.leaving).collect();
+    // The configuration held may be outdated about this entry.
+    let leaves = |entry: &EntryRecord| {
+        entry.leaving || (shared.is_stopping() && entry.name == shared.options.name)
+    };
+    let mut entries: Vec<&EntryRecord> = view.entries.values().filter(|e| !leaves(e)).collect();
     entries.sort_by_key(|entry| {
         let rank = entry_rank(organisation.as_str(), entry.name.as_str(), salt);
         (entry.zone.as_str() != preferred_zone, rank)
--- a/crates/entry/src/runtime.rs
+++ b/crates/entry/src/runtime.rs
@@ -180,6 +180,7 @@
     pub async fn stop(self, drain_timeout: Duration) -> bool {
         let deadline = Instant::now() + drain_timeout;
         self.shared.stopping.set(true);
+        self.callers.leave();
         config_watch::announce_leaving(&self.shared).await;
         let lifetime = self.shared.options.address_lifetime;
         let grace = lifetime.min(deadline.saturating_duration_since(Instant::now()));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod client;
+mod connection;
 mod headers;
 mod metrics;
 mod reply;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,8 +1,11 @@
 //! HTTP server on the current thread, with graceful shutdown.
 
-use actix_http::{HttpService, Request, Response, body::BoxBody};
+use crate::connection::{RequestFlag, ServerSocket};
+use actix_http::{
+    ConnectionType, HttpService, Protocol, Request, Response, body::BoxBody, error::DispatchError,
+};
 use actix_service::{Service, ServiceFactory};
-use futures::future::LocalBoxFuture;
+use futures::future::{FutureExt, LocalBoxFuture};
 use std::{
     cell::Cell,
     convert::Infallible,
@@ -11,13 +14,20 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::{net::TcpStream, sync::watch, time::Instant};
 
 /// A response of a daemon.
 pub type HttpReply = Response<BoxBody>;
 
 /// Delay before the next `accept` after one failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time without requests after which a draining server closes its idle connections. Longer than a
+/// request takes on its way from a client that has just chosen this server.
+const QUIET_TIME: Duration = Duration::from_millis(250);
+/// Longest wait of a draining server for the end of requests from clients that keep sending.
+const MAX_QUIET_WAIT: Duration = Duration::from_secs(3);
+/// How long a connection that was opened shortly before the stop is kept for its first request.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
 /// Answers the requests that arrive on a listener.
 pub trait HttpHandler {
@@ -46,13 +56,77 @@
     }
 }
 
+/// Phase of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ServerPhase {
+    /// Connections are kept open between requests.
+    Running,
+    /// Each connection is closed after its next response.
+    Leaving,
+    /// No connections are accepted, and idle ones are closed.
+    Closing,
+}
+
+/// State shared by the handle, the accept loop and the connections.
+#[derive(Debug)]
+struct ServerShared {
+    phase: watch::Sender<ServerPhase>,
+    connections: Cell<usize>,
+    rejected: Cell<u64>,
+    /// When the last request arrived, or the server began to leave.
+    last_request: Cell<Instant>,
+}
+
+impl ServerShared {
+    fn new() -> Self {
+        Self {
+            phase: watch::Sender::new(ServerPhase::Running),
+            connections: Cell::new(0),
+            rejected: Cell::new(0),
+            last_request: Cell::new(Instant::now()),
+        }
+    }
+
+    /// Enters `phase` unless a later one has been entered.
+    fn enter(&self, phase: ServerPhase) {
+        self.phase.send_if_modified(|current| {
+            let is_later = phase > *current;
+            *current = phase.max(*current);
+            is_later
+        });
+    }
+
+    /// Waits until the server closes idle connections; forever if it is never stopped.
+    async fn closing(&self) {
+        let mut phase = self.phase.subscribe();
+        if phase.wait_for(|phase| *phase == ServerPhase::Closing).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits until a connection accepted at `accepted_at` may be closed once it is idle.
+    async fn may_close(self: Rc<Self>, accepted_at: Instant) {
+        self.closing().await;
+        tokio::time::sleep_until(accepted_at + FIRST_REQUEST_WAIT).await;
+    }
+
+    async fn respond(&self, handler: Rc<dyn HttpHandler>, request: Request) -> HttpReply {
+        self.last_request.set(Instant::now());
+        let in_request = RequestFlag::of(&request);
+        let mut reply = handler.handle(request).await;
+        in_request.set(false);
+        if *self.phase.borrow() >= ServerPhase::Leaving {
+            reply.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        reply
+    }
+}
+
 /// Handle of a running server.
 #[derive(Debug)]
 pub struct ServerHandle {
     address: SocketAddr,
-    stop: watch::Sender<bool>,
-    connections: Rc<Cell<usize>>,
-    rejected: Rc<Cell<u64>>,
+    shared: Rc<ServerShared>,
 }
 
 impl ServerHandle {
@@ -63,48 +137,74 @@
 
     /// Number of open connections.
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.shared.connections.get()
     }
 
     /// Number of connections closed at once because the limit was reached.
     pub fn rejected(&self) -> u64 {
-        self.rejected.get()
+        self.shared.rejected.get()
+    }
+
+    /// Announces with every response from now on that its connection closes. Requests are still
+    /// served, also on new connections.
+    pub fn leave(&self) {
+        self.shared.enter(ServerPhase::Leaving);
     }
 
-    /// Stops accepting connections and closes idle ones; requests in progress finish.
+    /// Stops accepting connections and closes idle ones; requests that have arrived are served.
     pub fn stop(&self) {
-        self.stop.send_replace(true);
+        self.shared.enter(ServerPhase::Closing);
     }
 
-    /// Stops the server and waits until all connections are closed or `timeout` has passed. Returns
-    /// whether all connections are closed.
+    /// Stops the server once no requests arrive, and waits until all connections are closed or
+    /// `timeout` has passed. Returns whether all connections are closed.
     pub async fn drain(&self, timeout: Duration) -> bool {
         const POLL_INTERVAL: Duration = Duration::from_millis(10);
+        let deadline = Instant::now() + timeout;
+        self.leave();
+        self.wait_until_quiet(deadline).await;
         self.stop();
-        let deadline = tokio::time::Instant::now() + timeout;
-        while self.connections.get() > 0 {
-            if tokio::time::Instant::now() >= deadline {
+        while self.connections() > 0 {
+            if Instant::now() >= deadline {
                 return false;
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         true
     }
+
+    /// Waits until no request has arrived for [`QUIET_TIME`].
+    ///
+    /// Prevents the close of a connection from crossing a request that a client is just sending on
+    /// it: the client would get no response. Clients that know that this server leaves send
+    /// nothing, and those that do not yet know are answered until they do.
+    async fn wait_until_quiet(&self, deadline: Instant) {
+        let began = Instant::now();
+        let give_up_at = deadline.min(began + MAX_QUIET_WAIT);
+        loop {
+            let quiet_at = self.shared.last_request.get().max(began) + QUIET_TIME;
+            let wake_at = quiet_at.min(give_up_at);
+            if Instant::now() >= wake_at {
+                return;
+            }
+            tokio::time::sleep_until(wake_at).await;
+        }
+    }
 }
 
 /// Counts a connection as open until dropped.
-struct ConnectionGuard(Rc<Cell<usize>>);
+struct ConnectionGuard(Rc<ServerShared>);
 
 impl ConnectionGuard {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
+    fn new(shared: &Rc<ServerShared>) -> Self {
+        shared.connections.set(shared.connections.get() + 1);
+        Self(shared.clone())
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.connections.set(self.0.connections.get() - 1);
     }
 }
 
@@ -120,75 +220,87 @@
     listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
-    let (stop, stopped) = watch::channel(false);
-    let connections = Rc::new(Cell::new(0));
-    let rejected = Rc::new(Cell::new(0));
-    let handle = ServerHandle {
-        address,
-        stop,
-        connections: connections.clone(),
-        rejected: rejected.clone(),
-    };
-    let accept = accept_loop(listener, handler, options, stopped, connections, rejected);
-    actix_rt::spawn(accept);
-    Ok(handle)
+    let shared = Rc::new(ServerShared::new());
+    actix_rt::spawn(accept_loop(listener, handler, options, shared.clone()));
+    Ok(ServerHandle { address, shared })
 }
 
 async fn accept_loop(
     listener: tokio::net::TcpListener,
     handler: Rc<dyn HttpHandler>,
     options: ServerOptions,
-    mut stopped: watch::Receiver<bool>,
-    connections: Rc<Cell<usize>>,
-    rejected: Rc<Cell<u64>>,
+    shared: Rc<ServerShared>,
 ) {
-    let shutdown = stopped.clone();
+    let server = shared.clone();
     let service = HttpService::build()
         .client_request_timeout(options.head_timeout)
         .keep_alive(options.keep_alive)
-        .tcp_nodelay(true)
-        .graceful_shutdown_signal(move || wait_for_stop(shutdown.clone()))
+        .on_connect_ext(|socket: &ServerSocket, data| socket.share_flag(data))
         .finish(move |request: Request| {
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.handle(request).await) }
+            let (server, handler) = (server.clone(), handler.clone());
+            async move { Ok::<_, Infallible>(server.respond(handler, request).await) }
         })
-        .tcp()
         .new_service(())
         .await;
     let Ok(service) = service else { return };
     let service = Rc::new(service);
+    let serve = |(stream, peer)| {
+        if shared.connections.get() < options.max_connections {
+            actix_rt::spawn(serve_connection(shared.clone(), service.clone(), stream, peer));
+        } else {
+            shared.rejected.set(shared.rejected.get() + 1);
+        }
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_until_stopped(&mut stopped) => return,
+            () = shared.closing() => break,
         };
         match accepted {
-            Ok((stream, _)) if connections.get() < options.max_connections => {
-                let guard = ConnectionGuard::new(&connections);
-                let service = service.clone();
-                actix_rt::spawn(async move {
-                    let _guard = guard;
-                    if let Err(error) = service.call(stream).await {
-                        tracing::debug!(%error, "connection closed with an error");
-                    }
-                });
-            }
-            Ok(_) => rejected.set(rejected.get() + 1),
+            Ok(connection) => serve(connection),
             Err(error) => {
                 tracing::warn!(%error, "failed to accept a connection");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    waiting_connections(listener).for_each(serve);
 }
 
-async fn wait_for_stop(mut stopped: watch::Receiver<bool>) {
-    wait_until_stopped(&mut stopped).await;
+/// Serves one connection until either side closes it. It counts as open from the call on.
+fn serve_connection<S>(
+    shared: Rc<ServerShared>,
+    service: Rc<S>,
+    stream: TcpStream,
+    peer: SocketAddr,
+) -> impl Future<Output = ()>
+where
+    S: Service<(ServerSocket, Protocol, Option<SocketAddr>), Error = DispatchError>,
+{
+    let guard = ConnectionGuard::new(&shared);
+    // Without the option, responses are only slower.
+    stream.set_nodelay(true).ok();
+    let close_signal = shared.may_close(Instant::now()).boxed_local();
+    let socket = ServerSocket::new(stream, close_signal);
+    async move {
+        let _guard = guard;
+        if let Err(error) = service.call((socket, Protocol::Http1, Some(peer))).await {
+            tracing::debug!(%error, "connection closed with an error");
+        }
+    }
 }
 
-async fn wait_until_stopped(stopped: &mut watch::Receiver<bool>) {
-    if stopped.wait_for(|stop| *stop).await.is_err() {
-        // The handle was dropped without a call to `stop`: the server keeps running.
-        std::future::pending::<()>().await;
-    }
+/// Accepts the connections that wait in the queue of `listener` and closes it.
+///
+/// Prevents the close of the listener from resetting connections that clients have opened and sent
+/// a request on: they would get no response.
+fn waiting_connections(
+    listener: tokio::net::TcpListener,
+) -> impl Iterator<Item = (TcpStream, SocketAddr)> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || {
+        let (stream, peer) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some((TcpStream::from_std(stream).ok()?, peer))
+    })
 }
--- a/crates/local/src/cluster/faults.rs
+++ b/crates/local/src/cluster/faults.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Begins a graceful stop of an entry without waiting. The returned thread ends with the entry;
+    /// `None` if it is not running.
+    pub fn begin_stop_entry(&mut self, number: usize) -> Option<std::thread::JoinHandle<()>> {
+        self.entries[number].daemon.take()?.begin_stop()
+    }
+
     /// Kills a control member without a graceful stop, as a crash would.
     pub fn kill_control(&mut self, number: usize) {
         if let Some(daemon) = self.control[number].daemon.take() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod processes;
 mod scenarios;
 mod seeders;
+mod server_stop;
 mod serving_config;
 mod serving_documents;
 mod serving_tables;
