Entry: a planned stop outlasts the lists of other entries

A caller could still hold the address of an entry that had stopped as planned, and its request could cross the close of its connection and end without any response.

Cause: the entry waited for the lifetime of lists from its own announcement on. Other entries may hold the configuration of before for up to a lease and give out lists that name it. Evidence: in a trace an entry held it for 81 ms after the announcement was acknowledged.

--- a/crates/entry/src/runtime.rs
+++ b/crates/entry/src/runtime.rs
@@ -177,13 +177,18 @@
     /// Stops gracefully: withdraws from the list of addresses, serves until every cached list that
     /// names this entry has expired, then drains the requests in progress. Returns whether
     /// all connections ended within `drain_timeout`.
+    ///
+    /// Other entries may hold an older configuration for the length of a lease and give callers
+    /// lists that still name this entry. Without waiting for these as well, the close of a
+    /// connection can cross a request of a caller that holds such a list.
     pub async fn stop(self, drain_timeout: Duration) -> bool {
         let deadline = Instant::now() + drain_timeout;
         self.shared.stopping.set(true);
         self.callers.leave();
         config_watch::announce_leaving(&self.shared).await;
-        let lifetime = self.shared.options.address_lifetime;
-        let grace = lifetime.min(deadline.saturating_duration_since(Instant::now()));
+        let options = &self.shared.options;
+        let grace = options.lease + options.address_lifetime;
+        let grace = grace.min(deadline.saturating_duration_since(Instant::now()));
         tokio::time::sleep(grace).await;
         self.callers.drain(deadline.saturating_duration_since(Instant::now())).await
     }
--- a/tests/all/server_stop.rs
+++ b/tests/all/server_stop.rs
@@ -3,7 +3,12 @@
 use crate::support::{API_KEY, TestCluster, WAIT_TIMEOUT, block_on, cluster_options};
 use egretseam_fakes::{BookingLedger, FakeBookingService};
 use egretseam_http::ServerHandle;
-use std::{io::Write, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    io::Write,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -153,3 +158,32 @@
     });
     stopping.join().expect("the entry ends");
 }
+
+/// An entry stops while another entry still holds the configuration before the stop, for at most a
+/// lease, and gives callers its address. The entry must serve until those lists have expired too.
+#[test]
+fn a_stopping_entry_serves_while_lists_of_other_entries_may_name_it() {
+    /// Longer than the time without requests after which a draining server closes.
+    const CALL_INTERVAL: Duration = Duration::from_millis(400);
+    let mut test = TestCluster::start(cluster_options(1, 0));
+    let options = test.cluster.options().clone();
+    let address = test.cluster.caller_addresses()[0].clone();
+    let server: SocketAddr = address.parse().expect("an address");
+    let began = Instant::now();
+    let stopping = test.cluster.begin_stop_entry(0).expect("a running entry");
+    let served_for = block_on(async move {
+        loop {
+            let called_after = began.elapsed();
+            let Ok(mut stream) = TcpStream::connect(server).await else { return called_after };
+            stream.write_all(request("/healthz").as_bytes()).await.expect("written");
+            if read_response(&mut stream).await.is_empty() {
+                return called_after;
+            }
+            tokio::time::sleep(CALL_INTERVAL).await;
+        }
+    });
+    stopping.join().expect("the entry ends");
+    let lifetime = Duration::from_secs(options.address_lifetime_seconds);
+    let lease = Duration::from_millis(options.lease_millis);
+    assert!(served_for >= lifetime + lease, "served for {served_for:?}");
+}
