Entries: a key that has not run moves to the restarted agent

What callers saw: after an agent had restarted, a booking with a key was answered may-have-run, and so was every retry for the 15 minutes of its claim, although it had never run and agent and target served. With a new key bookings ran.

Cause: until the restarted agent's first report an entry binds keys to the earlier incarnation. The agent rejects the request, certainly not run, and the key may move, but the entry left out targets it had tried by name: with one target there was none to move to. It gave up after 8 attempts (0.4 s), and each retry found the claim of an incarnation that was gone. The same happened while an agent was down, and after a stopping agent had rejected a key for good.

Fix: leave out incarnations instead of names, and wait up to 10 s for the report of a restarted agent. Attempts that reached no agent or another incarnation cost no retries. The proofs by which a key moves are unchanged, so a key that may have run stays where it is.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -24,8 +24,12 @@
 const MAX_FREE_RETRIES: usize = 2;
 /// Interval at which an admitted request looks for a target below its limit.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(4);
-/// Delay before a retry at the incarnation that a key is bound to.
+/// Delay before a retry at the incarnation that a key is bound to, and interval at which another
+/// incarnation is looked for.
 const BOUND_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest wait of a key that has certainly not run and whose agent restarts: time for the agent to
+/// start and report.
+const MAX_REBIND_WAIT: Duration = Duration::from_secs(10);
 
 /// Forwards one request to a target and returns the response for the caller.
 pub(crate) async fn forward(
@@ -260,17 +264,19 @@
     // claimed again since.
     let mut known_not_run = outcome == ClaimOutcome::Bound;
     choice = bound_choice(shared, choice, outcome)?;
+    let rebind_deadline = (Instant::now() + MAX_REBIND_WAIT).min(request.deadline);
     let mut tried = Vec::new();
     let mut last_failure: Option<FailureReport> = None;
-    for _ in 0..MAX_ATTEMPTS {
-        tried.push(choice.target.clone());
+    let mut attempts = 0;
+    while attempts < MAX_ATTEMPTS {
+        tried.push(incarnation_of(&choice));
         let failure = match send_keyed(shared, request, choice.clone()).await {
             Ok(reply) => return Ok(reply),
             Err(failure) => failure,
         };
         known_not_run &= failure.report.verdict == RequestVerdict::NotRun;
         let reason = failure.report.reason;
-        if failure.report.reason == RefusalReason::OtherIncarnation && !known_not_run {
+        if reason == RefusalReason::OtherIncarnation && !known_not_run {
             return Err(outcome_unknown("the agent that held the key has restarted"));
         }
         let proof = match failure.key_rejected {
@@ -278,7 +284,12 @@
             false if known_not_run => Some(RebindProof::NeverSent),
             false => None,
         };
-        let next = choose(shared, request, profile, &tried, None);
+        // No further attempt can succeed at an incarnation that has ended or that has rejected the
+        // key for good.
+        let is_over = failure.key_rejected || reason == RefusalReason::OtherIncarnation;
+        let wait_deadline = if is_over { rebind_deadline } else { Instant::now() };
+        let next = wait_for_untried(shared, request, profile, &tried, wait_deadline).await;
+        let is_unreachable = reason == RefusalReason::ConnectFailed && next.is_err();
         match (proof, next) {
             (Some(proof), Ok(next)) => {
                 choice = rebind(shared, request, key, &choice, next, proof).await?;
@@ -297,11 +308,14 @@
                 tokio::time::sleep(BOUND_RETRY_DELAY).await;
             }
         }
-        if Instant::now() >= request.deadline
-            || !shared.retry_budget.borrow_mut().spend(&request.organisation)
-        {
+        // Retries of a key that has certainly not run are free while its agent restarts: they add
+        // no load to the target.
+        let is_restarting = is_unreachable || reason == RefusalReason::OtherIncarnation;
+        let is_free = known_not_run && is_restarting && Instant::now() < rebind_deadline;
+        if !is_free && !may_retry_keyed(shared, request) {
             break;
         }
+        attempts += usize::from(!is_free);
         shared.metrics.count_retry(reason);
     }
     // The key is bound to an incarnation that has not answered, so its outcome is unknown.
@@ -311,6 +325,52 @@
     ))
 }
 
+/// Whether the deadline of a keyed request has not passed and the retry budget, from which this takes
+/// one retry, is not empty.
+fn may_retry_keyed(shared: &EntryShared, request: &CallerRequest) -> bool {
+    Instant::now() < request.deadline
+        && shared.retry_budget.borrow_mut().spend(&request.organisation)
+}
+
+/// Chooses a target whose current incarnation the key has not been tried at.
+///
+/// Prevents a key from staying bound to an incarnation that has ended, so that the caller is told
+/// `may-have-run` for as long as the claim is kept, although the booking has not run and the target
+/// serves. A restarted agent is another incarnation of the same target; if targets were left out by
+/// name, a service with one target would have none to bind the key to.
+fn choose_untried(
+    shared: &EntryShared,
+    request: &CallerRequest,
+    profile: &ProfileRecord,
+    tried: &[TargetIncarnation],
+) -> Result<TargetChoice, FailureReport> {
+    let targets = shared.targets.borrow();
+    let is_current =
+        |run: &&TargetIncarnation| targets.incarnation(&run.target) == Some(run.incarnation);
+    let exclude: Vec<InstanceName> =
+        tried.iter().filter(is_current).map(|run| run.target.clone()).collect();
+    drop(targets);
+    choose(shared, request, profile, &exclude, None)
+}
+
+/// As [`choose_untried`], but waits until `wait_deadline` for a target: the report of a restarted
+/// agent may reach the entry only after the agent has rejected a request.
+async fn wait_for_untried(
+    shared: &EntryShared,
+    request: &CallerRequest,
+    profile: &ProfileRecord,
+    tried: &[TargetIncarnation],
+    wait_deadline: Instant,
+) -> Result<TargetChoice, FailureReport> {
+    loop {
+        let choice = choose_untried(shared, request, profile, tried);
+        if choice.is_ok() || Instant::now() >= wait_deadline {
+            return choice;
+        }
+        tokio::time::sleep(BOUND_RETRY_DELAY).await;
+    }
+}
+
 async fn send_keyed(
     shared: &Rc<EntryShared>,
     request: &CallerRequest,
