Logs: what waits at a link when its delay changes, and how a request was sent whose caller left

The agent's line names the parts in flight by kind and whether a chunk of the origin is outstanding; the entry's line names the attempt, the connection, the bytes and what was known of the link when it was sent. Without these, none of the explanations for requests that reach a target after their caller has left could be told from the others.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 };
 use egretseam_h1::{BodyReader, HttpConnection, ResponseHead};
 use egretseam_serving::{AttemptOutcome, TargetId};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Largest body of a rejection that is read and discarded so that its connection can be reused.
@@ -91,6 +92,29 @@
     pub(crate) response_deadline: Instant,
     /// Whether to open a new connection even if the pool has an idle one.
     pub(crate) new_connection: bool,
+    /// Targets that the request was sent to, this one included.
+    pub(crate) attempt: usize,
+}
+
+/// A connection to a target, and how it was obtained.
+struct AcquiredConnection {
+    connection: HttpConnection,
+    /// Whether it is an idle one that was kept.
+    reused: bool,
+    /// Time that opening it took.
+    connect_time: Duration,
+}
+
+/// How a request was sent to a target, for logs.
+#[derive(Clone, Copy, Debug)]
+struct SentRequest {
+    attempt: usize,
+    reused: bool,
+    connect_time: Duration,
+    bytes: usize,
+    sent_at: Instant,
+    /// Delay of the target's link, as known when the request was sent.
+    link_delay: Duration,
 }
 
 /// Sends the request to the target of `slot` and reads the head of the response.
@@ -101,7 +125,8 @@
     slot: &SlotGuard,
     options: AttemptOptions,
 ) -> Result<OpenResponse, AttemptFailure> {
-    let mut connection = acquire_connection(shared, slot, options.new_connection).await?;
+    let acquired = acquire_connection(shared, slot, options.new_connection).await?;
+    let mut connection = acquired.connection;
     let send = TargetRequest {
         target: &slot.target,
         organisation: request.organisation(),
@@ -116,14 +141,21 @@
         read_matching_head(shared, &mut connection, request).await
     };
     let timer = FirstByteTimer::start(shared, slot);
-    let sent_at = Instant::now();
+    let sent = SentRequest {
+        attempt: options.attempt,
+        reused: acquired.reused,
+        connect_time: acquired.connect_time,
+        bytes: bytes.len(),
+        sent_at: Instant::now(),
+        link_delay: shared.dispatch.borrow().targets.link_delay(&slot.target),
+    };
     let result = tokio::select! {
         result = tokio::time::timeout_at(options.response_deadline, exchange) => {
             timer.stop();
             result.unwrap_or(Err(AttemptFailure::TimedOut))
         }
         () = caller.wait_for_close(MAX_PIPELINED_BYTES) => {
-            log_caller_left(shared, request, slot, sent_at);
+            log_caller_left(shared, request, slot, &sent);
             Err(AttemptFailure::CallerLeft)
         }
     };
@@ -154,19 +186,26 @@
 }
 
 /// Logs a request whose caller disconnected before the target responded: the time since the request
-/// was sent, which it spent in flight or running at the target, and the known delay of the target's
-/// link.
+/// was sent, which it spent in flight or running at the target, how it was sent, and the delay of
+/// the target's link as known then and now.
 fn log_caller_left(
     shared: &GatewayShared,
     request: &RequestState,
     slot: &SlotGuard,
-    sent_at: Instant,
+    sent: &SentRequest,
 ) {
     let link_delay = shared.dispatch.borrow().targets.link_delay(&slot.target);
     tracing::info!(
         request_id = %request.terms.id,
         target_id = %slot.target,
-        awaited_millis = sent_at.elapsed().as_millis() as u64,
+        attempt = sent.attempt,
+        connection_reused = sent.reused,
+        connect_millis = sent.connect_time.as_millis() as u64,
+        bytes = sent.bytes,
+        sent_after_millis =
+            sent.sent_at.saturating_duration_since(request.received_at).as_millis() as u64,
+        awaited_millis = sent.sent_at.elapsed().as_millis() as u64,
+        link_delay_when_sent_millis = sent.link_delay.as_millis() as u64,
         link_delay_millis = link_delay.as_millis() as u64,
         "caller disconnected before the target responded"
     );
@@ -205,18 +244,20 @@
     shared: &GatewayShared,
     slot: &SlotGuard,
     new_connection: bool,
-) -> Result<HttpConnection, AttemptFailure> {
+) -> Result<AcquiredConnection, AttemptFailure> {
     let take = || shared.pool.borrow_mut().take(&slot.target, Instant::now());
     let idle = if new_connection { None } else { take() };
     if let Some(connection) = idle {
-        return Ok(connection);
+        return Ok(AcquiredConnection { connection, reused: true, connect_time: Duration::ZERO });
     }
     shared.metrics.connections_opened.inc();
     let limit = if new_connection { STREAM_RETRY_CONNECT_TIMEOUT } else { CONNECT_TIMEOUT };
-    pool::connect(slot.address, limit).await.map_err(|error| {
+    let started_at = Instant::now();
+    let connection = pool::connect(slot.address, limit).await.map_err(|error| {
         tracing::debug!(target_id = %slot.target, %error, "failed to connect to target");
         AttemptFailure::Unreachable
-    })
+    })?;
+    Ok(AcquiredConnection { connection, reused: false, connect_time: started_at.elapsed() })
 }
 
 /// Reads response heads until one belongs to this request.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -166,6 +166,7 @@
         let options = AttemptOptions {
             response_deadline: response_deadline(shared, request, &slot.target, reached),
             new_connection: needs_new_connection(request, &tried),
+            attempt: tried.len() + 1,
         };
         tried.push(slot.target.clone());
         let failure = match run_attempt(shared, caller, request, slot, options).await {
--- a/crates/stager/src/downloads.rs
+++ b/crates/stager/src/downloads.rs
@@ -50,6 +50,28 @@
     Call(CallError),
 }
 
+/// Numbers of parts in flight in one direction, by what they wait for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PartCounts {
+    /// From or to instances of this availability zone.
+    pub(crate) same_zone: usize,
+    /// From or to instances of other availability zones.
+    pub(crate) cross_zone: usize,
+    /// Held up elsewhere, so that no window counts them.
+    pub(crate) overtaken: usize,
+}
+
+impl PartCounts {
+    /// Counts the parts of both windows of one direction.
+    pub(crate) fn of(same_zone: &TransferWindow, cross_zone: &TransferWindow) -> Self {
+        Self {
+            same_zone: same_zone.in_flight(),
+            cross_zone: cross_zone.in_flight(),
+            overtaken: same_zone.overtaken() + cross_zone.overtaken(),
+        }
+    }
+}
+
 /// Limits the parts in flight to this agent, and detects from their times that its link is slow.
 #[derive(Debug)]
 pub(crate) struct PartDownloads {
@@ -90,6 +112,11 @@
         }
     }
 
+    /// Parts in flight to this agent.
+    pub(crate) fn in_flight(&self) -> PartCounts {
+        PartCounts::of(&self.same_zone.borrow(), &self.cross_zone.borrow())
+    }
+
     fn window(&self, is_same_zone: bool) -> &RefCell<TransferWindow> {
         if is_same_zone { &self.same_zone } else { &self.cross_zone }
     }
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -153,6 +153,8 @@
     reported_delay: Cell<Duration>,
     /// Whether the origin did not reply when this agent last fetched a chunk from it.
     pub(crate) origin_unreachable: Cell<bool>,
+    /// When the chunk that the origin is asked for was requested; `None` if there is none.
+    pub(crate) origin_request_at: Cell<Option<Instant>>,
     /// Limits the parts in flight from other agents, so that live requests are not delayed.
     pub(crate) downloads: PartDownloads,
     /// Limits the parts in flight to other agents, for the same reason.
@@ -193,6 +195,7 @@
             path: RefCell::default(),
             reported_delay: Cell::new(Duration::ZERO),
             origin_unreachable: Cell::new(false),
+            origin_request_at: Cell::new(None),
             downloads: PartDownloads::new(options.upload_bytes_per_second),
             uploads: PartUploads::new(options.upload_bytes_per_second),
             staging_client: Mutex::new(PersistentClient::new(options.target)),
@@ -249,8 +252,18 @@
         let steps = delay.unwrap_or_default().as_secs_f64() / LINK_DELAY_STEP.as_secs_f64();
         let rounded = LINK_DELAY_STEP.mul_f64(steps.ceil());
         if self.reported_delay.replace(rounded) != rounded {
+            let (down, up) = (self.downloads.in_flight(), self.uploads.in_flight());
+            let origin_wait = self.origin_request_at.get().map(|at| at.elapsed());
             tracing::info!(
                 delay_millis = rounded.as_millis() as u64,
+                from_origin = origin_wait.is_some(),
+                origin_wait_millis = origin_wait.unwrap_or_default().as_millis() as u64,
+                parts_down_same_zone = down.same_zone,
+                parts_down_cross_zone = down.cross_zone,
+                parts_down_overtaken = down.overtaken,
+                parts_up_same_zone = up.same_zone,
+                parts_up_cross_zone = up.cross_zone,
+                parts_up_overtaken = up.overtaken,
                 "the delay of this instance's link changed"
             );
             self.report_due.notify_one();
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -278,7 +278,11 @@
     async fn fetch_from_origin(&self, chunk: u32) -> Result<Bytes, FetchFailure> {
         let call =
             self.shared.dialect.origin_chunk_request(&self.key.model, self.key.version, chunk);
-        let reply = self.origin.lock().await.call(&request(&call, CHUNK_TIMEOUT)).await;
+        let reply = {
+            let mut origin = self.origin.lock().await;
+            let _request = OriginRequest::start(&self.shared);
+            origin.call(&request(&call, CHUNK_TIMEOUT)).await
+        };
         self.record_origin_reply(reply.is_ok());
         match reply {
             Ok(reply) if reply.status == 200 => Ok(reply.body),
@@ -299,6 +303,22 @@
     PersistentClient::with_connect_timeout(origin, ORIGIN_CONNECT_TIMEOUT)
 }
 
+/// A request to the origin that is outstanding until this is dropped.
+struct OriginRequest<'a>(&'a StagerShared);
+
+impl<'a> OriginRequest<'a> {
+    fn start(shared: &'a StagerShared) -> Self {
+        shared.origin_request_at.set(Some(Instant::now()));
+        Self(shared)
+    }
+}
+
+impl Drop for OriginRequest<'_> {
+    fn drop(&mut self) {
+        self.0.origin_request_at.set(None);
+    }
+}
+
 /// Tasks of the fetches in flight; aborted on drop.
 #[derive(Default)]
 struct FetchTasks(Vec<actix_rt::task::JoinHandle<()>>);
--- a/crates/stager/src/uploads.rs
+++ b/crates/stager/src/uploads.rs
@@ -1,5 +1,6 @@
 //! Limits the parts in flight to other agents and paces them on this instance's link.
 
+use crate::downloads::PartCounts;
 use egretseam_rpc::PartReceipt;
 use egretseam_swarm::{LinkPacer, MAX_CROSS_ZONE_PARTS, MAX_SAME_ZONE_PARTS, TransferWindow};
 use indexmap::IndexMap;
@@ -93,6 +94,11 @@
         self.room_changed.notify_waiters();
     }
 
+    /// Parts in flight from this agent, without a receipt so far.
+    pub(crate) fn in_flight(&self) -> PartCounts {
+        PartCounts::of(&self.same_zone.borrow().window, &self.cross_zone.borrow().window)
+    }
+
     fn parts(&self, is_same_zone: bool) -> &RefCell<SentParts> {
         if is_same_zone { &self.same_zone } else { &self.cross_zone }
     }
