Agents download chunks of the origin in parts, through entries

What callers saw: requests that wait for seconds behind a slow link and are run for nobody, over half a second after their callers had left.

Cause: the origin sends chunks only whole. A chunk of 48 KB takes 0.65 s over a link of 0.6 Mbit/s, outside of every window, and an agent went on to fetch the next one over a link that was slow already.

A test bed with real agents behind simulated links (`link_queue.rs`): a chunk alone holds a request up for 0.79 s and makes 1.7 of the requests of a 3.5 s spell late; a seeder half a second after publication 1.1 s and 8 to 11; without the origin's bytes 0.6 to 1.3 of these are left. Parts of both directions alone: none.

Change: entries, whose links carry a chunk in milliseconds, fetch chunks whole, keep them for some seconds, and agents download them in parts under a window of their own. All agents ask the same entry for a chunk, so the origin sends it once. If no entry can be used, an agent fetches from the origin as before. Control tells agents of the entries by a new call, which an older member does not know; then, too, agents fetch as before.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,7 +12,9 @@
 use egretseam_serving::{
     DEFAULT_STREAM_IDLE_TIMEOUT, PlacementPolicy, RetryPolicy, SwitchTiming, WaitPolicy,
 };
-use egretseam_stager::{EngineDialect, StagerListeners, StagerOptions, StagerRuntime};
+use egretseam_stager::{
+    EngineDialect, OriginCacheRuntime, StagerListeners, StagerOptions, StagerRuntime,
+};
 use egretseam_swarm::PlannerPolicy;
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -79,6 +81,7 @@
 /// Running roles of a fleet process.
 pub struct FleetRuntime {
     entry: Option<GatewayRuntime>,
+    _origin_cache: Option<OriginCacheRuntime>,
     control: Option<RegistrarRuntime>,
     _agent: Option<StagerRuntime>,
     seeds: FleetSeeds,
@@ -124,8 +127,9 @@
             .transpose()?;
         let agent = settings.agent.as_ref();
         let agent = agent.map(|agent| starter.agent(agent, dialects.engine.clone())).transpose()?;
+        let origin_cache = starter.origin_cache(dialects.engine.clone())?;
         starter.metrics()?;
-        Ok(Self { entry, control, _agent: agent, seeds, settings })
+        Ok(Self { entry, _origin_cache: origin_cache, control, _agent: agent, seeds, settings })
     }
 
     /// Version of the configuration in force at the entry; 0 for none.
@@ -304,6 +308,21 @@
         runtime.context("start the agent")
     }
 
+    /// Starts the cache of the origin's chunks beside an entry, at the port at which agents serve
+    /// chunks.
+    fn origin_cache(
+        &self,
+        dialect: Rc<dyn EngineDialect>,
+    ) -> anyhow::Result<Option<OriginCacheRuntime>> {
+        if self.settings.entry.is_none() || self.settings.agent.is_some() {
+            return Ok(None);
+        }
+        let listener = self.bind(self.peer_address(CHUNK_PORT_OFFSET))?;
+        let secret = PeerSecret::derive(PEER_TOKEN);
+        let runtime = OriginCacheRuntime::start(listener, secret, dialect, self.metrics);
+        runtime.map(Some).context("start the cache of the origin's chunks")
+    }
+
     /// Serves the metrics over HTTP, without authentication.
     fn metrics(&self) -> anyhow::Result<()> {
         let listener = self.bind(self.peer_address(METRICS_PORT_OFFSET))?;
--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -2,18 +2,20 @@
 
 use crate::{contents, shared::RegistrarShared};
 use egretseam_delta::PackedDocument;
-use egretseam_proto::{ContentDigest, ModelName, ServiceName};
+use egretseam_proto::{ContentDigest, ModelName, ServiceName, ZoneName};
 use egretseam_rpc::{
     AgentCall, AgentReply, FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, WeightsKey,
     WeightsPlan,
 };
-use egretseam_serving::{ConfigRequest, PublishedVersion};
+use egretseam_serving::{ConfigRequest, EntryRecord, PublishedVersion};
 use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
 use tokio::time::Instant;
 
 /// Longest wait for a change that a reader may ask for.
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(10);
+/// Most entries that an agent is told of: enough to share the chunks of the origin among them.
+const MAX_READY_ENTRIES: usize = 8;
 
 /// Answers the calls of feed readers.
 #[derive(Clone)]
@@ -103,6 +105,10 @@
     async fn version_of(self, _: Context, model: ModelName, digest: ContentDigest) -> Option<u64> {
         self.shared.control.state().version_of(&model, &digest)
     }
+
+    async fn ready_entries(self, _: Context, zone: ZoneName) -> Vec<EntryRecord> {
+        self.shared.entries.borrow().ready_in_zone(&zone, MAX_READY_ENTRIES)
+    }
 }
 
 fn agent_reply(
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -138,6 +138,9 @@
     async fn note_content(key: WeightsKey, digest: ContentDigest) -> bool;
     /// The version of a model with this content digest, if this member knows one.
     async fn version_of(model: ModelName, digest: ContentDigest) -> Option<u64>;
+    /// Some ready entries of an availability zone, or of all zones if it has none, in the same
+    /// sequence for every caller.
+    async fn ready_entries(zone: ZoneName) -> Vec<EntryRecord>;
 }
 
 /// Identifies weights that agents exchange.
@@ -178,6 +181,15 @@
     pub receipt: Option<PartReceipt>,
 }
 
+impl PartCall {
+    /// The requested part of `chunk`; `None` if it starts beyond the chunk's end.
+    pub fn slice_of(&self, chunk: &Bytes) -> Option<Bytes> {
+        let start = usize::try_from(self.start).ok().filter(|start| *start <= chunk.len())?;
+        let wanted = usize::try_from(self.length).unwrap_or(chunk.len());
+        Some(chunk.slice(start..start.saturating_add(wanted).min(chunk.len())))
+    }
+}
+
 /// A part of a chunk.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartReply {
@@ -192,6 +204,42 @@
     pub receipt: PartReceipt,
 }
 
+/// Requests that an entry fetch a chunk from the origin and keep it for a while, so that agents can
+/// download it in parts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginChunkCall {
+    /// Address of the origin.
+    pub origin: SocketAddr,
+    /// The weights.
+    pub key: WeightsKey,
+    /// Index of the chunk.
+    pub chunk: u32,
+    /// Whether a kept copy must be fetched again, because it did not match its digest.
+    pub discards_kept: bool,
+    /// Milliseconds that the reply may wait for the chunk.
+    pub wait_millis: u64,
+}
+
+/// Answers an [`OriginChunkCall`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginChunkReply {
+    /// Parts of the chunk can be requested.
+    Ready {
+        /// Size of the chunk in bytes.
+        chunk_bytes: u64,
+    },
+    /// The chunk has not arrived within the wait; the call may be repeated.
+    Pending,
+    /// The origin does not have the chunk.
+    Absent,
+    /// The origin rejected the request for now.
+    Busy,
+    /// The origin did not answer.
+    Unreachable,
+    /// The process fetches nothing from the origin for others.
+    Unsupported,
+}
+
 /// The chunks that an agent has of a version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldReply {
@@ -210,7 +258,7 @@
     pub digests: Vec<[u8; 32]>,
 }
 
-/// Calls of agents to another agent.
+/// Calls of agents to another agent, or to an entry that fetches chunks from the origin for them.
 #[tarpc::service]
 pub trait ChunkService {
     /// The chunks that the agent has, once there are more than `known` or `wait_millis` have
@@ -229,4 +277,6 @@
     async fn received(receipt: PartReceipt);
     /// Replies immediately, so that the caller can measure the round-trip time.
     async fn echo();
+    /// Fetches a chunk from the origin unless it is kept here already.
+    async fn cache_origin_chunk(call: OriginChunkCall) -> OriginChunkReply;
 }
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -3,7 +3,8 @@
 use crate::{
     feed::{
         AgentCall, AgentReply, ChunkServiceClient, FeedCall, FeedReply, FeedServiceClient,
-        HeldReply, PartCall, PartReceipt, PartReply, VersionDigests, WeightsKey,
+        HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
+        VersionDigests, WeightsKey,
     },
     preface::PeerSecret,
     server::codec,
@@ -13,8 +14,9 @@
     },
 };
 use egretseam_catalog::{CatalogCommand, HistoryRecord};
-use egretseam_proto::{ContentDigest, ModelName, ProfileName};
+use egretseam_proto::{ContentDigest, ModelName, ProfileName, ZoneName};
 use egretseam_replica::{Envelope, MemberRecord};
+use egretseam_serving::EntryRecord;
 use std::{
     cell::RefCell,
     io,
@@ -235,6 +237,16 @@
         let reply = client.version_of(self.context(Duration::ZERO), model, digest).await;
         self.drop_on_error(reply)
     }
+
+    /// See [`crate::FeedService::ready_entries`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn ready_entries(&self, zone: ZoneName) -> Result<Vec<EntryRecord>, CallError> {
+        let client = self.client().await?;
+        let reply = client.ready_entries(self.context(Duration::ZERO), zone).await;
+        self.drop_on_error(reply)
+    }
 }
 
 impl ChunkLink {
@@ -294,6 +306,20 @@
         self.drop_on_error(reply)
     }
 
+    /// See [`crate::ChunkService::cache_origin_chunk`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn cache_origin_chunk(
+        &self,
+        call: OriginChunkCall,
+    ) -> Result<OriginChunkReply, CallError> {
+        let client = self.client().await?;
+        let wait = Duration::from_millis(call.wait_millis);
+        let reply = client.cache_origin_chunk(self.context(wait), call).await;
+        self.drop_on_error(reply)
+    }
+
     /// See [`crate::ChunkService::part`].
     ///
     /// # Errors
--- a/crates/serving/src/entries.rs
+++ b/crates/serving/src/entries.rs
@@ -97,6 +97,17 @@
         records.filter(move |record| record.zone == *zone && record.name != own_name)
     }
 
+    /// At most `max` ready entries of an availability zone, or of all zones if it has none, ordered
+    /// by name.
+    pub fn ready_in_zone(&self, zone: &ZoneName, max: usize) -> Vec<EntryRecord> {
+        let ready = || self.rows.values().map(|row| &row.record).filter(|record| record.ready);
+        let has_any = ready().any(|record| record.zone == *zone);
+        let mut records: Vec<&EntryRecord> =
+            ready().filter(|record| !has_any || record.zone == *zone).collect();
+        records.sort_by(|a, b| a.name.cmp(&b.name));
+        records.into_iter().take(max).cloned().collect()
+    }
+
     /// Number of ready entries.
     pub fn ready_count(&self) -> usize {
         self.rows.values().filter(|row| row.record.ready).count()
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -4,7 +4,8 @@
 use bytes::Bytes;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
-    ChunkService, HeldReply, PartCall, PartReceipt, PartReply, VersionDigests, WeightsKey,
+    ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
+    VersionDigests, WeightsKey,
 };
 use egretseam_swarm::{ChunkPace, ChunkSet};
 use std::{collections::VecDeque, rc::Rc, time::Duration};
@@ -261,15 +262,12 @@
             self.shared.uploads.record_receipt(receipt);
         }
         let chunk = self.shared.chunks.borrow().get(&call.key)?.chunk(call.chunk)?;
-        let length = chunk.len();
-        let start = usize::try_from(call.start).ok().filter(|start| *start <= length)?;
-        let wanted = usize::try_from(call.length).unwrap_or(length);
-        let bytes = chunk.slice(start..start.saturating_add(wanted).min(length));
+        let bytes = call.slice_of(&chunk)?;
         let began = Instant::now();
         let receipt = self.shared.uploads.acquire(call.is_same_zone, bytes.len()).await;
         Some(PartReply {
             bytes,
-            chunk_bytes: length as u64,
+            chunk_bytes: chunk.len() as u64,
             queued_millis: began.elapsed().as_millis() as u64,
             receipt,
         })
@@ -278,4 +276,8 @@
     async fn received(self, _: Context, receipt: PartReceipt) {
         self.shared.uploads.record_receipt(receipt);
     }
+
+    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
+        OriginChunkReply::Unsupported
+    }
 }
--- a/crates/stager/src/contents.rs
+++ b/crates/stager/src/contents.rs
@@ -54,7 +54,8 @@
     })
 }
 
-fn member_link(shared: &StagerShared) -> Option<FeedLink> {
+/// A link to the control member that this agent follows.
+pub(crate) fn member_link(shared: &StagerShared) -> Option<FeedLink> {
     let member = shared.control_member.get()?;
     let options = LinkOptions {
         connect_timeout: CONNECT_TIMEOUT,
--- a/crates/stager/src/downloads.rs
+++ b/crates/stager/src/downloads.rs
@@ -3,9 +3,10 @@
 use bytes::{Bytes, BytesMut};
 use egretseam_rpc::{CallError, ChunkLink, PartCall, PartReceipt, PartReply, WeightsKey};
 use egretseam_swarm::{
-    LinkMonitor, MAX_CROSS_ZONE_PARTS, MAX_SAME_ZONE_PARTS, PART_BYTES, TransferWindow,
+    LinkMonitor, MAX_CROSS_ZONE_PARTS, MAX_ORIGIN_PARTS, MAX_SAME_ZONE_PARTS, PART_BYTES,
+    TransferWindow,
 };
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, ops::Range, rc::Rc, time::Duration};
 use tokio::{sync::Notify, time::Instant};
 
 /// Expected time of a part beyond its transmission at the link's configured rate.
@@ -19,11 +20,29 @@
     pub(crate) queued: Duration,
 }
 
-/// A chunk to download and the agent that has it.
+/// Whose window a part counts towards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PartWindow {
+    /// Parts from agents of the same availability zone.
+    SameZone,
+    /// Parts from agents of other availability zones.
+    CrossZone,
+    /// Parts of chunks of the origin, from entries. They have a window of their own: in one with the
+    /// parts from agents, chunks that no agent has yet wait for chunks that many have.
+    Origin,
+}
+
+impl PartWindow {
+    /// The window for parts from another agent.
+    pub(crate) fn of_peer(is_same_zone: bool) -> Self {
+        if is_same_zone { Self::SameZone } else { Self::CrossZone }
+    }
+}
+
+/// A chunk to download and the process that has it.
 pub(crate) struct ChunkSource<'a> {
     pub(crate) link: &'a Rc<ChunkLink>,
-    /// Whether the other agent is in the same availability zone.
-    pub(crate) is_same_zone: bool,
+    pub(crate) window: PartWindow,
     pub(crate) key: &'a WeightsKey,
     pub(crate) chunk: u32,
 }
@@ -57,6 +76,8 @@
     pub(crate) same_zone: usize,
     /// From or to instances of other availability zones.
     pub(crate) cross_zone: usize,
+    /// Of chunks of the origin, from entries.
+    pub(crate) origin: usize,
     /// Held up elsewhere, so that no window counts them.
     pub(crate) overtaken: usize,
 }
@@ -67,6 +88,7 @@
         Self {
             same_zone: same_zone.in_flight(),
             cross_zone: cross_zone.in_flight(),
+            origin: 0,
             overtaken: same_zone.overtaken() + cross_zone.overtaken(),
         }
     }
@@ -77,6 +99,7 @@
 pub(crate) struct PartDownloads {
     same_zone: RefCell<TransferWindow>,
     cross_zone: RefCell<TransferWindow>,
+    origin: RefCell<TransferWindow>,
     link: RefCell<LinkMonitor>,
     /// Wakes those who wait for room in a window.
     part_ended: Notify,
@@ -90,6 +113,7 @@
         Self {
             same_zone: RefCell::new(TransferWindow::new(MAX_SAME_ZONE_PARTS)),
             cross_zone: RefCell::new(TransferWindow::new(MAX_CROSS_ZONE_PARTS)),
+            origin: RefCell::new(TransferWindow::new(MAX_ORIGIN_PARTS)),
             link: RefCell::new(LinkMonitor::new(expected)),
             part_ended: Notify::new(),
         }
@@ -105,6 +129,7 @@
     /// Checks for parts in flight that are late, and adapts the windows and the link's delay.
     pub(crate) fn check_late(&self, now: Instant) {
         self.cross_zone.borrow_mut().check_late(now);
+        self.origin.borrow_mut().check_late(now);
         let mut same_zone = self.same_zone.borrow_mut();
         same_zone.check_late(now);
         if let Some(elapsed) = same_zone.time_since_arrival(now) {
@@ -114,11 +139,16 @@
 
     /// Parts in flight to this agent.
     pub(crate) fn in_flight(&self) -> PartCounts {
-        PartCounts::of(&self.same_zone.borrow(), &self.cross_zone.borrow())
+        let origin = self.origin.borrow().in_flight();
+        PartCounts { origin, ..PartCounts::of(&self.same_zone.borrow(), &self.cross_zone.borrow()) }
     }
 
-    fn window(&self, is_same_zone: bool) -> &RefCell<TransferWindow> {
-        if is_same_zone { &self.same_zone } else { &self.cross_zone }
+    fn window(&self, window: PartWindow) -> &RefCell<TransferWindow> {
+        match window {
+            PartWindow::SameZone => &self.same_zone,
+            PartWindow::CrossZone => &self.cross_zone,
+            PartWindow::Origin => &self.origin,
+        }
     }
 
     /// Delay of this instance's link, if the link is slow.
@@ -131,7 +161,41 @@
         self.link.borrow().rate_fraction(now)
     }
 
-    /// Downloads a chunk, one part after the other.
+    /// Downloads a chunk of the origin from an entry, two parts at a time.
+    pub(crate) async fn download_origin_chunk(
+        &self,
+        source: &ChunkSource<'_>,
+        chunk_bytes: u64,
+    ) -> Result<Bytes, PartError> {
+        let middle = chunk_bytes / 2;
+        let (first, second) = tokio::try_join!(
+            self.download_range(source, 0..middle),
+            self.download_range(source, middle..chunk_bytes),
+        )?;
+        let mut bytes = first;
+        bytes.unsplit(second);
+        Ok(bytes.freeze())
+    }
+
+    async fn download_range(
+        &self,
+        source: &ChunkSource<'_>,
+        range: Range<u64>,
+    ) -> Result<BytesMut, PartError> {
+        let mut bytes = BytesMut::new();
+        while range.start + (bytes.len() as u64) < range.end {
+            let start = range.start + bytes.len() as u64;
+            let length = PART_BYTES.min(range.end - start);
+            let part = self.download_part(source, start..start + length, None).await?;
+            if part.bytes.is_empty() {
+                return Err(PartError::Absent);
+            }
+            bytes.extend_from_slice(&part.bytes);
+        }
+        Ok(bytes)
+    }
+
+    /// Downloads a chunk from another agent, one part after the other.
     pub(crate) async fn download_chunk(
         &self,
         source: &ChunkSource<'_>,
@@ -140,7 +204,8 @@
         let mut queued = Duration::ZERO;
         let mut receipt = None;
         loop {
-            let part = self.download_part(source, bytes.len() as u64, receipt).await?;
+            let start = bytes.len() as u64;
+            let part = self.download_part(source, start..start + PART_BYTES, receipt).await?;
             bytes.extend_from_slice(&part.bytes);
             queued += Duration::from_millis(part.queued_millis);
             if part.bytes.is_empty() || bytes.len() as u64 >= part.chunk_bytes {
@@ -151,7 +216,7 @@
         }
     }
 
-    /// Downloads the part that starts at byte `start`. `receipt` acknowledges the part before it.
+    /// Downloads the part in the given range of bytes. `receipt` acknowledges the part before it.
     ///
     /// The receipt goes with the request unless the request must wait for room in the window; then
     /// it is sent at once. Otherwise agents would wait for room with receipts not yet sent, while
@@ -159,20 +224,20 @@
     async fn download_part(
         &self,
         source: &ChunkSource<'_>,
-        start: u64,
+        range: Range<u64>,
         mut receipt: Option<PartReceipt>,
     ) -> Result<PartReply, PartError> {
-        let must_wait = !self.window(source.is_same_zone).borrow().has_room();
+        let must_wait = !self.window(source.window).borrow().has_room();
         if let Some(arrived) = receipt.take_if(|_| must_wait) {
             source.acknowledge(arrived);
         }
-        let guard = self.start_part(source.is_same_zone).await;
+        let guard = self.start_part(source.window).await;
         let call = PartCall {
             key: source.key.clone(),
             chunk: source.chunk,
-            start,
-            length: PART_BYTES,
-            is_same_zone: source.is_same_zone,
+            start: range.start,
+            length: range.end - range.start,
+            is_same_zone: source.window == PartWindow::SameZone,
             receipt,
         };
         let reply = source.link.part(call).await.map_err(PartError::Call)?;
@@ -182,22 +247,22 @@
     }
 
     /// Waits until the window has room for another part.
-    async fn start_part(&self, is_same_zone: bool) -> PartGuard<'_> {
-        let window = self.window(is_same_zone);
+    async fn start_part(&self, part_window: PartWindow) -> PartGuard<'_> {
+        let window = self.window(part_window);
         while !window.borrow().has_room() {
             self.part_ended.notified().await;
         }
         let started_at = Instant::now();
         let others = window.borrow().in_flight();
         let id = window.borrow_mut().begin(started_at);
-        PartGuard { downloads: self, is_same_zone, id, others, started_at }
+        PartGuard { downloads: self, window: part_window, id, others, started_at }
     }
 }
 
 /// A part in flight. If it is dropped before it has arrived, its time is not measured.
 struct PartGuard<'a> {
     downloads: &'a PartDownloads,
-    is_same_zone: bool,
+    window: PartWindow,
     id: u64,
     /// Parts that were in flight already when this one was requested.
     others: usize,
@@ -209,9 +274,9 @@
     fn end(self, queued: Duration) {
         let now = Instant::now();
         let took = now.saturating_duration_since(self.started_at).saturating_sub(queued);
-        let window = self.downloads.window(self.is_same_zone);
+        let window = self.downloads.window(self.window);
         let measures_link = window.borrow_mut().end(self.id, took, now);
-        if measures_link && self.is_same_zone {
+        if measures_link && self.window == PartWindow::SameZone {
             self.downloads.link.borrow_mut().record(took, self.others, now);
         }
     }
@@ -219,7 +284,7 @@
 
 impl Drop for PartGuard<'_> {
     fn drop(&mut self) {
-        self.downloads.window(self.is_same_zone).borrow_mut().cancel(self.id);
+        self.downloads.window(self.window).borrow_mut().cancel(self.id);
         self.downloads.part_ended.notify_waiters();
     }
 }
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -22,6 +22,8 @@
 mod options;
 mod order_fence;
 mod order_tracker;
+mod origin_cache;
+mod origin_entries;
 mod previous_orders;
 mod probe;
 mod ranks;
@@ -40,5 +42,6 @@
     options::{StagerListeners, StagerOptions},
     order_fence::OrderFence,
     order_tracker::{CompleteWeights, OrderTracker},
+    origin_cache::OriginCacheRuntime,
     runtime::{StagerRuntime, StartError},
 };
--- /dev/null
+++ b/crates/stager/src/origin_entries.rs
@@ -0,0 +1,191 @@
+//! Downloads chunks of the origin in parts, through entries that fetch them whole.
+
+use crate::{
+    contents::member_link,
+    downloads::{ChunkSource, PartError, PartWindow},
+    shared::StagerShared,
+};
+use bytes::Bytes;
+use egretseam_proto::ZoneName;
+use egretseam_rpc::{CallError, ChunkLink, LinkOptions, OriginChunkCall, OriginChunkReply};
+use egretseam_serving::EntryRecord;
+use egretseam_swarm::rendezvous_score;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::Mutex, time::Instant};
+
+/// Age from which on the entries are requested from control again.
+const MAX_ENTRIES_AGE: Duration = Duration::from_secs(5);
+/// Timeout for connecting to an entry: a dozen round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout of a call to an entry, in addition to its wait: a part takes half a second over a slow
+/// link of this instance.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long an entry may hold a call until it has the chunk. An entry that does not answer within
+/// this and [`CALL_TIMEOUT`] hangs; one that answers that the chunk is pending is asked again.
+const PENDING_WAIT: Duration = Duration::from_millis(500);
+/// Longest time until an entry has fetched a chunk.
+const MAX_PENDING: Duration = Duration::from_millis(2_500);
+/// How long an entry that failed is not used.
+const FAILED_FOR: Duration = Duration::from_secs(4);
+/// Entries that are tried for one chunk before the chunk is fetched whole from the origin.
+const MAX_ENTRIES_TRIED: usize = 2;
+
+/// An entry that fetches chunks from the origin.
+struct OriginEntry {
+    record: EntryRecord,
+    link: Rc<ChunkLink>,
+    failed_until: Cell<Option<Instant>>,
+}
+
+impl OriginEntry {
+    fn new(shared: &StagerShared, record: EntryRecord) -> Rc<Self> {
+        let address = SocketAddr::new(record.address.ip(), shared.options.chunk_port);
+        let options = LinkOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            call_timeout: CALL_TIMEOUT,
+            ..LinkOptions::default()
+        };
+        let link = Rc::new(ChunkLink::new(&address.to_string(), shared.options.secret, options));
+        Rc::new(Self { record, link, failed_until: Cell::new(None) })
+    }
+
+    fn has_failed(&self, now: Instant) -> bool {
+        self.failed_until.get().is_some_and(|until| now < until)
+    }
+
+    /// Has the entry fetch a chunk; returns the chunk's size once the entry has it.
+    async fn cache(&self, call: &OriginChunkCall) -> Result<u64, OriginChunkError> {
+        let give_up_at = Instant::now() + MAX_PENDING;
+        loop {
+            match self.link.cache_origin_chunk(call.clone()).await? {
+                OriginChunkReply::Ready { chunk_bytes } => return Ok(chunk_bytes),
+                OriginChunkReply::Pending if Instant::now() < give_up_at => {}
+                OriginChunkReply::Pending | OriginChunkReply::Unreachable => {
+                    return Err(OriginChunkError::OriginUnreachable);
+                }
+                OriginChunkReply::Absent => return Err(OriginChunkError::Absent),
+                OriginChunkReply::Busy => return Err(OriginChunkError::OriginBusy),
+                OriginChunkReply::Unsupported => return Err(OriginChunkError::Entry),
+            }
+        }
+    }
+}
+
+/// Why a chunk could not be downloaded through an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OriginChunkError {
+    /// The origin does not have the chunk.
+    Absent,
+    /// The origin rejected the request for now.
+    OriginBusy,
+    /// The origin did not answer the entry.
+    OriginUnreachable,
+    /// The entry did not answer, or fetches nothing from the origin.
+    Entry,
+}
+
+impl From<CallError> for OriginChunkError {
+    fn from(error: CallError) -> Self {
+        tracing::debug!(%error, "a call to an entry for a chunk of the origin failed");
+        Self::Entry
+    }
+}
+
+/// The entries through which this agent downloads chunks of the origin.
+#[derive(Default)]
+pub(crate) struct OriginEntries {
+    entries: RefCell<Vec<Rc<OriginEntry>>>,
+    /// When the entries were last requested. Locked meanwhile, so that no chunk is fetched whole
+    /// because the entries are not known yet.
+    requested_at: Mutex<Option<Instant>>,
+}
+
+impl OriginEntries {
+    /// Downloads a chunk in parts; `None` if no entry can be used.
+    pub(crate) async fn download(
+        &self,
+        shared: &StagerShared,
+        origin_zone: &ZoneName,
+        call: OriginChunkCall,
+    ) -> Option<Result<Bytes, OriginChunkError>> {
+        self.update(shared, origin_zone).await;
+        let call = OriginChunkCall { wait_millis: PENDING_WAIT.as_millis() as u64, ..call };
+        for entry in self.ranked(call.chunk) {
+            match download_through(shared, &entry, &call).await {
+                Err(OriginChunkError::Entry) => {
+                    tracing::info!(
+                        entry = %entry.record.name, chunk = call.chunk,
+                        "an entry did not provide a chunk of the origin"
+                    );
+                    entry.failed_until.set(Some(Instant::now() + FAILED_FOR));
+                }
+                result => return Some(result),
+            }
+        }
+        None
+    }
+
+    /// Requests the entries from control if they are unknown or may have changed.
+    async fn update(&self, shared: &StagerShared, origin_zone: &ZoneName) {
+        let now = Instant::now();
+        let is_recent = |at| now.saturating_duration_since(at) < MAX_ENTRIES_AGE;
+        let mut requested_at = self.requested_at.lock().await;
+        if requested_at.is_some_and(is_recent) {
+            return;
+        }
+        let Some(member) = member_link(shared) else { return };
+        *requested_at = Some(now);
+        match member.ready_entries(origin_zone.clone()).await {
+            Ok(records) => self.set(shared, records),
+            Err(error) => tracing::info!(%error, "failed to ask control for the entries"),
+        }
+    }
+
+    fn set(&self, shared: &StagerShared, records: Vec<EntryRecord>) {
+        let mut entries = self.entries.borrow_mut();
+        let known = std::mem::take(&mut *entries);
+        *entries = records
+            .into_iter()
+            .map(|record| {
+                let same = known.iter().find(|entry| entry.record == record).cloned();
+                same.unwrap_or_else(|| OriginEntry::new(shared, record))
+            })
+            .collect();
+    }
+
+    /// Entries for a chunk that have not failed recently, the first-ranked one first. All agents
+    /// rank them alike, so that the origin sends each chunk to one entry.
+    fn ranked(&self, chunk: u32) -> Vec<Rc<OriginEntry>> {
+        let now = Instant::now();
+        let entries = self.entries.borrow();
+        let mut usable: Vec<Rc<OriginEntry>> =
+            entries.iter().filter(|entry| !entry.has_failed(now)).cloned().collect();
+        usable.sort_by_key(|entry| std::cmp::Reverse(rendezvous_score(&entry.record.name, chunk)));
+        usable.truncate(MAX_ENTRIES_TRIED);
+        usable
+    }
+}
+
+async fn download_through(
+    shared: &StagerShared,
+    entry: &OriginEntry,
+    call: &OriginChunkCall,
+) -> Result<Bytes, OriginChunkError> {
+    let chunk_bytes = entry.cache(call).await?;
+    let source = ChunkSource {
+        link: &entry.link,
+        window: PartWindow::Origin,
+        key: &call.key,
+        chunk: call.chunk,
+    };
+    match shared.downloads.download_origin_chunk(&source, chunk_bytes).await {
+        Ok(bytes) => Ok(bytes),
+        Err(PartError::Absent) => Err(OriginChunkError::Entry),
+        Err(PartError::Call(error)) => Err(error.into()),
+    }
+}
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -8,6 +8,7 @@
     options::StagerOptions,
     order_fence::OrderFence,
     order_tracker::OrderTracker,
+    origin_entries::OriginEntries,
     uploads::PartUploads,
 };
 use egretseam_h1::{CallRequest, CallResponse, ExchangeError, PersistentClient};
@@ -153,6 +154,8 @@
     reported_delay: Cell<Duration>,
     /// Whether the origin did not reply when this agent last fetched a chunk from it.
     pub(crate) origin_unreachable: Cell<bool>,
+    /// Entries through which chunks of the origin are downloaded.
+    pub(crate) origin_entries: OriginEntries,
     /// When the chunk that the origin is asked for was requested; `None` if there is none.
     pub(crate) origin_request_at: Cell<Option<Instant>>,
     /// Limits the parts in flight from other agents, so that live requests are not delayed.
@@ -195,6 +198,7 @@
             path: RefCell::default(),
             reported_delay: Cell::new(Duration::ZERO),
             origin_unreachable: Cell::new(false),
+            origin_entries: OriginEntries::default(),
             origin_request_at: Cell::new(None),
             downloads: PartDownloads::new(options.upload_bytes_per_second),
             uploads: PartUploads::new(options.upload_bytes_per_second),
@@ -260,6 +264,7 @@
                 origin_wait_millis = origin_wait.unwrap_or_default().as_millis() as u64,
                 parts_down_same_zone = down.same_zone,
                 parts_down_cross_zone = down.cross_zone,
+                parts_down_origin = down.origin,
                 parts_down_overtaken = down.overtaken,
                 parts_up_same_zone = up.same_zone,
                 parts_up_cross_zone = up.cross_zone,
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -3,13 +3,14 @@
 use crate::{
     chunks::VersionChunks,
     digests::WeightDigests,
-    downloads::{ChunkSource, PartError},
+    downloads::{ChunkSource, PartError, PartWindow},
+    origin_entries::OriginChunkError,
     shared::{StagerShared, request},
 };
 use bytes::Bytes;
 use egretseam_h1::PersistentClient;
-use egretseam_proto::InstanceName;
-use egretseam_rpc::{ChunkLink, LinkOptions, WeightsKey, WeightsPlan};
+use egretseam_proto::{InstanceName, ZoneName};
+use egretseam_rpc::{ChunkLink, LinkOptions, OriginChunkCall, WeightsKey, WeightsPlan};
 use egretseam_serving::SwarmPeer;
 use egretseam_swarm::{
     ChunkSet, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy, SourceChoice, SwarmPlanner,
@@ -51,6 +52,8 @@
     planner: RefCell<SwarmPlanner>,
     links: RefCell<IndexMap<InstanceName, Rc<ChunkLink>>>,
     origin: Rc<tokio::sync::Mutex<PersistentClient>>,
+    origin_address: SocketAddr,
+    origin_zone: ZoneName,
     started_at: Instant,
     /// Digest mismatches by chunk.
     digest_mismatches: RefCell<IndexMap<u32, u32>>,
@@ -107,6 +110,8 @@
             planner: RefCell::new(planner),
             links: RefCell::default(),
             origin: Rc::new(tokio::sync::Mutex::new(origin_client(plan.origin))),
+            origin_address: plan.origin,
+            origin_zone: plan.origin_zone.clone(),
             started_at: Instant::now(),
             digest_mismatches: RefCell::default(),
             origin_chunks: Cell::new(0),
@@ -244,9 +249,9 @@
             SourceChoice::Peer(name) => {
                 let link = self.links.borrow().get(name).cloned();
                 let link = link.ok_or(FetchFailure::Absent)?;
-                let is_same_zone = self.planner.borrow().is_same_zone(name);
+                let window = PartWindow::of_peer(self.planner.borrow().is_same_zone(name));
                 let (key, chunk) = (&self.key, order.chunk);
-                let source = ChunkSource { link: &link, is_same_zone, key, chunk };
+                let source = ChunkSource { link: &link, window, key, chunk };
                 let result = self.shared.downloads.download_chunk(&source).await;
                 self.shared.adapt_to_link();
                 match result {
@@ -275,7 +280,28 @@
         }
     }
 
+    /// Fetches a chunk of the origin in parts through an entry, or whole if no entry can be used.
     async fn fetch_from_origin(&self, chunk: u32) -> Result<Bytes, FetchFailure> {
+        let call = OriginChunkCall {
+            origin: self.origin_address,
+            key: self.key.clone(),
+            chunk,
+            discards_kept: self.digest_mismatches.borrow().contains_key(&chunk),
+            wait_millis: 0,
+        };
+        let shared = &self.shared;
+        match shared.origin_entries.download(shared, &self.origin_zone, call).await {
+            None => self.fetch_whole_from_origin(chunk).await,
+            Some(result) => {
+                self.record_origin_reply(
+                    result.as_ref().err() != Some(&OriginChunkError::OriginUnreachable),
+                );
+                result.map_err(FetchFailure::from)
+            }
+        }
+    }
+
+    async fn fetch_whole_from_origin(&self, chunk: u32) -> Result<Bytes, FetchFailure> {
         let call =
             self.shared.dialect.origin_chunk_request(&self.key.model, self.key.version, chunk);
         let reply = {
@@ -287,12 +313,25 @@
         match reply {
             Ok(reply) if reply.status == 200 => Ok(reply.body),
             Ok(reply) if matches!(reply.status, 404 | 410) => Err(FetchFailure::Absent),
-            Ok(_) => Err(FetchFailure::Busy(Duration::from_millis(100))),
+            Ok(_) => Err(FetchFailure::Busy(ORIGIN_BUSY_BACKOFF)),
             Err(_) => Err(FetchFailure::Unreachable),
         }
     }
 }
 
+/// Pause before the next request to an origin that rejected one.
+const ORIGIN_BUSY_BACKOFF: Duration = Duration::from_millis(100);
+
+impl From<OriginChunkError> for FetchFailure {
+    fn from(error: OriginChunkError) -> Self {
+        match error {
+            OriginChunkError::Absent => Self::Absent,
+            OriginChunkError::OriginBusy => Self::Busy(ORIGIN_BUSY_BACKOFF),
+            OriginChunkError::OriginUnreachable | OriginChunkError::Entry => Self::Unreachable,
+        }
+    }
+}
+
 /// An HTTP client of the origin, with a connect timeout.
 ///
 /// If the origin is unreachable for seconds, connections that are being opened when it comes back
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -33,7 +33,7 @@
     path_probe::PathProbe,
     planner::{
         ChunkIndex, DistributionScheme, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy,
-        SourceChoice, SwarmPlanner,
+        SourceChoice, SwarmPlanner, rendezvous_score,
     },
     server::{ChunkHandler, ServerCounters},
     source::{
@@ -41,5 +41,7 @@
     },
     store::{CompleteWeights, StagedWeights, WeightStore, WeightStoreError},
     transfer::{TransferError, TransferOptions, TransferReport, TransferSources, WeightTransfer},
-    transfer_window::{MAX_CROSS_ZONE_PARTS, MAX_SAME_ZONE_PARTS, PART_BYTES, TransferWindow},
+    transfer_window::{
+        MAX_CROSS_ZONE_PARTS, MAX_ORIGIN_PARTS, MAX_SAME_ZONE_PARTS, PART_BYTES, TransferWindow,
+    },
 };
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -15,6 +15,8 @@
 
 mod choose;
 
+pub use choose::rendezvous_score;
+
 use crate::chunk_set::ChunkSet;
 use egretseam_proto::{InstanceName, ZoneName};
 use indexmap::IndexMap;
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -452,12 +452,16 @@
     mix(u64::from(chunk) ^ u64::from(salt_of(name)) << 32)
 }
 
-/// Rendezvous score of an instance for a chunk; every instance computes the same.
 fn score(name: &InstanceName, chunk: ChunkIndex) -> u64 {
+    rendezvous_score(name.as_str(), chunk)
+}
+
+/// Rendezvous score of an instance for a chunk; every instance computes the same.
+pub fn rendezvous_score(name: &str, chunk: ChunkIndex) -> u64 {
     const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
     let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
-    let hash = name.as_str().as_bytes().iter().fold(FNV_OFFSET, fold);
+    let hash = name.as_bytes().iter().fold(FNV_OFFSET, fold);
     mix(hash ^ mix(u64::from(chunk)))
 }
 
--- a/crates/swarm/src/transfer_window.rs
+++ b/crates/swarm/src/transfer_window.rs
@@ -11,11 +11,11 @@
 /// Most bytes of a chunk that one call fetches.
 pub const PART_BYTES: u64 = 4 * 1024;
 /// Most parts in flight in one direction, from or to instances of the own availability zone.
-/// Together with those of the other direction they occupy a link at a fifteenth of its usual rate
-/// for half a second.
 pub const MAX_SAME_ZONE_PARTS: usize = 5;
 /// Most parts in flight in one direction, from or to instances of other availability zones.
 pub const MAX_CROSS_ZONE_PARTS: usize = 3;
+/// Most parts in flight of chunks of the origin, which entries pass on.
+pub const MAX_ORIGIN_PARTS: usize = 2;
 
 /// Window size before any part has arrived.
 const INITIAL_PARTS: f64 = 2.0;
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -23,9 +23,9 @@
     Bytes::from(format!("version {version} chunk {index} ").repeat(40))
 }
 
-type Response = (u16, Bytes);
+pub(super) type Response = (u16, Bytes);
 
-async fn serve(
+pub(super) async fn serve(
     listener: tokio::net::TcpListener,
     respond: impl AsyncFn(&RequestHead, Bytes) -> Response + Clone + 'static,
 ) {
@@ -47,7 +47,7 @@
     }
 }
 
-fn number(head: &RequestHead, name: &str) -> Option<u64> {
+pub(super) fn number(head: &RequestHead, name: &str) -> Option<u64> {
     head.query(name)?.parse().ok()
 }
 
--- a/tests/all/fleet/narrow_link.rs
+++ b/tests/all/fleet/narrow_link.rs
@@ -6,11 +6,11 @@
 use egretseam_platform::PlatformEngine;
 use egretseam_proto::{ContentDigest, ModelName, ZoneName};
 use egretseam_rpc::{
-    AgentCall, AgentReply, ChunkService, FeedCall, FeedReply, FeedService, HeldReply, PartCall,
-    PartReceipt, PartReply, PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey,
-    WeightsPlan, serve_chunks, serve_feed,
+    AgentCall, AgentReply, ChunkService, FeedCall, FeedReply, FeedService, HeldReply,
+    OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply, PeerSecret, RpcOptions,
+    RpcServer, VersionDigests, WeightsKey, WeightsPlan, serve_chunks, serve_feed,
 };
-use egretseam_serving::{PeerUpdate, SwarmPeer, SwitchTiming};
+use egretseam_serving::{EntryRecord, PeerUpdate, SwarmPeer, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
 use egretseam_swarm::PlannerPolicy;
 use std::{
@@ -73,6 +73,10 @@
 
     async fn received(self, _: Context, _: PartReceipt) {}
 
+    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
+        OriginChunkReply::Unsupported
+    }
+
     async fn echo(self, _: Context) {
         tokio::time::sleep(self.delay.get()).await;
     }
@@ -84,7 +88,9 @@
 pub(super) struct FakeControlMember {
     origin: SocketAddr,
     peers: Vec<SwarmPeer>,
-    link_delay: Rc<Cell<Option<u64>>>,
+    pub(super) link_delay: Rc<Cell<Option<u64>>>,
+    /// Entries that agents are told of.
+    pub(super) entries: Rc<RefCell<Vec<EntryRecord>>>,
 }
 
 impl FakeControlMember {
@@ -97,7 +103,8 @@
     ) -> (Self, RpcServer, String) {
         let feeds = TcpListener::bind((host, 0)).expect("a free port");
         let seed = feeds.local_addr().expect("bound").to_string();
-        let member = Self { origin, peers, link_delay: Rc::default() };
+        let (link_delay, entries) = Default::default();
+        let member = Self { origin, peers, link_delay, entries };
         let server = serve_feed(feeds, secret, RpcOptions::default(), member.clone());
         (member, server.expect("the feed is served"), seed)
     }
@@ -143,6 +150,10 @@
     async fn version_of(self, _: Context, _: ModelName, _: ContentDigest) -> Option<u64> {
         None
     }
+
+    async fn ready_entries(self, _: Context, _: ZoneName) -> Vec<EntryRecord> {
+        self.entries.borrow().clone()
+    }
 }
 
 /// Starts the other agents, all on the port that was free for the first one.
--- a/tests/all/fleet/receipts.rs
+++ b/tests/all/fleet/receipts.rs
@@ -4,8 +4,8 @@
 use bytes::Bytes;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
-    ChunkService, HeldReply, PartCall, PartReceipt, PartReply, PeerSecret, RpcOptions,
-    VersionDigests, WeightsKey, serve_chunks,
+    ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
+    PeerSecret, RpcOptions, VersionDigests, WeightsKey, serve_chunks,
 };
 use egretseam_swarm::{ChunkSet, PlannerPolicy};
 use sha2::{Digest, Sha256};
@@ -86,6 +86,10 @@
     }
 
     async fn echo(self, _: Context) {}
+
+    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
+        OriginChunkReply::Unsupported
+    }
 }
 
 /// Guards against a deadlock of agents: each waits for room in its window before it sends a
--- a/tests/all/plan_following.rs
+++ b/tests/all/plan_following.rs
@@ -8,7 +8,7 @@
     AgentCall, AgentReply, FeedCall, FeedReply, FeedService, PeerSecret, RpcOptions, WeightsKey,
     serve_feed,
 };
-use egretseam_serving::SwitchTiming;
+use egretseam_serving::{EntryRecord, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
 use egretseam_swarm::PlannerPolicy;
 use std::{cell::RefCell, net::TcpListener, rc::Rc, time::Duration};
@@ -51,6 +51,10 @@
     async fn version_of(self, _: Context, _: ModelName, _: ContentDigest) -> Option<u64> {
         unreachable!("nothing is staged")
     }
+
+    async fn ready_entries(self, _: Context, _: ZoneName) -> Vec<EntryRecord> {
+        Vec::new()
+    }
 }
 
 /// Guards against added engines that serve three seconds later than the others: a control member is
