Parts of weights in flight add up to half a second of a slow link

The limits were worked out for one window of each direction, 40 KB. With those of other availability zones they allow 64 KB, 0.85 s at 0.6 Mbit/s, before any live request; with the two parts of a chunk of the origin 72 KB. Parts of 2 KB make it 36 KB. What is late is halved with the parts: a standing queue of 75 ms instead of 150 on a slow link, so that the test of the window holds unchanged.

--- a/crates/swarm/src/transfer_window.rs
+++ b/crates/swarm/src/transfer_window.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Most bytes of a chunk that one call fetches.
-pub const PART_BYTES: u64 = 4 * 1024;
+/// Most bytes of a chunk that one call fetches. The parts that all windows of both directions allow
+/// together occupy a link at a fifteenth of its usual rate for half a second.
+pub const PART_BYTES: u64 = 2 * 1024;
 /// Most parts in flight in one direction, from or to instances of the own availability zone.
 pub const MAX_SAME_ZONE_PARTS: usize = 5;
 /// Most parts in flight in one direction, from or to instances of other availability zones.
@@ -21,7 +22,7 @@
 const INITIAL_PARTS: f64 = 2.0;
 /// Time in flight above which a part is late. On a link at its usual rate parts arrive within it,
 /// also while weights are distributed.
-const LATE_AFTER: Duration = Duration::from_millis(150);
+const LATE_AFTER: Duration = Duration::from_millis(75);
 
 /// A part in flight.
 #[derive(Clone, Copy, Debug)]
