A slow link stays reported until it has looked usual for a second

What callers saw: requests that arrive at a target after their callers have left, dozens at once, seconds after its link became slow.

Cause: over a slow link that nobody uses, as it is reported as slow, a probe or a single part of 2 KB arrives soon. The agent then withdrew its report, and all entries returned to the emptiest target at once.

A target got nothing from 4.65 to 7.64 s and then 59 requests, 53 KB, within 0.35 s from all nine entries; at 0.6 Mbit/s these take 0.7 s.

Change: the report is withdrawn after a second without a measurement of a slow link, and the bound of the link monitor is lowered, so that a single part over a link of 0.6 Mbit/s counts as slow; on usual links the margin is as before, since parts take half the time.

Both tests are new. That of the single part failed with the former bound; the decision on the report did not exist before.

--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -15,7 +15,7 @@
 use egretseam_http::DaemonMetrics;
 use egretseam_rpc::{WeightsKey, WeightsPlan};
 use egretseam_serving::{EngineStatus, HeldModel, Incarnation, SwarmPeer};
-use egretseam_swarm::PathProbe;
+use egretseam_swarm::{LinkDelayReport, PathProbe};
 use prometheus::IntCounter;
 use std::{
     cell::{Cell, RefCell},
@@ -33,8 +33,6 @@
 /// Timeout of the reply to an order, which the engine sends before it loads anything. While the
 /// agent waits, the engine serves no requests, and resending the order does no harm.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-/// The link delay reported to entries is rounded up to a multiple of this.
-const LINK_DELAY_STEP: Duration = Duration::from_millis(500);
 /// Largest response accepted from an engine or the origin.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -150,8 +148,8 @@
     stalled: Cell<bool>,
     /// Round-trip times to other agents, from which a slow link of this instance is detected.
     pub(crate) path: RefCell<PathProbe>,
-    /// Delay of this instance's link as last reported to entries.
-    reported_delay: Cell<Duration>,
+    /// Delay of this instance's link as reported to entries.
+    delay_report: RefCell<LinkDelayReport>,
     /// Whether the origin did not reply when this agent last fetched a chunk from it.
     pub(crate) origin_unreachable: Cell<bool>,
     /// Entries through which chunks of the origin are downloaded.
@@ -196,7 +194,7 @@
             requires_origin_digests: Cell::new(false),
             stalled: Cell::new(false),
             path: RefCell::default(),
-            reported_delay: Cell::new(Duration::ZERO),
+            delay_report: RefCell::default(),
             origin_unreachable: Cell::new(false),
             origin_entries: OriginEntries::default(),
             origin_request_at: Cell::new(None),
@@ -246,20 +244,18 @@
     }
 
     /// Reduces downloads and uploads while this instance's link is slow, and reports the link's
-    /// delay to entries, rounded up to [`LINK_DELAY_STEP`] so that it seldom changes.
+    /// delay to entries.
     pub(crate) fn adapt_to_link(&self) {
         let now = Instant::now();
         self.downloads.check_late(now);
         self.uploads.check_late(now);
         self.uploads.set_rate_fraction(self.downloads.rate_fraction(now));
         let delay = self.downloads.delay(now).max(self.path.borrow().delay(now));
-        let steps = delay.unwrap_or_default().as_secs_f64() / LINK_DELAY_STEP.as_secs_f64();
-        let rounded = LINK_DELAY_STEP.mul_f64(steps.ceil());
-        if self.reported_delay.replace(rounded) != rounded {
+        if self.delay_report.borrow_mut().update(delay, now) {
             let (down, up) = (self.downloads.in_flight(), self.uploads.in_flight());
             let origin_wait = self.origin_request_at.get().map(|at| at.elapsed());
             tracing::info!(
-                delay_millis = rounded.as_millis() as u64,
+                delay_millis = self.delay_report.borrow().delay().as_millis() as u64,
                 from_origin = origin_wait.is_some(),
                 origin_wait_millis = origin_wait.unwrap_or_default().as_millis() as u64,
                 parts_down_same_zone = down.same_zone,
@@ -294,7 +290,7 @@
             models: report.models.clone(),
             loading: report.busy || self.order_in_progress.get(),
             stalled: self.stalled.get(),
-            link_delay_millis: self.reported_delay.get().as_millis() as u64,
+            link_delay_millis: self.delay_report.borrow().delay().as_millis() as u64,
             age_millis: self.report_at.get().elapsed().as_millis() as u64,
         })
     }
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod chunk_pace;
 mod chunk_set;
+mod link_delay_report;
 mod link_monitor;
 mod link_pacer;
 mod manifest;
@@ -27,6 +28,7 @@
 pub use crate::{
     chunk_pace::ChunkPace,
     chunk_set::ChunkSet,
+    link_delay_report::LinkDelayReport,
     link_monitor::LinkMonitor,
     link_pacer::LinkPacer,
     manifest::{ManifestError, RawManifest, WeightManifest},
--- a/crates/swarm/src/link_monitor.rs
+++ b/crates/swarm/src/link_monitor.rs
@@ -13,7 +13,7 @@
 const SAMPLE_COUNT: usize = 4;
 /// Multiple of the expected time of a part above which the link counts as slow. Below it, the time
 /// may be due to other agents' parts and live responses, which share the link.
-const SLOW_FACTOR: f64 = 2.5;
+const SLOW_FACTOR: f64 = 2.0;
 
 /// Least number of parts in flight, each from another neighbour, for a time without any arrival to
 /// count.
--- a/tests/all/narrow_links.rs
+++ b/tests/all/narrow_links.rs
@@ -2,7 +2,7 @@
 
 use crate::serving_tables::{choose, id, link_status, table};
 use egretseam_serving::PlacementOutcome;
-use egretseam_swarm::LinkMonitor;
+use egretseam_swarm::{LinkDelayReport, LinkMonitor, PART_BYTES};
 use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
@@ -65,6 +65,44 @@
     assert_eq!(link.monitor.delay(link.now), None);
 }
 
+/// Guards against entries that all return to a target at once whose link looks usual for a moment
+/// because little is sent over it: their requests queue there and arrive after their callers have
+/// left.
+#[test]
+fn a_slow_link_that_looks_usual_for_a_moment_stays_reported() {
+    let start = Instant::now();
+    let mut report = LinkDelayReport::default();
+    assert!(report.update(Some(millis(600)), start));
+    assert_eq!(report.delay(), millis(1_000));
+    assert!(!report.update(None, start + millis(100)));
+    assert!(!report.update(None, start + millis(900)));
+    assert_eq!(report.delay(), millis(1_000), "it has looked usual for 0.8 s");
+    assert!(!report.update(Some(millis(700)), start + millis(950)));
+    assert!(!report.update(None, start + millis(1_000)));
+    assert!(!report.update(None, start + millis(1_900)), "0.9 s since it looked slow again");
+    assert!(report.update(None, start + millis(2_100)));
+    assert_eq!(report.delay(), Duration::ZERO);
+}
+
+/// Guards against a slow link that counts as usual because the window over it has shrunk to a single
+/// part, which arrives soon.
+#[test]
+fn a_link_is_slow_although_a_single_part_is_in_flight() {
+    let now = Instant::now();
+    let part_time = |bytes_per_second: u64| {
+        Duration::from_secs_f64(PART_BYTES as f64 / bytes_per_second as f64)
+    };
+    let mut monitor = LinkMonitor::new(part_time(1_000_000) + millis(5));
+    for _ in 0..4 {
+        monitor.record(part_time(75_000) + millis(3), 0, now);
+    }
+    assert!(monitor.delay(now).is_some(), "a link of 0.6 Mbit/s");
+    for _ in 0..4 {
+        monitor.record(part_time(1_000_000) + millis(5), 0, now);
+    }
+    assert_eq!(monitor.delay(now), None, "a usual link");
+}
+
 /// Guards against requests that arrive after their callers have left: a first attempt is sent over
 /// a link that is known to be slow although targets behind usual links are left.
 #[actix_rt::test]
