A request ends if its caller leaves during a handshake with a target

What callers saw: a request that is sent for no one after its caller has left.

Cause: an entry did not watch the caller while it opened a connection to a target, for up to 0.4 s. A request whose caller left meanwhile was then sent, to this target or to the next.

How many late requests are due to it was not counted.

The caller is watched meanwhile. The test has a target where handshakes hang; it failed before: all three requests reached the other target after their callers had left.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -125,7 +125,12 @@
     slot: &SlotGuard,
     options: AttemptOptions,
 ) -> Result<OpenResponse, AttemptFailure> {
-    let acquired = acquire_connection(shared, slot, options.new_connection).await?;
+    // Without this, a handshake that takes long ends after the caller has left, and the request is
+    // sent for no one.
+    let acquired = tokio::select! {
+        acquired = acquire_connection(shared, slot, options.new_connection) => acquired?,
+        () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return Err(AttemptFailure::CallerLeft),
+    };
     let mut connection = acquired.connection;
     let send = TargetRequest {
         target: &slot.target,
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -15,6 +15,7 @@
 use egretseam_platform::{PlatformCallers, PlatformControl, PlatformEngine};
 use egretseam_proto::{InstanceName, ZoneName};
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     rc::Rc,
@@ -201,6 +202,14 @@
         target
     }
 
+    /// Announces a target at an address where handshakes hang.
+    pub(super) async fn announce_hanging_target(&mut self, id: &str) -> HangingListener {
+        let listener = HangingListener::start(self.unused_host());
+        self.announce(&ScriptedTarget::unserved(listener.address, id), "ready").await;
+        self.wait_until(|| self.entry.is_target_ready(id)).await;
+        listener
+    }
+
     /// Sends a heartbeat of a target.
     pub(super) async fn announce(&self, target: &ScriptedTarget, state: &str) {
         target.sequence.set(target.sequence.get() + 1);
@@ -233,6 +242,34 @@
     }
 }
 
+/// A listener that accepts nothing and whose queue is full, so that handshakes with it hang.
+pub(super) struct HangingListener {
+    pub(super) address: SocketAddr,
+    _sockets: Vec<Socket>,
+}
+
+impl HangingListener {
+    /// More connections than the queue takes.
+    const CONNECTIONS: usize = 4;
+
+    fn start(host: IpAddr) -> Self {
+        let open = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let listener = open();
+        listener.bind(&SocketAddr::new(host, 0).into()).expect("a free port");
+        listener.listen(1).expect("listens");
+        let address = listener.local_addr().expect("bound").as_socket().expect("an address");
+        let mut sockets = vec![listener];
+        for _ in 0..Self::CONNECTIONS {
+            let socket = open();
+            socket.set_nonblocking(true).expect("the socket is usable");
+            // The handshake goes on, or hangs, after this returns.
+            socket.connect(&address.into()).ok();
+            sockets.push(socket);
+        }
+        Self { address, _sockets: sockets }
+    }
+}
+
 /// A configuration with a route of each kind to one service.
 pub(super) fn default_config(version: u64) -> Value {
     let route = |name: &str, kind: &str| {
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -69,16 +69,7 @@
 impl ScriptedTarget {
     pub(super) async fn start(host: IpAddr, id: &str) -> Rc<Self> {
         let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
-        let target = Rc::new(Self {
-            id: id.to_owned(),
-            address: listener.local_addr().expect("bound"),
-            sequence: Cell::new(0),
-            script: RefCell::default(),
-            arrivals: RefCell::default(),
-            opened: Cell::new(0),
-            abandoned: Cell::new(0),
-            reset_count: Cell::new(0),
-        });
+        let target = Self::unserved(listener.local_addr().expect("bound"), id);
         let serving = target.clone();
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -89,6 +80,20 @@
         target
     }
 
+    /// A target that is announced at `address` but not served by this process.
+    pub(super) fn unserved(address: SocketAddr, id: &str) -> Rc<Self> {
+        Rc::new(Self {
+            id: id.to_owned(),
+            address,
+            sequence: Cell::new(0),
+            script: RefCell::default(),
+            arrivals: RefCell::default(),
+            opened: Cell::new(0),
+            abandoned: Cell::new(0),
+            reset_count: Cell::new(0),
+        })
+    }
+
     pub(crate) fn then(&self, script: Script) {
         self.script.borrow_mut().push_back(script);
     }
--- a/tests/all/fleet/placing.rs
+++ b/tests/all/fleet/placing.rs
@@ -28,6 +28,24 @@
     assert_eq!(two.arrived(), 10);
 }
 
+/// Guards against a request that is sent for no one: its caller leaves during a handshake that
+/// hangs, and once that has failed the request goes to another target.
+#[actix_rt::test]
+async fn a_request_ends_if_its_caller_leaves_during_a_handshake() {
+    // Longer than the timeout of a handshake.
+    const AFTER_HANDSHAKE: Duration = Duration::from_millis(800);
+    let mut bed = FleetBed::start().await;
+    let _hanging = bed.announce_hanging_target("i-1").await;
+    for number in 0..3 {
+        let mut caller = bed.connect_caller().await;
+        caller.send(&request("/stream/1", &format!("r{number}"), "", "")).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let other = bed.start_target("i-2").await;
+    tokio::time::sleep(AFTER_HANDSHAKE).await;
+    assert_eq!(other.arrived(), 0, "requests of callers that have left");
+}
+
 #[actix_rt::test]
 async fn entry_serves_lookups_and_readiness_checks() {
     let bed = FleetBed::start().await;
