--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod chunk_pace;
 mod chunk_set;
+mod link_delay_report;
 mod link_monitor;
 mod link_pacer;
 mod manifest;
@@ -27,13 +28,14 @@
 pub use crate::{
     chunk_pace::ChunkPace,
     chunk_set::ChunkSet,
+    link_delay_report::LinkDelayReport,
     link_monitor::LinkMonitor,
     link_pacer::LinkPacer,
     manifest::{ManifestError, RawManifest, WeightManifest},
     path_probe::PathProbe,
     planner::{
         ChunkIndex, DistributionScheme, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy,
-        SourceChoice, SwarmPlanner,
+        SourceChoice, SwarmPlanner, rendezvous_score,
     },
     server::{ChunkHandler, ServerCounters},
     source::{
@@ -41,5 +43,7 @@
     },
     store::{CompleteWeights, StagedWeights, WeightStore, WeightStoreError},
     transfer::{TransferError, TransferOptions, TransferReport, TransferSources, WeightTransfer},
-    transfer_window::{MAX_CROSS_ZONE_PARTS, MAX_SAME_ZONE_PARTS, PART_BYTES, TransferWindow},
+    transfer_window::{
+        MAX_CROSS_ZONE_PARTS, MAX_ORIGIN_PARTS, MAX_SAME_ZONE_PARTS, PART_BYTES, TransferWindow,
+    },
 };
