A part is late after 150 ms again; the queue of a slow link is bounded in time

With 75 ms windows shrank while other agents' links were slow.

The test of the window bounded the standing queue by three parts, 164 ms at 0.6 Mbit/s for parts of 4 KB. It bounds the same time now, which is what a request waits, whatever the size of a part.

--- a/crates/swarm/src/transfer_window.rs
+++ b/crates/swarm/src/transfer_window.rs
@@ -22,7 +22,7 @@
 const INITIAL_PARTS: f64 = 2.0;
 /// Time in flight above which a part is late. On a link at its usual rate parts arrive within it,
 /// also while weights are distributed.
-const LATE_AFTER: Duration = Duration::from_millis(75);
+const LATE_AFTER: Duration = Duration::from_millis(150);
 
 /// A part in flight.
 #[derive(Clone, Copy, Debug)]
