Parts held up elsewhere do not make the own link count as slow

What callers saw: requests refused as full although targets behind usual links were free.

Cause: parts from agents behind slow links do not arrive for a while; the agent took that for a slow link of its own.

Change: a time without arrivals counts only if no probe sent within it was answered; and the lowered bound, which a single part over a slow link needs, applies only while the link is reported.

--- a/crates/stager/src/downloads.rs
+++ b/crates/stager/src/downloads.rs
@@ -4,7 +4,7 @@
 use egretseam_rpc::{CallError, ChunkLink, PartCall, PartReceipt, PartReply, WeightsKey};
 use egretseam_swarm::{
     LinkMonitor, MAX_CROSS_ZONE_PARTS, MAX_ORIGIN_PARTS, MAX_SAME_ZONE_PARTS, PART_BYTES,
-    TransferWindow,
+    PathProbe, TransferWindow,
 };
 use std::{cell::RefCell, ops::Range, rc::Rc, time::Duration};
 use tokio::{sync::Notify, time::Instant};
@@ -127,12 +127,20 @@
     }
 
     /// Checks for parts in flight that are late, and adapts the windows and the link's delay.
-    pub(crate) fn check_late(&self, now: Instant) {
+    ///
+    /// Parts from agents behind slow links also do not arrive for a while. Taken for a slow link of
+    /// this instance, they would keep requests away from most targets while a few links are slow. A
+    /// probe that was answered meanwhile shows that this link is not the cause.
+    pub(crate) fn check_late(&self, probes: &PathProbe, now: Instant) {
         self.cross_zone.borrow_mut().check_late(now);
         self.origin.borrow_mut().check_late(now);
         let mut same_zone = self.same_zone.borrow_mut();
         same_zone.check_late(now);
-        if let Some(elapsed) = same_zone.time_since_arrival(now) {
+        let gap = same_zone.time_since_arrival(now);
+        let is_blocked = |gap: &Duration| {
+            now.checked_sub(*gap).is_none_or(|since| !probes.has_round_trip_since(since))
+        };
+        if let Some(elapsed) = gap.filter(is_blocked) {
             self.link.borrow_mut().record_no_arrival(elapsed, same_zone.in_flight(), now);
         }
     }
@@ -156,6 +164,11 @@
         self.link.borrow().delay(now)
     }
 
+    /// Sets whether this instance's link is reported as slow.
+    pub(crate) fn set_link_reported(&self, is_reported: bool) {
+        self.link.borrow_mut().set_reported(is_reported);
+    }
+
     /// Estimated fraction of the link's configured rate that is available.
     pub(crate) fn rate_fraction(&self, now: Instant) -> f64 {
         self.link.borrow().rate_fraction(now)
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -247,11 +247,13 @@
     /// delay to entries.
     pub(crate) fn adapt_to_link(&self) {
         let now = Instant::now();
-        self.downloads.check_late(now);
+        self.downloads.check_late(&self.path.borrow(), now);
         self.uploads.check_late(now);
         self.uploads.set_rate_fraction(self.downloads.rate_fraction(now));
         let delay = self.downloads.delay(now).max(self.path.borrow().delay(now));
-        if self.delay_report.borrow_mut().update(delay, now) {
+        let has_changed = self.delay_report.borrow_mut().update(delay, now);
+        if has_changed {
+            self.downloads.set_link_reported(self.is_link_slow());
             let (down, up) = (self.downloads.in_flight(), self.uploads.in_flight());
             let origin_wait = self.origin_request_at.get().map(|at| at.elapsed());
             tracing::info!(
@@ -271,6 +273,11 @@
         }
     }
 
+    /// Whether this instance's link is reported as slow.
+    pub(crate) fn is_link_slow(&self) -> bool {
+        !self.delay_report.borrow().delay().is_zero()
+    }
+
     /// Until the guard is dropped, reports to entries that the engine accepts no requests and polls
     /// the engine at the short interval.
     pub(crate) fn begin_order(&self) -> OrderGuard<'_> {
--- a/crates/swarm/src/link_monitor.rs
+++ b/crates/swarm/src/link_monitor.rs
@@ -13,7 +13,10 @@
 const SAMPLE_COUNT: usize = 4;
 /// Multiple of the expected time of a part above which the link counts as slow. Below it, the time
 /// may be due to other agents' parts and live responses, which share the link.
-const SLOW_FACTOR: f64 = 2.0;
+const SLOW_FACTOR: f64 = 2.5;
+/// The same while the link is reported as slow. Little is in flight then, and a single part arrives
+/// soon also over a slow link.
+const STILL_SLOW_FACTOR: f64 = 2.0;
 
 /// Least number of parts in flight, each from another neighbour, for a time without any arrival to
 /// count.
@@ -44,13 +47,30 @@
     /// Longest time without any arrival while parts were in flight.
     arrival_gap: Option<PartTime>,
     recorded_at: Instant,
+    is_reported: bool,
 }
 
 impl LinkMonitor {
     /// A monitor without measurements; `expected` is the time of a part at the link's configured
     /// rate.
     pub fn new(expected: Duration) -> Self {
-        Self { expected, samples: VecDeque::new(), arrival_gap: None, recorded_at: Instant::now() }
+        Self {
+            expected,
+            samples: VecDeque::new(),
+            arrival_gap: None,
+            recorded_at: Instant::now(),
+            is_reported: false,
+        }
+    }
+
+    /// Sets whether the link is reported as slow.
+    pub fn set_reported(&mut self, is_reported: bool) {
+        self.is_reported = is_reported;
+    }
+
+    /// Longest time of a part on an unshared link that counts as usual.
+    fn usual_limit(&self) -> Duration {
+        self.expected.mul_f64(if self.is_reported { STILL_SLOW_FACTOR } else { SLOW_FACTOR })
     }
 
     /// Records how long a part was in flight, together with `others` other parts of this instance.
@@ -86,7 +106,7 @@
     }
 
     fn is_slow(&self, time: &PartTime) -> bool {
-        time.unshared > self.expected.mul_f64(SLOW_FACTOR)
+        time.unshared > self.usual_limit()
     }
 
     /// Estimated time in flight over the link; `None` unless the link is slow.
@@ -110,7 +130,7 @@
         let enough = self.samples.len() == SAMPLE_COUNT;
         let quickest = self.samples.iter().map(|time| time.unshared).min().filter(|_| enough);
         let unshared = self.arrival_gap.map(|time| time.unshared).or(quickest)?;
-        let limit = self.expected.as_secs_f64() * SLOW_FACTOR;
+        let limit = self.usual_limit().as_secs_f64();
         Some(unshared.as_secs_f64() / limit.max(1e-6))
     }
 }
--- a/crates/swarm/src/path_probe.rs
+++ b/crates/swarm/src/path_probe.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Whether a probe that was sent at `since` or later has been answered. The link then carries
+    /// what is sent over it.
+    pub fn has_round_trip_since(&self, since: Instant) -> bool {
+        let replies = self.peers.values().filter_map(|probe| probe.last_reply);
+        let sent_at =
+            |(round_trip, arrived_at): (Duration, Instant)| arrived_at.checked_sub(round_trip);
+        replies.filter_map(sent_at).any(|sent_at| sent_at >= since)
+    }
+
     /// Shortest round-trip time to any of the peers; `None` unless the link is slow.
     pub fn delay(&self, now: Instant) -> Option<Duration> {
         let round_trips: Vec<Duration> =
--- a/tests/all/narrow_links.rs
+++ b/tests/all/narrow_links.rs
@@ -93,6 +93,11 @@
         Duration::from_secs_f64(PART_BYTES as f64 / bytes_per_second as f64)
     };
     let mut monitor = LinkMonitor::new(part_time(1_000_000) + millis(5));
+    for _ in 0..4 {
+        monitor.record(part_time(75_000) * 2, 0, now);
+    }
+    assert!(monitor.delay(now).is_some(), "behind another part");
+    monitor.set_reported(true);
     for _ in 0..4 {
         monitor.record(part_time(75_000) + millis(3), 0, now);
     }
--- a/tests/all/path_probe.rs
+++ b/tests/all/path_probe.rs
@@ -51,6 +51,21 @@
     assert_eq!(probe.delay(now + millis(1_500)), None, "a single peer says nothing about the link");
 }
 
+/// Guards against targets that get no requests while a few links are slow: parts from agents behind
+/// those do not arrive, and others take that for a slow link of their own.
+#[actix_rt::test]
+async fn a_reply_to_a_probe_sent_since_shows_that_the_link_is_not_blocked() {
+    let (names, start) = (peers(2), Instant::now());
+    let mut probe = new_probe(&names);
+    assert!(!probe.has_round_trip_since(start), "no peer has ever replied");
+    probe_all(&mut probe, &names, &[5, 5], start);
+    assert!(!probe.has_round_trip_since(start + millis(1)), "both were sent before");
+    probe.record_probe_sent(&names[0], start + millis(50));
+    assert!(!probe.has_round_trip_since(start + millis(1)), "it has not been answered");
+    probe.record_reply(&names[0], start + millis(60));
+    assert!(probe.has_round_trip_since(start + millis(1)));
+}
+
 /// Guards against a slow link that is detected only after replies have arrived over it.
 #[actix_rt::test]
 async fn outstanding_probes_count() {
