No whole chunk of the origin passes a link that is reported as slow

The agent cannot tell an entry that fails from its own slow link. While the link is reported as slow, entries are not given up and no chunk is fetched whole; timeouts leave room for half a second of queue in each direction. A failed or empty answer about the entries is asked for again after 0.3 s and does not replace known ones; after a corrupted chunk another entry is asked; an origin that is merely slow does not count as unreachable; the newest chunk is never evicted.

--- a/crates/stager/src/origin_cache.rs
+++ b/crates/stager/src/origin_cache.rs
@@ -192,7 +192,10 @@
         let kept = |chunks: &IndexMap<ChunkId, Rc<CachedChunk>>| -> usize {
             chunks.values().map(|chunk| chunk.kept_bytes()).sum()
         };
-        while kept(&chunks) > MAX_KEPT_BYTES {
+        // The newest is kept whatever its size, since its parts are about to be requested.
+        while kept(&chunks) > MAX_KEPT_BYTES
+            && chunks.values().filter(|chunk| chunk.kept_bytes() > 0).count() > 1
+        {
             let fetched = chunks.iter().filter(|(_, chunk)| chunk.kept_bytes() > 0);
             let oldest = fetched.min_by_key(|(_, chunk)| chunk.used_at.get());
             let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
--- a/crates/stager/src/origin_entries.rs
+++ b/crates/stager/src/origin_entries.rs
@@ -20,11 +20,14 @@
 
 /// Age from which on the entries are requested from control again.
 const MAX_ENTRIES_AGE: Duration = Duration::from_secs(5);
-/// Timeout for connecting to an entry: a dozen round trips between regions.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Timeout of a call to an entry, in addition to its wait: a part takes half a second over a slow
-/// link of this instance.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Age from which on they are requested again after a failure.
+const ENTRIES_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Timeout for connecting to an entry: the handshake may queue for half a second at a slow link of
+/// this instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Timeout of a call to an entry, in addition to its wait: the call and its reply each may queue for
+/// half a second.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long an entry may hold a call until it has the chunk. An entry that does not answer within
 /// this and [`CALL_TIMEOUT`] hangs; one that answers that the chunk is pending is asked again.
 const PENDING_WAIT: Duration = Duration::from_millis(500);
@@ -65,11 +68,11 @@
             match self.link.cache_origin_chunk(call.clone()).await? {
                 OriginChunkReply::Ready { chunk_bytes } => return Ok(chunk_bytes),
                 OriginChunkReply::Pending if Instant::now() < give_up_at => {}
-                OriginChunkReply::Pending | OriginChunkReply::Unreachable => {
-                    return Err(OriginChunkError::OriginUnreachable);
-                }
+                OriginChunkReply::Unreachable => return Err(OriginChunkError::OriginUnreachable),
                 OriginChunkReply::Absent => return Err(OriginChunkError::Absent),
-                OriginChunkReply::Busy => return Err(OriginChunkError::OriginBusy),
+                OriginChunkReply::Pending | OriginChunkReply::Busy => {
+                    return Err(OriginChunkError::OriginBusy);
+                }
                 OriginChunkReply::Unsupported => return Err(OriginChunkError::Entry),
             }
         }
@@ -87,6 +90,8 @@
     OriginUnreachable,
     /// The entry did not answer, or fetches nothing from the origin.
     Entry,
+    /// No entry provided the chunk, and it is not fetched whole over a slow link.
+    LinkSlow,
 }
 
 impl From<CallError> for OriginChunkError {
@@ -101,7 +106,7 @@
 pub(crate) struct OriginEntries {
     entries: RefCell<Vec<Rc<OriginEntry>>>,
     /// When the entries were last requested. Locked meanwhile, so that no chunk is fetched whole
-    /// because the entries are not known yet.
+    /// because the entries are not known yet; fetches wait for a third of a second at most.
     requested_at: Mutex<Option<Instant>>,
 }
 
@@ -115,8 +120,18 @@
     ) -> Option<Result<Bytes, OriginChunkError>> {
         self.update(shared, origin_zone).await;
         let call = OriginChunkCall { wait_millis: PENDING_WAIT.as_millis() as u64, ..call };
-        for entry in self.ranked(call.chunk) {
+        let mut entries = self.ranked(call.chunk);
+        // The entry that passed on a corrupted chunk may be what corrupts it.
+        if call.discards_kept && entries.len() > 1 {
+            entries.remove(0);
+        }
+        for entry in entries {
             match download_through(shared, &entry, &call).await {
+                // Calls also fail because they queue at a slow link of this instance. If the chunk
+                // were then fetched whole, it would hold live requests up on just that link.
+                Err(OriginChunkError::Entry) if shared.is_link_slow() => {
+                    return Some(Err(OriginChunkError::LinkSlow));
+                }
                 Err(OriginChunkError::Entry) => {
                     tracing::info!(
                         entry = %entry.record.name, chunk = call.chunk,
@@ -127,7 +142,7 @@
                 result => return Some(result),
             }
         }
-        None
+        shared.is_link_slow().then_some(Err(OriginChunkError::LinkSlow))
     }
 
     /// Requests the entries from control if they are unknown or may have changed.
@@ -139,11 +154,17 @@
             return;
         }
         let Some(member) = member_link(shared) else { return };
-        *requested_at = Some(now);
         match member.ready_entries(origin_zone.clone()).await {
-            Ok(records) => self.set(shared, records),
+            // A control member that has just started knows no entries yet.
+            Ok(records) if records.is_empty() && !self.entries.borrow().is_empty() => {}
+            Ok(records) => {
+                self.set(shared, records);
+                *requested_at = Some(now);
+                return;
+            }
             Err(error) => tracing::info!(%error, "failed to ask control for the entries"),
         }
+        *requested_at = now.checked_sub(MAX_ENTRIES_AGE - ENTRIES_RETRY_DELAY);
     }
 
     fn set(&self, shared: &StagerShared, records: Vec<EntryRecord>) {
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -326,7 +326,9 @@
     fn from(error: OriginChunkError) -> Self {
         match error {
             OriginChunkError::Absent => Self::Absent,
-            OriginChunkError::OriginBusy => Self::Busy(ORIGIN_BUSY_BACKOFF),
+            OriginChunkError::OriginBusy | OriginChunkError::LinkSlow => {
+                Self::Busy(ORIGIN_BUSY_BACKOFF)
+            }
             OriginChunkError::OriginUnreachable | OriginChunkError::Entry => Self::Unreachable,
         }
     }
