--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -128,8 +128,9 @@
     // Without this, a handshake that takes long ends after the caller has left, and the request is
     // sent for no one.
     let acquired = tokio::select! {
-        acquired = acquire_connection(shared, slot, options.new_connection) => acquired?,
+        biased;
         () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return Err(AttemptFailure::CallerLeft),
+        acquired = acquire_connection(shared, slot, options.new_connection) => acquired?,
     };
     let mut connection = acquired.connection;
     let send = TargetRequest {
