--- a/crates/swarm/src/transfer_window.rs
+++ b/crates/swarm/src/transfer_window.rs
@@ -8,8 +8,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Most bytes of a chunk that one call fetches. The parts that all windows of both directions allow
-/// together occupy a link at a fifteenth of its usual rate for half a second.
+/// Most bytes of a chunk that one call fetches.
 pub const PART_BYTES: u64 = 2 * 1024;
 /// Most parts in flight in one direction, from or to instances of the own availability zone.
 pub const MAX_SAME_ZONE_PARTS: usize = 5;
@@ -18,6 +17,13 @@
 /// Most parts in flight of chunks of the origin, which entries pass on.
 pub const MAX_ORIGIN_PARTS: usize = 2;
 
+/// Most bytes of parts in flight over one link: half a second of a link at a fifteenth of its usual
+/// rate, 0.6 Mbit/s. Most callers that leave have waited for at least as long.
+const MAX_BYTES_IN_FLIGHT: u64 = 37_500;
+/// What the windows of both directions allow together.
+const ALL_PARTS: usize = 2 * (MAX_SAME_ZONE_PARTS + MAX_CROSS_ZONE_PARTS) + MAX_ORIGIN_PARTS;
+const _: () = assert!(ALL_PARTS as u64 * PART_BYTES <= MAX_BYTES_IN_FLIGHT);
+
 /// Window size before any part has arrived.
 const INITIAL_PARTS: f64 = 2.0;
 /// Time in flight above which a part is late. On a link at its usual rate parts arrive within it,
--- a/tests/all/fleet/link_queue.rs
+++ b/tests/all/fleet/link_queue.rs
@@ -48,7 +48,7 @@
 /// Half a second of a slow link: live traffic and weights together.
 const MAX_QUEUED_BYTES: usize = 37_500;
 /// How long the link is slow.
-const SPELL: Duration = Duration::from_millis(3_500);
+const SLOW_PERIOD: Duration = Duration::from_millis(3_500);
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 const CLOCK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -625,15 +625,15 @@
         &self.links[0]
     }
 
-    /// Makes the link slow and samples its queue until the end of the spell.
-    async fn run_spell(&self) -> SpellRecord {
+    /// Makes the link slow and samples its queue until the end of the slow period.
+    async fn run_slow_period(&self) -> PeriodRecord {
         let link = self.own_link();
         link.rate.set(SLOW_RATE);
         let (began, paused_before) = (self.clock.now.get(), self.clock.paused.get());
         let entered_before = link.entered(&[TrafficKind::OriginChunk]);
-        let mut record = SpellRecord::default();
+        let mut record = PeriodRecord::default();
         let mut after = Duration::ZERO;
-        while after < SPELL {
+        while after < SLOW_PERIOD {
             record.samples.push(QueueSample {
                 after,
                 queued: link.queued.borrow().clone(),
@@ -666,7 +666,7 @@
 
     /// Delay in seconds of a request behind `bytes` on the link.
     fn delay(&self, bytes: usize) -> f64 {
-        let left = SPELL.saturating_sub(self.after).as_secs_f64();
+        let left = SLOW_PERIOD.saturating_sub(self.after).as_secs_f64();
         let slow = bytes as f64 / SLOW_RATE;
         if slow <= left { slow } else { left + (slow - left) * SLOW_RATE / USUAL_RATE }
     }
@@ -681,24 +681,27 @@
 }
 
 #[derive(Default)]
-struct SpellRecord {
+struct PeriodRecord {
     samples: Vec<QueueSample>,
     /// How long this process was not running meanwhile.
     paused: Duration,
 }
 
-impl SpellRecord {
+impl PeriodRecord {
     fn longest(&self) -> &QueueSample {
-        self.samples.iter().max_by_key(|sample| sample.total()).expect("the spell has samples")
+        self.samples
+            .iter()
+            .max_by_key(|sample| sample.total())
+            .expect("the slow period has samples")
     }
 
-    /// Most bytes queued in a half second of the spell, by its number.
+    /// Most bytes queued in a half second of the slow period, by its number.
     fn longest_in(&self, step: u128) -> usize {
         let is_within = |sample: &&QueueSample| sample.after.as_millis() / 500 == step;
         self.samples.iter().filter(is_within).map(QueueSample::total).max().unwrap_or(0)
     }
 
-    /// Expected number of late requests among those sent in a half second of the spell.
+    /// Expected number of late requests among those sent in a half second of the slow period.
     fn late_in(&self, step: u128) -> f64 {
         let is_within = |sample: &&QueueSample| sample.after.as_millis() / 500 == step;
         self.samples.iter().filter(is_within).map(|sample| sample.late(sample.total())).sum()
@@ -712,7 +715,7 @@
         self.samples.iter().map(|sample| sample.late(rest(sample))).sum()
     }
 
-    /// The figures of the spell, one line each.
+    /// The figures of the slow period, one line each.
     fn report(&self) -> String {
         let longest = self.longest();
         let late = self.late_without(&[]);
@@ -774,7 +777,7 @@
 async fn few_bytes_queue_while_a_chunk_from_the_origin_is_outstanding() {
     let bed = LinkBed::start(1, &["z1"], usize::MAX, false).await;
     wait_until(|| bed.origin.chunks_sent.get() >= 5).await;
-    bed.run_spell().await.check("a chunk from the origin");
+    bed.run_slow_period().await.check("a chunk from the origin");
 }
 
 /// Guards against live requests that queue behind parts of all windows, which are open.
@@ -788,7 +791,7 @@
         link.entered(&parts_in) >= 12 * CHUNK_BYTES && link.entered(&parts_out) >= 4 * CHUNK_BYTES
     })
     .await;
-    bed.run_spell().await.check("parts in both directions");
+    bed.run_slow_period().await.check("parts in both directions");
 }
 
 /// Guards against live requests that queue behind overtaken parts, which arrive together when the
@@ -807,7 +810,7 @@
     wait_until(|| held_up() >= MIN_HELD_UP_BYTES).await;
     println!("{} bytes are held up elsewhere", held_up());
     slow.iter().for_each(|link| link.rate.set(USUAL_RATE));
-    bed.run_spell().await.check("parts held up elsewhere");
+    bed.run_slow_period().await.check("parts held up elsewhere");
 }
 
 /// Guards against live traffic that alone exceeds what the slow link carries.
@@ -815,7 +818,7 @@
 async fn few_bytes_queue_without_weights() {
     let bed = LinkBed::start(4, &SEEDER_FIRST, 12, true).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
-    bed.run_spell().await.check("live traffic only");
+    bed.run_slow_period().await.check("live traffic only");
 }
 
 /// Guards against live requests that queue behind a chunk from the origin and parts together.
@@ -824,7 +827,7 @@
     let bed = LinkBed::start(5, &SEEDER_FIRST, 12, false).await;
     wait_until(|| bed.origin.chunks_sent.get() > 0).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
-    bed.run_spell().await.check("a seeder, half a second after publication");
+    bed.run_slow_period().await.check("a seeder, half a second after publication");
 }
 
 /// Guards against live requests that queue behind a chunk from the origin that has just been sent,
@@ -840,5 +843,5 @@
         from_origin.iter().any(|kind| link.queued(*kind) > 0) && parts > 0
     })
     .await;
-    bed.run_spell().await.check("a chunk and parts");
+    bed.run_slow_period().await.check("a chunk and parts");
 }
