Failed attempts are logged with a digest of the request

Attempts are logged by the request's id, which is new with each attempt of a caller. When a target ends, 10 to 31 attempts fail at once, and nothing tells which request was also at the target that ended before.

A digest of organisation, host, method, path and body is logged with each failed attempt: the same for every attempt, at every entry. Nothing is computed for attempts that succeed.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -236,6 +236,7 @@
         request_id = %request.terms.id,
         target_id = target,
         reason = failure.slug(),
+        digest = %request.digest(),
         tried = tried.len(),
         elapsed_millis = request.received_at.elapsed().as_millis() as u64,
         events_passed = request.last_event_id.as_deref().unwrap_or(""),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use egretseam_h1::RequestHead;
 use egretseam_proto::{OrganisationName, ServiceName};
+use egretseam_quarantine::{RequestContent, RequestDigest};
 use egretseam_serving::{AttemptLimits, KeyHolder, RouteRecord, WaitUrgency};
 use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
@@ -43,6 +44,17 @@
         self.holder.as_ref().map(|holder| &holder.organisation)
     }
 
+    /// What identifies the request across attempts and entries.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        RequestDigest::of(&RequestContent {
+            organisation: self.organisation().map_or("", OrganisationName::as_str),
+            host: self.head.headers.text("host").unwrap_or_default(),
+            method: &self.head.method,
+            target: self.head.target_text(),
+            body: &self.body,
+        })
+    }
+
     /// Records that events of a stream were forwarded.
     pub(crate) fn record_forwarded(&mut self, now: Instant) {
         match self.last_forwarded_at.replace(now) {
