Requests that end the targets that run them are found, run with care, and rejected

Cause: a request ends the process that runs it. An entry retries it at another target, the caller repeats it with a new id at any entry, and an entry forgets a request with its response. Nothing counts the processes that ended under the same content. Class: a retry that carries a fault from one process to the next.

The new crate quarantine holds the evidence (pure): processes that ended under a request, by a digest of organisation, host, method, path and body. An entry whose attempt breaks off opens one connection to the target; refused, and not draining or gone, means that the process has ended. If it is accepted, a later incarnation at its name or address within 6 s says so. Entries exchange the records through all control members, by a call and a connection of its own; earlier releases ignore it. - After two ends a request is run with care: one attempt, one copy at a time at each entry. - After three, a run is claimed at all entries, and no other suspect runs at that target meanwhile. - It is rejected, 503 with the time until it may be tried again, once one or two claimed runs ended their target and no other request there is as suspect. A request that is served whole is cleared. Processes that end at the same moment with others that did not have the request are no evidence.

The test of retries of streams counted opened connections; the check opens one that carries nothing. It counts connections that carry a request now, the same numbers.

--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -38,11 +38,13 @@
     Expired,
     /// The target's response was lost or broken, and the request may not be sent again.
     BrokenAnswer,
+    /// Targets ended one after the other under the request.
+    Quarantined,
 }
 
 impl ErrorKind {
     /// All kinds, for metrics.
-    pub(crate) const ALL: [Self; 15] = [
+    pub(crate) const ALL: [Self; 16] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::MissingKey,
@@ -58,6 +60,7 @@
         Self::Stopping,
         Self::Expired,
         Self::BrokenAnswer,
+        Self::Quarantined,
     ];
 
     /// The name in logs, metrics and the body of the response.
@@ -78,6 +81,7 @@
             Self::Stopping => "stopping",
             Self::Expired => "expired",
             Self::BrokenAnswer => "broken-answer",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -98,7 +102,8 @@
             | Self::NoTarget
             | Self::TargetsRefused
             | Self::ExpiredUnsent
-            | Self::Stopping => (503, "Service Unavailable"),
+            | Self::Stopping
+            | Self::Quarantined => (503, "Service Unavailable"),
             Self::Expired => (504, "Gateway Timeout"),
             Self::BrokenAnswer => (502, "Bad Gateway"),
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 //! member is lost, the others still report the targets. If all members are lost, the entry keeps
 //! its state and continues to serve with it.
 
-use crate::{dispatch, shared::GatewayShared};
+use crate::{dispatch, evidence, shared::GatewayShared};
 use egretseam_delta::PackedDocument;
 use egretseam_rpc::{FeedCall, FeedLink, FeedReader, FeedReply, FeedRoster, LinkOptions};
 use egretseam_serving::RouteTable;
@@ -70,7 +70,11 @@
                     position: FeedPosition::default(),
                     failures: 0,
                 };
+                let link = feed_link(&shared, &address);
                 let (shared, leaving) = (Rc::downgrade(&shared), leaving.clone());
+                let members = followed.clone();
+                let is_followed = move || members.is_followed(&address, source);
+                actix_rt::spawn(evidence::exchange(shared.clone(), link, is_followed));
                 actix_rt::spawn(follower.run(shared, leaving));
             }
         }
@@ -108,6 +112,10 @@
         }
     }
 
+    fn is_followed(&self, address: &str, source: u32) -> bool {
+        self.members.borrow().get(address).is_some_and(|(held, _)| *held == source)
+    }
+
     /// Whether a seed or another member listed an unreachable member recently; if not, it is
     /// removed.
     fn is_listed(&self, address: &str) -> bool {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,6 +6,7 @@
     dialect::RequestMetadata,
     dispatch::{self, SlotGuard, SlotReply, SlotRequest},
     error_response::{ErrorKind, ErrorResponse},
+    quarantine::{self, BrokenAttempt, RunPermit, RunTurn},
     relay::{self, RelayOutcome},
     request::RequestState,
     shared::{GatewayShared, StopPhase},
@@ -14,7 +15,7 @@
 use egretseam_h1::{HttpConnection, RequestHead};
 use egretseam_proto::OrganisationName;
 use egretseam_serving::{AccessError, AttemptOutcome, RouteRecord, RouteTable, TargetId};
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// How long after the start deadline of superseded weights an attempt still waits for its response.
@@ -62,7 +63,7 @@
     match run_attempts(shared, caller, &mut request).await {
         Ok(action) => action,
         Err(error) => {
-            if error.retry_after.is_some() {
+            if error.retry_after.is_some() && error.kind != ErrorKind::Quarantined {
                 shared.record_rejected(&request.route);
             }
             send_error(shared, caller, &error, keep_alive, &id).await
@@ -134,6 +135,7 @@
         longest_pause: Duration::ZERO,
         last_forwarded_at: None,
         status: 0,
+        digest: OnceCell::new(),
     })
 }
 
@@ -155,14 +157,16 @@
     let mut may_have_run = false;
     loop {
         let wait_started_at = Instant::now();
-        let acquired = acquire_slot(shared, caller, request, &tried).await;
+        let acquired = acquire_permitted_slot(shared, caller, request, &tried).await;
         request.waited += wait_started_at.elapsed();
-        let slot = match acquired {
+        let PermittedSlot { slot, permit, isolated } = match acquired {
             Some(Ok(slot)) => slot,
             Some(Err(error)) if !may_have_run => return Err(error),
             Some(Err(_)) => return give_up(request, AttemptFailure::Broken),
             None => return Ok(record_caller_left(shared, request)),
         };
+        let (target, address) = (slot.target.clone(), slot.address);
+        let started_at = Instant::now();
         let options = AttemptOptions {
             response_deadline: response_deadline(shared, request, &slot.target, reached),
             new_connection: needs_new_connection(request, &tried),
@@ -172,6 +176,7 @@
         let failure = match run_attempt(shared, caller, request, slot, options).await {
             Ok(action) => {
                 log_answered(shared, request, &tried, action);
+                quarantine::record_served(shared, request);
                 return Ok(action);
             }
             Err(failure) => failure,
@@ -186,6 +191,12 @@
         }
         may_have_run |= failure.may_have_run();
         log_failure(request, &tried, failure);
+        if failure == AttemptFailure::Broken {
+            let digest = request.digest();
+            let attempt = BrokenAttempt { request: digest, started_at, isolated, permit };
+            quarantine::record_broken(shared, &target, address, attempt);
+            quarantine::await_check(shared, request, &target).await;
+        }
         if !can_retry(shared, request, failure, reached, unreachable) {
             return if may_have_run {
                 give_up(request, failure)
@@ -264,6 +275,9 @@
     if reached == 0 {
         return true;
     }
+    if failure.may_have_run() && shared.quarantine.is_sent_once(request) {
+        return false;
+    }
     reached < max_reached_targets(shared, request) && shared.spend_retry(&request.service)
 }
 
@@ -297,19 +311,65 @@
     ConnectionAction::Reset
 }
 
+/// A slot, and how the request may use it.
+struct PermittedSlot {
+    slot: SlotGuard,
+    permit: RunPermit,
+    /// Whether no other suspect is at the target.
+    isolated: bool,
+}
+
+/// Waits until the request may be sent to a target and for a slot there; `None` if the caller
+/// disconnects first.
+async fn acquire_permitted_slot(
+    shared: &Rc<GatewayShared>,
+    caller: &mut HttpConnection,
+    request: &RequestState,
+    tried: &[TargetId],
+) -> Option<Result<PermittedSlot, ErrorResponse>> {
+    loop {
+        let permit = match quarantine::await_permit(shared, caller, request).await? {
+            Ok(permit) => permit,
+            Err(error) => return Some(Err(error)),
+        };
+        let is_first = tried.is_empty();
+        let mut acquired = None;
+        if let RunPermit::Careful(run) = &permit {
+            let apart = [tried, &run.other_targets(&request.service)].concat();
+            let slot = acquire_slot(shared, caller, request, &apart, is_first).await?;
+            let is_crowded = matches!(&slot, Err(error) if error.kind == ErrorKind::NoTarget);
+            acquired = (!is_crowded).then_some(slot);
+        }
+        let acquired = match acquired {
+            Some(acquired) => acquired,
+            None => acquire_slot(shared, caller, request, tried, is_first).await?,
+        };
+        let slot = match acquired {
+            Ok(slot) => slot,
+            Err(error) => return Some(Err(error)),
+        };
+        let turn = permit.prepare(caller, &slot.target).await?;
+        // Targets may have ended under the request while it waited.
+        if turn != RunTurn::Lost && permit.is_valid(shared, request) {
+            let isolated = turn == RunTurn::Isolated;
+            return Some(Ok(PermittedSlot { slot, permit, isolated }));
+        }
+    }
+}
+
 /// Waits for a slot at a target; `None` if the caller disconnects first.
 async fn acquire_slot(
     shared: &Rc<GatewayShared>,
     caller: &mut HttpConnection,
     request: &RequestState,
-    tried: &[TargetId],
+    excluded: &[TargetId],
+    is_first: bool,
 ) -> Option<Result<SlotGuard, ErrorResponse>> {
     let limits = request.limits(shared.options.stream_idle_timeout);
-    let is_first = tried.is_empty();
     let slot_request = SlotRequest {
         service: &request.service,
         model: request.terms.model.as_ref(),
-        tried,
+        tried: excluded,
         urgency: request.urgency(),
         first_byte_deadline: (!is_first && limits.awaits_stream).then(|| limits.wait_deadline()),
         wait_deadline: if is_first { request.deadline } else { limits.wait_deadline() },
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! request may be retried) and `attempt` one attempt; `relay` forwards a stream's events as they
 //! arrive. `dispatch` holds the tables of [`egretseam_serving`] and the requests that wait for a
 //! slot; `follow` updates the tables from the feeds of all control members; `loads` updates them
-//! from load datagrams; `directory` replies to callers' lookups of entry addresses.
+//! from load datagrams; `quarantine` keeps requests from running that end their targets, and
+//! `evidence` exchanges what entries know of them; `directory` replies to callers' lookups of entry addresses.
 //! [`CallerDialect`] defines header names and message formats.
 
 mod attempt;
@@ -16,11 +17,13 @@
 mod dispatch;
 mod error_response;
 mod events;
+mod evidence;
 mod follow;
 mod forward;
 mod loads;
 mod options;
 mod pool;
+mod quarantine;
 mod relay;
 mod request;
 mod runtime;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,7 @@
 use egretseam_proto::{OrganisationName, ServiceName};
 use egretseam_quarantine::{RequestContent, RequestDigest};
 use egretseam_serving::{AttemptLimits, KeyHolder, RouteRecord, WaitUrgency};
-use std::{rc::Rc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// State of a request while it is served.
@@ -37,6 +37,8 @@
     pub(crate) last_forwarded_at: Option<Instant>,
     /// Status of the response that is forwarded.
     pub(crate) status: u16,
+    /// Computed when it is first needed.
+    pub(crate) digest: OnceCell<RequestDigest>,
 }
 
 impl RequestState {
@@ -46,13 +48,16 @@
 
     /// What identifies the request across attempts and entries.
     pub(crate) fn digest(&self) -> RequestDigest {
-        RequestDigest::of(&RequestContent {
-            organisation: self.organisation().map_or("", OrganisationName::as_str),
-            host: self.head.headers.text("host").unwrap_or_default(),
-            method: &self.head.method,
-            target: self.head.target_text(),
-            body: &self.body,
-        })
+        let compute = || {
+            RequestDigest::of(&RequestContent {
+                organisation: self.organisation().map_or("", OrganisationName::as_str),
+                host: self.head.headers.text("host").unwrap_or_default(),
+                method: &self.head.method,
+                target: self.head.target_text(),
+                body: &self.body,
+            })
+        };
+        *self.digest.get_or_init(compute)
     }
 
     /// Records that events of a stream were forwarded.
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -5,6 +5,7 @@
     dialect::CallerDialect,
     directory, dispatch, follow, loads,
     options::{GatewayListeners, GatewayOptions},
+    quarantine,
     shared::{GatewayShared, StopPhase},
 };
 use egretseam_h1::spawn_accept;
@@ -126,6 +127,8 @@
         let Some(shared) = shared.upgrade() else { return };
         let now = Instant::now();
         shared.pool.borrow_mut().expire(now);
+        quarantine::log_changes(&shared);
+        shared.quarantine.expire(now);
         shared.dispatch.borrow_mut().targets.expire(now);
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
     error_response::ErrorKind,
     options::GatewayOptions,
     pool::ConnectionPool,
+    quarantine::QuarantineState,
 };
 use egretseam_http::DaemonMetrics;
 use egretseam_proto::ServiceName;
@@ -35,6 +36,12 @@
     pub(crate) connections_opened: IntCounter,
     pub(crate) config_version: IntGauge,
     pub(crate) config_unusable: IntCounter,
+    pub(crate) targets_ended: IntCounter,
+    pub(crate) end_checks: IntCounter,
+    pub(crate) suspects_found: IntCounter,
+    pub(crate) suspects_rejected: IntCounter,
+    pub(crate) suspects_cleared: IntCounter,
+    pub(crate) careful_runs: IntCounter,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) wait_seconds: Histogram,
 }
@@ -73,6 +80,30 @@
                 "egretseam_gateway_config_unusable_total",
                 "Configurations that could not be restored from what this entry holds.",
             ),
+            targets_ended: metrics.counter(
+                "egretseam_gateway_targets_ended_total",
+                "Targets whose process ended with requests of this entry.",
+            ),
+            end_checks: metrics.counter(
+                "egretseam_gateway_end_checks_total",
+                "Connections opened to find out whether a target's process has ended.",
+            ),
+            suspects_found: metrics.counter(
+                "egretseam_gateway_suspects_found_total",
+                "Requests under which several targets ended.",
+            ),
+            suspects_rejected: metrics.counter(
+                "egretseam_gateway_suspects_rejected_total",
+                "Requests that end the targets that run them, rejected from then on.",
+            ),
+            suspects_cleared: metrics.counter(
+                "egretseam_gateway_suspects_cleared_total",
+                "Such requests that were served whole later, or lifted by an operator.",
+            ),
+            careful_runs: metrics.counter(
+                "egretseam_gateway_careful_runs_total",
+                "Runs of such requests, one at a time and apart from each other.",
+            ),
             first_byte_seconds: metrics
                 .seconds("egretseam_gateway_first_byte_seconds", "Time to an answer's first byte."),
             wait_seconds: metrics.seconds(
@@ -120,6 +151,7 @@
     routes_available: Notify,
     pub(crate) dispatch: RefCell<DispatchState>,
     pub(crate) pool: RefCell<ConnectionPool>,
+    pub(crate) quarantine: QuarantineState,
     pub(crate) retry_detector: RefCell<RetryDetector>,
     pub(crate) retry_budgets: RefCell<IndexMap<ServiceName, RetryBudget>>,
     /// Entries that each control member lists, by source number of the member.
@@ -147,6 +179,7 @@
             routes_available: Notify::new(),
             dispatch: RefCell::new(dispatch),
             pool: RefCell::default(),
+            quarantine: QuarantineState::new(),
             retry_detector: RefCell::new(RetryDetector::new(options.waiting.min_retry_after)),
             retry_budgets: RefCell::default(),
             member_rosters: RefCell::default(),
--- /dev/null
+++ b/crates/quarantine/src/log.rs
@@ -0,0 +1,180 @@
+//! Records on their way from the entry that made them to all entries.
+//!
+//! Load pattern: when many targets end, each entry reports every request that it had there, and
+//! each report goes to every entry. The log takes what belongs to a request that is known already,
+//! and of others only so many a second: a request that ends its targets is reported again and
+//! again, an innocent one seldom twice.
+
+use crate::{
+    digest::RequestDigest,
+    evidence::{EvidenceRecord, ProcessDigest, RequestFate},
+};
+use indexmap::IndexMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Most records kept.
+const MAX_RECORDS: usize = 1_024;
+/// Records of unknown requests that are taken at once: those of a dozen targets that end.
+const NEW_REQUEST_BURST: f64 = 256.0;
+/// Records of unknown requests taken per second after that.
+const NEW_REQUESTS_PER_SECOND: f64 = 10.0;
+/// How long a record is kept.
+const RECORD_RETENTION: Duration = Duration::from_secs(600);
+/// How long a record is kept if its request has [`MIN_REPEATED_RECORDS`]: an entry that starts later
+/// has to know which requests are rejected.
+const REPEATED_RETENTION: Duration = Duration::from_secs(4 * 3_600);
+const MIN_REPEATED_RECORDS: usize = 3;
+/// How long a claim is kept: longer than it holds.
+const CLAIM_RETENTION: Duration = Duration::from_secs(5);
+/// Most records in one reply.
+const MAX_REPLY_RECORDS: usize = 64;
+
+/// What tells records apart; of two equal ones the first is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum RecordKey {
+    Ended(RequestDigest, ProcessDigest, bool),
+    Served(RequestDigest),
+    Lifted(RequestDigest),
+    Claimed(RequestDigest, u64),
+}
+
+impl RecordKey {
+    fn of(record: &EvidenceRecord) -> Self {
+        match record.fate {
+            RequestFate::ProcessEnded { process, isolated } => {
+                Self::Ended(record.request, process, isolated)
+            }
+            RequestFate::Served => Self::Served(record.request),
+            RequestFate::Lifted => Self::Lifted(record.request),
+            RequestFate::Claimed(claim) => Self::Claimed(record.request, claim.number),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LogRow {
+    number: u64,
+    record: EvidenceRecord,
+    at: Instant,
+}
+
+/// Numbered records, so that readers fetch only what they have not seen.
+#[derive(Clone, Debug)]
+pub struct EvidenceLog {
+    rows: IndexMap<RecordKey, LogRow>,
+    /// Records by request.
+    counts: IndexMap<RequestDigest, usize>,
+    last_number: u64,
+    tokens: f64,
+    refilled_at: Instant,
+}
+
+impl EvidenceLog {
+    /// An empty log.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            rows: IndexMap::new(),
+            counts: IndexMap::new(),
+            last_number: 0,
+            tokens: NEW_REQUEST_BURST,
+            refilled_at: now,
+        }
+    }
+
+    /// Number of the latest record.
+    pub fn last_number(&self) -> u64 {
+        self.last_number
+    }
+
+    /// Adds a record. Returns whether it is new and was taken.
+    pub fn add(&mut self, record: &EvidenceRecord, now: Instant) -> bool {
+        let at = now.checked_sub(Duration::from_millis(record.age_millis)).unwrap_or(now);
+        let key = RecordKey::of(record);
+        let is_clear = matches!(record.fate, RequestFate::Served | RequestFate::Lifted);
+        let is_known = self.counts.contains_key(&record.request);
+        match self.rows.get(&key).copied() {
+            // A later clear replaces the earlier one; the same end is reported once.
+            Some(row) if !is_clear || at <= row.at + Duration::from_secs(1) => return false,
+            Some(_) => self.remove(&key),
+            None if is_clear && !is_known => return false,
+            None if !is_known && !self.take_token(now) => return false,
+            None => {}
+        }
+        if self.rows.len() >= MAX_RECORDS {
+            self.remove_oldest();
+        }
+        self.last_number += 1;
+        *self.counts.entry(record.request).or_default() += 1;
+        self.rows.insert(key, LogRow { number: self.last_number, record: *record, at });
+        true
+    }
+
+    fn take_token(&mut self, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        self.tokens = (self.tokens + elapsed * NEW_REQUESTS_PER_SECOND).min(NEW_REQUEST_BURST);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    fn remove(&mut self, key: &RecordKey) {
+        let Some(row) = self.rows.shift_remove(key) else { return };
+        if let Some(count) = self.counts.get_mut(&row.record.request) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.swap_remove(&row.record.request);
+            }
+        }
+    }
+
+    /// Removes the oldest record of a request that has few, or the oldest of all.
+    fn remove_oldest(&mut self) {
+        let is_repeated = |row: &LogRow| {
+            self.counts.get(&row.record.request).is_some_and(|count| *count >= MIN_REPEATED_RECORDS)
+        };
+        let oldest = self.rows.iter().find(|(_, row)| !is_repeated(row)).or(self.rows.first());
+        if let Some(key) = oldest.map(|(key, _)| *key) {
+            self.remove(&key);
+        }
+    }
+
+    /// Records after number `seen`, oldest first, and the number of the last one returned.
+    pub fn records_since(&self, seen: u64, now: Instant) -> (Vec<EvidenceRecord>, u64) {
+        let newer = self.rows.values().filter(|row| row.number > seen).take(MAX_REPLY_RECORDS);
+        let mut last = seen;
+        let records = newer
+            .map(|row| {
+                last = last.max(row.number);
+                let age = now.saturating_duration_since(row.at);
+                EvidenceRecord { age_millis: age.as_millis() as u64, ..row.record }
+            })
+            .collect();
+        (records, last)
+    }
+
+    /// Drops records past their retention.
+    pub fn expire(&mut self, now: Instant) {
+        let expired: Vec<RecordKey> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| {
+                let count = self.counts.get(&row.record.request).copied().unwrap_or_default();
+                let is_repeated = count >= MIN_REPEATED_RECORDS;
+                let is_claim = matches!(row.record.fate, RequestFate::Claimed(_));
+                if is_claim && now.saturating_duration_since(row.at) > CLAIM_RETENTION {
+                    return true;
+                }
+                let retention = if is_repeated { REPEATED_RETENTION } else { RECORD_RETENTION };
+                now.saturating_duration_since(row.at) > retention
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in expired {
+            self.remove(&key);
+        }
+    }
+}
--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -4,8 +4,8 @@
 use egretseam_delta::PackedDocument;
 use egretseam_proto::{ContentDigest, ModelName, ServiceName, ZoneName};
 use egretseam_rpc::{
-    AgentCall, AgentReply, FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, WeightsKey,
-    WeightsPlan,
+    AgentCall, AgentReply, EvidenceCall, EvidenceReply, FeedCall, FeedReader, FeedReply,
+    FeedRoster, FeedService, WeightsKey, WeightsPlan,
 };
 use egretseam_serving::{ConfigRequest, EntryRecord, PublishedVersion};
 use std::{rc::Rc, time::Duration};
@@ -17,6 +17,10 @@
 /// Most entries that an agent is told of: enough to share the chunks of the origin among them.
 const MAX_READY_ENTRIES: usize = 8;
 
+/// How long records are collected before they are passed on: most of a target's requests fail within
+/// milliseconds of each other.
+const EVIDENCE_BATCH_TIME: Duration = Duration::from_millis(20);
+
 /// Answers the calls of feed readers.
 #[derive(Clone)]
 pub(crate) struct FeedHandler {
@@ -109,6 +113,20 @@
     async fn ready_entries(self, _: Context, zone: ZoneName) -> Vec<EntryRecord> {
         self.shared.entries.borrow().ready_in_zone(&zone, MAX_READY_ENTRIES)
     }
+
+    async fn evidence(self, _: Context, call: EvidenceCall) -> EvidenceReply {
+        let shared = &self.shared;
+        shared.apply_evidence(&call.records);
+        let seen = if call.run == shared.incarnation { call.seen } else { 0 };
+        let wait = Duration::from_millis(call.wait_millis).min(MAX_LONG_POLL_WAIT);
+        let mut last_number = shared.evidence_number.subscribe();
+        let newer = last_number.wait_for(|number| *number > seen);
+        if tokio::time::timeout(wait, newer).await.is_ok_and(|newer| newer.is_ok()) {
+            tokio::time::sleep(EVIDENCE_BATCH_TIME).await;
+        }
+        let (records, seen) = shared.evidence.borrow().records_since(seen, Instant::now());
+        EvidenceReply { run: shared.incarnation, seen, records }
+    }
 }
 
 fn agent_reply(
--- a/crates/registrar/src/publish.rs
+++ b/crates/registrar/src/publish.rs
@@ -104,6 +104,7 @@
         tokio::time::sleep(EXPIRE_INTERVAL).await;
         let Some(shared) = shared.upgrade() else { return };
         let now = Instant::now();
+        shared.evidence.borrow_mut().expire(now);
         let expired = shared.registry.borrow_mut().expire(now);
         if expired || shared.peers_outdated.get() {
             shared.publish();
--- a/crates/registrar/src/shared.rs
+++ b/crates/registrar/src/shared.rs
@@ -10,6 +10,7 @@
 use egretseam_delta::DocumentHistory;
 use egretseam_http::DaemonMetrics;
 use egretseam_proto::ModelName;
+use egretseam_quarantine::{EvidenceLog, EvidenceRecord};
 use egretseam_rpc::{ControlClient, LinkOptions};
 use egretseam_serving::{EntryRoster, RosterBatcher, ServingConfig, TargetRegistry};
 use indexmap::IndexMap;
@@ -49,6 +50,8 @@
     pub(crate) targets: IntGauge,
     pub(crate) entries: IntGauge,
     pub(crate) config_version: IntGauge,
+    pub(crate) evidence_records: IntCounter,
+    pub(crate) evidence_dropped: IntCounter,
 }
 
 impl RegistrarMetrics {
@@ -88,6 +91,14 @@
             targets: gauge("targets", "Targets that announce themselves here."),
             entries: gauge("entries", "Entries that read this member's feed."),
             config_version: gauge("config_version", "Version of the configuration applied here."),
+            evidence_records: counter(
+                "evidence_records",
+                "New records of requests that ended targets, or of their being served.",
+            ),
+            evidence_dropped: counter(
+                "evidence_dropped",
+                "Such records that were known, or too many at a time.",
+            ),
         }
     }
 }
@@ -119,6 +130,10 @@
     pub(crate) roster_number: Cell<u64>,
     /// Collects changes of the entries before the roster is published.
     pub(crate) roster_batcher: RefCell<RosterBatcher>,
+    /// Records of requests that end targets, for all entries.
+    pub(crate) evidence: RefCell<EvidenceLog>,
+    /// Number of the latest record in [`Self::evidence`].
+    pub(crate) evidence_number: watch::Sender<u64>,
     /// Incremented by every change that a reader may wait for.
     pub(crate) change_signal: watch::Sender<u64>,
     client: RefCell<Option<(Vec<String>, Rc<ControlClient>)>>,
@@ -150,6 +165,8 @@
             members: RefCell::new(members),
             roster_number: Cell::new(1),
             roster_batcher: RefCell::default(),
+            evidence: RefCell::new(EvidenceLog::new(Instant::now())),
+            evidence_number: watch::Sender::new(0),
             change_signal: watch::Sender::new(0),
             client: RefCell::new(None),
             options,
@@ -167,6 +184,22 @@
         self.change_signal.send_modify(|number| *number += 1);
     }
 
+    /// Takes in what an entry has seen of requests that end targets.
+    pub(crate) fn apply_evidence(&self, records: &[EvidenceRecord]) {
+        let now = Instant::now();
+        let mut evidence = self.evidence.borrow_mut();
+        for record in records {
+            let added = evidence.add(record, now);
+            let metrics = &self.metrics;
+            if added { metrics.evidence_records.inc() } else { metrics.evidence_dropped.inc() }
+        }
+        let last_number = evidence.last_number();
+        drop(evidence);
+        if *self.evidence_number.borrow() != last_number {
+            self.evidence_number.send_replace(last_number);
+        }
+    }
+
     /// Publishes a change of the roster.
     pub(crate) fn publish_roster(&self) {
         self.roster_number.set(self.roster_number.get() + 1);
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use egretseam_delta::PackedDocument;
 use egretseam_proto::{ContentDigest, ModelName, ServiceName, ZoneName};
+use egretseam_quarantine::EvidenceRecord;
 use egretseam_serving::{
     ConfigRequest, EngineStatus, EntryRecord, PeerUpdate, PublishedVersion, TargetId, TargetStatus,
 };
@@ -126,6 +127,31 @@
     pub members: Vec<String>,
 }
 
+/// Reports what an entry has seen of requests that end targets, and asks for what others have seen:
+/// a long poll.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceCall {
+    /// Records of the calling entry.
+    pub records: Vec<EvidenceRecord>,
+    /// Incarnation of the member that gave out `seen`.
+    pub run: u64,
+    /// Number of the latest record that the entry has received.
+    pub seen: u64,
+    /// Milliseconds that the reply may wait for a record.
+    pub wait_millis: u64,
+}
+
+/// Answers an [`EvidenceCall`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvidenceReply {
+    /// Incarnation of the answering member.
+    pub run: u64,
+    /// Number of the latest record in this reply.
+    pub seen: u64,
+    /// Records of all entries, oldest first.
+    pub records: Vec<EvidenceRecord>,
+}
+
 /// Calls of entries, agents and other members to a control member.
 #[tarpc::service]
 pub trait FeedService {
@@ -141,6 +167,9 @@
     /// Some ready entries of an availability zone, or of all zones if it has none, in the same
     /// sequence for every caller.
     async fn ready_entries(zone: ZoneName) -> Vec<EntryRecord>;
+    /// Takes in an entry's records and returns those of others; waits for one if there is none.
+    /// Earlier releases close the connection on this call, so it has one of its own.
+    async fn evidence(call: EvidenceCall) -> EvidenceReply;
 }
 
 /// Identifies weights that agents exchange.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -24,9 +24,10 @@
 pub use crate::{
     control_client::{ControlClient, SubmitError},
     feed::{
-        AgentCall, AgentReply, ChunkService, ChunkServiceClient, FeedCall, FeedReader, FeedReply,
-        FeedRoster, FeedService, FeedServiceClient, HeldReply, OriginChunkCall, OriginChunkReply,
-        PartCall, PartReceipt, PartReply, VersionDigests, WeightsKey, WeightsPlan,
+        AgentCall, AgentReply, ChunkService, ChunkServiceClient, EvidenceCall, EvidenceReply,
+        FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, FeedServiceClient, HeldReply,
+        OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply, VersionDigests,
+        WeightsKey, WeightsPlan,
     },
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
     loads::{LoadDatagram, MAX_DATAGRAM_BYTES, MAX_SAMPLES, TargetLoad},
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     feed::{
-        AgentCall, AgentReply, ChunkServiceClient, FeedCall, FeedReply, FeedServiceClient,
-        HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
-        VersionDigests, WeightsKey,
+        AgentCall, AgentReply, ChunkServiceClient, EvidenceCall, EvidenceReply, FeedCall,
+        FeedReply, FeedServiceClient, HeldReply, OriginChunkCall, OriginChunkReply, PartCall,
+        PartReceipt, PartReply, VersionDigests, WeightsKey,
     },
     preface::PeerSecret,
     server::codec,
@@ -247,6 +247,17 @@
         let reply = client.ready_entries(self.context(Duration::ZERO), zone).await;
         self.drop_on_error(reply)
     }
+
+    /// See [`crate::FeedService::evidence`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn evidence(&self, call: EvidenceCall) -> Result<EvidenceReply, CallError> {
+        let client = self.client().await?;
+        let wait = Duration::from_millis(call.wait_millis);
+        let reply = client.evidence(self.context(wait), call).await;
+        self.drop_on_error(reply)
+    }
 }
 
 impl ChunkLink {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -64,6 +64,6 @@
         TargetRecord, TargetState, TargetStatus,
     },
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
-    target_table::{LoadSample, TargetTable},
+    target_table::{LoadSample, TargetLifetime, TargetTable},
     wait_queue::{WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
 };
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -46,6 +46,19 @@
     enforced_at: Instant,
 }
 
+/// Whether an incarnation of a target still accepts requests, as far as control knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetLifetime {
+    /// Nothing else was reported.
+    Ready,
+    /// It finishes its requests and then leaves.
+    Draining,
+    /// It said that it leaves.
+    Left,
+    /// A later incarnation has its name or address.
+    Replaced,
+}
+
 /// All targets that an entry knows.
 #[derive(Debug)]
 pub struct TargetTable {
@@ -389,6 +402,36 @@
         }
     }
 
+    /// What has become of an incarnation at `address`.
+    pub fn lifetime(&self, id: &TargetId, address: SocketAddr) -> TargetLifetime {
+        let current = self.current_incarnations.get(&id.name);
+        if current.is_some_and(|current| *current > id.incarnation) {
+            return TargetLifetime::Replaced;
+        }
+        let Some(row) = self.rows.get(id) else { return TargetLifetime::Left };
+        let others = self.by_address.get(&address).into_iter().flatten();
+        let mut others = others.filter(|other| *other != id).filter_map(|id| self.rows.get(id));
+        if row.record.state == TargetState::Draining {
+            TargetLifetime::Draining
+        } else if others.any(|other| other.first_seen_at > row.first_seen_at) {
+            TargetLifetime::Replaced
+        } else {
+            TargetLifetime::Ready
+        }
+    }
+
+    /// Records that the process of a target has ended, so that it gets no request for a while.
+    pub fn record_ended(&mut self, id: &TargetId, now: Instant) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.health.record(AttemptOutcome::Unreachable, now);
+        }
+    }
+
+    /// The targets of a service.
+    pub fn ids(&self, service: &ServiceName) -> impl Iterator<Item = &TargetId> {
+        self.services.get(service).into_iter().flatten()
+    }
+
     /// Address of a target.
     pub fn address(&self, id: &TargetId) -> Option<SocketAddr> {
         self.rows.get(id).map(|row| row.record.address)
--- a/tests/all/fleet/answers.rs
+++ b/tests/all/fleet/answers.rs
@@ -258,10 +258,10 @@
     while one.arrived() == 0 || two.arrived() == 0 {
         bed.send_request(&stream).await.expect("a complete response");
     }
-    let opened = || one.opened.get() + two.opened.get();
-    let opened_before = opened();
+    let used = || one.used.get() + two.used.get();
+    let used_before = used();
     bed.send_request(&stream).await.expect("a complete response");
-    assert_eq!(opened(), opened_before, "the first attempt reuses an idle connection");
+    assert_eq!(used(), used_before, "the first attempt reuses an idle connection");
     one.then(Script::Close);
     two.then(Script::Close);
     assert_eq!(
@@ -269,5 +269,5 @@
         502,
         "both attempts fail"
     );
-    assert_eq!(opened(), opened_before + 1, "the second attempt opens a connection");
+    assert_eq!(used(), used_before + 1, "the second attempt opens a connection");
 }
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -60,6 +60,8 @@
     pub(crate) arrivals: RefCell<Vec<Arrival>>,
     /// Connections that were opened to it.
     pub(crate) opened: Cell<u32>,
+    /// Connections that carried a request.
+    pub(crate) used: Cell<u32>,
     /// Connections whose far end closed while a request was at work.
     pub(crate) abandoned: Cell<u32>,
     /// Those among them that were reset, not closed in order.
@@ -89,6 +91,7 @@
             script: RefCell::default(),
             arrivals: RefCell::default(),
             opened: Cell::new(0),
+            used: Cell::new(0),
             abandoned: Cell::new(0),
             reset_count: Cell::new(0),
         })
@@ -111,7 +114,11 @@
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let options = ConnectionOptions::default();
         let mut connection = HttpConnection::new(stream, &options).expect("set up");
+        let mut is_used = false;
         while let Ok(Some(head)) = connection.read_request(64 * 1024).await {
+            if !std::mem::replace(&mut is_used, true) {
+                self.used.set(self.used.get() + 1);
+            }
             let reader = BodyReader::new(head.framing);
             let Ok(body) = connection.read_body(reader, 1 << 20).await else { return };
             let text = |name: &str| head.headers.text(name).map(str::to_owned);
--- a/tests/all/fleet/narrow_link.rs
+++ b/tests/all/fleet/narrow_link.rs
@@ -6,9 +6,10 @@
 use egretseam_platform::PlatformEngine;
 use egretseam_proto::{ContentDigest, ModelName, ZoneName};
 use egretseam_rpc::{
-    AgentCall, AgentReply, ChunkService, FeedCall, FeedReply, FeedService, HeldReply,
-    OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply, PeerSecret, RpcOptions,
-    RpcServer, VersionDigests, WeightsKey, WeightsPlan, serve_chunks, serve_feed,
+    AgentCall, AgentReply, ChunkService, EvidenceCall, EvidenceReply, FeedCall, FeedReply,
+    FeedService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
+    PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, WeightsPlan, serve_chunks,
+    serve_feed,
 };
 use egretseam_serving::{EntryRecord, PeerUpdate, SwarmPeer, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
@@ -151,6 +152,10 @@
         None
     }
 
+    async fn evidence(self, _: Context, _: EvidenceCall) -> EvidenceReply {
+        unreachable!("the test has no entry")
+    }
+
     async fn ready_entries(self, _: Context, _: ZoneName) -> Vec<EntryRecord> {
         self.entries.borrow().clone()
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod peer_lists;
 mod plan_following;
 mod processes;
+mod quarantine;
 mod scenarios;
 mod seeders;
 mod server_stop;
