--- a/tests/all/fleet/crashing/engine.rs
+++ b/tests/all/fleet/crashing/engine.rs
@@ -27,6 +27,8 @@
     crashes: RefCell<Vec<Instant>>,
     lethal_runs: RefCell<Vec<Instant>>,
     incarnations: Cell<u64>,
+    /// Ends the processes that run now.
+    ends: RefCell<Vec<Rc<watch::Sender<bool>>>>,
 }
 
 impl CrashingEngine {
@@ -40,6 +42,13 @@
         self.lethal_runs.borrow().clone()
     }
 
+    /// Ends the processes of all targets at once.
+    pub(super) fn kill_all(&self) {
+        for end in self.ends.take() {
+            end.send_replace(true);
+        }
+    }
+
     /// Starts a target and waits until the first entry sends requests to it. Its process is
     /// restarted, with another id, after each crash.
     pub(super) async fn start_target(self: Rc<Self>, bed: &FleetBed, host: IpAddr, number: usize) {
@@ -73,6 +82,7 @@
     async fn run_process(self: Rc<Self>, listener: tokio::net::TcpListener, id: &str) {
         let (end, mut ended) = watch::channel(false);
         let end = Rc::new(end);
+        self.ends.borrow_mut().push(end.clone());
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
