Assessing a thousand suspects does not search all ended processes

Processes that ended are kept in order of time, so that most ends are found to have no common cause without a search. Slopes of the digest, of the treatment and of a record are measured by egretseam-bench. The operator's lift, which nothing sent, is gone from the records.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -2,6 +2,7 @@
 
 mod configurations;
 mod samples;
+mod suspects;
 
 use crate::usage::{LineFit, cpu_seconds, resident_mib};
 use clap::Args;
@@ -66,6 +67,9 @@
             claim_time()?,
             change_bytes()?,
             samples::sample_time()?,
+            suspects::digest_time(),
+            suspects::treatment_time(),
+            suspects::record_time(),
             configurations::whole_bytes()?,
             configurations::log_bytes()?,
             configurations::difference_bytes()?,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -98,7 +98,7 @@
             ),
             suspects_cleared: metrics.counter(
                 "egretseam_gateway_suspects_cleared_total",
-                "Such requests that were served whole later, or lifted by an operator.",
+                "Such requests that were served whole later.",
             ),
             careful_runs: metrics.counter(
                 "egretseam_gateway_careful_runs_total",
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -41,8 +41,6 @@
     Claimed(RunClaim),
     /// A target answered it whole.
     Served,
-    /// An operator lifted its rejection.
-    Lifted,
 }
 
 /// An entry's claim to be the only one that runs a request, and to have the only suspect at a
--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -35,7 +35,6 @@
 enum RecordKey {
     Ended(RequestDigest, ProcessDigest, bool),
     Served(RequestDigest),
-    Lifted(RequestDigest),
     Claimed(RequestDigest, u64),
 }
 
@@ -46,7 +45,6 @@
                 Self::Ended(record.request, process, isolated)
             }
             RequestFate::Served => Self::Served(record.request),
-            RequestFate::Lifted => Self::Lifted(record.request),
             RequestFate::Claimed(claim) => Self::Claimed(record.request, claim.number),
         }
     }
@@ -91,7 +89,7 @@
     pub fn add(&mut self, record: &EvidenceRecord, now: Instant) -> bool {
         let at = now.checked_sub(Duration::from_millis(record.age_millis)).unwrap_or(now);
         let key = RecordKey::of(record);
-        let is_clear = matches!(record.fate, RequestFate::Served | RequestFate::Lifted);
+        let is_clear = record.fate == RequestFate::Served;
         let is_known = self.counts.contains_key(&record.request);
         match self.rows.get(&key).copied() {
             // A later clear replaces the earlier one; the same end is reported once.
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -132,7 +132,7 @@
 #[derive(Clone, Debug, Default)]
 struct SuspectRow {
     ends: IndexMap<ProcessDigest, ProcessEnd>,
-    /// When it was last served whole or lifted; earlier ends do not count.
+    /// When it was last served whole; earlier ends do not count.
     cleared_at: Option<Instant>,
     status: SuspectStatus,
     /// Ends that nothing else explains.
@@ -165,6 +165,9 @@
 pub struct CrashTable {
     suspects: IndexMap<RequestDigest, SuspectRow>,
     processes: IndexMap<ProcessDigest, ProcessRow>,
+    /// When [`Self::processes`] ended, in order. With a thousand suspects one assessment searches it
+    /// some thousand times.
+    moments: Vec<Instant>,
     /// Differs between entries, so that they do not act at the same moment.
     seed: u64,
     /// When the evidence has to be assessed again: at once after a new record, else when the next
@@ -180,6 +183,7 @@
         Self {
             suspects: IndexMap::new(),
             processes: IndexMap::new(),
+            moments: Vec::new(),
             seed,
             assess_at: None,
             changes: Vec::new(),
@@ -213,7 +217,7 @@
             RequestFate::ProcessEnded { process, isolated } => {
                 self.apply_end(record.request, process, ProcessEnd { at, isolated });
             }
-            RequestFate::Served | RequestFate::Lifted => {
+            RequestFate::Served => {
                 row.cleared_at = row.cleared_at.max(Some(at));
                 row.ends.retain(|_, end| end.at > at);
             }
@@ -222,13 +226,7 @@
     }
 
     fn apply_end(&mut self, request: RequestDigest, process: ProcessDigest, end: ProcessEnd) {
-        let new_process = || ProcessRow { at: end.at, suspects: Vec::new() };
-        let process_row = self.processes.entry(process).or_insert_with(new_process);
-        process_row.at = process_row.at.min(end.at);
-        if !process_row.suspects.contains(&request) {
-            process_row.suspects.push(request);
-        }
-        bound_length(&mut self.processes, MAX_PROCESSES);
+        self.record_process(request, process, end.at);
         let row = self.suspects.entry(request).or_default();
         if row.cleared_at.is_some_and(|cleared_at| cleared_at >= end.at) {
             return;
@@ -239,6 +237,32 @@
         bound_length(&mut row.ends, MAX_ENDS);
     }
 
+    fn record_process(&mut self, request: RequestDigest, process: ProcessDigest, at: Instant) {
+        let former_at = self.processes.get(&process).map(|row| row.at);
+        let new_process = || ProcessRow { at, suspects: Vec::new() };
+        let row = self.processes.entry(process).or_insert_with(new_process);
+        row.at = row.at.min(at);
+        if !row.suspects.contains(&request) {
+            row.suspects.push(request);
+        }
+        if former_at != Some(row.at) {
+            bound_length(&mut self.processes, MAX_PROCESSES);
+            self.update_moments();
+        }
+    }
+
+    fn update_moments(&mut self) {
+        self.moments = self.processes.values().map(|row| row.at).collect();
+        self.moments.sort_unstable();
+    }
+
+    /// Processes that ended at the same moment.
+    fn ends_at(&self, at: Instant) -> usize {
+        let before = self.moments.partition_point(|moment| *moment + COMMON_CAUSE_WINDOW < at);
+        let until = self.moments.partition_point(|moment| *moment <= at + COMMON_CAUSE_WINDOW);
+        until - before
+    }
+
     /// Makes room for a new suspect: drops the one with the fewest ends, the oldest of them.
     fn make_room(&mut self, request: &RequestDigest) {
         if self.suspects.contains_key(request) || self.suspects.len() < MAX_SUSPECTS {
@@ -428,18 +452,15 @@
     /// Guards against rejecting a popular request that is in flight at every kill of several
     /// targets: it is at some of them, and the others end all the same.
     fn ended_with_others(&self, row: &SuspectRow, at: Instant) -> bool {
+        if self.ends_at(at) < MIN_COMMON_CAUSE_ENDS {
+            return false;
+        }
         let is_other = |(process, other): &(&ProcessDigest, &ProcessRow)| {
             is_same_moment(other.at, at) && !row.ends.contains_key(*process)
         };
         self.processes.iter().filter(is_other).nth(MIN_COMMON_CAUSE_ENDS - 1).is_some()
     }
 
-    /// Whether no other process ended at the same time.
-    fn ended_alone(&self, process: &ProcessDigest, at: Instant) -> bool {
-        let mut others = self.processes.iter().filter(|(other, _)| *other != process);
-        !others.any(|(_, row)| is_same_moment(row.at, at))
-    }
-
     /// The other suspects that a process had when it ended.
     fn rivals(&self, request: &RequestDigest, process: &ProcessDigest) -> Vec<RequestDigest> {
         let suspects = self.processes.get(process).into_iter().flat_map(|row| &row.suspects);
@@ -470,7 +491,7 @@
                 continue;
             }
             let rivals = self.rivals(request, process);
-            if rivals.is_empty() && self.ended_alone(process, end.at) {
+            if rivals.is_empty() && self.ends_at(end.at) == 1 {
                 return true;
             }
             let is_excused = rivals.iter().any(|rival| self.was_suspicious(rival, row, end.at));
@@ -515,7 +536,11 @@
             row.last_end_at().is_some_and(|at| age(at) < retention)
                 || row.cleared_at.is_some_and(|at| age(at) < CLEAR_RETENTION)
         });
+        let before = self.processes.len();
         self.processes.retain(|_, row| age(row.at) < SUSPICION_TIME);
+        if self.processes.len() < before {
+            self.update_moments();
+        }
     }
 
     /// The requests that are run with care or rejected.
