--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -287,6 +287,8 @@
         self.assess_due(now);
         let Some(row) = self.suspects.get(request) else { return RequestTreatment::Normal };
         let ends = row.counted;
+        // Ends that came together with others count here: a claim costs an innocent request little.
+        let needs_claim = row.ends.len() >= MIN_REJECTED_ENDS;
         let last_end_at = row.last_end_at().unwrap_or(now);
         let share = self.share_of(request, ends);
         let until = last_end_at + rejection_time(ends).mul_f64(1.0 + share * MAX_REJECTION_STAGGER);
@@ -297,7 +299,7 @@
                 let held_until = self.held_until(request, now);
                 RequestTreatment::Careful {
                     not_before: (last_end_at + SETTLING_TIME).max(held_until),
-                    needs_claim: ends >= MIN_REJECTED_ENDS,
+                    needs_claim,
                 }
             }
         }
