--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! `evidence` exchanges what entries know of them; `directory` replies to callers' lookups of entry addresses.
 //! [`CallerDialect`] defines header names and message formats.
 
+mod acquire;
 mod attempt;
 mod caller;
 mod dialect;
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -15,7 +15,5 @@
     digest::{RequestContent, RequestDigest},
     evidence::{EvidenceRecord, ProcessDigest, RequestFate, RunClaim},
     log::EvidenceLog,
-    table::{
-        CLAIM_TIME, CrashTable, RequestTreatment, SuspectChange, SuspectStatus, SuspectSummary,
-    },
+    table::{CLAIM_TIME, CrashTable, RequestTreatment, SuspectChange, SuspectStatus},
 };
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -8,9 +8,15 @@
 //! Load pattern: a caller repeats, at any entry, a request that ends each process that runs it.
 //! Without a count shared by all entries, one caller takes all targets of a service from all others.
 
+mod assessment;
+mod claims;
+
+pub use self::claims::CLAIM_TIME;
+
+use self::claims::ClaimRow;
 use crate::{
     digest::RequestDigest,
-    evidence::{EvidenceRecord, ProcessDigest, RequestFate, RunClaim},
+    evidence::{EvidenceRecord, ProcessDigest, RequestFate},
 };
 use indexmap::IndexMap;
 use std::{
@@ -24,28 +30,11 @@
 const MIN_CAREFUL_ENDS: usize = 2;
 /// Fewest processes that ended under a request that is rejected.
 const MIN_REJECTED_ENDS: usize = 3;
-/// Moments at which processes ended under claimed runs of a request, beside requests that are not
-/// suspicious, after which it is rejected. With one, an innocent request is rejected that ran beside
-/// a guilty one that no entry had heard of.
-const MIN_SUSPICIOUS_MOMENTS: usize = 2;
-/// Ends of processes under a request of which one such moment is enough.
-const MANY_ENDS: usize = 5;
 /// Time in which all entries report what they had at a process that ended. Until then nobody can
 /// tell which request there is the most suspect.
 const SETTLING_TIME: Duration = Duration::from_millis(300);
-/// Time from a claim to the run. Within half of it all entries hear of the claim, so that each of two
-/// that claim at the same time knows of the other before it runs.
-pub const CLAIM_TIME: Duration = Duration::from_millis(300);
-/// Claims made within this time of each other count as made at the same time.
-const CLAIM_SPREAD: Duration = Duration::from_millis(150);
-/// How long a claim keeps others from running the request, unless it is settled before: most
-/// requests that end their target do so within this time.
-const CLAIM_HOLD: Duration = Duration::from_millis(1_500);
 /// Processes that end within this time of each other may have a common cause.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(50);
-/// Other processes that end at the same time without the request, which show that it is not the
-/// cause: a zone has lost power, or a service is restarted at once.
-const MIN_COMMON_CAUSE_ENDS: usize = 3;
 /// How long a request stays suspect after the last process ended under it.
 const SUSPICION_TIME: Duration = Duration::from_secs(600);
 /// How long a request is rejected after the last process ended under it; doubles with each further
@@ -61,8 +50,6 @@
 const MAX_SUSPECTS: usize = 1_024;
 /// Most ends of processes that are kept for one suspect.
 const MAX_ENDS: usize = 16;
-/// Most claims that are kept.
-const MAX_CLAIMS: usize = 256;
 /// Most processes that are kept of those that ended.
 const MAX_PROCESSES: usize = 256;
 
@@ -108,19 +95,6 @@
     pub ends: usize,
 }
 
-/// A suspect as operators see it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SuspectSummary {
-    /// The request.
-    pub request: RequestDigest,
-    /// Processes that ended under it and that nothing else explains.
-    pub ends: usize,
-    /// When the last one ended.
-    pub last_end_at: Instant,
-    /// How it is treated.
-    pub treatment: RequestTreatment,
-}
-
 /// A process that ended while it had a request.
 #[derive(Clone, Copy, Debug)]
 struct ProcessEnd {
@@ -152,14 +126,6 @@
     suspects: Vec<RequestDigest>,
 }
 
-/// A claim, and when it was made.
-#[derive(Clone, Copy, Debug)]
-struct ClaimRow {
-    request: RequestDigest,
-    claim: RunClaim,
-    at: Instant,
-}
-
 /// Evidence against requests, at one entry.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
@@ -305,58 +271,6 @@
         }
     }
 
-    fn apply_claim(&mut self, row: ClaimRow, now: Instant) {
-        self.claims.retain(|held| now.saturating_duration_since(held.at) < CLAIM_HOLD);
-        let is_known = self.claims.iter().any(|held| held.claim.number == row.claim.number);
-        if !is_known && self.claims.len() < MAX_CLAIMS {
-            self.claims.push(row);
-        }
-    }
-
-    /// Claims that keep others from running the same request or a suspect at the same process.
-    fn holding_claims(&self, now: Instant) -> impl Iterator<Item = &ClaimRow> {
-        self.claims.iter().filter(move |row| {
-            let suspect = self.suspects.get(&row.request);
-            let is_settled = suspect.is_none_or(|suspect| {
-                suspect.last_end_at().max(suspect.cleared_at).is_some_and(|at| at >= row.at)
-            });
-            !is_settled && now.saturating_duration_since(row.at) < CLAIM_HOLD
-        })
-    }
-
-    /// Until when claims keep the request from being run.
-    fn held_until(&self, request: &RequestDigest, now: Instant) -> Instant {
-        let claims = self.holding_claims(now).filter(|row| row.request == *request);
-        claims.map(|row| row.at + CLAIM_HOLD).max().unwrap_or(now)
-    }
-
-    /// Processes that are claimed for other requests.
-    pub fn claimed_processes(&self, request: &RequestDigest, now: Instant) -> Vec<ProcessDigest> {
-        let claims = self.holding_claims(now).filter(|row| row.request != *request);
-        claims.map(|row| row.claim.process).collect()
-    }
-
-    /// Whether a request may run by a claim made [`CLAIM_TIME`] ago: nobody else has claimed the
-    /// request or the process before, and the claim still holds.
-    ///
-    /// Guards against copies of a request that wait at all entries until its evidence has settled,
-    /// and then end a target each.
-    pub fn has_turn(&self, request: &RequestDigest, claim: &RunClaim, now: Instant) -> bool {
-        let is_own = |row: &&ClaimRow| row.claim == *claim && row.request == *request;
-        let Some(own) = self.holding_claims(now).find(is_own) else { return false };
-        let goes_first = |row: &ClaimRow| {
-            if row.at + CLAIM_SPREAD < own.at {
-                return true;
-            }
-            own.at + CLAIM_SPREAD >= row.at && row.claim.number < claim.number
-        };
-        let is_rival = |row: &&ClaimRow| {
-            row.claim.number != claim.number
-                && (row.request == *request || row.claim.process == claim.process)
-        };
-        !self.holding_claims(now).filter(is_rival).any(goes_first)
-    }
-
     /// A share from 0 to 1 that differs between entries, requests and numbers of ends.
     fn share_of(&self, request: &RequestDigest, ends: usize) -> f64 {
         let mut hasher = DefaultHasher::new();
@@ -376,155 +290,6 @@
         }
     }
 
-    /// Decides for all suspects what the evidence says. Those with the most ends come first, since
-    /// they explain the ends of others; so the result depends on the evidence alone, not on the
-    /// order in which it came.
-    fn assess(&mut self, now: Instant) {
-        let mut candidates = Vec::new();
-        let mut before = IndexMap::new();
-        for index in 0..self.suspects.len() {
-            let counted = self.count_ends(&self.suspects[index]);
-            let Some((request, row)) = self.suspects.get_index_mut(index) else { continue };
-            before.insert(*request, row.status);
-            row.counted = counted;
-            row.status = SuspectStatus::Unsuspicious;
-            if counted >= MIN_REJECTED_ENDS {
-                candidates.push((std::cmp::Reverse(counted), *request));
-            }
-        }
-        candidates.sort_unstable();
-        for (_, request) in candidates {
-            if self.is_guilty(&request, now) {
-                self.convict(&request);
-            }
-        }
-        self.record_changes(&before);
-        let settle_at = |end: &ProcessEnd| end.at + SETTLING_TIME;
-        let ends = self.suspects.values().flat_map(|row| row.ends.values());
-        self.assess_at = ends.map(settle_at).filter(|at| *at > now).min();
-    }
-
-    /// Marks a request as guilty. The processes that it ended count against no other request.
-    fn convict(&mut self, request: &RequestDigest) {
-        let Some(row) = self.suspects.get_mut(request) else { return };
-        row.status = SuspectStatus::Guilty;
-        let ends = row.ends.clone();
-        for (process, end) in &ends {
-            for rival in self.rivals(request, process) {
-                let is_counted = self.suspects.get(&rival).is_some_and(|row| {
-                    row.ends.contains_key(process) && !self.ended_with_others(row, end.at)
-                });
-                if let Some(row) = self.suspects.get_mut(&rival).filter(|_| is_counted) {
-                    row.counted = row.counted.saturating_sub(1);
-                }
-            }
-        }
-    }
-
-    fn record_changes(&mut self, before: &IndexMap<RequestDigest, SuspectStatus>) {
-        for (request, row) in &mut self.suspects {
-            if row.status == SuspectStatus::Unsuspicious && row.counted >= MIN_CAREFUL_ENDS {
-                row.status = SuspectStatus::Suspicious;
-            }
-            let former = before.get(request).copied().unwrap_or_default();
-            if row.status != former {
-                let (status, ends) = (row.status, row.counted);
-                self.changes.push(SuspectChange { request: *request, status, ends });
-            }
-        }
-        let excess = self.changes.len().saturating_sub(MAX_SUSPECTS);
-        self.changes.drain(..excess);
-    }
-
-    /// Processes that ended under a request, but not together with others.
-    fn count_ends(&self, row: &SuspectRow) -> usize {
-        if row.ends.len() < MIN_CAREFUL_ENDS {
-            return row.ends.len();
-        }
-        row.ends.values().filter(|end| !self.ended_with_others(row, end.at)).count()
-    }
-
-    /// Whether a process that ended at `at` under the request ended with others without it.
-    pub fn has_common_cause(&self, request: &RequestDigest, at: Instant) -> bool {
-        self.suspects.get(request).is_some_and(|row| self.ended_with_others(row, at))
-    }
-
-    /// Whether processes without the request ended at the same time.
-    ///
-    /// Guards against rejecting a popular request that is in flight at every kill of several
-    /// targets: it is at some of them, and the others end all the same.
-    fn ended_with_others(&self, row: &SuspectRow, at: Instant) -> bool {
-        if self.ends_at(at) < MIN_COMMON_CAUSE_ENDS {
-            return false;
-        }
-        let is_other = |(process, other): &(&ProcessDigest, &ProcessRow)| {
-            is_same_moment(other.at, at) && !row.ends.contains_key(*process)
-        };
-        self.processes.iter().filter(is_other).nth(MIN_COMMON_CAUSE_ENDS - 1).is_some()
-    }
-
-    /// The other suspects that a process had when it ended.
-    fn rivals(&self, request: &RequestDigest, process: &ProcessDigest) -> Vec<RequestDigest> {
-        let suspects = self.processes.get(process).into_iter().flat_map(|row| &row.suspects);
-        let is_rival = |other: &&RequestDigest| {
-            let row = self.suspects.get(*other);
-            *other != request && row.is_some_and(|row| row.ends.contains_key(process))
-        };
-        suspects.filter(is_rival).copied().collect()
-    }
-
-    /// Whether the evidence says that the request ends the processes that run it: enough of them
-    /// ended, and those that ended under claimed runs point to it. Where it was the only suspect at a
-    /// process that ended alone, one is enough; where no other was suspicious, it takes
-    /// [`MIN_SUSPICIOUS_MOMENTS`], or one after [`MANY_ENDS`].
-    fn is_guilty(&self, request: &RequestDigest, now: Instant) -> bool {
-        let Some(row) = self.suspects.get(request) else { return false };
-        if row.counted < MIN_REJECTED_ENDS {
-            return false;
-        }
-        let mut moments: Vec<Instant> = Vec::new();
-        for (process, end) in &row.ends {
-            let settled = now.saturating_duration_since(end.at) >= SETTLING_TIME;
-            let points_to_it = settled
-                && end.isolated
-                && !self.ended_with_others(row, end.at)
-                && !self.had_guilty(process);
-            if !points_to_it {
-                continue;
-            }
-            let rivals = self.rivals(request, process);
-            if rivals.is_empty() && self.ends_at(end.at) == 1 {
-                return true;
-            }
-            let is_excused = rivals.iter().any(|rival| self.was_suspicious(rival, row, end.at));
-            if !is_excused && moments.iter().all(|at| !is_same_moment(*at, end.at)) {
-                moments.push(end.at);
-            }
-        }
-        let needed = if row.counted >= MANY_ENDS { 1 } else { MIN_SUSPICIOUS_MOMENTS };
-        moments.len() >= needed
-    }
-
-    /// Whether processes that `row` does not explain had ended under a rival before `at`, so that the
-    /// rival may be the guilty one.
-    fn was_suspicious(&self, rival: &RequestDigest, row: &SuspectRow, at: Instant) -> bool {
-        let Some(rival) = self.suspects.get(rival) else { return false };
-        let earlier = rival.ends.iter().filter(|(_, end)| end.at < at);
-        let unexplained = earlier.filter(|(process, end)| {
-            !row.ends.contains_key(*process)
-                && !self.had_guilty(process)
-                && !self.ended_with_others(rival, end.at)
-        });
-        unexplained.count() >= MIN_CAREFUL_ENDS
-    }
-
-    /// Whether a process had a request that is guilty when it ended.
-    fn had_guilty(&self, process: &ProcessDigest) -> bool {
-        let suspects = self.processes.get(process).into_iter().flat_map(|row| &row.suspects);
-        let mut rows = suspects.filter_map(|request| self.suspects.get(request));
-        rows.any(|row| row.status == SuspectStatus::Guilty && row.ends.contains_key(process))
-    }
-
     /// Drops what is too old to matter.
     pub fn expire(&mut self, now: Instant) {
         if self.is_empty() && self.processes.is_empty() {
@@ -544,24 +309,6 @@
             self.update_moments();
         }
     }
-
-    /// The requests that are run with care or rejected.
-    pub fn summaries(&mut self, now: Instant) -> Vec<SuspectSummary> {
-        let requests: Vec<RequestDigest> = self.suspects.keys().copied().collect();
-        let summarise = |request: RequestDigest| {
-            let treatment = self.treatment(&request, now);
-            let row = self.suspects.get(&request)?;
-            let (ends, last_end_at) = (row.counted, row.last_end_at()?);
-            let is_treated = treatment != RequestTreatment::Normal;
-            is_treated.then_some(SuspectSummary { request, ends, last_end_at, treatment })
-        };
-        requests.into_iter().filter_map(summarise).collect()
-    }
-}
-
-/// Whether two ends may have a common cause.
-fn is_same_moment(one: Instant, other: Instant) -> bool {
-    one.max(other) - one.min(other) <= COMMON_CAUSE_WINDOW
 }
 
 /// How long a request is rejected after the last of so many ends, at least.
