Readers of evidence are up to date after the records they lack have expired

Found by review: a reply without records left the reader at its number, below the last one given out, so the next call returned at once, and so on, 25 calls a second from each entry that started after a claim had expired. The reply names the last number when it holds all that is left.

--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -140,18 +140,19 @@
         }
     }
 
-    /// Records after number `seen`, oldest first, and the number of the last one returned.
+    /// Records after number `seen`, oldest first, and the number up to which these are all.
     pub fn records_since(&self, seen: u64, now: Instant) -> (Vec<EvidenceRecord>, u64) {
-        let newer = self.rows.values().filter(|row| row.number > seen).take(MAX_REPLY_RECORDS);
-        let mut last = seen;
-        let records = newer
-            .map(|row| {
-                last = last.max(row.number);
-                let age = now.saturating_duration_since(row.at);
-                EvidenceRecord { age_millis: age.as_millis() as u64, ..row.record }
-            })
-            .collect();
-        (records, last)
+        let mut newer = self.rows.values().filter(|row| row.number > seen);
+        let rows: Vec<&LogRow> = newer.by_ref().take(MAX_REPLY_RECORDS).collect();
+        // If the last records have expired, a reader that stayed at an earlier number would call
+        // again at once, without end.
+        let is_all = newer.next().is_none();
+        let last = if is_all { None } else { rows.last().map(|row| row.number) };
+        let with_age = |row: &LogRow| {
+            let age = now.saturating_duration_since(row.at);
+            EvidenceRecord { age_millis: age.as_millis() as u64, ..row.record }
+        };
+        (rows.into_iter().map(with_age).collect(), last.unwrap_or(self.last_number))
     }
 
     /// Drops records past their retention.
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -211,6 +211,18 @@
     assert_eq!(passed, taken + 2);
 }
 
+/// Guards against readers that call control again at once, without end, because the records that
+/// they have not seen have expired.
+#[test]
+fn a_reader_is_up_to_date_after_all_records_have_expired() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut log = EvidenceLog::new(now);
+    assert!(log.add(&ended(1, 1, false, 0), now));
+    let later = now + Duration::from_secs(3_600);
+    log.expire(later);
+    assert_eq!(log.records_since(0, later), (Vec::new(), log.last_number()));
+}
+
 fn arbitrary_record() -> impl Strategy<Value = EvidenceRecord> {
     (0_u64..4, 0_u64..6, any::<bool>(), 0_u64..8, 0_u64..4).prop_map(
         |(request, number, isolated, age, kind)| match kind {
