--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -29,6 +29,8 @@
 pub(crate) struct GatewayMetrics {
     pub(crate) errors: IndexMap<&'static str, IntCounter>,
     pub(crate) retries: IndexMap<&'static str, IntCounter>,
+    pub(crate) retries_charged: IntCounter,
+    pub(crate) retries_refused: IntCounter,
     pub(crate) requests: IntCounter,
     pub(crate) responses_forwarded: IntCounter,
     pub(crate) streams_resumed: IntCounter,
@@ -63,6 +65,14 @@
         Self {
             errors: ErrorKind::ALL.into_iter().map(error).collect(),
             retries: RETRY_REASONS.into_iter().map(retry).collect(),
+            retries_charged: metrics.counter(
+                "egretseam_gateway_retries_charged_total",
+                "Retries taken from the budgets of services.",
+            ),
+            retries_refused: metrics.counter(
+                "egretseam_gateway_retries_refused_total",
+                "Retries not made for want of budget.",
+            ),
             requests: metrics.counter("egretseam_gateway_requests_total", "Requests read."),
             responses_forwarded: metrics
                 .counter("egretseam_gateway_answered_total", "Answers passed on."),
@@ -279,7 +289,23 @@
     /// Spends one retry of a service's budget. Returns whether the budget allowed it.
     pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
         let entries = self.roster.borrow().iter().count();
-        self.with_budget(service, |budget| budget.spend(entries, Instant::now()))
+        let now = Instant::now();
+        let (granted, usage) = self.with_budget(service, |budget| {
+            (budget.spend(entries, now), budget.usage(entries, now))
+        });
+        let metrics = &self.metrics;
+        let counter = if granted { &metrics.retries_charged } else { &metrics.retries_refused };
+        counter.inc();
+        tracing::info!(
+            %service,
+            granted,
+            entries = usage.entries,
+            requests = usage.requests,
+            spent = usage.spent,
+            allowed = usage.allowed,
+            "retry budget"
+        );
+        granted
     }
 
     fn with_budget<T>(
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -55,7 +55,7 @@
         RawService, RawServing,
     },
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
-    retry_budget::{RetryBudget, RetryPolicy},
+    retry_budget::{RetryBudget, RetryPolicy, RetryUsage},
     retry_detector::RetryDetector,
     roster_batcher::RosterBatcher,
     route_table::{AccessError, KeyHolder, RouteTable},
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -37,6 +37,19 @@
     retries: u32,
 }
 
+/// What an entry has used of its share of a budget, and how large the share is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Entries by which the fixed part of the budget was divided.
+    pub entries: usize,
+    /// Requests in the window.
+    pub requests: u32,
+    /// Retries in the window.
+    pub spent: u32,
+    /// Retries allowed in the window.
+    pub allowed: f64,
+}
+
 /// Requests and retries of one service in the sliding window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -58,16 +71,22 @@
     /// Spends one retry of the budget, which `entries` entries share. Returns whether the budget
     /// allowed it.
     pub fn spend(&mut self, entries: usize, now: Instant) -> bool {
+        let usage = self.usage(entries, now);
+        if f64::from(usage.spent + 1) > usage.allowed {
+            return false;
+        }
+        self.step(now).retries += 1;
+        true
+    }
+
+    /// What this entry has used of the budget, which `entries` entries share.
+    pub fn usage(&mut self, entries: usize, now: Instant) -> RetryUsage {
         self.step(now);
         let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
         let spent: u32 = self.steps.iter().map(|step| step.retries).sum();
         let fixed = f64::from(self.policy.minimum) / entries.max(1) as f64;
         let allowed = (f64::from(requests) * self.policy.ratio + fixed) * self.policy.margin;
-        if f64::from(spent + 1) > allowed {
-            return false;
-        }
-        self.step(now).retries += 1;
-        true
+        RetryUsage { entries, requests, spent, allowed }
     }
 
     fn step(&mut self, now: Instant) -> &mut WindowStep {
