--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -14,5 +14,6 @@
 mod placing;
 mod receipts;
 mod reports;
+mod retry_budget;
 mod weights;
 mod weights_bed;
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -68,11 +68,16 @@
 impl FleetBed {
     /// Starts control and an entry and applies the default configuration.
     pub(super) async fn start() -> Self {
+        Self::start_with(|_| {}).await
+    }
+
+    /// [`Self::start`] with settings that `adjust` changes.
+    pub(super) async fn start_with(adjust: impl FnOnce(&mut FleetSettings)) -> Self {
         let mut next_host = next_hosts();
         let (core, edge) = (next_host(), next_host());
         let folder = TempDir::new().expect("a folder");
         let at = |host: IpAddr, port: u16| SocketAddr::new(host, port);
-        let settings = FleetSettings {
+        let mut settings = FleetSettings {
             instance: InstanceName::try_from("node").expect("a valid name"),
             zone: ZoneName::try_from("z1").expect("a valid name"),
             host: core,
@@ -97,6 +102,7 @@
             }),
             agent: None,
         };
+        adjust(&mut settings);
         let control = FleetRuntime::start(settings.clone(), &dialects()).expect("control starts");
         let entry_settings = FleetSettings {
             host: edge,
@@ -136,6 +142,20 @@
 
     /// Starts one more entry and waits until it has the configuration.
     pub(super) async fn add_entry(&mut self) {
+        let name = format!("node-{}", self.added_entries.len() + 2);
+        self.start_entry(&name).await;
+    }
+
+    /// Ends the added entries without a shutdown and starts them again, at other addresses.
+    pub(super) async fn restart_added_entries(&mut self) {
+        let names = 2..self.added_entries.len() + 2;
+        self.added_entries.clear();
+        for number in names {
+            self.start_entry(&format!("node-{number}")).await;
+        }
+    }
+
+    async fn start_entry(&mut self, name: &str) {
         let host = self.unused_host();
         let listeners = FleetEntry {
             caller_address: SocketAddr::new(host, 18_005),
@@ -143,9 +163,8 @@
             directory_address: SocketAddr::new(host, 18_009),
         };
         let address = listeners.caller_address;
-        let name = format!("node-{}", self.added_entries.len() + 2);
         let settings = FleetSettings {
-            instance: InstanceName::try_from(name.as_str()).expect("a valid name"),
+            instance: InstanceName::try_from(name).expect("a valid name"),
             host,
             entry: Some(listeners),
             ..self.settings.clone()
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod plan_following;
 mod processes;
 mod quarantine;
+mod retry_budget;
 mod scenarios;
 mod seeders;
 mod server_stop;
