Retry budgets hold while entries restart and lose sight of each other

Cause: each entry kept what it had spent in a sliding window in memory. A killed entry began with an empty window and a full share of the fixed allowance. An entry that listed fewer others took a larger share, and a retry was charged seconds before it was sent.

A token bucket that begins empty takes its place. What is sent in a window was saved at its start or earned in it, so the sum over all entries and incarnations is bounded by construction; the largest number of entries of ten minutes divides the fixed part; a retry that waits takes room in the bucket until it is sent, and one that is not sent returns.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -217,7 +217,6 @@
                 ratio: settings.retry_ratio,
                 minimum: settings.retry_minimum as u32,
                 window: settings.retry_window,
-                ..RetryPolicy::default()
             },
             staleness_bound: settings.staleness_bound.saturating_sub(STALENESS_MARGIN),
             address_lifetime: ADDRESS_LIFETIME,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
     dispatch::SlotGuard,
     pool::{self, CONNECT_TIMEOUT, STREAM_RETRY_CONNECT_TIMEOUT},
     request::RequestState,
+    retries::RetryPermit,
     shared::GatewayShared,
 };
 use egretseam_h1::{BodyReader, HttpConnection, ResponseHead};
@@ -117,13 +118,15 @@
     link_delay: Duration,
 }
 
-/// Sends the request to the target of `slot` and reads the head of the response.
+/// Sends the request to the target of `slot` and reads the head of the response. `retry` is what
+/// the retry budget granted for the attempt, if it needs that.
 pub(crate) async fn open_response(
     shared: &GatewayShared,
     caller: &mut HttpConnection,
     request: &RequestState,
     slot: &SlotGuard,
     options: AttemptOptions,
+    retry: Option<RetryPermit>,
 ) -> Result<OpenResponse, AttemptFailure> {
     // Without this, a handshake that takes long ends after the caller has left, and the request is
     // sent for no one.
@@ -142,6 +145,9 @@
         body: &request.body,
     };
     let bytes = shared.dialect.write_request(&request.head, &send);
+    if let Some(retry) = retry {
+        retry.record_sent();
+    }
     let exchange = async {
         connection.write(&bytes).await.map_err(|_| AttemptFailure::Broken)?;
         read_matching_head(shared, &mut connection, request).await
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,6 +10,7 @@
     quarantine::{self, BrokenAttempt},
     relay::{self, RelayOutcome},
     request::RequestState,
+    retries::RetryPermit,
     shared::{GatewayShared, StopPhase},
 };
 use bytes::Bytes;
@@ -115,7 +116,7 @@
         Err(AccessError::UnknownKey) => return Err(ErrorResponse::new(ErrorKind::UnknownKey)),
     };
     let service = route.destination(rand::random()).clone();
-    shared.record_request(&service);
+    shared.retry_budgets.record_request(&service);
     let tried_before = shared.time_spent_retrying(&route, &terms);
     let limit = terms.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     Ok(RequestState {
@@ -156,6 +157,7 @@
     let mut reached = 0;
     let mut unreachable = 0;
     let mut may_have_run = false;
+    let mut retry = None;
     loop {
         let wait_started_at = Instant::now();
         let acquired = acquire::acquire_permitted_slot(shared, caller, request, &tried).await;
@@ -174,7 +176,7 @@
             attempt: tried.len() + 1,
         };
         tried.push(slot.target.clone());
-        let failure = match run_attempt(shared, caller, request, slot, options).await {
+        let failure = match run_attempt(shared, caller, request, slot, options, retry).await {
             Ok(action) => {
                 log_answered(shared, request, &tried, action);
                 quarantine::record_served(shared, request);
@@ -198,16 +200,16 @@
             quarantine::record_broken(shared, &target, address, attempt);
             quarantine::await_check(shared, request, &target).await;
         }
-        if !can_retry(shared, request, failure, reached, unreachable) {
-            return if may_have_run {
-                give_up(request, failure)
-            } else {
-                Err(ErrorResponse::with_retry_after(
-                    ErrorKind::TargetsRefused,
-                    RETRY_AFTER_REJECTED,
-                ))
-            };
-        }
+        let attempts = AttemptCounts { reached, unreachable };
+        retry = match decide_retry(shared, request, failure, attempts) {
+            RetryDecision::Free => None,
+            RetryDecision::Charged(permit) => Some(permit),
+            RetryDecision::Refused if may_have_run => return give_up(request, failure),
+            RetryDecision::Refused => {
+                let after = RETRY_AFTER_REJECTED;
+                return Err(ErrorResponse::with_retry_after(ErrorKind::TargetsRefused, after));
+            }
+        };
         shared.metrics.count_retry(failure.slug());
     }
 }
@@ -256,30 +258,50 @@
     );
 }
 
-/// Whether the request may be sent to another target.
+/// Attempts of a request so far.
+#[derive(Clone, Copy)]
+struct AttemptCounts {
+    /// Targets that the request has reached.
+    reached: u32,
+    /// Targets that no connection could be opened to.
+    unreachable: usize,
+}
+
+/// Whether a request is sent to another target.
+enum RetryDecision {
+    /// No target has received the request yet.
+    Free,
+    /// The budget of the service allows it.
+    Charged(RetryPermit),
+    Refused,
+}
+
+/// Decides whether the request may be sent to another target.
 ///
 /// Prevents a non-idempotent request that may have run from running twice, which would bill a
 /// household twice. Only a request that certainly did not run, or whose route allows retries, is
 /// sent again. Once a request has reached a target, the route's attempt limit and the retry budget
 /// of the service, which all entries share, apply as well.
-fn can_retry(
-    shared: &GatewayShared,
+fn decide_retry(
+    shared: &Rc<GatewayShared>,
     request: &RequestState,
     failure: AttemptFailure,
-    reached: u32,
-    unreachable: usize,
-) -> bool {
+    attempts: AttemptCounts,
+) -> RetryDecision {
+    let AttemptCounts { reached, unreachable } = attempts;
     let retryable = !failure.may_have_run() || request.route.kind.may_retry();
     if !retryable || Instant::now() >= request.deadline || unreachable > MAX_UNREACHABLE_TARGETS {
-        return false;
+        return RetryDecision::Refused;
     }
     if reached == 0 {
-        return true;
+        return RetryDecision::Free;
     }
-    if failure.may_have_run() && shared.quarantine.is_sent_once(request) {
-        return false;
+    let is_last = failure.may_have_run() && shared.quarantine.is_sent_once(request);
+    if is_last || reached >= max_reached_targets(shared, request) {
+        return RetryDecision::Refused;
     }
-    reached < max_reached_targets(shared, request) && shared.spend_retry(&request.service)
+    let permit = RetryPermit::reserve(shared, &request.service);
+    permit.map_or(RetryDecision::Refused, RetryDecision::Charged)
 }
 
 /// Number of targets that the request may reach.
@@ -318,8 +340,9 @@
     request: &mut RequestState,
     slot: SlotGuard,
     options: AttemptOptions,
+    retry: Option<RetryPermit>,
 ) -> Result<ConnectionAction, AttemptFailure> {
-    let opened = attempt::open_response(shared, caller, request, &slot, options).await;
+    let opened = attempt::open_response(shared, caller, request, &slot, options, retry).await;
     let response = match opened {
         Ok(response) => response,
         Err(AttemptFailure::OtherTarget) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod quarantine;
 mod relay;
 mod request;
+mod retries;
 mod runtime;
 mod shared;
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,11 +7,11 @@
     options::GatewayOptions,
     pool::ConnectionPool,
     quarantine::QuarantineState,
+    retries::RetryBudgets,
 };
 use egretseam_http::DaemonMetrics;
-use egretseam_proto::ServiceName;
 use egretseam_serving::{
-    ConfigHolder, EntryRecord, EntryRoster, RetryBudget, RetryDetector, RouteRecord, RouteTable,
+    ConfigHolder, EntryRecord, EntryRoster, RetryDetector, RouteRecord, RouteTable,
 };
 use indexmap::IndexMap;
 use prometheus::{Histogram, IntCounter, IntGauge};
@@ -29,8 +29,6 @@
 pub(crate) struct GatewayMetrics {
     pub(crate) errors: IndexMap<&'static str, IntCounter>,
     pub(crate) retries: IndexMap<&'static str, IntCounter>,
-    pub(crate) retries_charged: IntCounter,
-    pub(crate) retries_refused: IntCounter,
     pub(crate) requests: IntCounter,
     pub(crate) responses_forwarded: IntCounter,
     pub(crate) streams_resumed: IntCounter,
@@ -65,14 +63,6 @@
         Self {
             errors: ErrorKind::ALL.into_iter().map(error).collect(),
             retries: RETRY_REASONS.into_iter().map(retry).collect(),
-            retries_charged: metrics.counter(
-                "egretseam_gateway_retries_charged_total",
-                "Retries taken from the budgets of services.",
-            ),
-            retries_refused: metrics.counter(
-                "egretseam_gateway_retries_refused_total",
-                "Retries not made for want of budget.",
-            ),
             requests: metrics.counter("egretseam_gateway_requests_total", "Requests read."),
             responses_forwarded: metrics
                 .counter("egretseam_gateway_answered_total", "Answers passed on."),
@@ -163,7 +153,7 @@
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) quarantine: QuarantineState,
     pub(crate) retry_detector: RefCell<RetryDetector>,
-    pub(crate) retry_budgets: RefCell<IndexMap<ServiceName, RetryBudget>>,
+    pub(crate) retry_budgets: RetryBudgets,
     /// Entries that each control member lists, by source number of the member.
     pub(crate) member_rosters: RefCell<IndexMap<u32, Vec<EntryRecord>>>,
     /// Merged from [`Self::member_rosters`]; address lookups update this entry's own record in it.
@@ -191,7 +181,7 @@
             pool: RefCell::default(),
             quarantine: QuarantineState::new(),
             retry_detector: RefCell::new(RetryDetector::new(options.waiting.min_retry_after)),
-            retry_budgets: RefCell::default(),
+            retry_budgets: RetryBudgets::new(options.retries, metrics),
             member_rosters: RefCell::default(),
             roster: RefCell::default(),
             stop_phase: watch::Sender::new(StopPhase::Running),
@@ -259,14 +249,10 @@
         }
         let roster = EntryRoster::merged(rosters.values(), Instant::now());
         self.dispatch.borrow_mut().targets.set_entry_count(roster.ready_count());
+        self.retry_budgets.record_entries(roster.iter().count());
         *self.roster.borrow_mut() = roster;
     }
 
-    /// Counts a caller's request towards a service's retry budget.
-    pub(crate) fn record_request(&self, service: &ServiceName) {
-        self.with_budget(service, |budget| budget.record_request(Instant::now()));
-    }
-
     /// Estimates from the time that a caller has left how long it has been trying.
     pub(crate) fn time_spent_retrying(
         &self,
@@ -285,36 +271,4 @@
     pub(crate) fn record_rejected(&self, route: &RouteRecord) {
         self.retry_detector.borrow_mut().record_rejected(&route.name, Instant::now());
     }
-
-    /// Spends one retry of a service's budget. Returns whether the budget allowed it.
-    pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
-        let entries = self.roster.borrow().iter().count();
-        let now = Instant::now();
-        let (granted, usage) = self.with_budget(service, |budget| {
-            (budget.spend(entries, now), budget.usage(entries, now))
-        });
-        let metrics = &self.metrics;
-        let counter = if granted { &metrics.retries_charged } else { &metrics.retries_refused };
-        counter.inc();
-        tracing::info!(
-            %service,
-            granted,
-            entries = usage.entries,
-            requests = usage.requests,
-            spent = usage.spent,
-            allowed = usage.allowed,
-            "retry budget"
-        );
-        granted
-    }
-
-    fn with_budget<T>(
-        &self,
-        service: &ServiceName,
-        operation: impl FnOnce(&mut RetryBudget) -> T,
-    ) -> T {
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let create = || RetryBudget::new(self.options.retries);
-        operation(budgets.entry(service.clone()).or_insert_with(create))
-    }
 }
--- a/crates/http/src/metrics.rs
+++ b/crates/http/src/metrics.rs
@@ -3,8 +3,8 @@
 
 use egretseam_proto::{FailureReport, RefusalReason};
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, exponential_buckets,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder, exponential_buckets,
 };
 
 /// Metrics registry of one daemon.
@@ -74,6 +74,22 @@
         gauge
     }
 
+    /// Creates counters by the values of a label. `name` must be unique within the daemon.
+    pub fn counter_by(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+        let options = Opts::new(name, help);
+        let counters = IntCounterVec::new(options, &[label]).expect("a valid metric name");
+        self.register(counters.clone());
+        counters
+    }
+
+    /// Creates gauges by the values of a label. `name` must be unique within the daemon.
+    pub fn gauge_by(&self, name: &str, help: &str, label: &str) -> IntGaugeVec {
+        let gauges =
+            IntGaugeVec::new(Opts::new(name, help), &[label]).expect("a valid metric name");
+        self.register(gauges.clone());
+        gauges
+    }
+
     /// Creates a histogram in seconds, with buckets from 0.5 ms to about 16 s. `name` must be
     /// unique within the daemon.
     pub fn seconds(&self, name: &str, help: &str) -> Histogram {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,7 +15,7 @@
 //! - [`PeerList`]: at control, the agents that exchange chunks, with numbered changes.
 //! - [`RetryDetector`]: how long a caller has been trying.
 //! - [`AttemptLimits`]: deadlines of attempts and waits, set before the caller disconnects.
-//! - [`RetryBudget`]: the entry's share of a service's retry budget.
+//! - [`RetryBudget`]: the entry's share of a service's retry budget, among [`EntryCount`] entries.
 //! - [`RosterBatcher`]: when a changed list of entries is sent.
 //! - [`EntryRoster`]: which entries callers may be sent to.
 //! - [`SwitchSchedule`]: when an instance may load new weights, so that not all do so at once.
@@ -55,7 +55,7 @@
         RawService, RawServing,
     },
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
-    retry_budget::{RetryBudget, RetryPolicy, RetryUsage},
+    retry_budget::{EntryCount, RetryBudget, RetryPolicy, RetryUsage},
     retry_detector::RetryDetector,
     roster_batcher::RosterBatcher,
     route_table::{AccessError, KeyHolder, RouteTable},
--- a/tests/all/retry_budget.rs
+++ b/tests/all/retry_budget.rs
@@ -1,7 +1,7 @@
 //! A model of entries that share a service's retry budget: they start, end, restart and lose sight
 //! of each other at random, while targets fail.
 
-use egretseam_serving::{RetryBudget, RetryPolicy};
+use egretseam_serving::{EntryCount, RetryBudget, RetryPolicy};
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::time::Duration;
@@ -61,6 +61,7 @@
 /// One entry of the model.
 struct ModelEntry {
     budget: RetryBudget,
+    count: EntryCount,
     started_at: usize,
     /// Granted retries that wait for a slot: the tick at which each is sent.
     waiting: Vec<usize>,
@@ -77,8 +78,9 @@
         let mut rng = StdRng::seed_from_u64(scenario.seed);
         let start = Instant::now();
         let policy = scenario.policy;
-        let new_entry = |tick| ModelEntry {
-            budget: RetryBudget::new(policy),
+        let new_entry = |tick: usize| ModelEntry {
+            budget: RetryBudget::new(policy, start + TICK * tick as u32),
+            count: EntryCount::new(start),
             started_at: tick,
             waiting: Vec::new(),
         };
@@ -99,17 +101,27 @@
                     // A request that was sent may still arrive; one that waited is lost.
                     *entry = new_entry(tick);
                 }
-                let seen = seen_entries(scenario, tick, entry.started_at, &mut rng);
-                let sent = entry.waiting.iter().filter(|at| **at == tick).count();
+                let listed = listed_entries(scenario, tick, entry.started_at, &mut rng);
+                entry.count.record(listed, now);
+                let seen = entry.count.get();
+                let due = entry.waiting.iter().filter(|at| **at == tick).count();
                 entry.waiting.retain(|at| *at > tick);
-                run.retries[tick] += sent;
+                for _ in 0..due {
+                    if rng.random_bool(0.7) {
+                        entry.budget.record_sent();
+                        run.retries[tick] += 1;
+                    } else {
+                        entry.budget.release();
+                    }
+                }
                 let count = rate.floor() as usize + usize::from(rng.random_bool(rate.fract()));
                 for _ in 0..count {
                     run.requests[tick] += 1;
-                    entry.budget.record_request(now);
-                    if rng.random_bool(failing) && entry.budget.spend(seen, now) {
+                    entry.budget.record_request(seen, now);
+                    if rng.random_bool(failing) && entry.budget.reserve(seen, now) {
                         let wait = rng.random_range(0..=MAX_WAIT_TICKS) * rng.random_range(0..2);
                         if wait == 0 {
+                            entry.budget.record_sent();
                             run.retries[tick] += 1;
                         } else {
                             entry.waiting.push(tick + wait);
@@ -139,8 +151,8 @@
     }
 }
 
-/// Number of entries that an entry counts.
-fn seen_entries(scenario: &Scenario, tick: usize, started_at: usize, rng: &mut StdRng) -> usize {
+/// Number of entries that control lists to an entry.
+fn listed_entries(scenario: &Scenario, tick: usize, started_at: usize, rng: &mut StdRng) -> usize {
     let age = tick - started_at;
     let knows_few = started_at > 0 && age < LEARN_TICKS;
     let lost_some =
--- a/tests/all/waiting.rs
+++ b/tests/all/waiting.rs
@@ -346,16 +346,17 @@
         let policy = RetryPolicy::default();
         let entries = loads.len();
         let start = Instant::now();
-        let mut budgets = vec![RetryBudget::new(policy); entries];
+        let mut budgets = vec![RetryBudget::new(policy, start); entries];
         let mut events: Vec<(u64, bool)> = Vec::new();
         for tick in 0..seconds * 10 {
             let now = start + Duration::from_millis(tick * 100);
             for (budget, load) in budgets.iter_mut().zip(&loads) {
                 for _ in 0..load / 10 {
-                    budget.record_request(now);
+                    budget.record_request(entries, now);
                     events.push((tick, false));
                     // Every request fails and asks for a retry.
-                    if budget.spend(entries, now) {
+                    if budget.reserve(entries, now) {
+                        budget.record_sent();
                         events.push((tick, true));
                     }
                 }
