The limits that targets name are read, logged and counted

The header is decoded once, in the platform crate; more than one, or one that is no rate, is invalid and counted. The entry keeps the limit of an incarnation and logs when it begins, changes and ends, and each request that it sends to such a target. Nothing is decided by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::{
     dialect::{ResponseMetadata, TargetRequest},
     dispatch::SlotGuard,
+    limits,
     pool::{self, CONNECT_TIMEOUT, STREAM_RETRY_CONNECT_TIMEOUT},
     request::RequestState,
     retries::RetryPermit,
@@ -152,6 +153,7 @@
         connection.write(&bytes).await.map_err(|_| AttemptFailure::Broken)?;
         read_matching_head(shared, &mut connection, request).await
     };
+    limits::record_sent(shared, slot, &request.terms.id);
     let timer = FirstByteTimer::start(shared, slot);
     let sent = SentRequest {
         attempt: options.attempt,
@@ -181,6 +183,7 @@
             return Err(failure);
         }
     };
+    limits::record_named(shared, slot, &marks, sent.sent_at);
     if let Some(busy) = marks.load {
         let now = Instant::now();
         shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use egretseam_h1::{RequestHead, ResponseHead};
 use egretseam_proto::{ModelName, OrganisationName};
-use egretseam_serving::TargetId;
+use egretseam_serving::{NamedLimit, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
 /// Headers of a caller's request other than those for routing and framing.
@@ -51,6 +51,8 @@
     pub wrong_target: bool,
     /// Number of requests that are running or queued at the target.
     pub load: Option<u32>,
+    /// Rate of requests that the target takes from all entries together.
+    pub limit: NamedLimit,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod evidence;
 mod follow;
 mod forward;
+mod limits;
 mod loads;
 mod options;
 mod pool;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,6 +37,9 @@
     pub(crate) config_version: IntGauge,
     pub(crate) config_unusable: IntCounter,
     pub(crate) targets_ended: IntCounter,
+    pub(crate) targets_limited: IntGauge,
+    pub(crate) limits_invalid: IntCounter,
+    pub(crate) limited_requests: IntCounter,
     pub(crate) end_checks: IntCounter,
     pub(crate) suspects_found: IntCounter,
     pub(crate) suspects_rejected: IntCounter,
@@ -84,6 +87,18 @@
                 "egretseam_gateway_targets_ended_total",
                 "Targets whose process ended with requests of this entry.",
             ),
+            targets_limited: metrics.gauge(
+                "egretseam_gateway_targets_limited",
+                "Targets that name a limit of requests.",
+            ),
+            limits_invalid: metrics.counter(
+                "egretseam_gateway_limits_invalid_total",
+                "Responses with a limit that cannot be read.",
+            ),
+            limited_requests: metrics.counter(
+                "egretseam_gateway_limited_requests_total",
+                "Requests sent to targets that name a limit.",
+            ),
             end_checks: metrics.counter(
                 "egretseam_gateway_end_checks_total",
                 "Connections opened to find out whether a target's process has ended.",
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 mod placement;
 mod raw;
 mod registry;
+mod request_rate;
 mod retry_budget;
 mod retry_detector;
 mod roster_batcher;
@@ -55,6 +56,7 @@
         RawService, RawServing,
     },
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
+    request_rate::{NamedLimit, RateError, RequestRate},
     retry_budget::{EntryCount, RetryBudget, RetryPolicy, RetryUsage},
     retry_detector::RetryDetector,
     roster_batcher::RosterBatcher,
@@ -64,6 +66,6 @@
         TargetRecord, TargetState, TargetStatus,
     },
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
-    target_table::{LoadSample, TargetLifetime, TargetTable},
+    target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
     wait_queue::{WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
 };
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -1,9 +1,10 @@
 //! Targets as one entry sees them: merged from what control members pass on, what agents report and
 //! what the entry's own requests show.
 
+mod limits;
 mod row;
 
-pub use self::row::LoadSample;
+pub use self::{limits::LimitChange, row::LoadSample};
 
 pub(crate) use self::row::{EntryShare, TargetRow};
 
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -1,5 +1,6 @@
 //! One target as an entry sees it.
 
+use super::limits::TargetLimit;
 use crate::{
     health::TargetHealth,
     status::{EngineStatus, HeldModel, Incarnation, TargetRecord, TargetStatus},
@@ -96,6 +97,8 @@
     /// This entry's requests there over the last second, for load samples that arrive late.
     pub(super) own_history: VecDeque<(Instant, u32)>,
     pub(crate) load: Option<LoadSample>,
+    /// The limit that the target names, if it does.
+    pub(super) limit: Option<TargetLimit>,
     pub(crate) health: TargetHealth,
     /// Moving average of the time to the first byte of an answer, and when it was last updated.
     pub(super) mean_first_byte: Option<(Duration, Instant)>,
@@ -123,6 +126,7 @@
             own_in_flight: 0,
             own_history: VecDeque::new(),
             load: None,
+            limit: None,
             health: TargetHealth::default(),
             mean_first_byte: None,
             slowest_first_byte: None,
--- a/tests/all/caller_codec.rs
+++ b/tests/all/caller_codec.rs
@@ -1,8 +1,10 @@
 //! The HTTP/1.1 codec of the entries, against hostile and faulty peers over TCP sockets.
 
 use bytes::Bytes;
-use egretseam_gateway::{EventBuffer, last_event_id};
+use egretseam_gateway::{CallerDialect, EventBuffer, last_event_id};
 use egretseam_h1::{BodyReader, ConnectionOptions, HeadError, HttpConnection, ReadError};
+use egretseam_platform::PlatformCallers;
+use egretseam_serving::{NamedLimit, RequestRate};
 use proptest::prelude::*;
 use std::{io::Write, net::TcpListener, thread};
 
@@ -189,3 +191,24 @@
         prop_assert_eq!(seen, stream.as_bytes());
     }
 }
+
+async fn read_limit(fields: &str) -> NamedLimit {
+    let bytes = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n");
+    let mut connection = connection_with(bytes.as_bytes(), Ending::Close).await;
+    let head = connection.read_response().await.expect("a response");
+    PlatformCallers.read_response_metadata(&head).limit
+}
+
+#[actix_rt::test]
+async fn limits_of_targets_are_read_and_invalid_ones_are_told_apart() {
+    assert_eq!(read_limit("").await, NamedLimit::Absent);
+    for (text, rate) in [("2.4", 2.4), ("0", 0.0), ("200", 200.0)] {
+        let expected = NamedLimit::Rate(RequestRate::try_from(rate).expect("a valid rate"));
+        assert_eq!(read_limit(&format!("Server-Limit: {text}\r\n")).await, expected);
+    }
+    for text in ["-1", "inf", "NaN", "", "many", "2,4"] {
+        let limit = read_limit(&format!("Server-Limit: {text}\r\n")).await;
+        assert_eq!(limit, NamedLimit::Invalid, "{text:?}");
+    }
+    assert_eq!(read_limit("Server-Limit: 2\r\nserver-limit: 3\r\n").await, NamedLimit::Invalid);
+}
