Targets get no more requests than the limit that they name

Callers' requests kept coming to targets in need at the rate of before: 6.0 and 5.9 a second where 2.5 and 2.2 were named, from nine entries together.

Cause: nothing read the header, and nothing in the design shares a rate of one target among all entries.

Evidence: the rates before and after the header are the same, at both targets; no retries or rejections there; no code named it.

Rendezvous hashing picks a few entries for each such target that share its rate, evenly paced, with buckets that begin empty; the others try the target now and then. So the sum is bounded without any exchange: one request more for each of 2 + limit / 2 senders, and half a request a second of all others.

--- a/crates/agent/src/reporter.rs
+++ b/crates/agent/src/reporter.rs
@@ -6,6 +6,7 @@
 //! agent sends nor those that an entry receives grow with the size of the fleet.
 
 use crate::shared::AgentShared;
+use egretseam_proto::rendezvous_score;
 use egretseam_rpc::{EntryLink, LinkOptions, ReportCall, ReportReply};
 use indexmap::IndexMap;
 use std::{rc::Rc, time::Duration};
@@ -56,14 +57,6 @@
     known
 }
 
-/// Rendezvous hash of a target and an entry: FNV-1a, with a final mix of its bits.
-fn rendezvous_score(target: &str, entry: &str) -> u64 {
-    const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-    let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-    let hash = target.bytes().chain(entry.bytes()).fold(0xcbf2_9ce4_8422_2325, fold);
-    (hash ^ hash >> 31).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
-
 async fn report_loop(shared: Rc<AgentShared>, address: String) {
     let link = EntryLink::new(&address, shared.options.secret, LinkOptions::default());
     let mut peers_seen = 0;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -263,7 +263,11 @@
             None => {}
         }
         let roster = EntryRoster::merged(rosters.values(), Instant::now());
-        self.dispatch.borrow_mut().targets.set_entry_count(roster.ready_count());
+        let ready = roster.iter().map(|entry| &entry.record).filter(|record| record.ready);
+        let listed = ready.map(|record| (record.name.clone(), record.zone.clone())).collect();
+        let targets = &mut self.dispatch.borrow_mut().targets;
+        targets.set_entry_count(roster.ready_count());
+        targets.set_entries(&self.options.name, listed, Instant::now());
         self.retry_budgets.record_entries(roster.iter().count());
         *self.roster.borrow_mut() = roster;
     }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod name;
 mod number;
+mod rendezvous;
 mod target;
 mod verdict;
 
@@ -17,6 +18,7 @@
         ServiceName, VersionName, ZoneName,
     },
     number::{FencingNumber, Incarnation, OperationId, Revision},
+    rendezvous::rendezvous_score,
     target::{ServingVersion, TargetReport, TargetState},
     verdict::{FailureReport, RefusalReason, RequestVerdict},
 };
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 mod placement;
 mod raw;
 mod registry;
+mod request_pacer;
 mod request_rate;
 mod retry_budget;
 mod retry_detector;
@@ -56,6 +57,7 @@
         RawService, RawServing,
     },
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
+    request_pacer::PacedRoom,
     request_rate::{NamedLimit, RateError, RequestRate},
     retry_budget::{EntryCount, RetryBudget, RetryPolicy, RetryUsage},
     retry_detector::RetryDetector,
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -158,6 +158,7 @@
             if is_hung
                 || view.has_slow_link(row)
                 || !query.answers_in_time(row, now)
+                || !row.has_limit_room(now)
                 || !row.health.admits(row.own_in_flight, ignores_failures, now)
             {
                 continue;
@@ -220,7 +221,7 @@
         median_first_byte: Duration,
         now: Instant,
     ) -> bool {
-        if row.record.state != TargetState::Ready || row.loading || row.is_silent(now) {
+        if !row.takes_requests(now) {
             return false;
         }
         let allowed = |model| self.starts_on_allowed_version(row, model, median_first_byte, now);
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -12,6 +12,7 @@
 use crate::{
     health::AttemptOutcome,
     placement::PlacementPolicy,
+    request_pacer::EntryGroup,
     status::{EngineStatus, Incarnation, PublishedVersion, TargetId, TargetState, TargetStatus},
 };
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
@@ -80,6 +81,8 @@
     version_floors: IndexMap<ModelName, Vec<VersionFloor>>,
     /// Entries that send to the same targets, this one among them.
     entry_count: usize,
+    /// The entries among which the limits of targets are shared.
+    entry_group: EntryGroup,
 }
 
 impl TargetTable {
@@ -97,6 +100,7 @@
             by_address: IndexMap::new(),
             version_floors: IndexMap::new(),
             entry_count: 1,
+            entry_group: EntryGroup::default(),
         }
     }
 
@@ -365,6 +369,9 @@
         if let Some(row) = self.rows.get_mut(id) {
             row.own_in_flight += 1;
             row.record_own_in_flight(now);
+            if let Some(limit) = &mut row.limit {
+                limit.pacer.record_sent(now);
+            }
         }
     }
 
--- a/crates/serving/src/target_table/limits.rs
+++ b/crates/serving/src/target_table/limits.rs
@@ -1,7 +1,13 @@
 //! Limits that targets name.
 
 use super::TargetTable;
-use crate::{request_rate::RequestRate, status::TargetId};
+use crate::{
+    placement::PlacementQuery,
+    request_pacer::{EntryGroup, PacedRoom, RequestPacer},
+    request_rate::RequestRate,
+    status::TargetId,
+};
+use egretseam_proto::ZoneName;
 use tokio::time::Instant;
 
 /// A limit that a target named.
@@ -10,6 +16,8 @@
     pub(super) rate: RequestRate,
     /// When the entry last heard it.
     pub(super) heard_at: Instant,
+    /// Paces this entry's requests.
+    pub(super) pacer: RequestPacer,
 }
 
 /// How the limit of a target has changed.
@@ -44,12 +52,48 @@
                 LimitChange::Ended
             });
         };
-        let previous = row.limit.replace(TargetLimit { rate, heard_at: now });
-        match previous {
-            None => Some(LimitChange::Started(rate)),
-            Some(limit) if limit.rate != rate => Some(LimitChange::Changed(rate)),
-            Some(_) => None,
+        let Some(limit) = &mut row.limit else {
+            let share = self.entry_group.share(&id.name, &row.record.zone, rate);
+            let pacer = RequestPacer::new(share, now);
+            row.limit = Some(TargetLimit { rate, heard_at: now, pacer });
+            return Some(LimitChange::Started(rate));
+        };
+        limit.heard_at = now;
+        if limit.rate == rate {
+            return None;
+        }
+        limit.rate = rate;
+        let share = self.entry_group.share(&id.name, &row.record.zone, rate);
+        limit.pacer.set_share(share, now);
+        Some(LimitChange::Changed(rate))
+    }
+
+    /// Sets which entries send to the same targets: the name of this one, and all that control
+    /// lists.
+    pub fn set_entries(&mut self, own_name: &str, listed: Vec<(String, ZoneName)>, now: Instant) {
+        self.entry_group = EntryGroup::new(own_name, &self.zone, listed);
+        for (id, row) in &mut self.rows {
+            let Some(limit) = &mut row.limit else { continue };
+            let share = self.entry_group.share(&id.name, &row.record.zone, limit.rate);
+            limit.pacer.set_share(share, now);
+        }
+    }
+
+    /// What this entry may send to a service all of whose usable targets name limits; `None` if one
+    /// of them names none.
+    pub fn paced_room(&self, query: &PlacementQuery<'_>, now: Instant) -> Option<PacedRoom> {
+        let mut room = PacedRoom::default();
+        let mut is_any_usable = false;
+        for id in self.ids(query.service).filter(|id| !query.tried.contains(id)) {
+            let Some(row) = self.rows.get(id).filter(|row| row.takes_requests(now)) else {
+                continue;
+            };
+            let pacer = &row.limit.as_ref()?.pacer;
+            is_any_usable = true;
+            room.rate += pacer.rate();
+            room.available += pacer.available(now).max(0.0);
         }
+        is_any_usable.then_some(room)
     }
 
     /// The limit that a target names.
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -3,7 +3,7 @@
 use super::limits::TargetLimit;
 use crate::{
     health::TargetHealth,
-    status::{EngineStatus, HeldModel, Incarnation, TargetRecord, TargetStatus},
+    status::{EngineStatus, HeldModel, Incarnation, TargetRecord, TargetState, TargetStatus},
 };
 use egretseam_proto::ModelName;
 use indexmap::IndexMap;
@@ -135,6 +135,16 @@
         }
     }
 
+    /// Whether the target accepts requests, as far as is known.
+    pub(crate) fn takes_requests(&self, now: Instant) -> bool {
+        self.record.state == TargetState::Ready && !self.loading && !self.is_silent(now)
+    }
+
+    /// Whether the limit that the target names, if it does, leaves room for a request of this entry.
+    pub(crate) fn has_limit_room(&self, now: Instant) -> bool {
+        self.limit.as_ref().is_none_or(|limit| limit.pacer.admits(now))
+    }
+
     /// Whether each control member that knows the target reports it as silent, or restarted more
     /// than [`RESTART_GRACE`] ago and has not reported it since. False if none knows it.
     pub(crate) fn is_silent(&self, now: Instant) -> bool {
