Entries tell each other the limits of targets, and that they are over

An entry that sends nothing to a limited target heard neither of the limit nor of its end, so it sent its first request against the limit, and left the target unused for up to a minute after it.

What is heard later counts.

Now they hear of the limit, and all of its end within 1.5 s.

--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -1,10 +1,9 @@
 //! Receives load datagrams from control and forwards them to the other entries of the availability
 //! zone.
 
-use crate::{dispatch, shared::GatewayShared};
-use egretseam_rpc::{LoadDatagram, MAX_DATAGRAM_BYTES};
+use crate::{dispatch, limits, shared::GatewayShared};
+use egretseam_rpc::{LimitDatagram, LoadDatagram, MAX_DATAGRAM_BYTES};
 use std::{
-    net::SocketAddr,
     rc::{Rc, Weak},
     time::Duration,
 };
@@ -16,8 +15,8 @@
 /// Pause after an error of the socket.
 const ERROR_PAUSE: Duration = Duration::from_millis(50);
 
-/// Receives load datagrams until the entry is dropped.
-pub(crate) async fn receive(shared: Weak<GatewayShared>, socket: UdpSocket) {
+/// Receives load datagrams and those of other entries until the entry is dropped.
+pub(crate) async fn receive(shared: Weak<GatewayShared>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let received = socket.recv_from(&mut buffer).await;
@@ -30,8 +29,12 @@
                 continue;
             }
         };
-        let Some(datagram) = LoadDatagram::decode(&shared.options.secret, &buffer[..length]) else {
-            tracing::debug!("load datagram dropped: malformed or from an unknown sender");
+        let bytes = &buffer[..length];
+        let Some(datagram) = LoadDatagram::decode(&shared.options.secret, bytes) else {
+            match LimitDatagram::decode(&shared.options.secret, bytes) {
+                Some(datagram) => limits::receive(&shared, &socket, &datagram).await,
+                None => tracing::debug!("datagram dropped: malformed or from an unknown sender"),
+            }
             continue;
         };
         if datagram.for_zone {
@@ -62,12 +65,7 @@
 /// targets and entries. Because entries forward samples, a member sends each one once per
 /// availability zone.
 async fn forward(shared: &Rc<GatewayShared>, socket: &UdpSocket, datagram: &LoadDatagram) {
-    let Ok(own) = socket.local_addr() else { return };
-    let others: Vec<SocketAddr> = {
-        let roster = shared.roster.borrow();
-        let others = roster.others_in_zone(&shared.options.zone, &shared.options.name);
-        others.map(|record| SocketAddr::new(record.address.ip(), own.port())).collect()
-    };
+    let others = shared.peers_in_zone();
     let bytes = LoadDatagram::encode(&shared.options.secret, false, &datagram.samples);
     for other in &others {
         if let Err(error) = socket.send_to(&bytes, other).await {
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -3,7 +3,7 @@
 use crate::{
     caller,
     dialect::CallerDialect,
-    directory, dispatch, follow, loads,
+    directory, dispatch, follow, limits, loads,
     options::{GatewayListeners, GatewayOptions},
     quarantine,
     shared::{GatewayShared, StopPhase},
@@ -61,8 +61,10 @@
         accept(&shared, listeners.directory, directory::serve_lookups)?;
         actix_rt::spawn(follow::follow_members(Rc::downgrade(&shared), leaving_receiver));
         listeners.loads.set_nonblocking(true)?;
-        let datagrams = tokio::net::UdpSocket::from_std(listeners.loads)?;
-        actix_rt::spawn(loads::receive(Rc::downgrade(&shared), datagrams));
+        let datagrams = Rc::new(tokio::net::UdpSocket::from_std(listeners.loads)?);
+        shared.datagram_port.set(datagrams.local_addr()?.port());
+        actix_rt::spawn(loads::receive(Rc::downgrade(&shared), datagrams.clone()));
+        actix_rt::spawn(limits::announce(Rc::downgrade(&shared), datagrams));
         actix_rt::spawn(expire(Rc::downgrade(&shared)));
         actix_rt::spawn(dispatch_periodically(Rc::downgrade(&shared)));
         Ok(Self { shared, leaving })
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,6 +4,7 @@
     dialect::{CallerDialect, RequestMetadata},
     dispatch::DispatchState,
     error_response::ErrorKind,
+    limits::LimitOutbox,
     options::GatewayOptions,
     pool::ConnectionPool,
     quarantine::QuarantineState,
@@ -17,6 +18,7 @@
 use prometheus::{Histogram, IntCounter, IntGauge};
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -167,6 +169,9 @@
     pub(crate) dispatch: RefCell<DispatchState>,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) quarantine: QuarantineState,
+    pub(crate) limit_outbox: LimitOutbox,
+    /// Port at which every entry receives datagrams.
+    pub(crate) datagram_port: Cell<u16>,
     pub(crate) retry_detector: RefCell<RetryDetector>,
     pub(crate) retry_budgets: RetryBudgets,
     /// Entries that each control member lists, by source number of the member.
@@ -195,6 +200,8 @@
             dispatch: RefCell::new(dispatch),
             pool: RefCell::default(),
             quarantine: QuarantineState::new(),
+            limit_outbox: LimitOutbox::default(),
+            datagram_port: Cell::new(0),
             retry_detector: RefCell::new(RetryDetector::new(options.waiting.min_retry_after)),
             retry_budgets: RetryBudgets::new(options.retries, metrics),
             member_rosters: RefCell::default(),
@@ -272,6 +279,24 @@
         *self.roster.borrow_mut() = roster;
     }
 
+    /// Addresses for datagrams of the other entries of this one's availability zone.
+    pub(crate) fn peers_in_zone(&self) -> Vec<SocketAddr> {
+        let roster = self.roster.borrow();
+        let others = roster.others_in_zone(&self.options.zone, &self.options.name);
+        others.map(|record| self.datagram_address(record)).collect()
+    }
+
+    /// Addresses for datagrams of one entry of each other availability zone, round-robin by `round`.
+    pub(crate) fn one_peer_per_other_zone(&self, round: usize) -> Vec<SocketAddr> {
+        let roster = self.roster.borrow();
+        let peers = roster.one_per_zone(round).filter(|record| record.zone != self.options.zone);
+        peers.map(|record| self.datagram_address(record)).collect()
+    }
+
+    fn datagram_address(&self, entry: &EntryRecord) -> SocketAddr {
+        SocketAddr::new(entry.address.ip(), self.datagram_port.get())
+    }
+
     /// Estimates from the time that a caller has left how long it has been trying.
     pub(crate) fn time_spent_retrying(
         &self,
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,10 +11,11 @@
 //! agents that report to it. A fleet without gates has two more services: [`FeedService`], by which
 //! control publishes changes of targets, and [`ChunkService`], by which agents exchange weights.
 //! The loads of targets go from agents to control and from there to entries in datagrams
-//! ([`LoadDatagram`]).
+//! ([`LoadDatagram`]); entries tell each other the limits of targets in others ([`LimitDatagram`]).
 
 mod control_client;
 mod feed;
+mod limits;
 mod link;
 mod loads;
 mod preface;
@@ -29,6 +30,7 @@
         OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply, VersionDigests,
         WeightsKey, WeightsPlan,
     },
+    limits::{LimitDatagram, LimitNews, MAX_LIMITS},
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
     loads::{LoadDatagram, MAX_DATAGRAM_BYTES, MAX_SAMPLES, TargetLoad},
     preface::PeerSecret,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -58,7 +58,7 @@
     },
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
     request_pacer::PacedRoom,
-    request_rate::{NamedLimit, RateError, RequestRate},
+    request_rate::{HeardLimit, NamedLimit, RateError, RequestRate},
     retry_budget::{EntryCount, RetryBudget, RetryPolicy, RetryUsage},
     retry_detector::RetryDetector,
     roster_batcher::RosterBatcher,
--- a/crates/serving/src/request_rate.rs
+++ b/crates/serving/src/request_rate.rs
@@ -1,5 +1,6 @@
 //! Rates of requests that targets name.
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// Why a number is no rate.
@@ -38,3 +39,12 @@
     /// The limit cannot be read, so it says nothing.
     Invalid,
 }
+
+/// What an entry has heard last of a target's limit, as entries tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeardLimit {
+    /// Requests a second; `None` if the target names none any more.
+    pub rate: Option<f64>,
+    /// Milliseconds since the target said so.
+    pub age_millis: u64,
+}
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -99,6 +99,8 @@
     pub(crate) load: Option<LoadSample>,
     /// The limit that the target names, if it does.
     pub(super) limit: Option<TargetLimit>,
+    /// When the target last said whether it has a limit.
+    pub(super) limit_heard_at: Option<Instant>,
     pub(crate) health: TargetHealth,
     /// Moving average of the time to the first byte of an answer, and when it was last updated.
     pub(super) mean_first_byte: Option<(Duration, Instant)>,
@@ -127,6 +129,7 @@
             own_history: VecDeque::new(),
             load: None,
             limit: None,
+            limit_heard_at: None,
             health: TargetHealth::default(),
             mean_first_byte: None,
             slowest_first_byte: None,
--- a/tests/all/fleet/named_limits.rs
+++ b/tests/all/fleet/named_limits.rs
@@ -1,7 +1,12 @@
 //! Targets that name a limit of requests, with real entries.
 
 use super::bed::{FleetBed, ScriptedTarget, request};
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 const ENTRIES: usize = 3;
@@ -25,24 +30,41 @@
     (bed, targets)
 }
 
-/// Sends requests to all entries, and returns how many were sent and how many were served.
-async fn call_all(bed: &FleetBed, until: Instant) -> (usize, usize) {
-    let (sent, served) = (Cell::new(0), Cell::new(0));
-    let call = async |address: SocketAddr| {
-        while Instant::now() < until {
-            let number = sent.get();
-            sent.set(number + 1);
-            let text = request("/safe/1", &format!("r{number}"), "", "");
-            let answer = bed.send_request_to(address, &text).await;
-            let is_served = answer.is_ok_and(|answer| answer.status == 200);
-            served.set(served.get() + usize::from(is_served));
-            tokio::time::sleep(PACE).await;
+/// How requests ended.
+#[derive(Default)]
+struct Calls {
+    sent: Cell<usize>,
+    served: Cell<usize>,
+    /// Time until each rejection, and the delay after which the caller may retry in seconds.
+    rejections: RefCell<Vec<(Duration, Option<f64>)>>,
+}
+
+/// Sends requests to one entry.
+async fn call(bed: &FleetBed, address: SocketAddr, until: Instant, calls: &Calls) {
+    while Instant::now() < until {
+        let number = calls.sent.get();
+        calls.sent.set(number + 1);
+        let text = request("/safe/1", &format!("r{number}"), "", "");
+        let sent_at = Instant::now();
+        match bed.send_request_to(address, &text).await {
+            Ok(answer) if answer.status == 200 => calls.served.set(calls.served.get() + 1),
+            Ok(answer) if answer.status == 503 => {
+                calls.rejections.borrow_mut().push((sent_at.elapsed(), answer.retry_after));
+            }
+            _ => {}
         }
-    };
+        tokio::time::sleep(PACE).await;
+    }
+}
+
+/// Sends requests to all entries.
+async fn call_all(bed: &FleetBed, until: Instant) -> Calls {
+    let calls = Calls::default();
     let addresses = bed.caller_addresses();
     let [one, two, three] = addresses[..] else { panic!("three entries") };
+    let call = |address| call(bed, address, until, &calls);
     tokio::join!(call(one), call(two), call(three));
-    (sent.get(), served.get())
+    calls
 }
 
 /// Most requests that arrived in any window that begins at `from` or later.
@@ -65,7 +87,8 @@
         *target.limit.borrow_mut() = Some(text);
     }
     let named_at = Instant::now();
-    let (sent, served) = call_all(&bed, named_at + TOLD_AFTER + WINDOW).await;
+    let calls = call_all(&bed, named_at + TOLD_AFTER + WINDOW).await;
+    let (sent, served) = (calls.sent.get(), calls.served.get());
     for (target, (_, limit)) in targets.iter().zip(limits) {
         let most = most_in_window(target, named_at + TOLD_AFTER);
         let allowed = 1.5 * limit * WINDOW.as_secs_f64() + 5.0;
@@ -74,3 +97,31 @@
     }
     assert_eq!(served, sent, "requests were lost although other targets had room");
 }
+
+/// Guards against entries that never hear of a limit, or of its end, because they send nothing to
+/// the target.
+#[actix_rt::test]
+async fn entries_that_send_nothing_hear_of_limits_and_their_end() {
+    let (bed, targets) = start().await;
+    let addresses = bed.caller_addresses();
+    let metric = |count: usize| {
+        let line = format!("egretseam_gateway_targets_limited {count}\n");
+        move |text: &str| text.contains(&line)
+    };
+    *targets[0].limit.borrow_mut() = Some("8");
+    let calls = Calls::default();
+    let until = Instant::now() + Duration::from_secs(4);
+    let listening = async {
+        for address in &addresses[1..] {
+            bed.wait_for_metrics(address.ip(), metric(1)).await;
+        }
+        let ended_at = Instant::now();
+        *targets[0].limit.borrow_mut() = None;
+        for address in &addresses {
+            bed.wait_for_metrics(address.ip(), metric(0)).await;
+        }
+        ended_at.elapsed()
+    };
+    let (_, took) = tokio::join!(call(&bed, addresses[0], until, &calls), listening);
+    assert!(took < Duration::from_millis(1_500), "the end was heard after {took:?}");
+}
