Callers that limits leave no room for are rejected by the rate that is left

Where all targets of a service name limits below its load, a request was queued by the rate of slots, and callers returned within two seconds whatever the limits allowed.

An entry knows when its next request may be sent: one that would wait longer than it may is rejected on arrival, and Retry-After spreads callers over the time in which those that were rejected lately can be served, 10 s at most.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -186,6 +186,7 @@
         sender,
     };
     let median_first_byte = dispatch.targets.median_first_byte(request.service, now);
+    let paced_room = dispatch.targets.paced_room(&query, now).filter(|_| !in_outage);
     let queue = dispatch.queue(request.service);
     let limit = if in_outage {
         queue.outage_limit()
@@ -193,6 +194,13 @@
         queue.wait_limit(&urgency, median_first_byte)
     };
     let give_up_at = (now + limit).min(request.wait_deadline);
+    if let Some(room) = paced_room
+        && room.wait(queue.ahead(&urgency)) > give_up_at.saturating_duration_since(now)
+    {
+        queue.record_rejected(now);
+        let after = queue.retry_after_at_rate(room.rate, rand::random(), now);
+        return Ok(SlotReply::Full(after));
+    }
     let queued = if in_outage {
         queue.push_without_prediction(&urgency, give_up_at, waiting_request)
     } else {
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -25,6 +25,10 @@
 /// of some hundred milliseconds absorbs stay below it.
 const OVERLOAD_REJECTED_SHARE: f64 = 0.2;
 
+/// Longest delay after which a rejected caller is asked to retry where targets name limits: a limit
+/// may be over by then.
+const MAX_PACED_RETRY_AFTER: Duration = Duration::from_secs(10);
+
 /// Limits of waiting in a [`WaitQueue`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitPolicy {
@@ -218,6 +222,11 @@
         left.min(objective_left.mul_f64(self.policy.max_objective_share)).min(self.policy.max_limit)
     }
 
+    /// Number of requests that are served before a new one of this urgency.
+    pub fn ahead(&self, urgency: &WaitUrgency) -> usize {
+        self.waiters.keys().filter(|ticket| ticket.rank <= urgency.rank).count()
+    }
+
     /// Counts a request that got a slot, for the predicted wait.
     pub fn record_placed(&mut self, now: Instant) {
         self.rotate_windows(now);
@@ -269,9 +278,9 @@
         let start = self.window_start.unwrap_or(now);
         let span = RATE_WINDOW + now.saturating_duration_since(start);
         let placed = self.previous_window.placed + self.current_window.placed;
-        let tickets = || self.waiters.keys().filter(|ticket| ticket.rank <= urgency.rank);
-        let ahead = tickets().count();
-        let late_ahead = tickets().filter(|ticket| ticket.is_late()).count();
+        let ahead = self.ahead(urgency);
+        let tickets = self.waiters.keys().filter(|ticket| ticket.rank <= urgency.rank);
+        let late_ahead = tickets.filter(|ticket| ticket.is_late()).count();
         // Slots are counted when requests take them, so an idle service looks slow. The rate at
         // which slots come free shows only in a busy service with requests already waiting.
         if placed < MIN_PLACED_FOR_RATE || ahead == 0 {
@@ -353,7 +362,21 @@
     /// 1 and spreads retries, since callers rejected in one burst would otherwise return in
     /// another.
     pub fn retry_after(&self, point: f64) -> Duration {
-        let range = self.policy.max_retry_after.saturating_sub(self.policy.min_retry_after);
+        self.retry_after_within(self.policy.max_retry_after, point)
+    }
+
+    /// The same where `rate` requests a second are served: callers are spread over the time in which
+    /// those that were rejected lately can be served.
+    pub fn retry_after_at_rate(&mut self, rate: f64, point: f64, now: Instant) -> Duration {
+        self.rotate_windows(now);
+        let rejected = self.current_window.rejected + self.previous_window.rejected;
+        let backlog = Duration::try_from_secs_f64(f64::from(rejected) / rate);
+        let longest = backlog.unwrap_or(MAX_PACED_RETRY_AFTER).min(MAX_PACED_RETRY_AFTER);
+        self.retry_after_within(longest.max(self.policy.max_retry_after), point)
+    }
+
+    fn retry_after_within(&self, longest: Duration, point: f64) -> Duration {
+        let range = longest.saturating_sub(self.policy.min_retry_after);
         self.policy.min_retry_after + range.mul_f64(point.clamp(0.0, 1.0))
     }
 }
--- a/tests/all/fleet/named_limits.rs
+++ b/tests/all/fleet/named_limits.rs
@@ -98,6 +98,37 @@
     assert_eq!(served, sent, "requests were lost although other targets had room");
 }
 
+/// Guards against requests that wait in vain where all targets of a service name limits below its
+/// load.
+#[actix_rt::test]
+async fn what_limits_leave_no_room_for_is_rejected_at_once() {
+    let (bed, targets) = start().await;
+    for target in &targets {
+        *target.limit.borrow_mut() = Some("2.0");
+    }
+    let named_at = Instant::now();
+    call_all(&bed, named_at + TOLD_AFTER).await;
+    let before: usize = targets.iter().map(|target| target.arrived()).sum();
+    let calls = call_all(&bed, named_at + TOLD_AFTER + WINDOW).await;
+    let arrived = targets.iter().map(|target| target.arrived()).sum::<usize>() - before;
+    let offered = 2.0 * TARGETS as f64 * WINDOW.as_secs_f64();
+    let rejections = calls.rejections.borrow();
+    let waited = |limit: Duration| rejections.iter().filter(|(took, _)| *took > limit).count();
+    let longest = rejections.iter().filter_map(|(_, after)| *after).fold(0.0, f64::max);
+    println!(
+        "{} served of {}, {offered} offered, {arrived} arrived, {} rejected, {} after 100 ms, longest Retry-After {longest} s",
+        calls.served.get(),
+        calls.sent.get(),
+        rejections.len(),
+        waited(Duration::from_millis(100)),
+    );
+    assert!(calls.served.get() as f64 >= offered * 0.7, "the limits were not used");
+    assert_eq!(calls.served.get() + rejections.len(), calls.sent.get());
+    assert!(rejections.iter().all(|(_, after)| after.is_some()), "a rejection says no time");
+    assert!(waited(Duration::from_millis(100)) * 20 < rejections.len(), "requests waited in vain");
+    assert!(longest > 2.5, "callers return faster than the limits allow");
+}
+
 /// Guards against entries that never hear of a limit, or of its end, because they send nothing to
 /// the target.
 #[actix_rt::test]
