--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -32,6 +32,21 @@
 /// How long the requests after recovery are counted.
 const AFTERWARDS: Duration = Duration::from_secs(3);
 
+/// Limits, in requests a second, that targets name for a while.
+const NAMED_LIMITS: [f64; 4] = [0.0, 0.5, 4.0, 40.0];
+/// The limit that a target names after the last fault.
+const LIMIT_AFTER: f64 = 2.0;
+/// Time before the end of [`RECOVERY`] at which it begins to name it.
+const LIMIT_LEAD: Duration = Duration::from_secs(6);
+/// Time from then until its requests are counted.
+const LIMIT_CONTACT: Duration = Duration::from_secs(3);
+/// Window in which they are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// How many times what its limit allows the target may get, beside [`LIMIT_SLACK`].
+const LIMIT_TOLERANCE: f64 = 1.5;
+/// Requests that it may get in addition.
+const LIMIT_SLACK: f64 = 5.0;
+
 /// Run the real programs under faults and check their promises.
 #[derive(Args, Debug)]
 pub(super) struct SoakCommand {
@@ -95,7 +110,7 @@
         }
         fleet.restart_exited()?;
     }
-    finish(&fleet, &operator, &ledger, began).await
+    finish(&fleet, &targets, &operator, &ledger, began).await
 }
 
 /// How a fault ends.
@@ -103,6 +118,7 @@
     Restart(usize),
     Continue(usize),
     Heal(usize),
+    EndLimit(usize),
 }
 
 fn say(began: Instant, text: &str) {
@@ -117,6 +133,13 @@
     random: &mut SmallRng,
     began: Instant,
 ) -> anyhow::Result<Undo> {
+    if random.random_bool(0.1) {
+        let number = random.random_range(0..targets.len());
+        let limit = NAMED_LIMITS[random.random_range(0..NAMED_LIMITS.len())];
+        say(began, &format!("target {number} names a limit of {limit}"));
+        targets[number].set_limit(Some(limit));
+        return Ok(Undo::EndLimit(number));
+    }
     if random.random_bool(0.4) {
         let number = random.random_range(0..targets.len());
         let fault = RelayFault::ALL[random.random_range(0..RelayFault::ALL.len())];
@@ -179,6 +202,10 @@
                 say(began, &format!("heal target {number}"));
                 targets[number].set_fault(RelayFault::None);
             }
+            Undo::EndLimit(number) => {
+                say(began, &format!("target {number} names no limit"));
+                targets[number].set_limit(None);
+            }
         }
     }
     Ok(())
@@ -186,14 +213,25 @@
 
 async fn finish(
     fleet: &SoakFleet,
+    targets: &[Rc<SoakTarget>],
     operator: &OperatorTask,
     ledger: &SoakLedger,
     began: Instant,
 ) -> anyhow::Result<()> {
     say(began, "no more faults");
-    tokio::time::sleep(RECOVERY).await;
+    tokio::time::sleep(RECOVERY - LIMIT_LEAD).await;
+    let limited = &targets[0];
+    limited.set_limit(Some(LIMIT_AFTER));
+    let counted_from = Instant::now() + LIMIT_CONTACT;
+    tokio::time::sleep(LIMIT_LEAD).await;
     ledger.begin_afterwards();
     tokio::time::sleep(AFTERWARDS).await;
+    let most = limited.most_arrivals(counted_from, LIMIT_WINDOW);
+    let allowed = LIMIT_AFTER * LIMIT_WINDOW.as_secs_f64() * LIMIT_TOLERANCE + LIMIT_SLACK;
+    say(began, &format!("target 0 names {LIMIT_AFTER}: {most} requests in 4 s, {allowed} allowed"));
+    if most as f64 > allowed {
+        ledger.violation("", format!("{most} requests in 4 s at a limit, {allowed} allowed"));
+    }
     let (asked, served) = ledger.afterwards();
     if (served as f64) < asked as f64 * SERVED_AFTER {
         ledger.violation("", format!("{served} of {asked} requests were served after recovery"));
--- a/crates/bench/src/soak/stand_ins.rs
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -53,6 +53,9 @@
     fault: Rc<Cell<RelayFault>>,
     ledger: Rc<SoakLedger>,
     id: String,
+    /// Requests a second that it says it takes.
+    limit: Cell<Option<f64>>,
+    arrivals: RefCell<Vec<Instant>>,
 }
 
 impl SoakTarget {
@@ -65,7 +68,8 @@
         let fault = Rc::new(Cell::new(RelayFault::None));
         let address = relay::start(listener.local_addr()?, fault.clone()).await?;
         let id = format!("soak-{number}-{}", address.port());
-        let target = Rc::new(Self { fault, ledger, id });
+        let (limit, arrivals) = (Cell::default(), RefCell::default());
+        let target = Rc::new(Self { fault, ledger, id, limit, arrivals });
         actix_rt::spawn(target.clone().announce(address, control));
         let serving = target.clone();
         actix_rt::spawn(async move {
@@ -80,6 +84,21 @@
         self.fault.set(fault);
     }
 
+    /// Names a limit of requests a second from now on, or none.
+    pub(super) fn set_limit(&self, limit: Option<f64>) {
+        self.limit.set(limit);
+    }
+
+    /// Most requests that arrived within `window` from any moment on that is not before `from`.
+    pub(super) fn most_arrivals(&self, from: Instant, window: Duration) -> usize {
+        let arrivals = self.arrivals.borrow();
+        let starts = arrivals.iter().enumerate().filter(|(_, at)| **at >= from);
+        let in_window = |(first, start): (usize, &Instant)| {
+            arrivals[first..].iter().take_while(|at| **at < *start + window).count()
+        };
+        starts.map(in_window).max().unwrap_or(0)
+    }
+
     async fn announce(self: Rc<Self>, address: SocketAddr, control: Vec<SocketAddr>) {
         for sequence in 1_u64.. {
             let (path, beat) =
@@ -116,8 +135,12 @@
             return connection.write(&bytes).await.is_ok();
         }
         self.ledger.note_run(&id);
+        self.arrivals.borrow_mut().push(Instant::now());
         tokio::time::sleep(WORK).await;
         let mut writer = stand_in::response(200, &id, &self.id);
+        if let Some(limit) = self.limit.get() {
+            stand_in::name_limit(&mut writer, limit);
+        }
         if !head.path().starts_with("/stream/") {
             return connection.write(&writer.finish_with(id.as_bytes())).await.is_ok();
         }
