What limits leave free is estimated from as many targets as a placement compares

With thousands of targets that all name limits, each request that has to wait summed over all of them. At most 64 are compared now, like in a placement.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -207,7 +207,10 @@
     }
 
     /// At most [`MAX_CANDIDATES`] of a service's targets, from a random one on.
-    fn sample<'a>(&self, ids: &'a [TargetId]) -> impl Iterator<Item = &'a TargetId> + use<'a> {
+    pub(crate) fn sample<'a>(
+        &self,
+        ids: &'a [TargetId],
+    ) -> impl Iterator<Item = &'a TargetId> + use<'a> {
         let count = ids.len().min(MAX_CANDIDATES);
         let start = if ids.len() > count { rand::rng().random_range(0..ids.len()) } else { 0 };
         ids.iter().cycle().skip(start).take(count)
--- a/crates/serving/src/request_pacer.rs
+++ b/crates/serving/src/request_pacer.rs
@@ -161,6 +161,10 @@
 }
 
 impl PacedRoom {
+    pub(crate) fn scaled(self, factor: f64) -> Self {
+        Self { rate: self.rate * factor, available: self.available * factor }
+    }
+
     /// How long until one more request may be sent than `ahead` others.
     pub fn wait(&self, ahead: usize) -> Duration {
         let missing = (ahead as f64 + 1.0 - self.available).max(0.0);
--- a/crates/serving/src/target_table/limits.rs
+++ b/crates/serving/src/target_table/limits.rs
@@ -144,19 +144,22 @@
     }
 
     /// What this entry may send to a service all of whose usable targets name limits; `None` if one
-    /// of them names none.
+    /// of them names none. Of a large service it is estimated from as many targets as a placement
+    /// compares.
     pub fn paced_room(&self, query: &PlacementQuery<'_>, now: Instant) -> Option<PacedRoom> {
+        let ids = self.services.get(query.service)?;
         let mut room = PacedRoom::default();
-        let mut is_any_usable = false;
-        for id in self.ids(query.service).filter(|id| !query.tried.contains(id)) {
-            let Some(row) = self.rows.get(id).filter(|row| row.takes_requests(now)) else {
-                continue;
-            };
+        let (mut compared, mut usable) = (0_usize, 0_usize);
+        for id in self.sample(ids) {
+            compared += 1;
+            let row = self.rows.get(id).filter(|row| row.takes_requests(now));
+            let Some(row) = row.filter(|_| !query.tried.contains(id)) else { continue };
             let pacer = &row.limit.as_ref()?.pacer;
-            is_any_usable = true;
+            usable += 1;
             room.rate += pacer.rate();
             room.available += pacer.available(now).max(0.0);
         }
-        is_any_usable.then_some(room)
+        let scale = ids.len() as f64 / compared.max(1) as f64;
+        (usable > 0).then(|| room.scaled(scale))
     }
 }
