An entry that has just started may send its first failed requests again

An entry is credited what time adds in the second before its start, and buckets hold 0.4 of the fixed allowance in place of 0.6, time adds 0.2 in place of 0.3, so that twenty restarts of every entry in a window stay within it. In the model a killed entry serves again after half a second.

What decides on a retry stands beside the budgets.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,7 +10,7 @@
     quarantine::{self, BrokenAttempt},
     relay::{self, RelayOutcome},
     request::RequestState,
-    retries::RetryPermit,
+    retries::{self, AttemptCounts, RetryDecision, RetryPermit},
     shared::{GatewayShared, StopPhase},
 };
 use bytes::Bytes;
@@ -23,8 +23,6 @@
 /// How long after the start deadline of superseded weights an attempt still waits for its response.
 /// The rest of the margin before the staleness bound is for the reset to reach the engine.
 const START_DEADLINE_GRACE: Duration = Duration::from_millis(200);
-/// Failed connections after which a further one ends the request.
-const MAX_UNREACHABLE_TARGETS: usize = 4;
 /// Delay after which callers may retry that an entry without a configuration rejected.
 const RETRY_AFTER_NO_CONFIG: Duration = Duration::from_millis(300);
 /// Delay after which callers may retry at another entry because this one is stopping.
@@ -201,7 +199,7 @@
             quarantine::await_check(shared, request, &target).await;
         }
         let attempts = AttemptCounts { reached, unreachable };
-        retry = match decide_retry(shared, request, failure, attempts) {
+        retry = match retries::decide(shared, request, failure, attempts) {
             RetryDecision::Free => None,
             RetryDecision::Charged(permit) => Some(permit),
             RetryDecision::Refused if may_have_run => return give_up(request, failure),
@@ -258,57 +256,6 @@
     );
 }
 
-/// Attempts of a request so far.
-#[derive(Clone, Copy)]
-struct AttemptCounts {
-    /// Targets that the request has reached.
-    reached: u32,
-    /// Targets that no connection could be opened to.
-    unreachable: usize,
-}
-
-/// Whether a request is sent to another target.
-enum RetryDecision {
-    /// No target has received the request yet.
-    Free,
-    /// The budget of the service allows it.
-    Charged(RetryPermit),
-    Refused,
-}
-
-/// Decides whether the request may be sent to another target.
-///
-/// Prevents a non-idempotent request that may have run from running twice, which would bill a
-/// household twice. Only a request that certainly did not run, or whose route allows retries, is
-/// sent again. Once a request has reached a target, the route's attempt limit and the retry budget
-/// of the service, which all entries share, apply as well.
-fn decide_retry(
-    shared: &Rc<GatewayShared>,
-    request: &RequestState,
-    failure: AttemptFailure,
-    attempts: AttemptCounts,
-) -> RetryDecision {
-    let AttemptCounts { reached, unreachable } = attempts;
-    let retryable = !failure.may_have_run() || request.route.kind.may_retry();
-    if !retryable || Instant::now() >= request.deadline || unreachable > MAX_UNREACHABLE_TARGETS {
-        return RetryDecision::Refused;
-    }
-    if reached == 0 {
-        return RetryDecision::Free;
-    }
-    let is_last = failure.may_have_run() && shared.quarantine.is_sent_once(request);
-    if is_last || reached >= max_reached_targets(shared, request) {
-        return RetryDecision::Refused;
-    }
-    let permit = RetryPermit::reserve(shared, &request.service);
-    permit.map_or(RetryDecision::Refused, RetryDecision::Charged)
-}
-
-/// Number of targets that the request may reach.
-fn max_reached_targets(shared: &GatewayShared, request: &RequestState) -> u32 {
-    request.route.max_attempts.min(shared.options.max_attempts)
-}
-
 /// Ends a request that may have run: resets a started stream, else returns the error to send.
 fn give_up(
     request: &RequestState,
@@ -415,7 +362,8 @@
     reached: u32,
 ) -> Instant {
     let route = &request.route;
-    let may_retry = route.kind.may_retry() && reached + 1 < max_reached_targets(shared, request);
+    let may_retry =
+        route.kind.may_retry() && reached + 1 < retries::max_reached_targets(shared, request);
     if !may_retry {
         return request.deadline;
     }
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -1,6 +1,6 @@
-//! The retry budgets of services at this entry.
+//! Decides whether a request is sent to another target, and keeps the retry budgets of services.
 
-use crate::shared::GatewayShared;
+use crate::{attempt::AttemptFailure, request::RequestState, shared::GatewayShared};
 use egretseam_http::DaemonMetrics;
 use egretseam_proto::ServiceName;
 use egretseam_serving::{EntryCount, RetryBudget, RetryPolicy};
@@ -9,6 +9,8 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
+/// Failed connections after which a further one ends the request.
+const MAX_UNREACHABLE_TARGETS: usize = 4;
 /// Shortest time between two log lines about refused retries of a service.
 const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -50,8 +52,8 @@
 }
 
 impl ServiceBudget {
-    fn new(policy: RetryPolicy, now: Instant) -> Self {
-        Self { budget: RetryBudget::new(policy, now), refused: 0, logged_at: None }
+    fn new(policy: RetryPolicy, started_at: Instant) -> Self {
+        Self { budget: RetryBudget::new(policy, started_at), refused: 0, logged_at: None }
     }
 
     /// Counts a refused retry. Returns the number to log if a log line is due.
@@ -68,6 +70,7 @@
 /// The retry budgets of all services.
 pub(crate) struct RetryBudgets {
     policy: RetryPolicy,
+    started_at: Instant,
     services: RefCell<IndexMap<ServiceName, ServiceBudget>>,
     entries: RefCell<EntryCount>,
     metrics: BudgetMetrics,
@@ -75,10 +78,12 @@
 
 impl RetryBudgets {
     pub(crate) fn new(policy: RetryPolicy, metrics: &DaemonMetrics) -> Self {
+        let started_at = Instant::now();
         Self {
             policy,
+            started_at,
             services: RefCell::default(),
-            entries: RefCell::new(EntryCount::new(Instant::now())),
+            entries: RefCell::new(EntryCount::new(started_at)),
             metrics: BudgetMetrics::new(metrics),
         }
     }
@@ -92,13 +97,13 @@
     pub(crate) fn record_request(&self, service: &ServiceName) {
         let entries = self.entries.borrow().get();
         let now = Instant::now();
-        self.with_service(service, now, |state| state.budget.record_request(entries, now));
+        self.with_service(service, |state| state.budget.record_request(entries, now));
     }
 
     fn reserve(&self, service: &ServiceName) -> bool {
         let entries = self.entries.borrow().get();
         let now = Instant::now();
-        self.with_service(service, now, |state| {
+        self.with_service(service, |state| {
             let granted = state.budget.reserve(entries, now);
             let usage = state.budget.usage(entries);
             let labels = &[service.as_str()];
@@ -123,17 +128,16 @@
 
     fn record_sent(&self, service: &ServiceName) {
         self.metrics.sent.with_label_values(&[service.as_str()]).inc();
-        self.with_service(service, Instant::now(), |state| state.budget.record_sent());
+        self.with_service(service, |state| state.budget.record_sent());
     }
 
     fn release(&self, service: &ServiceName) {
-        self.with_service(service, Instant::now(), |state| state.budget.release());
+        self.with_service(service, |state| state.budget.release());
     }
 
     fn with_service<T>(
         &self,
         service: &ServiceName,
-        now: Instant,
         operation: impl FnOnce(&mut ServiceBudget) -> T,
     ) -> T {
         let mut services = self.services.borrow_mut();
@@ -141,7 +145,7 @@
             return operation(state);
         }
         let state = services.entry(service.clone());
-        operation(state.or_insert_with(|| ServiceBudget::new(self.policy, now)))
+        operation(state.or_insert_with(|| ServiceBudget::new(self.policy, self.started_at)))
     }
 }
 
@@ -177,3 +181,54 @@
         }
     }
 }
+
+/// Attempts of a request so far.
+#[derive(Clone, Copy)]
+pub(crate) struct AttemptCounts {
+    /// Targets that the request has reached.
+    pub(crate) reached: u32,
+    /// Targets that no connection could be opened to.
+    pub(crate) unreachable: usize,
+}
+
+/// Whether a request is sent to another target.
+pub(crate) enum RetryDecision {
+    /// No target has received the request yet.
+    Free,
+    /// The budget of the service allows it.
+    Charged(RetryPermit),
+    Refused,
+}
+
+/// Decides whether the request may be sent to another target.
+///
+/// Prevents a non-idempotent request that may have run from running twice, which would bill a
+/// household twice. Only a request that certainly did not run, or whose route allows retries, is
+/// sent again. Once a request has reached a target, the route's attempt limit and the retry budget
+/// of the service, which all entries share, apply as well.
+pub(crate) fn decide(
+    shared: &Rc<GatewayShared>,
+    request: &RequestState,
+    failure: AttemptFailure,
+    attempts: AttemptCounts,
+) -> RetryDecision {
+    let AttemptCounts { reached, unreachable } = attempts;
+    let retryable = !failure.may_have_run() || request.route.kind.may_retry();
+    if !retryable || Instant::now() >= request.deadline || unreachable > MAX_UNREACHABLE_TARGETS {
+        return RetryDecision::Refused;
+    }
+    if reached == 0 {
+        return RetryDecision::Free;
+    }
+    let is_last = failure.may_have_run() && shared.quarantine.is_sent_once(request);
+    if is_last || reached >= max_reached_targets(shared, request) {
+        return RetryDecision::Refused;
+    }
+    let permit = RetryPermit::reserve(shared, &request.service);
+    permit.map_or(RetryDecision::Refused, RetryDecision::Charged)
+}
+
+/// Number of targets that the request may reach.
+pub(crate) fn max_reached_targets(shared: &GatewayShared, request: &RequestState) -> u32 {
+    request.route.max_attempts.min(shared.options.max_attempts)
+}
--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -6,8 +6,9 @@
 //!
 //! The sum over all entries stays within the budget in every window, also while entries start,
 //! restart, end and pass their callers to each other: what is sent in a window was either saved at
-//! its start, which is less than the capacity of all buckets, or added within it. A bucket starts
-//! empty, so an entry that restarts repeatedly gains nothing by losing its memory.
+//! its start, which is less than the capacity of all buckets, or added within it. An entry that
+//! starts has only what time adds in [`STARTUP_TIME`], so one that restarts repeatedly gains little
+//! by losing its memory: the fractions below leave room for twenty restarts of each entry in a window of 10 s.
 
 use std::time::Duration;
 use tokio::time::Instant;
@@ -16,9 +17,12 @@
 /// a window and arrive in it.
 const RATIO_FRACTION: f64 = 0.9;
 /// Fraction of the budget's minimum that the buckets of all entries hold.
-const SAVED_FRACTION: f64 = 0.6;
+const SAVED_FRACTION: f64 = 0.4;
 /// Fraction of the budget's minimum that is added in each window, whatever the load.
-const TIMED_FRACTION: f64 = 0.3;
+const TIMED_FRACTION: f64 = 0.2;
+/// Time before its start for which an entry is credited. Without it, the first requests that fail
+/// after a start are never sent again.
+const STARTUP_TIME: Duration = Duration::from_secs(1);
 /// Smallest capacity of a bucket, without which no retry could ever be made.
 const MIN_CAPACITY: f64 = 1.0;
 /// How long a larger number of entries is remembered. Entries that are out of sight may serve on,
@@ -117,9 +121,10 @@
 }
 
 impl RetryBudget {
-    /// A budget from which nothing can be taken yet.
-    pub fn new(policy: RetryPolicy, now: Instant) -> Self {
-        Self { policy, tokens: 0.0, reserved: 0, updated_at: now }
+    /// The budget of an entry that started at `started_at` and has seen no request.
+    pub fn new(policy: RetryPolicy, started_at: Instant) -> Self {
+        let updated_at = started_at.checked_sub(STARTUP_TIME).unwrap_or(started_at);
+        Self { policy, tokens: 0.0, reserved: 0, updated_at }
     }
 
     /// Counts a request of a caller at one of `entries` entries.
--- a/tests/all/retry_budget.rs
+++ b/tests/all/retry_budget.rs
@@ -15,6 +15,8 @@
 const PHASE_TICKS: usize = 50;
 /// Longest wait of a granted retry for a slot.
 const MAX_WAIT_TICKS: usize = 40;
+/// Time until an entry that is killed serves again.
+const DOWN_TICKS: usize = 10;
 /// Time for which an entry that has just started may not know the others, twice what control needs
 /// to list it.
 const LEARN_TICKS: usize = 6;
@@ -97,9 +99,13 @@
             }
             let is_herd = scenario.faults.herd_every > 0 && tick % scenario.faults.herd_every == 0;
             for (entry, rate) in entries.iter_mut().zip(&rates) {
+                if tick < entry.started_at {
+                    continue;
+                }
                 if rng.random_bool(scenario.faults.restart) || is_herd && rng.random_bool(0.9) {
                     // A request that was sent may still arrive; one that waited is lost.
-                    *entry = new_entry(tick);
+                    *entry = new_entry(tick + DOWN_TICKS);
+                    continue;
                 }
                 let listed = listed_entries(scenario, tick, entry.started_at, &mut rng);
                 entry.count.record(listed, now);
