A rejection without a limit does not end the limit of a target

A response that the target's engine has not made may lack the header while the limit holds; taken as its end, all entries would return at once. By reading; only a signed response without a limit ends it.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -77,6 +77,8 @@
         return;
     }
     let named = match marks.limit {
+        // A rejection may come from a part of the target that does not know of the limit.
+        NamedLimit::Absent if !marks.signed => return,
         NamedLimit::Absent => None,
         NamedLimit::Rate(rate) => Some(rate),
         NamedLimit::Invalid => return shared.metrics.limits_invalid.inc(),
