--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -147,6 +147,7 @@
     }
 }
 
+/// A slot or a rejection at once, else the place in the queue.
 fn acquire_or_enqueue(
     shared: &Rc<GatewayShared>,
     request: &SlotRequest<'_>,
@@ -176,17 +177,22 @@
         }
         PlacementOutcome::Target(_) | PlacementOutcome::Full | PlacementOutcome::NoTarget => {}
     }
+    enqueue(shared, &mut dispatch, request, &query, in_outage, now)
+}
+
+/// Queues a request for a slot, unless it would wait in vain. `in_outage` if no target takes
+/// requests now.
+fn enqueue(
+    shared: &Rc<GatewayShared>,
+    dispatch: &mut DispatchState,
+    request: &SlotRequest<'_>,
+    query: &PlacementQuery<'_>,
+    in_outage: bool,
+    now: Instant,
+) -> Result<SlotReply, PendingSlot> {
     let urgency = if in_outage { request.urgency.for_outage() } else { request.urgency };
-    let (sender, receiver) = oneshot::channel();
-    let waiting_request = WaitingRequest {
-        model: request.model.cloned(),
-        tried: request.tried.to_vec(),
-        late: urgency.is_late(),
-        first_byte_deadline: request.first_byte_deadline,
-        sender,
-    };
     let median_first_byte = dispatch.targets.median_first_byte(request.service, now);
-    let paced_room = dispatch.targets.paced_room(&query, now).filter(|_| !in_outage);
+    let paced_room = dispatch.targets.paced_room(query, now).filter(|_| !in_outage);
     let queue = dispatch.queue(request.service);
     let limit = if in_outage {
         queue.outage_limit()
@@ -202,23 +208,26 @@
         let after = queue.retry_after_at_rate(room.rate, rand::random(), now);
         return Ok(SlotReply::Full(after));
     }
+    let (sender, receiver) = oneshot::channel();
+    let waiting_request = WaitingRequest {
+        model: request.model.cloned(),
+        tried: request.tried.to_vec(),
+        late: urgency.is_late(),
+        first_byte_deadline: request.first_byte_deadline,
+        sender,
+    };
     let queued = if in_outage {
         queue.push_without_prediction(&urgency, give_up_at, waiting_request)
     } else {
         queue.push(&urgency, give_up_at, waiting_request, now)
     };
-    match queued {
-        Ok(ticket) => {
-            let (shared, service) = (shared.clone(), request.service.clone());
-            let queue_guard = QueueGuard { shared, service, ticket };
-            Err(PendingSlot { receiver, give_up_at, queue_guard })
-        }
-        Err(_) => {
-            queue.record_rejected(now);
-            let after = queue.retry_after(rand::random());
-            Ok(SlotReply::Full(after))
-        }
-    }
+    let Ok(ticket) = queued else {
+        queue.record_rejected(now);
+        return Ok(SlotReply::Full(queue.retry_after(rand::random())));
+    };
+    let (shared, service) = (shared.clone(), request.service.clone());
+    let queue_guard = QueueGuard { shared, service, ticket };
+    Err(PendingSlot { receiver, give_up_at, queue_guard })
 }
 
 fn record_placed(queue: &mut WaitQueue<WaitingRequest>, is_late: bool, now: Instant) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,8 @@
 //! - [`RetryDetector`]: how long a caller has been trying.
 //! - [`AttemptLimits`]: deadlines of attempts and waits, set before the caller disconnects.
 //! - [`RetryBudget`]: the entry's share of a service's retry budget, among [`EntryCount`] entries.
+//! - [`RequestRate`]: the limit of requests that a target names; [`TargetTable`] paces them, and
+//!   [`PacedRoom`] tells what is left where all targets name limits.
 //! - [`RosterBatcher`]: when a changed list of entries is sent.
 //! - [`EntryRoster`]: which entries callers may be sent to.
 //! - [`SwitchSchedule`]: when an instance may load new weights, so that not all do so at once.
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -126,7 +126,7 @@
 pub enum PlacementOutcome {
     /// The request goes to this target.
     Target(TargetId),
-    /// Every target that could take the request is full, ejected or backing off.
+    /// Every target that could take the request is full, at its limit, ejected or backing off.
     Full,
     /// No target of the service can take the request at all.
     NoTarget,
--- a/crates/serving/src/request_pacer.rs
+++ b/crates/serving/src/request_pacer.rs
@@ -56,13 +56,12 @@
     /// This entry's rank among all entries for a target, and their number. Entries of the target's
     /// availability zone come first.
     fn rank(&self, target: &str, zone: &ZoneName) -> (usize, usize) {
-        let order = |name: &str, entry_zone: &ZoneName| {
-            (entry_zone != zone, Reverse(rendezvous_score(target, name)), name.to_owned())
+        let order = |(name, entry_zone): &(String, ZoneName)| {
+            (entry_zone != zone, Reverse(rendezvous_score(target, name)))
         };
         let own = self.entries.iter().find(|(name, _)| *name == self.own_name);
-        let Some((own_name, own_zone)) = own else { return (0, 1) };
-        let own_order = order(own_name, own_zone);
-        let before = self.entries.iter().filter(|(name, zone)| order(name, zone) < own_order);
+        let Some(own_order) = own.map(order) else { return (0, 1) };
+        let before = self.entries.iter().filter(|entry| order(entry) < own_order);
         (before.count(), self.entries.len())
     }
 
