A target whose limit rises and falls is used

Each fall of a limit took from an entry what it had saved up for its next request, so a target whose limit changed by a fifth twice a second got nothing: 0 requests in 10 s where about 22 are offered. Found by reading.

What is saved up shrinks with the entry's part.

--- a/crates/serving/src/request_pacer.rs
+++ b/crates/serving/src/request_pacer.rs
@@ -81,6 +81,7 @@
     capacity: f64,
     /// Requests that the entry has at the start; negative for one that waits longer than the others.
     initial: f64,
+    is_sender: bool,
 }
 
 impl PacingShare {
@@ -93,11 +94,13 @@
             let rate = limit.max(MIN_SEND_RATE) / senders as f64;
             // The first requests of the senders follow each other evenly.
             let initial = 1.0 - (rank + 1) as f64 / senders as f64;
-            return Self { rate, capacity: (rate * SAVED_TIME.as_secs_f64()).max(1.0), initial };
+            let capacity = (rate * SAVED_TIME.as_secs_f64()).max(1.0);
+            return Self { rate, capacity, initial, is_sender: true };
         }
         let others = (entries - senders) as f64;
         let rate = (limit * TRIAL_FRACTION).clamp(MIN_TRIAL_RATE, MAX_TRIAL_RATE) / others;
-        Self { rate, capacity: 1.0, initial: -((rank - senders) as f64) / others }
+        let initial = -((rank - senders) as f64) / others;
+        Self { rate, capacity: 1.0, initial, is_sender: false }
     }
 }
 
@@ -114,14 +117,20 @@
         Self { share, available: share.initial, updated_at: now }
     }
 
-    /// Changes the entry's part. What is available does not grow by that.
+    /// Changes the entry's part. What it has saved up shrinks with a part that shrinks, or all
+    /// entries would send at once when a limit falls; it is not lost, or an entry would never send
+    /// while a limit rises and falls.
     pub(crate) fn set_share(&mut self, share: PacingShare, now: Instant) {
         if share == self.share {
             return;
         }
-        let available = self.available(now).min(share.capacity);
-        let is_slower = share.rate < self.share.rate;
-        self.available = if is_slower { available.min(share.initial) } else { available };
+        let available = self.available(now);
+        let kept = available * (share.rate / self.share.rate).min(1.0);
+        self.available = match (self.share.is_sender, share.is_sender) {
+            (true, false) => share.initial,
+            _ if available > 0.0 => kept.min(share.capacity),
+            _ => available,
+        };
         self.updated_at = now;
         self.share = share;
     }
--- a/crates/serving/src/target_table/limits.rs
+++ b/crates/serving/src/target_table/limits.rs
@@ -138,6 +138,11 @@
         self.rows.get(id)?.limit.map(|limit| limit.rate)
     }
 
+    /// Whether the limit that a target names, if it does, leaves room for a request of this entry.
+    pub fn admits(&self, id: &TargetId, now: Instant) -> bool {
+        self.rows.get(id).is_some_and(|row| row.has_limit_room(now))
+    }
+
     /// Number of targets that name a limit.
     pub fn limited_targets(&self) -> usize {
         self.rows.values().filter(|row| row.limit.is_some()).count()
--- a/tests/all/named_limits.rs
+++ b/tests/all/named_limits.rs
@@ -210,3 +210,26 @@
         }
     }
 }
+
+/// Guards against a target that gets nothing because the limit it names rises and falls.
+#[test]
+fn a_target_whose_limit_fluctuates_is_used() {
+    let start = Instant::now();
+    let mut entry = ModelEntry::new(start);
+    let names = ["entry-0".to_owned()];
+    list_entries(&mut entry.table, &names[0], &names, start);
+    let id = limited_target();
+    let mut sent = 0;
+    for tick in 0..10 * TICKS_PER_SECOND {
+        let now = start + TICK * tick as u32;
+        if tick % 10 == 0 {
+            let limit = if tick % 20 == 0 { 2.4 } else { 2.0 };
+            entry.table.record_limit(&id, RequestRate::try_from(limit).ok(), now, now);
+        }
+        if entry.table.admits(&id, now) {
+            entry.table.start_attempt(&id, now);
+            sent += 1;
+        }
+    }
+    assert!((18..=25).contains(&sent), "{sent} requests in 10 s");
+}
