--- a/crates/serving/src/request_pacer.rs
+++ b/crates/serving/src/request_pacer.rs
@@ -7,8 +7,8 @@
 //!
 //! In any span of `t` seconds a target with limit `r` gets at most `r * t` requests from its senders,
 //! plus what they saved up: one for each of the `2 + r / 2`, or `r / 2` if they are fewer. All other
-//! entries together send at most one request in two seconds, their first ones at different times. An entry without memory
-//! has nothing saved up, so that restarts add nothing.
+//! entries together send at most one request in two seconds, their first ones at different times.
+//! An entry that has just started has less than one request saved up.
 
 use crate::request_rate::RequestRate;
 use egretseam_proto::{ZoneName, rendezvous_score};
@@ -81,6 +81,7 @@
     capacity: f64,
     /// Requests that the entry has at the start; negative for one that waits longer than the others.
     initial: f64,
+    /// Whether it shares the limit, and does not only try the target.
     is_sender: bool,
 }
 
@@ -88,7 +89,7 @@
     /// The part of the entry with this rank among `entries`.
     fn new(rate: RequestRate, rank: usize, entries: usize) -> Self {
         let limit = rate.per_second();
-        let wanted = MIN_SENDERS + (limit * SENDERS_PER_RATE) as usize;
+        let wanted = MIN_SENDERS.saturating_add((limit * SENDERS_PER_RATE) as usize);
         let senders = wanted.min(entries);
         if rank < senders {
             let rate = limit.max(MIN_SEND_RATE) / senders as f64;
--- a/tests/all/caller_codec.rs
+++ b/tests/all/caller_codec.rs
@@ -202,7 +202,7 @@
 #[actix_rt::test]
 async fn limits_of_targets_are_read_and_invalid_ones_are_told_apart() {
     assert_eq!(read_limit("").await, NamedLimit::Absent);
-    for (text, rate) in [("2.4", 2.4), ("0", 0.0), ("200", 200.0)] {
+    for (text, rate) in [("2.4", 2.4), ("0", 0.0), ("200", 200.0), ("1e300", 1e300)] {
         let expected = NamedLimit::Rate(RequestRate::try_from(rate).expect("a valid rate"));
         assert_eq!(read_limit(&format!("Server-Limit: {text}\r\n")).await, expected);
     }
--- a/tests/all/named_limits.rs
+++ b/tests/all/named_limits.rs
@@ -211,6 +211,16 @@
     }
 }
 
+/// Guards against an overflow where a target names a rate that no target reaches.
+#[test]
+fn a_target_that_names_a_huge_limit_is_used() {
+    let start = Instant::now();
+    let mut entry = ModelEntry::new(start);
+    let id = limited_target();
+    entry.table.record_limit(&id, RequestRate::try_from(1e300).ok(), start, start);
+    assert!(entry.table.admits(&id, start + Duration::from_secs(1)));
+}
+
 /// Guards against a target that gets nothing because the limit it names rises and falls.
 #[test]
 fn a_target_whose_limit_fluctuates_is_used() {
