Log lines and counters for responses that break off or end without framing

An entry's lines showed neither how the end of a target's response was determined nor what was left of an event then, so a whole stream and one that broke off looked alike. One line now for each break, with framing and reason, and one for each body that ended with its connection or inside an event; responses_broken_total by reason, responses_closed_total. Nothing is decided anew.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod acquire;
 mod attempt;
+mod body_end;
 mod caller;
 mod dialect;
 mod directory;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,13 +2,16 @@
 
 use crate::{
     attempt::{AttemptFailure, MAX_PIPELINED_BYTES, OpenResponse},
+    body_end::{BodyEnd, BreakReason, framing_slug},
     events::{EventBuffer, last_event_id},
     forward::ConnectionAction,
     request::RequestState,
     shared::{GatewayShared, StopPhase},
 };
 use bytes::Bytes;
-use egretseam_h1::{BodyReader, HeadWriter, HttpConnection, ResponseHead, chunk_frame, last_chunk};
+use egretseam_h1::{
+    BodyFraming, BodyReader, HeadWriter, HttpConnection, ResponseHead, chunk_frame, last_chunk,
+};
 use egretseam_serving::TargetId;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -73,20 +76,20 @@
     target: &TargetId,
     mut response: OpenResponse,
 ) -> RelayOutcome {
-    let reader = response.body(&request.head.method);
+    let framing = response.head.framing(&request.head.method);
+    let reader = BodyReader::new(framing);
     let read = response.connection.read_body(reader, MAX_BUFFERED_RESPONSE_BYTES);
     let body = tokio::select! {
         body = tokio::time::timeout_at(request.deadline, read) => body,
         () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return RelayOutcome::CallerLeft,
     };
+    let source = BodySource { target, framing };
     let body = match body {
         Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
-            tracing::info!(request_id = %request.terms.id, %error, "failed to read a response");
-            return RelayOutcome::Broken(AttemptFailure::Broken);
-        }
-        Err(_) => return RelayOutcome::Broken(AttemptFailure::TimedOut),
+        Ok(Err(error)) => return broken(shared, request, source, BreakReason::from(&error)),
+        Err(_) => return broken(shared, request, source, BreakReason::TimedOut),
     };
+    record_end(shared, request, source, 0);
     let keep_alive = keeps_connection(shared, request);
     let mut writer = response_writer(&response.head, keep_alive);
     let is_error = response.head.status >= 500;
@@ -115,7 +118,9 @@
     target: &TargetId,
     mut response: OpenResponse,
 ) -> RelayOutcome {
-    let mut reader = response.body(&request.head.method);
+    let framing = response.head.framing(&request.head.method);
+    let source = BodySource { target, framing };
+    let mut reader = BodyReader::new(framing);
     let mut buffer = EventBuffer::default();
     let keep_alive = keeps_connection(shared, request);
     if request.response_started {
@@ -124,14 +129,15 @@
     loop {
         let chunk = match next_chunk(caller, request, &mut reader, &mut response).await {
             Ok(chunk) => chunk,
-            Err(outcome) => return outcome,
+            Err(StreamStop::CallerLeft) => return RelayOutcome::CallerLeft,
+            Err(StreamStop::Broken(reason)) => return broken(shared, request, source, reason),
         };
         let (events, at_end) = match chunk {
             Some(chunk) => (buffer.push(&chunk), false),
             None => (Some(Bytes::copy_from_slice(buffer.partial_event())), true),
         };
         if buffer.exceeds_limit() {
-            return RelayOutcome::Broken(AttemptFailure::Broken);
+            return broken(shared, request, source, BreakReason::TooLarge);
         }
         let events = events.filter(|events| !events.is_empty());
         if let Some(events) = events
@@ -140,18 +146,25 @@
             return RelayOutcome::CallerLeft;
         }
         if at_end {
+            record_end(shared, request, source, buffer.partial_event().len());
             return finish_stream(shared, caller, request, target, response, keep_alive).await;
         }
     }
 }
 
+/// Why a stream is read no further.
+enum StreamStop {
+    CallerLeft,
+    Broken(BreakReason),
+}
+
 /// Reads the next bytes of the stream; `None` at its end.
 async fn next_chunk(
     caller: &mut HttpConnection,
     request: &RequestState,
     reader: &mut BodyReader,
     response: &mut OpenResponse,
-) -> Result<Option<Bytes>, RelayOutcome> {
+) -> Result<Option<Bytes>, StreamStop> {
     let read_deadline = if request.route.kind.may_retry() {
         (Instant::now() + MAX_STREAM_PAUSE).min(request.deadline)
     } else {
@@ -160,15 +173,11 @@
     let next = reader.next(&mut response.connection);
     let chunk = tokio::select! {
         chunk = tokio::time::timeout_at(read_deadline, next) => chunk,
-        () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return Err(RelayOutcome::CallerLeft),
+        () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return Err(StreamStop::CallerLeft),
     };
     match chunk {
-        Ok(Ok(chunk)) => Ok(chunk),
-        Ok(Err(error)) => {
-            tracing::info!(request_id = %request.terms.id, %error, "failed to read a stream");
-            Err(RelayOutcome::Broken(AttemptFailure::Broken))
-        }
-        Err(_) => Err(RelayOutcome::Broken(AttemptFailure::TimedOut)),
+        Ok(read) => read.map_err(|error| StreamStop::Broken(BreakReason::from(&error))),
+        Err(_) => Err(StreamStop::Broken(BreakReason::TimedOut)),
     }
 }
 
@@ -222,6 +231,58 @@
     })
 }
 
+/// Where a body comes from and how its end is determined.
+#[derive(Clone, Copy)]
+struct BodySource<'a> {
+    target: &'a TargetId,
+    framing: BodyFraming,
+}
+
+/// Logs and counts a response that broke off.
+fn broken(
+    shared: &GatewayShared,
+    request: &RequestState,
+    source: BodySource<'_>,
+    reason: BreakReason,
+) -> RelayOutcome {
+    shared.metrics.responses_broken.with_label_values(&[reason.slug()]).inc();
+    tracing::info!(
+        request_id = %request.terms.id,
+        target_id = %source.target,
+        reason = reason.slug(),
+        framing = framing_slug(source.framing),
+        events_passed = request.last_event_id.as_deref().unwrap_or(""),
+        "response broke off"
+    );
+    RelayOutcome::Broken(match reason {
+        BreakReason::TimedOut => AttemptFailure::TimedOut,
+        _ => AttemptFailure::Broken,
+    })
+}
+
+/// Logs and counts the end of a body that only the connection shows, or that is inside an event.
+fn record_end(
+    shared: &GatewayShared,
+    request: &RequestState,
+    source: BodySource<'_>,
+    partial_bytes: usize,
+) {
+    let end = BodyEnd::of(source.framing);
+    if end == BodyEnd::Closed {
+        shared.metrics.responses_closed.inc();
+    }
+    if end == BodyEnd::Closed || partial_bytes > 0 {
+        tracing::info!(
+            request_id = %request.terms.id,
+            target_id = %source.target,
+            framing = framing_slug(source.framing),
+            partial_bytes,
+            events_passed = request.last_event_id.as_deref().unwrap_or(""),
+            "response ended without framing, or inside an event"
+        );
+    }
+}
+
 async fn write_before(
     caller: &mut HttpConnection,
     bytes: &[u8],
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,7 +15,7 @@
     ConfigHolder, EntryRecord, EntryRoster, RetryDetector, RouteRecord, RouteTable,
 };
 use indexmap::IndexMap;
-use prometheus::{Histogram, IntCounter, IntGauge};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -34,6 +34,8 @@
     pub(crate) requests: IntCounter,
     pub(crate) responses_forwarded: IntCounter,
     pub(crate) streams_resumed: IntCounter,
+    pub(crate) responses_broken: IntCounterVec,
+    pub(crate) responses_closed: IntCounter,
     pub(crate) callers_disconnected: IntCounter,
     pub(crate) connections_opened: IntCounter,
     pub(crate) config_version: IntGauge,
@@ -74,6 +76,15 @@
                 .counter("egretseam_gateway_answered_total", "Answers passed on."),
             streams_resumed: metrics
                 .counter("egretseam_gateway_resumed_total", "Streams that went on elsewhere."),
+            responses_broken: metrics.counter_by(
+                "egretseam_gateway_responses_broken_total",
+                "Responses of targets that broke off.",
+                "reason",
+            ),
+            responses_closed: metrics.counter(
+                "egretseam_gateway_responses_closed_total",
+                "Responses of targets that ended with their connection, without a length or chunks.",
+            ),
             callers_disconnected: metrics
                 .counter("egretseam_gateway_callers_left_total", "Callers that left unanswered."),
             connections_opened: metrics
