Tests of responses that break off, known red

Two targets that respond alike, in every framing and with every way of ending, routes whose streams may and may not be resumed, plain bodies. On this code a stream that ends inside an event looks complete in 4 of 4 requests of the first case; one whose target's process has ended, or that closes after its head, too. Whole responses and those that their connection shows to be broken pass. Events whose lines end in CR LF or CR are not known as events.

--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod bed;
+mod broken_off;
 mod changes;
 mod crashing;
 mod engines;
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -5,7 +5,7 @@
 
 pub(super) use self::{
     caller::{Caller, SeenAnswer, request},
-    target::{EVENTS, Script, ScriptedTarget},
+    target::{EVENTS, Script, ScriptedEnd, ScriptedFraming, ScriptedResponse, ScriptedTarget},
 };
 
 use bytes::Bytes;
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -9,7 +9,7 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::{net::TcpStream, time::Instant};
+use tokio::{net::TcpStream, task::JoinHandle, time::Instant};
 
 /// What a scripted target does with its next request.
 #[derive(Clone, Debug)]
@@ -34,6 +34,72 @@
     CutAfter(u64),
     /// Streams all events, each after this pause.
     Slow(Duration),
+    /// Sends this response and ends its connection.
+    Send(ScriptedResponse),
+}
+
+/// How the end of a scripted body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ScriptedFraming {
+    /// By its length.
+    Length,
+    /// By its last chunk.
+    Chunked,
+    /// By the end of its connection.
+    UntilClose,
+    /// By the end of its connection, which `Connection: close` announces.
+    AnnouncedClose,
+}
+
+/// How a scripted connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ScriptedEnd {
+    /// What the framing demands has been sent; then an orderly close.
+    Framed,
+    /// An orderly close without the end that the framing demands.
+    Closed,
+    Reset,
+    /// The process ends: nothing listens any more, and the connection is closed in an orderly way.
+    ProcessEnded,
+}
+
+/// A signed response with a status of 200 that a target sends byte for byte.
+#[derive(Clone, Debug)]
+pub(crate) struct ScriptedResponse {
+    pub(crate) framing: ScriptedFraming,
+    pub(crate) end: ScriptedEnd,
+    pub(crate) content_type: &'static str,
+    pub(crate) body: String,
+}
+
+impl ScriptedResponse {
+    /// The message, given the header fields that each response of its target has.
+    fn encode(&self, fields: &str) -> Vec<u8> {
+        let framed = self.end == ScriptedEnd::Framed;
+        let framing = match self.framing {
+            ScriptedFraming::Length => {
+                format!("Content-Length: {}\r\n", self.body.len() + usize::from(!framed))
+            }
+            ScriptedFraming::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
+            ScriptedFraming::UntilClose => String::new(),
+            ScriptedFraming::AnnouncedClose => "Connection: close\r\n".to_owned(),
+        };
+        let content_type = self.content_type;
+        let head =
+            format!("HTTP/1.1 200 OK\r\n{fields}Content-Type: {content_type}\r\n{framing}\r\n");
+        let mut message = head.into_bytes();
+        if self.framing == ScriptedFraming::Chunked {
+            if !self.body.is_empty() {
+                message.extend_from_slice(&egretseam_h1::chunk_frame(self.body.as_bytes()));
+            }
+            if framed {
+                message.extend_from_slice(egretseam_h1::last_chunk());
+            }
+        } else {
+            message.extend_from_slice(self.body.as_bytes());
+        }
+        message
+    }
 }
 
 /// A request as a target saw it.
@@ -69,6 +135,8 @@
     pub(crate) abandoned: Cell<u32>,
     /// Those among them that were reset, not closed in order.
     pub(crate) reset_count: Cell<u32>,
+    /// Accepts its connections until the process ends.
+    listening: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl ScriptedTarget {
@@ -76,12 +144,13 @@
         let listener = tokio::net::TcpListener::bind((host, 0)).await.expect("a free port");
         let target = Self::unserved(listener.local_addr().expect("bound"), id);
         let serving = target.clone();
-        actix_rt::spawn(async move {
+        let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 serving.opened.set(serving.opened.get() + 1);
                 actix_rt::spawn(serving.clone().serve(stream));
             }
-        });
+        };
+        target.listening.replace(Some(actix_rt::spawn(accept)));
         target
     }
 
@@ -98,6 +167,7 @@
             used: Cell::new(0),
             abandoned: Cell::new(0),
             reset_count: Cell::new(0),
+            listening: RefCell::default(),
         })
     }
 
@@ -139,6 +209,9 @@
             let is_stream = head.path().starts_with("/stream/");
             self.arrivals.borrow_mut().push(arrival.clone());
             let script = self.script.borrow_mut().pop_front().unwrap_or(Script::Answer);
+            if let Script::Send(response) = script {
+                return self.send(connection, &arrival, &response).await;
+            }
             if !self.follow(&mut connection, &arrival, is_stream, script).await {
                 return;
             }
@@ -180,7 +253,7 @@
             }
             Script::Unsigned => whole("200 OK", "", "anything"),
             Script::Twice => whole("200 OK", &signed, &own).repeat(2),
-            Script::Close => return false,
+            Script::Close | Script::Send(_) => return false,
             Script::Hang => {
                 if connection.wait_for_message().await.is_err() {
                     self.reset_count.set(self.reset_count.get() + 1);
@@ -192,6 +265,32 @@
         connection.write(answer.as_bytes()).await.is_ok()
     }
 
+    /// Sends a scripted response and ends the connection as it says.
+    async fn send(
+        &self,
+        mut connection: HttpConnection,
+        arrival: &Arrival,
+        response: &ScriptedResponse,
+    ) {
+        let fields =
+            format!("X-Request-Id: {}\r\nX-Response-Signature: {}\r\n", arrival.id, self.id);
+        connection.write(&response.encode(&fields)).await.ok();
+        match response.end {
+            ScriptedEnd::Framed | ScriptedEnd::Closed => {}
+            ScriptedEnd::Reset => connection.abort(),
+            ScriptedEnd::ProcessEnded => self.stop_listening().await,
+        }
+    }
+
+    async fn stop_listening(&self) {
+        let listening = self.listening.take();
+        if let Some(listening) = listening {
+            listening.abort();
+            // Until the task is gone, its listener is open.
+            listening.await.ok();
+        }
+    }
+
     fn limit_field(&self) -> String {
         let limit = *self.limit.borrow();
         limit.map(|limit| format!("Server-Limit: {limit}\r\n")).unwrap_or_default()
--- /dev/null
+++ b/tests/all/fleet/broken_off.rs
@@ -0,0 +1,226 @@
+//! Responses of targets that end before they are whole, in every framing.
+
+use super::bed::{
+    EVENTS, FleetBed, Script, ScriptedEnd, ScriptedFraming, ScriptedResponse, default_config,
+    request,
+};
+use serde_json::json;
+
+/// Requests for each case.
+const REQUESTS: usize = 4;
+/// A path whose streams may be resumed, and one whose streams may not.
+const STREAM_PATHS: [&str; 2] = ["/stream/1", "/single/1"];
+/// Paths whose responses are not streams.
+const PLAIN_PATHS: [&str; 2] = ["/safe/1", "/once/1"];
+const FRAMINGS: [ScriptedFraming; 4] = [
+    ScriptedFraming::Length,
+    ScriptedFraming::Chunked,
+    ScriptedFraming::UntilClose,
+    ScriptedFraming::AnnouncedClose,
+];
+/// How lines of event streams may end.
+const LINE_ENDS: [&str; 3] = ["\n", "\r\n", "\r"];
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Events up to this number whose lines end so.
+fn events(last: u64, line_end: &str) -> String {
+    (1..=last).map(|id| format!("id: {id}{line_end}data: {id}{line_end}{line_end}")).collect()
+}
+
+/// Three events and part of a fourth.
+fn cut_inside_an_event(line_end: &str) -> String {
+    events(3, line_end) + &format!("id: 4{line_end}da")
+}
+
+fn ends_with_connection(framing: ScriptedFraming) -> bool {
+    matches!(framing, ScriptedFraming::UntilClose | ScriptedFraming::AnnouncedClose)
+}
+
+/// A fleet with two targets and a route whose streams may not be resumed.
+async fn start_bed() -> FleetBed {
+    let bed = FleetBed::start().await;
+    let mut config = default_config(2);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    let mut single = routes.last().expect("a route").clone();
+    single["name"] = json!("single");
+    single["pathPrefix"] = json!("/single/");
+    single["streamResume"] = json!(false);
+    routes.push(single);
+    bed.replace_config(2, &config).await;
+    bed.wait_for_version(2).await;
+    bed
+}
+
+/// Sends requests to two targets that both respond so, each twice at most. Returns the bodies of
+/// the responses that look complete.
+async fn complete_bodies(path: &str, response: &ScriptedResponse) -> Vec<String> {
+    let mut bed = start_bed().await;
+    let (one, two) = (bed.start_target("i-1").await, bed.start_target("i-2").await);
+    let mut bodies = Vec::new();
+    for number in 0..REQUESTS {
+        for target in [&one, &two] {
+            target.reset();
+            target.then(Script::Send(response.clone()));
+        }
+        let seen = bed.send_request(&request(path, &format!("r{number}"), "", "")).await;
+        if let Ok(answer) = seen
+            && answer.status == 200
+        {
+            bodies.push(answer.body);
+        }
+    }
+    bodies
+}
+
+/// Streams that end inside an event, in every framing and with every end but those that the
+/// connection itself shows to be broken.
+fn streams_cut_inside_an_event() -> Vec<ScriptedResponse> {
+    let mut responses = Vec::new();
+    for framing in FRAMINGS {
+        for line_end in LINE_ENDS {
+            for end in [ScriptedEnd::Framed, ScriptedEnd::ProcessEnded] {
+                if end == ScriptedEnd::Framed || ends_with_connection(framing) {
+                    let body = cut_inside_an_event(line_end);
+                    let content_type = EVENT_STREAM;
+                    responses.push(ScriptedResponse { framing, end, content_type, body });
+                }
+            }
+        }
+    }
+    responses
+}
+
+/// Guards against half a sentence that looks like a whole answer: a stream that ends inside an
+/// event, framed as complete by its target or by the close of the connection.
+#[actix_rt::test]
+async fn a_stream_that_ends_inside_an_event_is_never_complete() {
+    for response in streams_cut_inside_an_event() {
+        for path in STREAM_PATHS {
+            let bodies = complete_bodies(path, &response).await;
+            assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
+        }
+    }
+}
+
+/// Guards against a short response that looks complete because the target's process ended without
+/// a reset, after its head or between two events.
+#[actix_rt::test]
+async fn a_response_whose_target_has_ended_is_never_complete() {
+    for framing in [ScriptedFraming::UntilClose, ScriptedFraming::AnnouncedClose] {
+        for events_sent in [0, 3] {
+            let response = ScriptedResponse {
+                framing,
+                end: ScriptedEnd::ProcessEnded,
+                content_type: EVENT_STREAM,
+                body: events(events_sent, "\n"),
+            };
+            for path in STREAM_PATHS {
+                let bodies = complete_bodies(path, &response).await;
+                assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
+            }
+        }
+        let response = ScriptedResponse {
+            framing,
+            end: ScriptedEnd::ProcessEnded,
+            content_type: "application/json",
+            body: "{\"half\":".to_owned(),
+        };
+        for path in PLAIN_PATHS {
+            let bodies = complete_bodies(path, &response).await;
+            assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
+        }
+    }
+}
+
+/// Guards against an empty answer in place of a stream: the connection closes after the head of a
+/// stream without length or chunks.
+#[actix_rt::test]
+async fn a_stream_that_closes_before_its_first_event_is_never_complete() {
+    for framing in [ScriptedFraming::UntilClose, ScriptedFraming::AnnouncedClose] {
+        let response = ScriptedResponse {
+            framing,
+            end: ScriptedEnd::Framed,
+            content_type: EVENT_STREAM,
+            body: String::new(),
+        };
+        for path in STREAM_PATHS {
+            let bodies = complete_bodies(path, &response).await;
+            assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
+        }
+    }
+}
+
+/// Guards against short responses whose connection shows that they are: closed early, or reset.
+#[actix_rt::test]
+async fn a_response_that_its_connection_shows_to_be_broken_is_never_complete() {
+    for framing in FRAMINGS {
+        for end in [ScriptedEnd::Closed, ScriptedEnd::Reset, ScriptedEnd::ProcessEnded] {
+            if end != ScriptedEnd::Reset && ends_with_connection(framing) {
+                continue;
+            }
+            for (paths, body) in [(STREAM_PATHS, events(3, "\n")), (PLAIN_PATHS, "half".to_owned())]
+            {
+                let response = ScriptedResponse { framing, end, content_type: EVENT_STREAM, body };
+                for path in paths {
+                    let bodies = complete_bodies(path, &response).await;
+                    assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against whole responses that are taken for broken ones.
+#[actix_rt::test]
+async fn whole_responses_are_forwarded_in_every_framing() {
+    for framing in FRAMINGS {
+        let end = ScriptedEnd::Framed;
+        for line_end in LINE_ENDS {
+            // Comments after the last event belong to no event.
+            for rest in [String::new(), format!(": end{line_end}")] {
+                let body = events(EVENTS, line_end) + &rest;
+                let content_type = EVENT_STREAM;
+                let response = ScriptedResponse { framing, end, content_type, body: body.clone() };
+                for path in STREAM_PATHS {
+                    let bodies = complete_bodies(path, &response).await;
+                    assert_eq!(bodies, vec![body.clone(); REQUESTS], "{path}, {response:?}");
+                }
+            }
+        }
+        let body = "{\"whole\":1}".to_owned();
+        let content_type = "application/json";
+        let response = ScriptedResponse { framing, end, content_type, body: body.clone() };
+        for path in STREAM_PATHS.into_iter().chain(PLAIN_PATHS) {
+            let bodies = complete_bodies(path, &response).await;
+            assert_eq!(bodies, vec![body.clone(); REQUESTS], "{path}, {response:?}");
+        }
+    }
+}
+
+/// Guards against missing and repeated events: a stream without length or chunks ends inside an
+/// event or with its target's process, and goes on at another target after its last whole event.
+#[actix_rt::test]
+async fn a_stream_that_ends_early_goes_on_at_another_target() {
+    let cases = [
+        (ScriptedFraming::UntilClose, ScriptedEnd::Framed, cut_inside_an_event("\n")),
+        (ScriptedFraming::UntilClose, ScriptedEnd::ProcessEnded, events(3, "\n")),
+        (ScriptedFraming::Chunked, ScriptedEnd::Framed, cut_inside_an_event("\n")),
+    ];
+    for (framing, end, body) in cases {
+        let response = ScriptedResponse { framing, end, content_type: EVENT_STREAM, body };
+        let mut bed = start_bed().await;
+        let (one, two) = (bed.start_target("i-1").await, bed.start_target("i-2").await);
+        one.then(Script::Send(response.clone()));
+        let resumed = || two.arrivals.borrow().iter().any(|a| a.last_event.as_deref() == Some("3"));
+        // Targets are chosen at random.
+        for number in 0..64 {
+            let text = request("/stream/1", &format!("r{number}"), "", "");
+            let answer = bed.send_request(&text).await.expect("a complete response");
+            assert_eq!(answer.body, events(EVENTS, "\n"), "{response:?}");
+            if resumed() {
+                break;
+            }
+        }
+        assert!(resumed(), "{response:?}");
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod catalog_model;
 mod digest_turns;
 mod entry_lists;
+mod event_buffer;
 mod fleet;
 mod fleet_settings;
 mod group_faults;
