A response that ends before it is whole never looks complete

Callers saw: a status of 200, the target's signature and a short body framed as complete, some ms after its target had crashed.

Cause: the end of a target's connection, or of its framing, was taken for the end of its stream. relay::stream forwarded what it held of the next event and wrote the last chunk. A process that crashes closes its connections in an orderly way, so the close of a body without length and chunks proves nothing.

Evidence: two targets that respond alike, in every framing and with every way of ending.

Change: one table, body_end::meaning, decides for all responses. A stream that ends inside an event has broken off, whatever its framing. One that closes before its first event has, unless its caller resumed it. Any other response that ends with its connection is whole only while the target's process listens; a planned stop does not count as an end. What broke off is retried or resumed after its last whole event where its route allows, and resets its caller's connection or gets an error where not. Events end as the standard says, with LF, CR LF or CR; comments after the last event belong to none, so whole streams of such lines are not taken for broken ones, and are forwarded as they arrive. A connection that ended with its response does not return to the pool. A response on a stream's route that says it is something else is forwarded as one.

The same framing for the caller as the target's was weighed: an entry that is killed would end such a stream without a sign, where chunks show it. caller_codec: one call renamed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
     retries::RetryPermit,
     shared::GatewayShared,
 };
-use egretseam_h1::{BodyReader, HttpConnection, ResponseHead};
+use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ResponseHead};
 use egretseam_serving::{AttemptOutcome, TargetId};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -34,6 +34,12 @@
     pub(crate) fn body(&self, method: &[u8]) -> BodyReader {
         BodyReader::new(self.head.framing(method))
     }
+
+    /// Whether the connection can carry another request once the body has been read. One that the
+    /// body ends with cannot, whatever the head says.
+    pub(crate) fn is_reusable(&self, method: &[u8]) -> bool {
+        self.head.keeps_alive() && self.head.framing(method) != BodyFraming::UntilClose
+    }
 }
 
 /// Why an attempt got no response from its target.
@@ -309,7 +315,7 @@
 ) -> AttemptFailure {
     let is_other_target = response.marks.wrong_target;
     let reader = response.body(&request.head.method);
-    let reusable = response.head.keeps_alive() && !is_other_target;
+    let reusable = response.is_reusable(&request.head.method) && !is_other_target;
     let mut connection = response.connection;
     let body = connection.read_body(reader, MAX_REJECTION_BODY_BYTES).await;
     if reusable && body.is_ok() {
--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -1,4 +1,13 @@
-//! How the bodies of targets' responses end, for decisions, logs and metrics.
+//! What the end of a target's response means: whether it is whole or has broken off.
+//!
+//! | the body ended | not a stream | stream between two events | stream before its first event | stream inside an event |
+//! |---|---|---|---|---|
+//! | at its length or last chunk | whole | whole | whole | broken |
+//! | with its connection, closed in an orderly way | whole while the target's process lives | the same | broken, unless the caller has events | broken |
+//! | early, by a reset, or in time | broken | broken | broken | broken |
+//!
+//! A connection closes in an orderly way also when its process crashes, so the close of a body that
+//! ends with it proves nothing while the process may have ended.
 
 use egretseam_h1::{BodyFraming, ReadError};
 
@@ -21,6 +30,45 @@
     }
 }
 
+/// What a response had carried when its body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyContent {
+    /// Bytes that are no stream of events.
+    Plain,
+    /// A stream of events.
+    Events {
+        /// Whether the caller has an event of the stream, of this response or an earlier one.
+        has_events: bool,
+        /// Whether the body ended inside an event.
+        inside_event: bool,
+    },
+}
+
+/// What the end of a body means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndMeaning {
+    /// The response is whole.
+    Whole,
+    /// The response is whole unless the target's process has ended.
+    WholeIfAlive,
+    /// The response has broken off.
+    Broken(BreakReason),
+}
+
+/// Decides what the end of a body means that was read without an error.
+pub(crate) fn meaning(end: BodyEnd, content: BodyContent) -> EndMeaning {
+    match (end, content) {
+        (_, BodyContent::Events { inside_event: true, .. }) => {
+            EndMeaning::Broken(BreakReason::InsideEvent)
+        }
+        (BodyEnd::Framed, _) => EndMeaning::Whole,
+        (BodyEnd::Closed, BodyContent::Events { has_events: false, .. }) => {
+            EndMeaning::Broken(BreakReason::NoEvent)
+        }
+        (BodyEnd::Closed, _) => EndMeaning::WholeIfAlive,
+    }
+}
+
 /// Why a response counts as broken off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BreakReason {
@@ -34,6 +82,12 @@
     TooLarge,
     /// No byte arrived in time.
     TimedOut,
+    /// The body ended inside an event.
+    InsideEvent,
+    /// The connection of a body that ends with it was closed before the first event.
+    NoEvent,
+    /// The connection of a body that ends with it was closed, and the target's process has ended.
+    ProcessEnded,
 }
 
 impl BreakReason {
@@ -45,6 +99,9 @@
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
             Self::TimedOut => "timed-out",
+            Self::InsideEvent => "inside-event",
+            Self::NoEvent => "no-event",
+            Self::ProcessEnded => "process-ended",
         }
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -17,6 +17,8 @@
     pub api_key: Option<String>,
     /// Model that must serve the request.
     pub model: Option<ModelName>,
+    /// Whether the caller resumes a stream after an event that it has.
+    pub resumes: bool,
 }
 
 /// A request as it is sent to a target.
@@ -45,6 +47,8 @@
     pub request_id: Option<String>,
     /// Whether the response carries a target's signature.
     pub signed: bool,
+    /// Whether the response states that its body is something other than a stream of events.
+    pub plain: bool,
     /// Whether the target states that it did not and will not execute the request.
     pub not_executed: bool,
     /// Whether another target has the address now.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -308,7 +308,7 @@
         request.status = response.head.status;
         shared.metrics.first_byte_seconds.observe(request.time_to_first_byte.as_secs_f64());
     }
-    let outcome = relay_response(shared, caller, request, &slot.target, response).await;
+    let outcome = relay_response(shared, caller, request, &slot, response).await;
     match outcome {
         RelayOutcome::Complete(action) => {
             slot.finish(AttemptOutcome::Answered);
@@ -384,14 +384,15 @@
     shared: &GatewayShared,
     caller: &mut HttpConnection,
     request: &mut RequestState,
-    target: &TargetId,
+    slot: &SlotGuard,
     response: OpenResponse,
 ) -> RelayOutcome {
-    let is_stream = request.route.kind.is_stream() && response.head.status < 300;
+    let is_success = response.head.status < 300;
+    let is_stream = request.route.kind.is_stream() && is_success && !response.marks.plain;
     if is_stream {
-        relay::stream(shared, caller, request, target, response).await
+        relay::stream(shared, caller, request, slot, response).await
     } else {
-        relay::buffered(shared, caller, request, target, response).await
+        relay::buffered(shared, caller, request, slot, response).await
     }
 }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,7 +6,7 @@
 mod permit;
 
 pub(crate) use self::{
-    ended_targets::{BrokenAttempt, await_check, record_broken},
+    ended_targets::{BrokenAttempt, await_check, has_ended, record_broken},
     outbox::EvidenceOutbox,
     permit::{RunPermit, RunTurn, await_permit},
 };
--- a/crates/gateway/src/quarantine/ended_targets.rs
+++ b/crates/gateway/src/quarantine/ended_targets.rs
@@ -119,14 +119,38 @@
     }
 }
 
-async fn check(shared: Rc<GatewayShared>, target: TargetId, address: SocketAddr) {
+/// Opens a connection to a target and looks up whether it left as planned.
+async fn check_connection(
+    shared: &GatewayShared,
+    target: &TargetId,
+    address: SocketAddr,
+) -> (CheckOutcome, TargetLifetime) {
     shared.metrics.end_checks.inc();
     let connect = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address));
     let outcome = CheckOutcome::from(connect.await);
-    let lifetime = shared.dispatch.borrow().targets.lifetime(&target, address);
+    let lifetime = shared.dispatch.borrow().targets.lifetime(target, address);
+    tracing::info!(target_id = %target, ?outcome, ?lifetime, "checked whether a target listens");
+    (outcome, lifetime)
+}
+
+fn is_end(outcome: CheckOutcome, lifetime: TargetLifetime) -> bool {
     let is_planned = matches!(lifetime, TargetLifetime::Draining | TargetLifetime::Left);
-    tracing::info!(target_id = %target, ?outcome, ?lifetime, "checked a target that broke off");
-    if outcome == CheckOutcome::Refused && !is_planned {
+    outcome == CheckOutcome::Refused && !is_planned
+}
+
+/// Whether a target's process has ended, other than by a planned stop.
+pub(crate) async fn has_ended(
+    shared: &GatewayShared,
+    target: &TargetId,
+    address: SocketAddr,
+) -> bool {
+    let (outcome, lifetime) = check_connection(shared, target, address).await;
+    is_end(outcome, lifetime)
+}
+
+async fn check(shared: Rc<GatewayShared>, target: TargetId, address: SocketAddr) {
+    let (outcome, lifetime) = check_connection(&shared, &target, address).await;
+    if is_end(outcome, lifetime) {
         shared.dispatch.borrow_mut().targets.record_ended(&target, Instant::now());
         shared.pool.borrow_mut().remove_target(&target);
         return finish_check(&shared, &target, true);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     attempt::{AttemptFailure, MAX_PIPELINED_BYTES, OpenResponse},
-    body_end::{BodyEnd, BreakReason, framing_slug},
+    body_end::{self, BodyContent, BodyEnd, BreakReason, EndMeaning, framing_slug},
+    dispatch::SlotGuard,
     events::{EventBuffer, last_event_id},
     forward::ConnectionAction,
+    quarantine,
     request::RequestState,
     shared::{GatewayShared, StopPhase},
 };
@@ -12,7 +14,6 @@
 use egretseam_h1::{
     BodyFraming, BodyReader, HeadWriter, HttpConnection, ResponseHead, chunk_frame, last_chunk,
 };
-use egretseam_serving::TargetId;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -73,23 +74,25 @@
     shared: &GatewayShared,
     caller: &mut HttpConnection,
     request: &RequestState,
-    target: &TargetId,
+    slot: &SlotGuard,
     mut response: OpenResponse,
 ) -> RelayOutcome {
     let framing = response.head.framing(&request.head.method);
+    let source = BodySource { slot, framing };
     let reader = BodyReader::new(framing);
     let read = response.connection.read_body(reader, MAX_BUFFERED_RESPONSE_BYTES);
     let body = tokio::select! {
         body = tokio::time::timeout_at(request.deadline, read) => body,
         () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return RelayOutcome::CallerLeft,
     };
-    let source = BodySource { target, framing };
     let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => return broken(shared, request, source, BreakReason::from(&error)),
         Err(_) => return broken(shared, request, source, BreakReason::TimedOut),
     };
-    record_end(shared, request, source, 0);
+    if let Some(reason) = break_at_end(shared, request, source, BodyContent::Plain).await {
+        return broken(shared, request, source, reason);
+    }
     let keep_alive = keeps_connection(shared, request);
     let mut writer = response_writer(&response.head, keep_alive);
     let is_error = response.head.status >= 500;
@@ -101,7 +104,7 @@
     } else {
         writer.finish_with(&body)
     };
-    return_connection(shared, target, response);
+    return_connection(shared, request, slot, response);
     if write_before(caller, &bytes, request.deadline).await.is_err() {
         return RelayOutcome::CallerLeft;
     }
@@ -115,11 +118,11 @@
     shared: &GatewayShared,
     caller: &mut HttpConnection,
     request: &mut RequestState,
-    target: &TargetId,
+    slot: &SlotGuard,
     mut response: OpenResponse,
 ) -> RelayOutcome {
     let framing = response.head.framing(&request.head.method);
-    let source = BodySource { target, framing };
+    let source = BodySource { slot, framing };
     let mut reader = BodyReader::new(framing);
     let mut buffer = EventBuffer::default();
     let keep_alive = keeps_connection(shared, request);
@@ -128,28 +131,35 @@
     }
     loop {
         let chunk = match next_chunk(caller, request, &mut reader, &mut response).await {
-            Ok(chunk) => chunk,
+            Ok(Some(chunk)) => chunk,
+            Ok(None) => break,
             Err(StreamStop::CallerLeft) => return RelayOutcome::CallerLeft,
             Err(StreamStop::Broken(reason)) => return broken(shared, request, source, reason),
         };
-        let (events, at_end) = match chunk {
-            Some(chunk) => (buffer.push(&chunk), false),
-            None => (Some(Bytes::copy_from_slice(buffer.partial_event())), true),
-        };
+        let events = buffer.push(&chunk);
         if buffer.exceeds_limit() {
             return broken(shared, request, source, BreakReason::TooLarge);
         }
-        let events = events.filter(|events| !events.is_empty());
         if let Some(events) = events
             && forward_events(caller, request, &response.head, &events, keep_alive).await.is_err()
         {
             return RelayOutcome::CallerLeft;
         }
-        if at_end {
-            record_end(shared, request, source, buffer.partial_event().len());
-            return finish_stream(shared, caller, request, target, response, keep_alive).await;
-        }
     }
+    let content = BodyContent::Events {
+        has_events: request.response_started || request.terms.resumes,
+        inside_event: buffer.is_inside_event(),
+    };
+    if let Some(reason) = break_at_end(shared, request, source, content).await {
+        return broken(shared, request, source, reason);
+    }
+    let comments = Bytes::copy_from_slice(buffer.remainder());
+    if !comments.is_empty()
+        && forward_events(caller, request, &response.head, &comments, keep_alive).await.is_err()
+    {
+        return RelayOutcome::CallerLeft;
+    }
+    finish_stream(shared, caller, request, slot, response, keep_alive).await
 }
 
 /// Why a stream is read no further.
@@ -211,7 +221,7 @@
     shared: &GatewayShared,
     caller: &mut HttpConnection,
     request: &mut RequestState,
-    target: &TargetId,
+    slot: &SlotGuard,
     response: OpenResponse,
     keep_alive: bool,
 ) -> RelayOutcome {
@@ -220,7 +230,7 @@
     } else {
         response_writer(&response.head, keep_alive).finish_with(b"")
     };
-    return_connection(shared, target, response);
+    return_connection(shared, request, slot, response);
     if write_before(caller, &bytes, request.deadline).await.is_err() {
         return RelayOutcome::CallerLeft;
     }
@@ -234,10 +244,38 @@
 /// Where a body comes from and how its end is determined.
 #[derive(Clone, Copy)]
 struct BodySource<'a> {
-    target: &'a TargetId,
+    slot: &'a SlotGuard,
     framing: BodyFraming,
 }
 
+/// Whether a body that was read without an error has broken off nevertheless, and why.
+async fn break_at_end(
+    shared: &GatewayShared,
+    request: &RequestState,
+    source: BodySource<'_>,
+    content: BodyContent,
+) -> Option<BreakReason> {
+    let end = BodyEnd::of(source.framing);
+    if end == BodyEnd::Closed {
+        shared.metrics.responses_closed.inc();
+        tracing::info!(
+            request_id = %request.terms.id,
+            target_id = %source.slot.target,
+            ?content,
+            events_passed = request.last_event_id.as_deref().unwrap_or(""),
+            "response ended with its connection"
+        );
+    }
+    match body_end::meaning(end, content) {
+        EndMeaning::Whole => None,
+        EndMeaning::Broken(reason) => Some(reason),
+        EndMeaning::WholeIfAlive => {
+            let ended = quarantine::has_ended(shared, &source.slot.target, source.slot.address);
+            ended.await.then_some(BreakReason::ProcessEnded)
+        }
+    }
+}
+
 /// Logs and counts a response that broke off.
 fn broken(
     shared: &GatewayShared,
@@ -248,7 +286,7 @@
     shared.metrics.responses_broken.with_label_values(&[reason.slug()]).inc();
     tracing::info!(
         request_id = %request.terms.id,
-        target_id = %source.target,
+        target_id = %source.slot.target,
         reason = reason.slug(),
         framing = framing_slug(source.framing),
         events_passed = request.last_event_id.as_deref().unwrap_or(""),
@@ -260,29 +298,6 @@
     })
 }
 
-/// Logs and counts the end of a body that only the connection shows, or that is inside an event.
-fn record_end(
-    shared: &GatewayShared,
-    request: &RequestState,
-    source: BodySource<'_>,
-    partial_bytes: usize,
-) {
-    let end = BodyEnd::of(source.framing);
-    if end == BodyEnd::Closed {
-        shared.metrics.responses_closed.inc();
-    }
-    if end == BodyEnd::Closed || partial_bytes > 0 {
-        tracing::info!(
-            request_id = %request.terms.id,
-            target_id = %source.target,
-            framing = framing_slug(source.framing),
-            partial_bytes,
-            events_passed = request.last_event_id.as_deref().unwrap_or(""),
-            "response ended without framing, or inside an event"
-        );
-    }
-}
-
 async fn write_before(
     caller: &mut HttpConnection,
     bytes: &[u8],
@@ -294,10 +309,15 @@
     }
 }
 
-fn return_connection(shared: &GatewayShared, target: &TargetId, response: OpenResponse) {
-    if response.head.keeps_alive() {
+fn return_connection(
+    shared: &GatewayShared,
+    request: &RequestState,
+    slot: &SlotGuard,
+    response: OpenResponse,
+) {
+    if response.is_reusable(&request.head.method) {
         let now = Instant::now();
         let idle_timeout = response.marks.keep_alive;
-        shared.pool.borrow_mut().put(target, response.connection, idle_timeout, now);
+        shared.pool.borrow_mut().put(&slot.target, response.connection, idle_timeout, now);
     }
 }
--- a/tests/all/caller_codec.rs
+++ b/tests/all/caller_codec.rs
@@ -187,7 +187,7 @@
             }
             rest = tail;
         }
-        prop_assert!(buffer.partial_event().is_empty());
+        prop_assert!(buffer.remainder().is_empty());
         prop_assert_eq!(seen, stream.as_bytes());
     }
 }
--- a/tests/all/event_buffer.rs
+++ b/tests/all/event_buffer.rs
@@ -67,7 +67,26 @@
             prop_assert_eq!(forwarded.len(), complete_bytes(&blocks, arrived));
         }
         prop_assert_eq!(forwarded, stream.as_bytes());
-        prop_assert_eq!(buffer.partial_event(), b"");
+        prop_assert_eq!(buffer.remainder(), b"");
+        prop_assert!(!buffer.is_inside_event());
+    }
+
+    /// Guards against whole streams that are taken for broken ones, and the other way round: only
+    /// comments may follow the last event.
+    #[test]
+    fn a_stream_ends_inside_an_event_unless_only_comments_follow(
+        blocks in prop::collection::vec(blocks(), 1..4),
+        cut_bytes in 0_usize..80,
+    ) {
+        let stream = blocks.concat();
+        let stream = &stream[..stream.len().saturating_sub(cut_bytes)];
+        let mut buffer = EventBuffer::default();
+        buffer.push(stream.as_bytes());
+        let rest = &stream[complete_bytes(&blocks, stream.len())..];
+        let line_ended = rest.is_empty() || rest.ends_with(['\n', '\r']);
+        let lines = rest.split(['\n', '\r']);
+        let only_comments = lines.into_iter().all(|line| line.is_empty() || line.starts_with(':'));
+        prop_assert_eq!(buffer.is_inside_event(), !(line_ended && only_comments));
     }
 }
 
--- a/tests/all/fleet/broken_off.rs
+++ b/tests/all/fleet/broken_off.rs
@@ -72,63 +72,55 @@
     bodies
 }
 
-/// Streams that end inside an event, in every framing and with every end but those that the
-/// connection itself shows to be broken.
-fn streams_cut_inside_an_event() -> Vec<ScriptedResponse> {
-    let mut responses = Vec::new();
-    for framing in FRAMINGS {
-        for line_end in LINE_ENDS {
-            for end in [ScriptedEnd::Framed, ScriptedEnd::ProcessEnded] {
-                if end == ScriptedEnd::Framed || ends_with_connection(framing) {
-                    let body = cut_inside_an_event(line_end);
-                    let content_type = EVENT_STREAM;
-                    responses.push(ScriptedResponse { framing, end, content_type, body });
-                }
+/// Sends requests to targets that end their responses so, at each path, and fails if any response
+/// looks complete.
+async fn assert_none_complete(responses: &[ScriptedResponse], paths: &[&str]) {
+    let mut complete = 0;
+    for response in responses {
+        for path in paths {
+            let bodies = complete_bodies(path, response).await.len();
+            if bodies > 0 {
+                println!("{bodies} of {REQUESTS} complete: {path}, {response:?}");
             }
+            complete += bodies;
         }
     }
-    responses
+    let sent = responses.len() * paths.len() * REQUESTS;
+    assert_eq!(complete, 0, "of {sent} responses, so many look complete");
+}
+
+fn response(framing: ScriptedFraming, end: ScriptedEnd, body: String) -> ScriptedResponse {
+    ScriptedResponse { framing, end, content_type: EVENT_STREAM, body }
 }
 
 /// Guards against half a sentence that looks like a whole answer: a stream that ends inside an
 /// event, framed as complete by its target or by the close of the connection.
 #[actix_rt::test]
 async fn a_stream_that_ends_inside_an_event_is_never_complete() {
-    for response in streams_cut_inside_an_event() {
-        for path in STREAM_PATHS {
-            let bodies = complete_bodies(path, &response).await;
-            assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
+    let mut responses = Vec::new();
+    for framing in FRAMINGS {
+        for line_end in LINE_ENDS {
+            responses.push(response(framing, ScriptedEnd::Framed, cut_inside_an_event(line_end)));
+            if ends_with_connection(framing) {
+                let body = cut_inside_an_event(line_end);
+                responses.push(response(framing, ScriptedEnd::ProcessEnded, body));
+            }
         }
     }
+    assert_none_complete(&responses, &STREAM_PATHS).await;
 }
 
 /// Guards against a short response that looks complete because the target's process ended without
 /// a reset, after its head or between two events.
 #[actix_rt::test]
 async fn a_response_whose_target_has_ended_is_never_complete() {
+    let end = ScriptedEnd::ProcessEnded;
     for framing in [ScriptedFraming::UntilClose, ScriptedFraming::AnnouncedClose] {
-        for events_sent in [0, 3] {
-            let response = ScriptedResponse {
-                framing,
-                end: ScriptedEnd::ProcessEnded,
-                content_type: EVENT_STREAM,
-                body: events(events_sent, "\n"),
-            };
-            for path in STREAM_PATHS {
-                let bodies = complete_bodies(path, &response).await;
-                assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
-            }
-        }
-        let response = ScriptedResponse {
-            framing,
-            end: ScriptedEnd::ProcessEnded,
-            content_type: "application/json",
-            body: "{\"half\":".to_owned(),
-        };
-        for path in PLAIN_PATHS {
-            let bodies = complete_bodies(path, &response).await;
-            assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
-        }
+        let streams = [0, 3].map(|last| response(framing, end, events(last, "\n")));
+        assert_none_complete(&streams, &STREAM_PATHS).await;
+        let mut plain = response(framing, end, "{\"half\":".to_owned());
+        plain.content_type = "application/json";
+        assert_none_complete(&[plain], &PLAIN_PATHS).await;
     }
 }
 
@@ -136,37 +128,24 @@
 /// stream without length or chunks.
 #[actix_rt::test]
 async fn a_stream_that_closes_before_its_first_event_is_never_complete() {
-    for framing in [ScriptedFraming::UntilClose, ScriptedFraming::AnnouncedClose] {
-        let response = ScriptedResponse {
-            framing,
-            end: ScriptedEnd::Framed,
-            content_type: EVENT_STREAM,
-            body: String::new(),
-        };
-        for path in STREAM_PATHS {
-            let bodies = complete_bodies(path, &response).await;
-            assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
-        }
-    }
+    let responses = [ScriptedFraming::UntilClose, ScriptedFraming::AnnouncedClose]
+        .map(|framing| response(framing, ScriptedEnd::Framed, String::new()));
+    assert_none_complete(&responses, &STREAM_PATHS).await;
 }
 
 /// Guards against short responses whose connection shows that they are: closed early, or reset.
 #[actix_rt::test]
 async fn a_response_that_its_connection_shows_to_be_broken_is_never_complete() {
+    let ends = [ScriptedEnd::Closed, ScriptedEnd::Reset, ScriptedEnd::ProcessEnded];
     for framing in FRAMINGS {
-        for end in [ScriptedEnd::Closed, ScriptedEnd::Reset, ScriptedEnd::ProcessEnded] {
-            if end != ScriptedEnd::Reset && ends_with_connection(framing) {
-                continue;
-            }
-            for (paths, body) in [(STREAM_PATHS, events(3, "\n")), (PLAIN_PATHS, "half".to_owned())]
-            {
-                let response = ScriptedResponse { framing, end, content_type: EVENT_STREAM, body };
-                for path in paths {
-                    let bodies = complete_bodies(path, &response).await;
-                    assert_eq!(bodies, Vec::<String>::new(), "{path}, {response:?}");
-                }
-            }
-        }
+        let shows =
+            |end: &ScriptedEnd| *end == ScriptedEnd::Reset || !ends_with_connection(framing);
+        let ends = ends.into_iter().filter(shows);
+        let streams: Vec<_> =
+            ends.clone().map(|end| response(framing, end, events(3, "\n"))).collect();
+        let plain: Vec<_> = ends.map(|end| response(framing, end, "half".to_owned())).collect();
+        assert_none_complete(&streams, &STREAM_PATHS).await;
+        assert_none_complete(&plain, &PLAIN_PATHS).await;
     }
 }
 
@@ -207,7 +186,7 @@
         (ScriptedFraming::Chunked, ScriptedEnd::Framed, cut_inside_an_event("\n")),
     ];
     for (framing, end, body) in cases {
-        let response = ScriptedResponse { framing, end, content_type: EVENT_STREAM, body };
+        let response = response(framing, end, body);
         let mut bed = start_bed().await;
         let (one, two) = (bed.start_target("i-1").await, bed.start_target("i-2").await);
         one.then(Script::Send(response.clone()));
