A stream goes on with a stream or not at all

Callers could see the head of another response between two chunks of their stream, and an entry could keep their connection open afterwards: a stream broke off, and the target where it went on responded with an error or with something that is no stream. relay::buffered wrote that response as if nothing had been sent.

Such a response is no-continuation now: the next target is asked, or the caller's connection is reset.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -53,6 +53,8 @@
     OtherTarget,
     /// The connection failed or the response is invalid; the request may have run.
     Broken,
+    /// The response is whole but cannot continue the stream that the caller has begun to receive.
+    NoContinuation,
     /// No response before the deadline of the attempt; the request may have run.
     TimedOut,
     /// The caller disconnected.
@@ -67,6 +69,7 @@
             Self::Full => "target-full",
             Self::OtherTarget => "other-target",
             Self::Broken => "broken-answer",
+            Self::NoContinuation => "no-continuation",
             Self::TimedOut => "no-answer",
             Self::CallerLeft => "caller-left",
         }
@@ -74,7 +77,7 @@
 
     /// Whether the request may have run at the target.
     pub(crate) fn may_have_run(self) -> bool {
-        matches!(self, Self::Broken | Self::TimedOut)
+        matches!(self, Self::Broken | Self::NoContinuation | Self::TimedOut)
     }
 
     /// Whether the request reached the target.
@@ -87,7 +90,9 @@
         match self {
             Self::Unreachable => AttemptOutcome::Unreachable,
             Self::Full => AttemptOutcome::Full,
-            Self::OtherTarget | Self::Broken | Self::TimedOut => AttemptOutcome::Failed,
+            Self::OtherTarget | Self::Broken | Self::NoContinuation | Self::TimedOut => {
+                AttemptOutcome::Failed
+            }
             Self::CallerLeft => AttemptOutcome::Abandoned,
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -391,6 +391,9 @@
     let is_stream = request.route.kind.is_stream() && is_success && !response.marks.plain;
     if is_stream {
         relay::stream(shared, caller, request, slot, response).await
+    } else if request.response_started {
+        // Its head would be written between two chunks of the caller's response.
+        RelayOutcome::Broken(AttemptFailure::NoContinuation)
     } else {
         relay::buffered(shared, caller, request, slot, response).await
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -55,8 +55,8 @@
 }
 
 /// Reasons for retrying a request, each with its own counter.
-const RETRY_REASONS: [&str; 5] =
-    ["unreachable", "target-full", "other-target", "broken-answer", "no-answer"];
+const RETRY_REASONS: [&str; 6] =
+    ["unreachable", "target-full", "other-target", "broken-answer", "no-continuation", "no-answer"];
 
 impl GatewayMetrics {
     fn new(metrics: &DaemonMetrics) -> Self {
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -36,6 +36,8 @@
     Slow(Duration),
     /// Sends this response and ends its connection.
     Send(ScriptedResponse),
+    /// Breaks off after this event; to a request that resumes a stream it does the other.
+    CutThen(u64, Box<Script>),
 }
 
 /// How the end of a scripted body is marked.
@@ -209,6 +211,11 @@
             let is_stream = head.path().starts_with("/stream/");
             self.arrivals.borrow_mut().push(arrival.clone());
             let script = self.script.borrow_mut().pop_front().unwrap_or(Script::Answer);
+            let script = match script {
+                Script::CutThen(_, second) if arrival.last_event.is_some() => *second,
+                Script::CutThen(last, _) => Script::CutAfter(last),
+                script => script,
+            };
             if let Script::Send(response) = script {
                 return self.send(connection, &arrival, &response).await;
             }
@@ -253,7 +260,7 @@
             }
             Script::Unsigned => whole("200 OK", "", "anything"),
             Script::Twice => whole("200 OK", &signed, &own).repeat(2),
-            Script::Close | Script::Send(_) => return false,
+            Script::Close | Script::Send(_) | Script::CutThen(..) => return false,
             Script::Hang => {
                 if connection.wait_for_message().await.is_err() {
                     self.reset_count.set(self.reset_count.get() + 1);
--- a/tests/all/fleet/broken_off.rs
+++ b/tests/all/fleet/broken_off.rs
@@ -4,6 +4,7 @@
     EVENTS, FleetBed, Script, ScriptedEnd, ScriptedFraming, ScriptedResponse, default_config,
     request,
 };
+use egretseam_h1::ReadError;
 use serde_json::json;
 
 /// Requests for each case.
@@ -203,3 +204,27 @@
         assert!(resumed(), "{response:?}");
     }
 }
+
+/// Guards against a response head in the middle of a stream: a stream breaks off, and the target
+/// where it should go on responds with an error, or with something that is no stream.
+#[actix_rt::test]
+async fn a_stream_never_goes_on_with_another_kind_of_response() {
+    let plain = ScriptedResponse {
+        content_type: "application/json",
+        ..response(ScriptedFraming::Length, ScriptedEnd::Framed, "{}".to_owned())
+    };
+    for second in [Script::Fail, Script::Send(plain)] {
+        let mut bed = start_bed().await;
+        let (one, two) = (bed.start_target("i-1").await, bed.start_target("i-2").await);
+        for number in 0..REQUESTS {
+            for target in [&one, &two] {
+                target.reset();
+                target.then(Script::CutThen(3, Box::new(second.clone())));
+            }
+            let text = request("/stream/1", &format!("r{number}"), "", "");
+            let error = bed.send_request(&text).await.expect_err("the stream broke off");
+            let is_visible = matches!(error, ReadError::Closed | ReadError::Io(_));
+            assert!(is_visible, "bytes that are no chunk: {error:?}, {second:?}");
+        }
+    }
+}
