Soak: responses without length or chunks, streams that end inside an event, excess bytes

The soak's targets framed every response, so it could not find that a response which ends with its connection looks complete. A quarter of the responses end with their connection now, one stream in twenty ends inside an event, and some have bytes after their end. Callers compare every stream event by event, as before. A relay that resets does so with SO_LINGER 0; an orderly close would end responses without a length as if they were whole. A stream that its target cut may break off at its caller; before, no target did that.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -86,7 +86,10 @@
         .with_context(|| format!("start {}", program.display()))?;
     let mut targets = Vec::new();
     for number in 0..4 {
-        targets.push(SoakTarget::start(number, fleet.control_calls(), ledger.clone()).await?);
+        let target_seed = seed.wrapping_add(number as u64);
+        let started =
+            SoakTarget::start(number, fleet.control_calls(), ledger.clone(), target_seed).await;
+        targets.push(started?);
     }
     let operator = OperatorTask::start(fleet.control_calls(), ledger.clone());
     operator.wait_first().await?;
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -17,6 +17,8 @@
     runs: u32,
     /// The caller was told that it has not run and never will.
     told_not_run: bool,
+    /// A target ended its stream inside an event.
+    cut: bool,
 }
 
 /// Requests, runs and violations of one soak.
@@ -58,6 +60,19 @@
         row.runs += 1;
     }
 
+    /// Notes that a target ends a stream inside an event.
+    pub(super) fn note_cut(&self, id: &str) {
+        if let Some(row) = self.requests.borrow_mut().get_mut(id) {
+            row.cut = true;
+        }
+    }
+
+    /// Whether a target ended a stream of this request inside an event, so that the caller may see
+    /// it break off.
+    pub(super) fn was_cut(&self, id: &str) -> bool {
+        self.requests.borrow().get(id).is_some_and(|row| row.cut)
+    }
+
     pub(super) fn note_answered(&self) {
         self.answered.set(self.answered.get() + 1);
         if let Some((asked, served)) = self.afterwards.get() {
--- a/crates/bench/src/soak/relay.rs
+++ b/crates/bench/src/soak/relay.rs
@@ -1,9 +1,13 @@
 //! A loopback relay in front of a target, which does to its connections what networks do.
 
+use socket2::SockRef;
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{ReadHalf, WriteHalf},
+    },
 };
 
 /// Added to each piece of a delayed connection.
@@ -52,29 +56,34 @@
     Ok(address)
 }
 
-async fn pass(near: TcpStream, far: TcpStream, fault: Rc<Cell<RelayFault>>) {
-    let resetting = fault.clone();
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
+async fn pass(mut near: TcpStream, mut far: TcpStream, fault: Rc<Cell<RelayFault>>) {
+    let (near_read, near_write) = near.split();
+    let (far_read, far_write) = far.split();
     let held_there = |fault: RelayFault| fault == RelayFault::Silence;
     let held_back = |fault: RelayFault| matches!(fault, RelayFault::Silence | RelayFault::OneWay);
-    tokio::select! {
-        () = copy(near_read, far_write, fault.clone(), held_there) => {}
-        () = copy(far_read, near_write, fault, held_back) => {}
-        () = reset(resetting) => {}
+    let is_reset = tokio::select! {
+        () = copy(near_read, far_write, fault.clone(), held_there) => false,
+        () = copy(far_read, near_write, fault.clone(), held_back) => false,
+        () = wait_for_reset(fault) => true,
+    };
+    if is_reset {
+        // An orderly close would end responses without a length as if they were whole.
+        for stream in [&near, &far] {
+            SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok();
+        }
     }
 }
 
-/// Ends when connections are to be reset; dropping both ends with unread bytes resets them.
-async fn reset(fault: Rc<Cell<RelayFault>>) {
+/// Ends when connections are to be reset.
+async fn wait_for_reset(fault: Rc<Cell<RelayFault>>) {
     while fault.get() != RelayFault::Reset {
         tokio::time::sleep(LOOK).await;
     }
 }
 
 async fn copy(
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     fault: Rc<Cell<RelayFault>>,
     holds: impl Fn(RelayFault) -> bool,
 ) {
--- a/crates/bench/src/soak/stand_ins.rs
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -7,8 +7,8 @@
 use anyhow::bail;
 use bytes::Bytes;
 use egretseam_h1::{
-    BodyReader, CallRequest, ConnectionOptions, HttpConnection, RequestHead, chunk_frame, exchange,
-    last_chunk,
+    BodyReader, CallRequest, ConnectionOptions, HeadWriter, HttpConnection, RequestHead,
+    chunk_frame, exchange, last_chunk,
 };
 use egretseam_platform::stand_in;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -28,6 +28,8 @@
 const SLOTS: u32 = 32;
 /// Timeout of the routes in milliseconds.
 const ROUTE_MILLIS: u64 = 3_500;
+/// Share of the streams that end inside an event.
+const CUT_SHARE: f64 = 0.05;
 /// Work of one request, and pause between two events.
 const WORK: Duration = Duration::from_millis(15);
 const ANNOUNCE: Duration = Duration::from_millis(500);
@@ -48,6 +50,27 @@
     Some((reply.status, reply.body))
 }
 
+/// How a target frames one response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseFraming {
+    /// By a length or chunks.
+    Framed,
+    /// By the same, with bytes after the end that belong to no response.
+    FramedWithExcess,
+    /// By the end of its connection.
+    UntilClose,
+}
+
+impl ResponseFraming {
+    fn draw(random: &mut SmallRng) -> Self {
+        match random.random_range(0..100) {
+            0..70 => Self::Framed,
+            70..75 => Self::FramedWithExcess,
+            _ => Self::UntilClose,
+        }
+    }
+}
+
 /// A target behind a relay; every run goes into the ledger.
 pub(super) struct SoakTarget {
     fault: Rc<Cell<RelayFault>>,
@@ -56,6 +79,7 @@
     /// Requests a second that it says it takes.
     limit: Cell<Option<f64>>,
     arrivals: RefCell<Vec<Instant>>,
+    random: RefCell<SmallRng>,
 }
 
 impl SoakTarget {
@@ -63,13 +87,15 @@
         number: usize,
         control: Vec<SocketAddr>,
         ledger: Rc<SoakLedger>,
+        seed: u64,
     ) -> anyhow::Result<Rc<Self>> {
         let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await?;
         let fault = Rc::new(Cell::new(RelayFault::None));
         let address = relay::start(listener.local_addr()?, fault.clone()).await?;
         let id = format!("soak-{number}-{}", address.port());
         let (limit, arrivals) = (Cell::default(), RefCell::default());
-        let target = Rc::new(Self { fault, ledger, id, limit, arrivals });
+        let random = RefCell::new(SmallRng::seed_from_u64(seed));
+        let target = Rc::new(Self { fault, ledger, id, limit, arrivals, random });
         actix_rt::spawn(target.clone().announce(address, control));
         let serving = target.clone();
         actix_rt::spawn(async move {
@@ -141,21 +167,68 @@
         if let Some(limit) = self.limit.get() {
             stand_in::name_limit(&mut writer, limit);
         }
-        if !head.path().starts_with("/stream/") {
-            return connection.write(&writer.finish_with(id.as_bytes())).await.is_ok();
+        let framing = ResponseFraming::draw(&mut self.random.borrow_mut());
+        if head.path().starts_with("/stream/") {
+            let from = stand_in::last_event_id(head);
+            return self.stream(connection, writer, framing, &id, from).await;
+        }
+        let message = if framing == ResponseFraming::UntilClose {
+            let mut message = writer.finish().to_vec();
+            message.extend_from_slice(id.as_bytes());
+            message.into()
+        } else {
+            writer.finish_with(id.as_bytes())
+        };
+        connection.write(&message).await.is_ok() && end(connection, framing).await
+    }
+
+    /// Sends the events after `from`; returns whether the connection goes on. Some streams end
+    /// inside an event, framed as if they were whole.
+    async fn stream(
+        &self,
+        connection: &mut HttpConnection,
+        mut writer: HeadWriter,
+        framing: ResponseFraming,
+        id: &str,
+        from: u64,
+    ) -> bool {
+        let is_chunked = framing != ResponseFraming::UntilClose;
+        if is_chunked {
+            writer.text("Transfer-Encoding", "chunked");
         }
-        writer.text("Transfer-Encoding", "chunked");
         if connection.write(&writer.finish()).await.is_err() {
             return false;
         }
-        for event in stand_in::last_event_id(head) + 1..=EVENTS {
+        let breaks_after = {
+            let mut random = self.random.borrow_mut();
+            random.random_bool(CUT_SHARE).then(|| random.random_range(0..EVENTS))
+        };
+        for event in from + 1..=EVENTS {
             tokio::time::sleep(WORK).await;
-            let event = chunk_frame(format!("id: {event}\ndata: {id}\n\n").as_bytes());
-            if connection.write(&event).await.is_err() {
+            let is_cut = breaks_after.is_some_and(|last| event > last);
+            let text = format!("id: {event}\ndata: {id}\n\n");
+            let text = if is_cut { &text[..text.len() / 2] } else { &text };
+            let bytes =
+                if is_chunked { chunk_frame(text.as_bytes()) } else { text.to_owned().into() };
+            if connection.write(&bytes).await.is_err() {
                 return false;
             }
+            if is_cut {
+                self.ledger.note_cut(id);
+                break;
+            }
         }
-        connection.write(last_chunk()).await.is_ok()
+        let is_ended = !is_chunked || connection.write(last_chunk()).await.is_ok();
+        is_ended && end(connection, framing).await
+    }
+}
+
+/// What follows a response; returns whether the connection goes on.
+async fn end(connection: &mut HttpConnection, framing: ResponseFraming) -> bool {
+    match framing {
+        ResponseFraming::Framed => true,
+        ResponseFraming::FramedWithExcess => connection.write(b"excess").await.is_ok(),
+        ResponseFraming::UntilClose => false,
     }
 }
 
@@ -220,7 +293,7 @@
                 self.ledger.note_answered();
             }
             (200, None) => {
-                if began_calm && self.ledger.is_calm() {
+                if began_calm && self.ledger.is_calm() && !self.ledger.was_cut(id) {
                     self.ledger.violation(id, format!("{id} was cut off by nothing but a stop"));
                 }
                 self.ledger.note_failure(id, 0);
