Gate: a plain service's stream that ends inside an event is not whole

Callers of a plain service behind a gate got a stream that ended inside an event as complete, and with an idempotency key that response was kept. Models' streams have a last event, which the gate looks for; other streams had no check.

StreamEnd decides for relayed and kept responses alike: framing alone, the last event, or the end of an event. EventScanner, which knows where events end without keeping them, moves to egretseam_http for gateway and agent.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -6,7 +6,9 @@
 //! progress.
 
 mod relay;
+mod stream_end;
 
+use self::stream_end::StreamEnd;
 use crate::{
     keys::{KeyLookup, KeyResult, StoredResponse},
     runtime::TargetKind,
@@ -45,8 +47,6 @@
 const LIMIT_HEADROOM_DIVISOR: u32 = 4;
 /// Time left for a request without a deadline header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
-/// The last event of a model's stream.
-const DONE_EVENT: &[u8] = b"data: [DONE]";
 
 /// Whether a rejection certifies that its idempotency key will never run at this target.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -332,6 +332,7 @@
 ) -> Result<StoredResponse, FailureReport> {
     let mut response = send_to_target(shared, admitted).await?;
     let broken = |detail: String| FailureReport::may_have_run(RefusalReason::BrokenAnswer, detail);
+    let mut stream_end = StreamEnd::of(shared, &response);
     let mut body = BytesMut::new();
     while let Some(piece) = response.next().await {
         let piece = piece.map_err(|error| broken(error.to_string()))?;
@@ -339,10 +340,11 @@
             return Err(broken("the answer is too large to keep".to_owned()));
         }
         shared.pacer.charge(piece.len());
+        stream_end.push(&piece);
         body.extend_from_slice(&piece);
     }
-    if is_event_stream(&response) && is_model(shared) && !has_done_event(&body) {
-        return Err(broken("the stream ended without its last event".to_owned()));
+    if !stream_end.is_reached() {
+        return Err(broken("the stream ended before it was whole".to_owned()));
     }
     shared.counters.answered.inc();
     let text = |(name, value): (&HeaderName, &actix_http::header::HeaderValue)| {
@@ -417,7 +419,3 @@
     header_text(response.headers(), "content-type")
         .is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
-
-fn has_done_event(bytes: &[u8]) -> bool {
-    bytes.windows(DONE_EVENT.len()).any(|window| window == DONE_EVENT)
-}
--- a/crates/agent/src/gate/relay.rs
+++ b/crates/agent/src/gate/relay.rs
@@ -1,13 +1,13 @@
 //! Forwards a target's response as it arrives, and tells complete responses from broken ones.
 
-use super::{AdmittedRequest, has_done_event, is_event_stream, is_model};
+use super::{AdmittedRequest, stream_end::StreamEnd};
 use crate::shared::{AgentShared, InFlightGuard};
 use actix_http::{
     Response,
     body::{BodyStream, BoxBody, SizedStream},
 };
 use awc::ClientResponse;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use egretseam_http::{HttpReply, forwarded_headers, header_text};
 use egretseam_proto::VERSION_HEADER;
 use futures::StreamExt;
@@ -29,14 +29,12 @@
         builder.insert_header((VERSION_HEADER, version));
     }
     let length = header_text(response.headers(), "content-length").and_then(|t| t.parse().ok());
-    let needs_done_event =
-        is_event_stream(&response) && response.status().is_success() && is_model(&shared);
+    let stream_end = StreamEnd::of(&shared, &response);
     let relay = ResponseRelay {
         shared,
         response,
         deadline: admitted.deadline,
-        needs_done_event,
-        tail: BytesMut::new(),
+        stream_end,
         failed: false,
         _guard: guard,
     };
@@ -52,10 +50,7 @@
     shared: Rc<AgentShared>,
     response: ClientResponse,
     deadline: Instant,
-    /// Whether the response is complete only with the last event of a model's stream.
-    needs_done_event: bool,
-    /// The last bytes forwarded, enough to hold the last event.
-    tail: BytesMut,
+    stream_end: StreamEnd,
     failed: bool,
     _guard: InFlightGuard,
 }
@@ -69,14 +64,14 @@
         let error = match piece {
             Ok(Some(Ok(piece))) => {
                 self.shared.pacer.charge(piece.len());
-                self.append_to_tail(&piece);
+                self.stream_end.push(&piece);
                 return Some((Ok(piece), self));
             }
-            Ok(None) if !self.needs_done_event || has_done_event(&self.tail) => {
+            Ok(None) if self.stream_end.is_reached() => {
                 self.shared.counters.answered.inc();
                 return None;
             }
-            Ok(None) => io::Error::other("the stream ended without its last event"),
+            Ok(None) => io::Error::other("the stream ended before it was whole"),
             Ok(Some(Err(error))) => io::Error::other(error.to_string()),
             Err(_) => io::Error::from(io::ErrorKind::TimedOut),
         };
@@ -85,14 +80,4 @@
         self.failed = true;
         Some((Err(error), self))
     }
-
-    fn append_to_tail(&mut self, piece: &Bytes) {
-        const TAIL_BYTES: usize = 64;
-        if !self.needs_done_event {
-            return;
-        }
-        self.tail.extend_from_slice(piece);
-        let excess = self.tail.len().saturating_sub(TAIL_BYTES);
-        self.tail = self.tail.split_off(excess);
-    }
 }
--- a/crates/fakes/src/booking.rs
+++ b/crates/fakes/src/booking.rs
@@ -1,7 +1,9 @@
 //! A fake plain service with a call that is not idempotent: `POST /orders` books an order, and
-//! `GET /orders/<id>` reads how often it was booked.
+//! `GET /orders/<id>` reads how often it was booked. `GET /events/whole` and `GET /events/cut` send a
+//! stream of events, the second one without the end of its last event.
 
-use actix_http::{Method, Request, StatusCode};
+use actix_http::{Method, Request, Response, StatusCode, body::BodyStream};
+use bytes::Bytes;
 use egretseam_http::{
     HttpHandler, HttpReply, ServerHandle, ServerOptions, json_reply, read_body, spawn_server,
     text_reply,
@@ -100,11 +102,21 @@
                 let run = self.ledger.booking_count(&id);
                 json_reply(StatusCode::OK, &OrderReply { id, run })
             }
+            (&Method::GET, "/events/whole") => event_reply(b"data: 1\n\ndata: 2\n\n"),
+            (&Method::GET, "/events/cut") => event_reply(b"data: 1\n\ndata: "),
             _ => text_reply(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
 }
 
+/// A stream of events in chunks, with the last chunk, whatever the events are.
+fn event_reply(events: &'static [u8]) -> HttpReply {
+    let pieces = futures::stream::iter([Ok::<_, io::Error>(Bytes::from_static(events))]);
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header(("content-type", "text/event-stream"));
+    builder.body(BodyStream::new(pieces)).map_into_boxed_body()
+}
+
 impl HttpHandler for FakeBookingService {
     fn handle(self: Rc<Self>, request: Request) -> LocalBoxFuture<'static, HttpReply> {
         Box::pin(async move { self.respond(request).await })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,10 +4,11 @@
 //! [`GatewayRuntime`] owns the listeners and tasks of one process, all on one thread. `caller`
 //! serves a caller's connection, `forward` one request (it decides after each attempt whether the
 //! request may be retried) and `attempt` one attempt; `relay` forwards a stream's events as they
-//! arrive. `dispatch` holds the tables of [`egretseam_serving`] and the requests that wait for a
-//! slot; `follow` updates the tables from the feeds of all control members; `loads` updates them
-//! from load datagrams; `quarantine` keeps requests from running that end their targets, and
-//! `evidence` exchanges what entries know of them; `directory` replies to callers' lookups of entry addresses.
+//! arrive, and `body_end` decides whether a response is whole. `dispatch` holds the tables of
+//! [`egretseam_serving`] and the requests that wait for a slot; `follow` updates the tables from
+//! the feeds of all control members; `loads` updates them from load datagrams; `quarantine` keeps
+//! requests from running that end their targets, and `evidence` exchanges what entries know of
+//! them; `directory` replies to callers' lookups of entry addresses.
 //! [`CallerDialect`] defines header names and message formats.
 
 mod acquire;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod client;
 mod connection;
+mod events;
 mod headers;
 mod metrics;
 mod reply;
@@ -18,6 +19,7 @@
 pub use crate::{
     body::{read_body, read_json},
     client::{ClientOptions, check_framing, classify_send_error, http_client},
+    events::EventScanner,
     headers::{forwarded_headers, header_text},
     metrics::DaemonMetrics,
     reply::{failure_from_headers, failure_reply, json_reply, text_reply},
--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -1,11 +1,13 @@
 //! Streamed responses while targets fail, leave and change their version.
 
 use crate::support::{
-    API_KEY, CHUNK_BYTES, MODEL_BYTES, TestCluster, WAIT_TIMEOUT, cluster_options, model_profile,
+    API_KEY, CHUNK_BYTES, MODEL_BYTES, TestCluster, WAIT_TIMEOUT, block_on, cluster_options,
+    model_profile,
 };
 use egretseam_catalog::ConfigEdit;
+use egretseam_http::{ClientOptions, http_client};
 use egretseam_local::{CallOutcome, LoadGenerator, LoadOptions};
-use egretseam_proto::{ProfileName, TargetState};
+use egretseam_proto::{IDEMPOTENCY_HEADER, ProfileName, TargetState};
 use std::{sync::atomic::Ordering, time::Duration};
 
 /// A target breaks off its streamed responses midway. Each stream must continue at another target
@@ -153,3 +155,32 @@
         assert_eq!(outcome, CallOutcome::Answered);
     }
 }
+
+/// Guards against a stream of a plain service that ends inside an event and looks complete, relayed
+/// and kept for a key.
+#[test]
+fn a_plain_stream_that_ends_inside_an_event_is_never_complete() {
+    let test = TestCluster::start(cluster_options(0, 2));
+    let ask = |path: &str, key: Option<&str>| {
+        let address = test.cluster.caller_addresses()[0].clone();
+        let url = format!("http://{address}/services/orders/{path}");
+        let key = key.map(str::to_owned);
+        block_on(async move {
+            let client = http_client(ClientOptions::default());
+            let mut request = client.get(url).bearer_auth(API_KEY).timeout(WAIT_TIMEOUT);
+            if let Some(key) = key {
+                request = request.insert_header((IDEMPOTENCY_HEADER, key));
+            }
+            let mut response = request.send().await.expect("a response");
+            let body = response.body().await.ok();
+            body.filter(|_| response.status().is_success())
+        })
+    };
+    for key in [None, Some("key-1")] {
+        let whole = ask("events/whole", key);
+        assert_eq!(whole.as_deref(), Some(&b"data: 1\n\ndata: 2\n\n"[..]), "{key:?}");
+    }
+    for key in [None, Some("key-2")] {
+        assert_eq!(ask("events/cut", key), None, "{key:?}");
+    }
+}
