Rests that rejections ask for, and targets that leave, are read, logged and counted

Both are decoded once, in platform/: seconds with fractions, or a date, measured from the response's own Date, since clocks of instances differ; negative, not finite, unreadable or repeated values are invalid and counted. Nothing is decided by them yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: sends a request to one target and reads the head of its response.
 
 use crate::{
+    backpressure,
     dialect::{ResponseMetadata, TargetRequest},
     dispatch::SlotGuard,
     limits,
@@ -195,6 +196,7 @@
         }
     };
     limits::record_named(shared, slot, &marks, sent.sent_at);
+    backpressure::record(shared, slot, &marks);
     if let Some(busy) = marks.load {
         let now = Instant::now();
         shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use egretseam_h1::{RequestHead, ResponseHead};
 use egretseam_proto::{ModelName, OrganisationName};
-use egretseam_serving::{NamedLimit, TargetId};
+use egretseam_serving::{NamedLimit, RequestedRest, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
 /// Headers of a caller's request other than those for routing and framing.
@@ -57,10 +57,22 @@
     pub load: Option<u32>,
     /// Rate of requests that the target takes from all entries together.
     pub limit: NamedLimit,
+    /// Time for which the target wants no request of this entry; only of rejections.
+    pub rest: RequestedRest,
+    /// Whether the target states that it leaves.
+    pub leaving: bool,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
 
+impl ResponseMetadata {
+    /// Whether the response is that of the addressed target: nothing else carries a signature,
+    /// rejects a request or knows its id. Anything else may be bytes that are no response.
+    pub(crate) fn is_of_target(&self) -> bool {
+        !self.wrong_target && (self.signed || self.not_executed || self.request_id.is_some())
+    }
+}
+
 /// A caller's lookup of entry addresses.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LookupQuery {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod acquire;
 mod attempt;
+mod backpressure;
 mod body_end;
 mod caller;
 mod dialect;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -43,6 +43,9 @@
     pub(crate) targets_ended: IntCounter,
     pub(crate) targets_limited: IntGauge,
     pub(crate) limits_invalid: IntCounter,
+    pub(crate) rests_requested: IntCounter,
+    pub(crate) rests_invalid: IntCounter,
+    pub(crate) targets_leaving: IntCounter,
     pub(crate) limited_requests: IntCounter,
     pub(crate) limits_rejected: IntCounter,
     pub(crate) end_checks: IntCounter,
@@ -109,6 +112,18 @@
                 "egretseam_gateway_limits_invalid_total",
                 "Responses with a limit that cannot be read.",
             ),
+            rests_requested: metrics.counter(
+                "egretseam_gateway_rests_requested_total",
+                "Rejections with a time for which their target wants no request.",
+            ),
+            rests_invalid: metrics.counter(
+                "egretseam_gateway_rests_invalid_total",
+                "Rejections with such a time that cannot be read.",
+            ),
+            targets_leaving: metrics.counter(
+                "egretseam_gateway_leaving_responses_total",
+                "Responses of targets that say that they leave.",
+            ),
             limited_requests: metrics.counter(
                 "egretseam_gateway_limited_requests_total",
                 "Requests sent to targets that name a limit.",
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -34,6 +34,7 @@
 mod registry;
 mod request_pacer;
 mod request_rate;
+mod requested_rest;
 mod retry_budget;
 mod retry_detector;
 mod roster_batcher;
@@ -61,6 +62,7 @@
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
     request_pacer::PacedRoom,
     request_rate::{HeardLimit, NamedLimit, RateError, RequestRate},
+    requested_rest::RequestedRest,
     retry_budget::{EntryCount, RetryBudget, RetryPolicy, RetryUsage},
     retry_detector::RetryDetector,
     roster_batcher::RosterBatcher,
--- a/tests/all/caller_codec.rs
+++ b/tests/all/caller_codec.rs
@@ -4,9 +4,9 @@
 use egretseam_gateway::{CallerDialect, EventBuffer, last_event_id};
 use egretseam_h1::{BodyReader, ConnectionOptions, HeadError, HttpConnection, ReadError};
 use egretseam_platform::PlatformCallers;
-use egretseam_serving::{NamedLimit, RequestRate};
+use egretseam_serving::{NamedLimit, RequestRate, RequestedRest};
 use proptest::prelude::*;
-use std::{io::Write, net::TcpListener, thread};
+use std::{io::Write, net::TcpListener, thread, time::Duration};
 
 const HEAD_LIMIT: usize = 16 * 1024;
 const BODY_LIMIT: usize = 1024 * 1024;
@@ -43,7 +43,7 @@
 }
 
 fn socket_linger_zero(stream: &std::net::TcpStream) {
-    socket2::SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO)).expect("set");
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("set");
 }
 
 async fn read_request(bytes: &str) -> Result<(String, Bytes), ReadError> {
@@ -212,3 +212,54 @@
     }
     assert_eq!(read_limit("Server-Limit: 2\r\nserver-limit: 3\r\n").await, NamedLimit::Invalid);
 }
+
+async fn read_rest(status: u16, fields: &str) -> RequestedRest {
+    let bytes = format!("HTTP/1.1 {status} Status\r\n{fields}Content-Length: 0\r\n\r\n");
+    let mut connection = connection_with(bytes.as_bytes(), Ending::Close).await;
+    let head = connection.read_response().await.expect("a response");
+    PlatformCallers.read_response_metadata(&head).rest
+}
+
+#[actix_rt::test]
+async fn rests_are_read_of_rejections_and_invalid_ones_are_told_apart() {
+    const DAYS_30: u64 = 30 * 86_400;
+    assert_eq!(read_rest(503, "").await, RequestedRest::Absent);
+    assert_eq!(read_rest(200, "Retry-After: 3\r\n").await, RequestedRest::Absent);
+    assert_eq!(read_rest(429, "Retry-After: 3\r\n").await, RequestedRest::Absent);
+    let valid = [
+        ("3", Duration::from_secs(3)),
+        ("0.25", Duration::from_millis(250)),
+        ("0", Duration::ZERO),
+        ("1e300", Duration::from_secs(DAYS_30)),
+    ];
+    for (text, rest) in valid {
+        let read = read_rest(503, &format!("retry-after: {text}\r\n")).await;
+        assert_eq!(read, RequestedRest::For(rest), "{text:?}");
+    }
+    for text in ["-1", "inf", "NaN", "", "soon", "3 s", "2,4"] {
+        let read = read_rest(503, &format!("Retry-After: {text}\r\n")).await;
+        assert_eq!(read, RequestedRest::Invalid, "{text:?}");
+    }
+    let twice = "Retry-After: 2\r\nRetry-After: 3\r\n";
+    assert_eq!(read_rest(503, twice).await, RequestedRest::Invalid);
+    let dates =
+        "Date: Thu, 03 Dec 2026 10:00:00 GMT\r\nRetry-After: Thu, 03 Dec 2026 10:00:04 GMT\r\n";
+    assert_eq!(read_rest(503, dates).await, RequestedRest::For(Duration::from_secs(4)));
+    let past = "Retry-After: Thu, 03 Dec 2020 10:00:04 GMT\r\n";
+    assert_eq!(read_rest(503, past).await, RequestedRest::For(Duration::ZERO));
+}
+
+async fn reads_leaving(fields: &str) -> bool {
+    let bytes = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n");
+    let mut connection = connection_with(bytes.as_bytes(), Ending::Close).await;
+    let head = connection.read_response().await.expect("a response");
+    PlatformCallers.read_response_metadata(&head).leaving
+}
+
+#[actix_rt::test]
+async fn only_its_one_value_says_that_a_target_leaves() {
+    assert!(reads_leaving("server-leaving: 1\r\n").await);
+    for fields in ["", "Server-Leaving: 0\r\n", "Server-Leaving:\r\n"] {
+        assert!(!reads_leaving(fields).await, "{fields:?}");
+    }
+}
