Tests of targets that ask for rest, known red

Three entries, nine targets, three of which reject with Retry-After 2: 8 to 11 requests reach one from one entry during a rest, where 2 may, and 82 of 643 callers are rejected while six targets are free. All at rest: 14.

--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -16,6 +16,7 @@
 mod placing;
 mod receipts;
 mod reports;
+mod rests;
 mod retry_budget;
 mod weights;
 mod weights_bed;
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -1,10 +1,12 @@
 //! Test fixture: a fleet, scripted targets, and a caller that reads raw responses.
 
 mod caller;
+mod load;
 mod target;
 
 pub(super) use self::{
     caller::{Caller, SeenAnswer, request},
+    load::{Calls, call, call_all, entry_of},
     target::{EVENTS, Script, ScriptedEnd, ScriptedFraming, ScriptedResponse, ScriptedTarget},
 };
 
@@ -130,6 +132,22 @@
         bed
     }
 
+    /// A fleet of so many entries and targets.
+    pub(super) async fn start_many(
+        entries: usize,
+        targets: usize,
+    ) -> (Self, Vec<Rc<ScriptedTarget>>) {
+        let mut bed = Self::start().await;
+        for _ in 1..entries {
+            bed.add_entry().await;
+        }
+        let mut started = Vec::new();
+        for number in 0..targets {
+            started.push(bed.start_target(&format!("i-{number}")).await);
+        }
+        (bed, started)
+    }
+
     /// Calls control; retries after connection errors and status 503.
     pub(super) async fn call(&self, method: &str, target: &str, body: &str) -> (u16, Bytes) {
         self.call_with(method, target, body.as_bytes()).await
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -128,6 +128,14 @@
     script: RefCell<VecDeque<Script>>,
     /// What it writes as its limit into each response.
     pub(crate) limit: RefCell<Option<&'static str>>,
+    /// While set, it rejects every request and asks for this rest.
+    pub(crate) rest: Cell<Option<&'static str>>,
+    /// Whether it says in each response that it leaves.
+    pub(crate) leaving: Cell<bool>,
+    /// Ids of the requests that it has rejected so, and when.
+    pub(crate) rejected: RefCell<Vec<(String, Instant)>>,
+    /// Ids of the requests to which it has said that it leaves, and when.
+    pub(crate) told_leaving: RefCell<Vec<(String, Instant)>>,
     pub(crate) arrivals: RefCell<Vec<Arrival>>,
     /// Connections that were opened to it.
     pub(crate) opened: Cell<u32>,
@@ -164,6 +172,10 @@
             sequence: Cell::new(0),
             script: RefCell::default(),
             limit: RefCell::default(),
+            rest: Cell::default(),
+            leaving: Cell::default(),
+            rejected: RefCell::default(),
+            told_leaving: RefCell::default(),
             arrivals: RefCell::default(),
             opened: Cell::new(0),
             used: Cell::new(0),
@@ -212,6 +224,7 @@
             self.arrivals.borrow_mut().push(arrival.clone());
             let script = self.script.borrow_mut().pop_front().unwrap_or(Script::Answer);
             let script = match script {
+                _ if self.rest.get().is_some() => Script::Full,
                 Script::CutThen(_, second) if arrival.last_event.is_some() => *second,
                 Script::CutThen(last, _) => Script::CutAfter(last),
                 script => script,
@@ -233,14 +246,14 @@
         is_stream: bool,
         script: Script,
     ) -> bool {
-        let limit = self.limit_field();
+        let own = self.own_fields(&arrival.id);
         let signed =
-            format!("X-Request-Id: {}\r\nX-Response-Signature: {}\r\n{limit}", arrival.id, self.id);
+            format!("X-Request-Id: {}\r\nX-Response-Signature: {}\r\n{own}", arrival.id, self.id);
         let whole = |status: &str, fields: &str, body: &str| {
             let length = body.len();
             format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {length}\r\n\r\n{body}")
         };
-        let own = format!("{} by {}", arrival.id, self.id);
+        let body = format!("{} by {}", arrival.id, self.id);
         let answer = match script {
             Script::Answer if is_stream => {
                 return self.stream(connection, arrival, EVENTS, None).await;
@@ -249,17 +262,18 @@
             Script::Slow(pause) => {
                 return self.stream(connection, arrival, EVENTS, Some(pause)).await;
             }
-            Script::Answer => whole("200 OK", &signed, &own),
+            Script::Answer => whole("200 OK", &signed, &body),
             Script::Fail => whole("500 Internal Server Error", &signed, "failed"),
             Script::Full => {
-                let fields = format!("X-Not-Executed: 1\r\n{limit}");
+                let rest = self.rest_field(&arrival.id);
+                let fields = format!("X-Not-Executed: 1\r\n{own}{rest}");
                 whole("503 Service Unavailable", &fields, "")
             }
             Script::Misdirected => {
                 whole("421 Misdirected Request", "X-Instance-Id: i-other\r\n", "")
             }
             Script::Unsigned => whole("200 OK", "", "anything"),
-            Script::Twice => whole("200 OK", &signed, &own).repeat(2),
+            Script::Twice => whole("200 OK", &signed, &body).repeat(2),
             Script::Close | Script::Send(_) | Script::CutThen(..) => return false,
             Script::Hang => {
                 if connection.wait_for_message().await.is_err() {
@@ -298,9 +312,23 @@
         }
     }
 
-    fn limit_field(&self) -> String {
+    /// The header fields that each response to this request has.
+    fn own_fields(&self, id: &str) -> String {
         let limit = *self.limit.borrow();
-        limit.map(|limit| format!("Server-Limit: {limit}\r\n")).unwrap_or_default()
+        let mut fields =
+            limit.map(|limit| format!("Server-Limit: {limit}\r\n")).unwrap_or_default();
+        if self.leaving.get() {
+            self.told_leaving.borrow_mut().push((id.to_owned(), Instant::now()));
+            fields += "Server-Leaving: 1\r\n";
+        }
+        fields
+    }
+
+    /// The header field of a rejection that asks for rest.
+    fn rest_field(&self, id: &str) -> String {
+        let Some(rest) = self.rest.get() else { return String::new() };
+        self.rejected.borrow_mut().push((id.to_owned(), Instant::now()));
+        format!("Retry-After: {rest}\r\n")
     }
 
     async fn stream(
@@ -315,7 +343,7 @@
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             arrival.id,
             self.id,
-            self.limit_field()
+            self.own_fields(&arrival.id)
         );
         if connection.write(head.as_bytes()).await.is_err() {
             return false;
