Tests of targets that say in their responses that they leave, known red

Three entries, three targets, one of which says Server-Leaving while its heartbeats say ready: 69 requests reach it that callers sent later than the drain time after their entry had been told. With no other target: 213. A stream at such a target ends in peace (passes).

--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -8,6 +8,7 @@
 mod crashing;
 mod engines;
 mod late_orders;
+mod leaving;
 mod link_queue;
 mod named_limits;
 mod narrow_link;
