A target that asks for rest gets none of this entry's requests meanwhile

Callers saw rejections, one in five on three streams, while ten of fourteen targets had room; the targets that had asked for rest got five times as many requests as before (57 to 95 a second in place of 21) and rejected them all.

Cause: entries did not know the header. A rejection kept a target out for 60 ms; then it ran nothing, looked emptiest, and got the next request.

Change: BackpressureTable keeps what a target asked of this entry. Placement leaves it out, and open_response, the only place where requests leave for targets, asks again right before the bytes do; what was placed before the rejection goes elsewhere, which costs no retry. A later answer never shortens a rest. After it an entry returns at a random moment, with one request, then with two more for each that is accepted; a request that was rejected once makes no such trial. Where all targets rest, callers are rejected at once, or wait if the first rest ends in time; Retry-After spreads them, late requests behind others. Targets at rest count neither as failing nor as room under named limits.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,7 @@
     shared::GatewayShared,
 };
 use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ResponseHead};
-use egretseam_serving::{AttemptOutcome, TargetId};
+use egretseam_serving::{AttemptOutcome, RequestedRest, TargetId};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -48,6 +48,8 @@
 pub(crate) enum AttemptFailure {
     /// No connection could be opened, so nothing reached the target.
     Unreachable,
+    /// The target asked, after the request was placed there, for no request of this entry.
+    Withheld,
     /// The target stated that it did not run the request because it is full.
     Full,
     /// The target stated that it did not run the request because it is not the one addressed.
@@ -67,6 +69,7 @@
     pub(crate) fn slug(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
+            Self::Withheld => "withheld",
             Self::Full => "target-full",
             Self::OtherTarget => "other-target",
             Self::Broken => "broken-answer",
@@ -83,7 +86,7 @@
 
     /// Whether the request reached the target.
     pub(crate) fn reached_target(self) -> bool {
-        self != Self::Unreachable
+        !matches!(self, Self::Unreachable | Self::Withheld)
     }
 
     /// The outcome to record in the target's health.
@@ -94,7 +97,7 @@
             Self::OtherTarget | Self::Broken | Self::NoContinuation | Self::TimedOut => {
                 AttemptOutcome::Failed
             }
-            Self::CallerLeft => AttemptOutcome::Abandoned,
+            Self::Withheld | Self::CallerLeft => AttemptOutcome::Abandoned,
         }
     }
 }
@@ -149,6 +152,13 @@
         acquired = acquire_connection(shared, slot, options.new_connection) => acquired?,
     };
     let mut connection = acquired.connection;
+    // Between the placement and this moment lie a handshake and the wait for a turn.
+    if let Some(reason) = backpressure::withheld(shared, request, slot) {
+        shared.metrics.requests_withheld.with_label_values(&[reason.slug()]).inc();
+        let now = Instant::now();
+        shared.pool.borrow_mut().put(&slot.target, connection, None, now);
+        return Err(AttemptFailure::Withheld);
+    }
     let send = TargetRequest {
         target: &slot.target,
         organisation: request.organisation(),
@@ -210,6 +220,10 @@
     if response.head.status < 300 && !response.marks.signed {
         return Err(AttemptFailure::Broken);
     }
+    if response.marks.rest == RequestedRest::Absent {
+        let targets = &mut shared.dispatch.borrow_mut().targets;
+        targets.record_accepted(&slot.target, sent.sent_at);
+    }
     Ok(response)
 }
 
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -1,9 +1,12 @@
 //! What targets say that they want no requests: rests that rejections ask for, and that they leave.
 
-use crate::{dialect::ResponseMetadata, dispatch::SlotGuard, shared::GatewayShared};
-use egretseam_serving::RequestedRest;
+use crate::{
+    dialect::ResponseMetadata, dispatch::SlotGuard, request::RequestState, shared::GatewayShared,
+};
+use egretseam_serving::{RequestedRest, WithholdReason};
+use tokio::time::Instant;
 
-/// Logs and counts what the head of a response says.
+/// Records what the head of a response says.
 pub(crate) fn record(shared: &GatewayShared, slot: &SlotGuard, marks: &ResponseMetadata) {
     if !marks.is_of_target() {
         return;
@@ -13,6 +16,8 @@
         RequestedRest::Invalid => shared.metrics.rests_invalid.inc(),
         RequestedRest::For(rest) => {
             shared.metrics.rests_requested.inc();
+            let now = Instant::now();
+            shared.dispatch.borrow_mut().targets.record_rest(&slot.target, rest, now);
             let rest_millis = rest.as_millis() as u64;
             tracing::info!(target_id = %slot.target, rest_millis, "target asks for rest");
         }
@@ -22,3 +27,19 @@
         tracing::info!(target_id = %slot.target, "target says that it leaves");
     }
 }
+
+/// Why a request may not be sent to the target that it was placed at, if it may not.
+pub(crate) fn withheld(
+    shared: &GatewayShared,
+    request: &RequestState,
+    slot: &SlotGuard,
+) -> Option<WithholdReason> {
+    let reason = shared.dispatch.borrow().targets.withheld(&slot.target, Instant::now())?;
+    tracing::info!(
+        request_id = %request.terms.id,
+        target_id = %slot.target,
+        reason = reason.slug(),
+        "request withheld from its target"
+    );
+    Some(reason)
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -193,6 +193,7 @@
     let urgency = if in_outage { request.urgency.for_outage() } else { request.urgency };
     let median_first_byte = dispatch.targets.median_first_byte(request.service, now);
     let paced_room = dispatch.targets.paced_room(query, now).filter(|_| !in_outage);
+    let rest_end = dispatch.targets.all_rest_until(query, now).filter(|_| !in_outage);
     let queue = dispatch.queue(request.service);
     let limit = if in_outage {
         queue.outage_limit()
@@ -200,6 +201,14 @@
         queue.wait_limit(&urgency, median_first_byte)
     };
     let give_up_at = (now + limit).min(request.wait_deadline);
+    if let Some(rest_end) = rest_end
+        && rest_end > give_up_at
+    {
+        queue.record_rejected(now);
+        shared.metrics.rests_rejected.inc();
+        let wait = rest_end.saturating_duration_since(now);
+        return Ok(SlotReply::Full(queue.retry_after_wait(wait, &urgency, rand::random())));
+    }
     if let Some(room) = paced_room
         && room.wait(queue.ahead(&urgency)) > give_up_at.saturating_duration_since(now)
     {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -185,11 +185,8 @@
         if failure == AttemptFailure::CallerLeft {
             return Ok(record_caller_left(shared, request));
         }
-        if failure.reached_target() {
-            reached += 1;
-        } else {
-            unreachable += 1;
-        }
+        reached += u32::from(failure.reached_target());
+        unreachable += usize::from(failure == AttemptFailure::Unreachable);
         may_have_run |= failure.may_have_run();
         log_failure(request, &tried, failure);
         if failure == AttemptFailure::Broken {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -45,6 +45,8 @@
     pub(crate) limits_invalid: IntCounter,
     pub(crate) rests_requested: IntCounter,
     pub(crate) rests_invalid: IntCounter,
+    pub(crate) rests_rejected: IntCounter,
+    pub(crate) requests_withheld: IntCounterVec,
     pub(crate) targets_leaving: IntCounter,
     pub(crate) limited_requests: IntCounter,
     pub(crate) limits_rejected: IntCounter,
@@ -120,6 +122,15 @@
                 "egretseam_gateway_rests_invalid_total",
                 "Rejections with such a time that cannot be read.",
             ),
+            rests_rejected: metrics.counter(
+                "egretseam_gateway_rests_rejected_total",
+                "Requests rejected because all targets have asked for rest.",
+            ),
+            requests_withheld: metrics.counter_by(
+                "egretseam_gateway_requests_withheld_total",
+                "Requests not sent to the target that they were placed at, by what it had asked for since.",
+                "reason",
+            ),
             targets_leaving: metrics.counter(
                 "egretseam_gateway_leaving_responses_total",
                 "Responses of targets that say that they leave.",
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,12 +18,15 @@
 //! - [`RetryBudget`]: the entry's share of a service's retry budget, among [`EntryCount`] entries.
 //! - [`RequestRate`]: the limit of requests that a target names; [`TargetTable`] paces them, and
 //!   [`PacedRoom`] tells what is left where all targets name limits.
+//! - [`RequestedRest`]: the time for which a target wants no request of this entry; [`TargetTable`]
+//!   heeds it, and tells why a request is withheld.
 //! - [`RosterBatcher`]: when a changed list of entries is sent.
 //! - [`EntryRoster`]: which entries callers may be sent to.
 //! - [`SwitchSchedule`]: when an instance may load new weights, so that not all do so at once.
 //! - [`OlderVersionPolicy`]: when an instance loads a superseded version.
 
 mod attempt_limits;
+mod backpressure;
 mod config;
 mod config_holder;
 mod entries;
@@ -46,6 +49,7 @@
 
 pub use crate::{
     attempt_limits::{AttemptLimits, DEFAULT_STREAM_IDLE_TIMEOUT},
+    backpressure::WithholdReason,
     config::{
         CallerLimits, Destination, EngineRecord, OrganisationRecord, OriginRecord, RouteKind,
         RouteRecord, ServiceRecord, ServingConfig,
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -7,6 +7,7 @@
 //! samples the estimate of the other entries' load at a target decays to the mean of the service.
 
 use crate::{
+    backpressure::SendRoom,
     status::{TargetId, TargetState},
     target_table::{TargetRow, TargetTable},
 };
@@ -126,7 +127,8 @@
 pub enum PlacementOutcome {
     /// The request goes to this target.
     Target(TargetId),
-    /// Every target that could take the request is full, at its limit, ejected or backing off.
+    /// Every target that could take the request is full, at its limit, at rest, ejected or backing
+    /// off.
     Full,
     /// No target of the service can take the request at all.
     NoTarget,
@@ -146,12 +148,17 @@
         if eligible.is_empty() {
             return PlacementOutcome::NoTarget;
         }
+        let eligible: Vec<(&TargetId, &TargetRow)> = eligible
+            .into_iter()
+            .filter(|(id, _)| self.backpressure.withheld(id, now).is_none())
+            .collect();
         if query.late && self.at_late_prefill_limit(&eligible) {
             return PlacementOutcome::Full;
         }
         let view = ServiceView::of(&eligible, query, now);
         let untried = eligible.iter().filter(|(id, _)| !query.tried.contains(*id));
         let mut weighted: Vec<(f64, &TargetId)> = Vec::new();
+        let mut trials: Vec<(f64, &TargetId)> = Vec::new();
         for (id, row) in untried {
             let ignores_failures = view.ignores_failures || !self.policy.ejects;
             let is_hung = self.policy.skips_hung && view.is_hung(row, now);
@@ -165,9 +172,17 @@
             }
             let Some(cost) = self.cost(row, query, &view, now) else { continue };
             let free = (1.0 - cost).max(MIN_FREE_SHARE);
-            weighted.push((free.powi(self.policy.free_share_exponent), id));
+            let weight = free.powi(self.policy.free_share_exponent);
+            match self.backpressure.room(id, now) {
+                SendRoom::Open => weighted.push((weight, id)),
+                // A request that was rejected once must not be rejected for a trial.
+                SendRoom::Trial if !query.tried.is_empty() => trials.push((weight, id)),
+                SendRoom::Trial => weighted.push((weight, id)),
+                SendRoom::Closed => {}
+            }
         }
         draw_weighted(&weighted)
+            .or_else(|| draw_weighted(&trials))
             .map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()))
     }
 
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -1,6 +1,7 @@
 //! Targets as one entry sees them: merged from what control members pass on, what agents report and
 //! what the entry's own requests show.
 
+mod backpressure;
 mod limits;
 mod row;
 
@@ -10,6 +11,7 @@
 
 use self::row::{Liveness, instant_at_age};
 use crate::{
+    backpressure::BackpressureTable,
     health::AttemptOutcome,
     placement::PlacementPolicy,
     request_pacer::EntryGroup,
@@ -83,6 +85,7 @@
     entry_count: usize,
     /// The entries among which the limits of targets are shared.
     entry_group: EntryGroup,
+    pub(crate) backpressure: BackpressureTable,
 }
 
 impl TargetTable {
@@ -101,6 +104,7 @@
             version_floors: IndexMap::new(),
             entry_count: 1,
             entry_group: EntryGroup::default(),
+            backpressure: BackpressureTable::default(),
         }
     }
 
@@ -265,6 +269,7 @@
     /// Removes silent targets about whose models nothing was reported for a minute and that run no
     /// request of this entry.
     pub fn expire(&mut self, now: Instant) {
+        self.backpressure.expire(now);
         let expired: Vec<TargetId> = self
             .rows
             .iter()
@@ -366,6 +371,7 @@
 
     /// Counts a request that is placed at a target.
     pub fn start_attempt(&mut self, id: &TargetId, now: Instant) {
+        self.backpressure.record_placed(id, now);
         if let Some(row) = self.rows.get_mut(id) {
             row.own_in_flight += 1;
             row.record_own_in_flight(now);
--- /dev/null
+++ b/crates/serving/src/target_table/backpressure.rs
@@ -0,0 +1,40 @@
+//! What targets ask of this entry in their responses.
+
+use super::TargetTable;
+use crate::{backpressure::WithholdReason, placement::PlacementQuery, status::TargetId};
+use std::time::Duration;
+use tokio::time::Instant;
+
+impl TargetTable {
+    /// Records that a target wants no request of this entry for `rest` from now on.
+    pub fn record_rest(&mut self, id: &TargetId, rest: Duration, now: Instant) {
+        self.backpressure.record_rest(id, rest, self.entry_count, rand::random(), now);
+    }
+
+    /// Records that a target has accepted a request that was sent at `sent_at`.
+    pub fn record_accepted(&mut self, id: &TargetId, sent_at: Instant) {
+        let slots = self.rows.get(id).map_or(1, |row| row.record.slots);
+        self.backpressure.record_accepted(id, slots, sent_at);
+    }
+
+    /// Why a target gets no request of this entry now, if it gets none.
+    pub fn withheld(&self, id: &TargetId, now: Instant) -> Option<WithholdReason> {
+        self.backpressure.withheld(id, now)
+    }
+
+    /// When the first of a service's targets ends its rest, if all that could take the request rest.
+    /// Of a large service, as many targets are asked as a placement compares.
+    pub fn all_rest_until(&self, query: &PlacementQuery<'_>, now: Instant) -> Option<Instant> {
+        let ids = self.services.get(query.service)?;
+        let is_usable = |id: &&TargetId| {
+            !query.tried.contains(*id)
+                && self.rows.get(*id).is_some_and(|row| row.takes_requests(now))
+        };
+        let mut first: Option<Instant> = None;
+        for id in self.sample(ids).filter(is_usable) {
+            let end = self.backpressure.rest_end(id).filter(|end| now < *end)?;
+            first = Some(first.map_or(end, |first| first.min(end)));
+        }
+        first
+    }
+}
--- a/crates/serving/src/target_table/limits.rs
+++ b/crates/serving/src/target_table/limits.rs
@@ -149,7 +149,7 @@
     }
 
     /// What this entry may send to a service all of whose usable targets name limits; `None` if one
-    /// of them names none. Of a large service it is estimated from as many targets as a placement
+    /// of them names none. Targets from which requests are withheld are not usable. Of a large service it is estimated from as many targets as a placement
     /// compares.
     pub fn paced_room(&self, query: &PlacementQuery<'_>, now: Instant) -> Option<PacedRoom> {
         let ids = self.services.get(query.service)?;
@@ -158,7 +158,8 @@
         for id in self.sample(ids) {
             compared += 1;
             let row = self.rows.get(id).filter(|row| row.takes_requests(now));
-            let Some(row) = row.filter(|_| !query.tried.contains(id)) else { continue };
+            let is_open = !query.tried.contains(id) && self.withheld(id, now).is_none();
+            let Some(row) = row.filter(|_| is_open) else { continue };
             let pacer = &row.limit.as_ref()?.pacer;
             usable += 1;
             room.rate += pacer.rate();
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -375,6 +375,14 @@
         self.retry_after_within(longest.max(self.policy.max_retry_after), point)
     }
 
+    /// The same where nothing is served for `wait`: callers return after that, spread over the same
+    /// time, those whose requests are late behind the others.
+    pub fn retry_after_wait(&self, wait: Duration, urgency: &WaitUrgency, point: f64) -> Duration {
+        let range = self.policy.max_retry_after.saturating_sub(self.policy.min_retry_after);
+        let offset = if urgency.is_late() { range / 2 } else { Duration::ZERO };
+        wait + offset + range.mul_f64(point.clamp(0.0, 1.0))
+    }
+
     fn retry_after_within(&self, longest: Duration, point: f64) -> Duration {
         let range = longest.saturating_sub(self.policy.min_retry_after);
         self.policy.min_retry_after + range.mul_f64(point.clamp(0.0, 1.0))
--- /dev/null
+++ b/tests/all/backpressure.rs
@@ -0,0 +1,254 @@
+//! A model of entries that send to targets which ask for rest whenever they get more than they can
+//! take, and to targets that take everything.
+
+use crate::serving_tables::{record, service, status};
+use egretseam_proto::ZoneName;
+use egretseam_serving::{
+    AttemptOutcome, PlacementOutcome, PlacementPolicy, PlacementQuery, TargetId, TargetState,
+    TargetTable,
+};
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{collections::VecDeque, time::Duration};
+use tokio::time::Instant;
+
+/// Resolution of the model's time.
+const TICK: Duration = Duration::from_millis(20);
+const TICKS_PER_SECOND: usize = 50;
+/// Length of a scenario; in its last part the targets take everything.
+const SCENARIO_TICKS: usize = 26 * TICKS_PER_SECOND;
+const RELIEF_AT: usize = 14 * TICKS_PER_SECOND;
+/// Time after a rejection from which its rest counts.
+const TOLD_TICKS: usize = TICKS_PER_SECOND / 2;
+/// Requests that may reach a target from an entry during one rest.
+const MAX_DURING_REST: usize = 2;
+/// Longest time from a placement until its request is sent, and from then to the response.
+const MAX_SEND_TICKS: usize = 20;
+const MAX_RESPONSE_TICKS: usize = 12;
+/// Time after a rest in which entries return to a target.
+const RETURN_TICKS: usize = TICKS_PER_SECOND * 3 / 2;
+/// Requests of an entry of which one is placed at a given target with all but certainty.
+const PLACED_WITHIN: f64 = 100.0;
+/// Targets that ask for rest, and those that do not.
+const TIRED: std::ops::RangeInclusive<u8> = 1..=3;
+const FREE: std::ops::RangeInclusive<u8> = 4..=6;
+
+#[derive(Clone, Debug)]
+struct Scenario {
+    seed: u64,
+    entries: usize,
+    /// Requests that each entry gets a second.
+    load: f64,
+    /// Requests in the last second above which a tired target rejects.
+    rate: usize,
+    /// Seconds of rest that it asks for, at least and at most.
+    rests: (f64, f64),
+    /// Chance of a restart, by entry and second.
+    restart: f64,
+}
+
+fn scenarios() -> impl Strategy<Value = Scenario> {
+    let rests = (0.6_f64..2.0, 1.0_f64..2.0).prop_map(|(least, factor)| (least, least * factor));
+    let restart = prop_oneof![Just(0.0), 0.0..0.1];
+    (any::<u64>(), 1_usize..=50, 12.0..30.0, 0_usize..60, rests, restart).prop_map(
+        |(seed, entries, load, rate, rests, restart)| Scenario {
+            seed,
+            entries,
+            load,
+            rate,
+            rests,
+            restart,
+        },
+    )
+}
+
+/// What happens to a request next, and when.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Send,
+    Accept { sent_at: usize },
+    Reject { rest: f64 },
+}
+
+/// One entry of the model.
+struct ModelEntry {
+    table: TargetTable,
+    open: Vec<(TargetId, usize, Step)>,
+    /// Rejections that it got from each target since its start: when the target sent them, and
+    /// until when the rest lasts.
+    told: IndexMap<TargetId, Vec<(usize, usize)>>,
+    /// Ticks of its requests' arrivals at each target since its start.
+    arrivals: IndexMap<TargetId, Vec<usize>>,
+    /// Placements that found no target.
+    unplaced: usize,
+}
+
+impl ModelEntry {
+    fn new(entries: usize, now: Instant) -> Self {
+        let zone = ZoneName::try_from("z1").expect("a valid name");
+        let mut table = TargetTable::new(PlacementPolicy::default(), zone);
+        table.set_entry_count(entries);
+        for host in TIRED.chain(FREE) {
+            let mut record = record(host, 1, TargetState::Ready);
+            record.slots = 1_000;
+            table.apply_target(0, &status(record), now);
+        }
+        let (told, arrivals) = (IndexMap::new(), IndexMap::new());
+        Self { table, open: Vec::new(), told, arrivals, unplaced: 0 }
+    }
+
+    fn place(&mut self, tick: usize, now: Instant, rng: &mut StdRng) {
+        let service = service();
+        let query = PlacementQuery {
+            service: &service,
+            model: None,
+            tried: &[],
+            late: false,
+            first_byte_deadline: None,
+        };
+        let PlacementOutcome::Target(id) = self.table.choose(&query, now) else {
+            self.unplaced += 1;
+            return;
+        };
+        self.table.start_attempt(&id, now);
+        // Most requests go over idle connections.
+        let delay = if rng.random_bool(0.8) { 0 } else { rng.random_range(0..MAX_SEND_TICKS) };
+        self.open.push((id, tick + delay, Step::Send));
+    }
+
+    /// Most requests that reached a target during one of its rests.
+    fn most_during_rest(&self) -> usize {
+        let mut most = 0;
+        for (id, rests) in &self.told {
+            let arrivals = self.arrivals.get(id).map_or(&[][..], Vec::as_slice);
+            for (from, until) in rests {
+                let span = from + TOLD_TICKS + 1..*until;
+                most = most.max(arrivals.iter().filter(|tick| span.contains(tick)).count());
+            }
+        }
+        most
+    }
+}
+
+/// A target that rejects what exceeds its rate.
+#[derive(Default)]
+struct TiredTarget {
+    recent: VecDeque<usize>,
+}
+
+impl TiredTarget {
+    fn accepts(&mut self, rate: usize, tick: usize) -> bool {
+        while self.recent.front().is_some_and(|first| first + TICKS_PER_SECOND <= tick) {
+            self.recent.pop_front();
+        }
+        let accepts = tick >= RELIEF_AT || self.recent.len() < rate;
+        if accepts {
+            self.recent.push_back(tick);
+        }
+        accepts
+    }
+}
+
+/// Plays a scenario; returns the entries at its end, and the most requests during a rest that
+/// entries which restarted had sent before.
+fn play(scenario: &Scenario) -> (Vec<ModelEntry>, usize) {
+    let mut rng = StdRng::seed_from_u64(scenario.seed);
+    let start = Instant::now();
+    let at = |tick: usize| start + TICK * tick as u32;
+    let tired: Vec<TargetId> = TIRED.map(|host| record(host, 1, TargetState::Ready).id).collect();
+    let mut targets: IndexMap<TargetId, TiredTarget> =
+        tired.into_iter().map(|id| (id, TiredTarget::default())).collect();
+    let mut entries: Vec<ModelEntry> =
+        (0..scenario.entries).map(|_| ModelEntry::new(scenario.entries, start)).collect();
+    let mut most_before_restarts = 0;
+    for tick in 0..SCENARIO_TICKS {
+        let now = at(tick);
+        for entry in &mut entries {
+            if tick < RELIEF_AT && rng.random_bool(scenario.restart / TICKS_PER_SECOND as f64) {
+                most_before_restarts = most_before_restarts.max(entry.most_during_rest());
+                *entry = ModelEntry::new(scenario.entries, now);
+            }
+            let due: Vec<_> = entry.open.extract_if(.., |(_, due, _)| *due <= tick).collect();
+            for (id, _, step) in due {
+                follow(scenario, entry, &mut targets, id, step, tick, &mut rng, &at);
+            }
+            let rate = scenario.load / TICKS_PER_SECOND as f64;
+            let count = rate.floor() as usize + usize::from(rng.random_bool(rate.fract()));
+            for _ in 0..count {
+                entry.place(tick, now, &mut rng);
+            }
+        }
+    }
+    (entries, most_before_restarts)
+}
+
+#[allow(clippy::too_many_arguments)]
+fn follow(
+    scenario: &Scenario,
+    entry: &mut ModelEntry,
+    targets: &mut IndexMap<TargetId, TiredTarget>,
+    id: TargetId,
+    step: Step,
+    tick: usize,
+    rng: &mut StdRng,
+    at: &dyn Fn(usize) -> Instant,
+) {
+    let now = at(tick);
+    match step {
+        Step::Send if entry.table.withheld(&id, now).is_some() => {
+            entry.table.finish_attempt(&id, AttemptOutcome::Abandoned, now);
+        }
+        Step::Send => {
+            entry.arrivals.entry(id.clone()).or_default().push(tick);
+            let responds_at = tick + rng.random_range(1..MAX_RESPONSE_TICKS);
+            let accepts =
+                targets.get_mut(&id).is_none_or(|target| target.accepts(scenario.rate, tick));
+            let step = if accepts {
+                Step::Accept { sent_at: tick }
+            } else {
+                let (least, most) = scenario.rests;
+                let rest = rng.random_range(least..=most);
+                let until = tick + (rest * TICKS_PER_SECOND as f64) as usize;
+                entry.told.entry(id.clone()).or_default().push((tick, until));
+                Step::Reject { rest }
+            };
+            entry.open.push((id, responds_at, step));
+        }
+        Step::Accept { sent_at } => {
+            entry.table.record_accepted(&id, at(sent_at));
+            entry.table.finish_attempt(&id, AttemptOutcome::Answered, now);
+        }
+        Step::Reject { rest } => {
+            entry.table.record_rest(&id, Duration::from_secs_f64(rest), now);
+            entry.table.finish_attempt(&id, AttemptOutcome::Full, now);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 16, ..ProptestConfig::default() })]
+
+    /// Guards against a storm at a target that has asked for rest, against callers who find no
+    /// target while some are free, and against targets that stay unused after their rest.
+    #[test]
+    fn rests_are_heeded_end_and_leave_free_targets_in_use(scenario in scenarios()) {
+        let (entries, most_before_restarts) = play(&scenario);
+        prop_assert!(most_before_restarts <= MAX_DURING_REST, "{most_before_restarts}");
+        let placing = (PLACED_WITHIN / scenario.load * TICKS_PER_SECOND as f64) as usize;
+        for (number, entry) in entries.iter().enumerate() {
+            let most = entry.most_during_rest();
+            prop_assert!(most <= MAX_DURING_REST, "entry {number}: {most} during a rest");
+            prop_assert_eq!(entry.unplaced, 0, "entry {} found no target", number);
+            for (id, rests) in &entry.told {
+                let last = rests.iter().map(|(_, until)| *until).max().unwrap_or(0);
+                let from = last.max(RELIEF_AT);
+                let due = from..from + RETURN_TICKS + placing;
+                if due.end <= SCENARIO_TICKS {
+                    let used = entry.arrivals[id].iter().any(|tick| due.contains(tick));
+                    prop_assert!(used, "entry {} does not use {:?} again", number, id);
+                }
+            }
+        }
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one module per subject.
 
 mod attempt_limits;
+mod backpressure;
 mod bad_input;
 mod caller_codec;
 mod catalog_model;
