A target that says that it leaves gets no request after its drain time

Requests went on reaching a target that had said Server-Leaving in its responses, for as long as its heartbeats said ready: entries did not know the header.

Any response of the target's own marks that incarnation, a stream's head too, and nothing takes it back: no heartbeat, no control member that restarts. Running streams end in peace, idle connections to it are closed, and its end is a planned one, so no request is suspected for it. Other entries are not told: the rule is of the entry that was told, and heartbeats say so to all.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -70,6 +70,9 @@
     pub stop_timeout: Duration,
     /// Time from publishing a version until no request may begin on an older one.
     pub staleness_bound: Duration,
+    /// How long a target still serves after it has said in a response that it leaves; zero if that
+    /// is not known.
+    pub drain_time: Duration,
     /// Retries allowed per request, over all entries.
     pub retry_ratio: f64,
     /// Length of the window in which retries are counted.
@@ -129,6 +132,7 @@
     let tolerated_failures = reader.number("tolerated_losses", 1, 0, 16);
     let stop_timeout = seconds(reader, "stop_limit_seconds");
     let staleness_bound = seconds(reader, "version_limit_seconds");
+    let drain_time = optional_seconds(reader, "drain_limit_seconds");
     let retry_ratio = reader.required("retry_ratio");
     let retry_window = seconds(reader, "retry_window_seconds");
     let retry_minimum = reader.number("retry_minimum", 0, 0, 1_000_000);
@@ -168,6 +172,7 @@
         tolerated_failures,
         stop_timeout: stop_timeout?,
         staleness_bound: staleness_bound?,
+        drain_time: drain_time.unwrap_or_default(),
         retry_ratio: retry_ratio?,
         retry_window: retry_window?,
         retry_minimum,
@@ -179,7 +184,16 @@
 }
 
 fn seconds(reader: &mut SectionReader<'_>, name: &str) -> Option<Duration> {
-    let value: f64 = reader.required(name)?;
+    let value = reader.required(name)?;
+    checked_seconds(reader, name, value)
+}
+
+fn optional_seconds(reader: &mut SectionReader<'_>, name: &str) -> Option<Duration> {
+    let value = reader.optional(name)?;
+    checked_seconds(reader, name, value)
+}
+
+fn checked_seconds(reader: &mut SectionReader<'_>, name: &str, value: f64) -> Option<Duration> {
     if !(0.0..=MAX_SECONDS).contains(&value) {
         reader.add_error(name, format!("{value} is not between 0 and {MAX_SECONDS}"));
         return None;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -211,7 +211,10 @@
             caller_address: entry.caller_address,
             secret: PeerSecret::derive(PEER_TOKEN),
             seeds: self.seeds.feeds.clone(),
-            placement: placement_policy(policy),
+            placement: PlacementPolicy {
+                drain_time: settings.drain_time,
+                ..placement_policy(policy)
+            },
             waiting: wait_policy(policy),
             retries: RetryPolicy {
                 ratio: settings.retry_ratio,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -336,7 +336,8 @@
 ) -> AttemptFailure {
     let is_other_target = response.marks.wrong_target;
     let reader = response.body(&request.head.method);
-    let reusable = response.is_reusable(&request.head.method) && !is_other_target;
+    let is_leaving = shared.dispatch.borrow().targets.is_leaving(&slot.target);
+    let reusable = response.is_reusable(&request.head.method) && !is_other_target && !is_leaving;
     let mut connection = response.connection;
     let body = connection.read_body(reader, MAX_REJECTION_BODY_BYTES).await;
     if reusable && body.is_ok() {
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -23,11 +23,20 @@
         }
     }
     if marks.leaving {
-        shared.metrics.targets_leaving.inc();
-        tracing::info!(target_id = %slot.target, "target says that it leaves");
+        record_leaving(shared, slot);
     }
 }
 
+fn record_leaving(shared: &GatewayShared, slot: &SlotGuard) {
+    let now = Instant::now();
+    if !shared.dispatch.borrow_mut().targets.record_leaving(&slot.target, now) {
+        return;
+    }
+    shared.metrics.targets_leaving.inc();
+    shared.pool.borrow_mut().remove_target(&slot.target);
+    tracing::info!(target_id = %slot.target, "target says that it leaves");
+}
+
 /// Why a request may not be sent to the target that it was placed at, if it may not.
 pub(crate) fn withheld(
     shared: &GatewayShared,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -315,7 +315,8 @@
     slot: &SlotGuard,
     response: OpenResponse,
 ) {
-    if response.is_reusable(&request.head.method) {
+    let is_leaving = shared.dispatch.borrow().targets.is_leaving(&slot.target);
+    if response.is_reusable(&request.head.method) && !is_leaving {
         let now = Instant::now();
         let idle_timeout = response.marks.keep_alive;
         shared.pool.borrow_mut().put(&slot.target, response.connection, idle_timeout, now);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -132,8 +132,8 @@
                 "reason",
             ),
             targets_leaving: metrics.counter(
-                "egretseam_gateway_leaving_responses_total",
-                "Responses of targets that say that they leave.",
+                "egretseam_gateway_targets_leaving_total",
+                "Targets that have said in a response that they leave.",
             ),
             limited_requests: metrics.counter(
                 "egretseam_gateway_limited_requests_total",
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -1,4 +1,8 @@
-//! Targets that have asked this entry for rest, and which of them may get a request now.
+//! Targets that have asked this entry for rest or said that they leave, and which of them may get a
+//! request now.
+//!
+//! A target that leaves still serves for its drain time. Until then it gets requests that no other
+//! target can take; after that none, whatever is announced of it.
 //!
 //! A target that rejects a request may say for how long it wants no other one from this entry. All
 //! entries may be asked within the same moments, and all would return together, to the next
@@ -24,11 +28,18 @@
 /// Time after the end of a rest for which an entry remembers that it has not returned.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Part of the drain time in which nothing is sent any more, so that no request arrives after it.
+const DRAIN_MARGIN: Duration = Duration::from_millis(250);
+/// How long an entry remembers that a target leaves of which it knows nothing else.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+
 /// Why a target gets no request of this entry now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WithholdReason {
     /// It has asked for rest.
     Resting,
+    /// It has said that it leaves, and its drain time is over.
+    Leaving,
 }
 
 impl WithholdReason {
@@ -36,6 +47,7 @@
     pub fn slug(self) -> &'static str {
         match self {
             Self::Resting => "resting",
+            Self::Leaving => "leaving",
         }
     }
 }
@@ -47,6 +59,8 @@
     Open,
     /// One request, to find out whether it takes requests again.
     Trial,
+    /// A request that no other target can take.
+    LastResort,
     /// None.
     Closed,
 }
@@ -74,6 +88,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct BackpressureTable {
     rests: IndexMap<TargetId, TargetRest>,
+    /// Until when targets that leave may get requests.
+    leaving: IndexMap<TargetId, Instant>,
 }
 
 impl BackpressureTable {
@@ -99,6 +115,31 @@
         self.rests.insert(id.clone(), TargetRest::new(ends_at));
     }
 
+    /// Records that a target says that it leaves; returns whether this is new. Nothing that is said
+    /// later takes it back.
+    pub(crate) fn record_leaving(
+        &mut self,
+        id: &TargetId,
+        drain_time: Duration,
+        now: Instant,
+    ) -> bool {
+        if self.is_leaving(id) {
+            return false;
+        }
+        self.leaving.insert(id.clone(), now + drain_time.saturating_sub(DRAIN_MARGIN));
+        true
+    }
+
+    /// Whether a target has said that it leaves.
+    pub(crate) fn is_leaving(&self, id: &TargetId) -> bool {
+        self.leaving.contains_key(id)
+    }
+
+    /// Whether a target has said that it leaves and gets no request any more.
+    pub(crate) fn has_left(&self, id: &TargetId, now: Instant) -> bool {
+        self.leaving.get(id).is_some_and(|end| *end <= now)
+    }
+
     /// Records that a request is placed at a target.
     pub(crate) fn record_placed(&mut self, id: &TargetId, now: Instant) {
         if let Some(rest) = self.rests.get_mut(id).filter(|rest| rest.ends_at <= now) {
@@ -121,6 +162,9 @@
 
     /// Why a target may get no request now, whatever it has.
     pub(crate) fn withheld(&self, id: &TargetId, now: Instant) -> Option<WithholdReason> {
+        if self.has_left(id, now) {
+            return Some(WithholdReason::Leaving);
+        }
         self.rest_end(id).filter(|end| now < *end).map(|_| WithholdReason::Resting)
     }
 
@@ -131,9 +175,15 @@
 
     /// What a target may get now.
     pub(crate) fn room(&self, id: &TargetId, now: Instant) -> SendRoom {
+        if self.withheld(id, now).is_some() {
+            return SendRoom::Closed;
+        }
+        if self.is_leaving(id) {
+            return SendRoom::LastResort;
+        }
         let Some(rest) = self.rests.get(id) else { return SendRoom::Open };
         let is_due = rest.last_placed_at.is_none_or(|placed_at| now >= placed_at + TRIAL_RETRY);
-        if now < rest.ends_at || (rest.credits == 0 && !is_due) {
+        if rest.credits == 0 && !is_due {
             SendRoom::Closed
         } else if rest.accepted == 0 || rest.credits == 0 {
             SendRoom::Trial
@@ -142,8 +192,11 @@
         }
     }
 
-    /// Drops what is too old to matter.
-    pub(crate) fn expire(&mut self, now: Instant) {
+    /// Drops what is too old to matter. A target that leaves is remembered for as long as `is_known`
+    /// says that something else is known of it.
+    pub(crate) fn expire(&mut self, is_known: impl Fn(&TargetId) -> bool, now: Instant) {
         self.rests.retain(|_, rest| now.saturating_duration_since(rest.ends_at) < RETENTION);
+        let is_fresh = |end: Instant| now.saturating_duration_since(end) < LEAVING_RETENTION;
+        self.leaving.retain(|id, end| is_known(id) || is_fresh(*end));
     }
 }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -66,6 +66,8 @@
     pub slowness_penalty: f64,
     /// Load added for a target that started recently.
     pub cold_start_penalty: f64,
+    /// How long a target that says that it leaves still serves.
+    pub drain_time: Duration,
     /// Whether each entry keeps to its share of an engine's slots.
     pub limits_entry_share: bool,
     /// Whether targets that seem to hang are left out.
@@ -87,6 +89,7 @@
             old_version_penalty: 0.1,
             slowness_penalty: 0.25,
             cold_start_penalty: 0.3,
+            drain_time: Duration::ZERO,
             limits_entry_share: true,
             skips_hung: true,
             ejects: true,
@@ -143,7 +146,9 @@
         let median = median_first_byte(&sampled, now);
         let eligible: Vec<(&TargetId, &TargetRow)> = sampled
             .into_iter()
-            .filter(|(_, row)| self.is_eligible(row, query, median, now))
+            .filter(|(id, row)| {
+                !self.backpressure.has_left(id, now) && self.is_eligible(row, query, median, now)
+            })
             .collect();
         if eligible.is_empty() {
             return PlacementOutcome::NoTarget;
@@ -159,6 +164,8 @@
         let untried = eligible.iter().filter(|(id, _)| !query.tried.contains(*id));
         let mut weighted: Vec<(f64, &TargetId)> = Vec::new();
         let mut trials: Vec<(f64, &TargetId)> = Vec::new();
+        let mut last_resorts: Vec<(f64, &TargetId)> = Vec::new();
+        let all_leave = eligible.iter().all(|(id, _)| self.is_leaving(id));
         for (id, row) in untried {
             let ignores_failures = view.ignores_failures || !self.policy.ejects;
             let is_hung = self.policy.skips_hung && view.is_hung(row, now);
@@ -178,11 +185,13 @@
                 // A request that was rejected once must not be rejected for a trial.
                 SendRoom::Trial if !query.tried.is_empty() => trials.push((weight, id)),
                 SendRoom::Trial => weighted.push((weight, id)),
-                SendRoom::Closed => {}
+                SendRoom::LastResort if all_leave => last_resorts.push((weight, id)),
+                SendRoom::LastResort | SendRoom::Closed => {}
             }
         }
         draw_weighted(&weighted)
             .or_else(|| draw_weighted(&trials))
+            .or_else(|| draw_weighted(&last_resorts))
             .map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()))
     }
 
@@ -207,7 +216,8 @@
             return true;
         }
         let ids = self.services.get(service).into_iter().flatten();
-        let mut rows = ids.filter_map(|id| self.rows.get(id));
+        let staying = ids.filter(|id| !self.is_leaving(id));
+        let mut rows = staying.filter_map(|id| self.rows.get(id));
         rows.any(|row| {
             row.record.state == TargetState::Ready && !row.stalled && !row.is_silent(now)
         })
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -269,7 +269,7 @@
     /// Removes silent targets about whose models nothing was reported for a minute and that run no
     /// request of this entry.
     pub fn expire(&mut self, now: Instant) {
-        self.backpressure.expire(now);
+        self.backpressure.expire(|id| self.rows.contains_key(id), now);
         let expired: Vec<TargetId> = self
             .rows
             .iter()
@@ -425,7 +425,7 @@
         let Some(row) = self.rows.get(id) else { return TargetLifetime::Left };
         let others = self.by_address.get(&address).into_iter().flatten();
         let mut others = others.filter(|other| *other != id).filter_map(|id| self.rows.get(id));
-        if row.record.state == TargetState::Draining {
+        if row.record.state == TargetState::Draining || self.is_leaving(id) {
             TargetLifetime::Draining
         } else if others.any(|other| other.first_seen_at > row.first_seen_at) {
             TargetLifetime::Replaced
--- a/crates/serving/src/target_table/backpressure.rs
+++ b/crates/serving/src/target_table/backpressure.rs
@@ -11,6 +11,16 @@
         self.backpressure.record_rest(id, rest, self.entry_count, rand::random(), now);
     }
 
+    /// Records that a target says that it leaves; returns whether this is new.
+    pub fn record_leaving(&mut self, id: &TargetId, now: Instant) -> bool {
+        self.backpressure.record_leaving(id, self.policy.drain_time, now)
+    }
+
+    /// Whether a target has said that it leaves.
+    pub fn is_leaving(&self, id: &TargetId) -> bool {
+        self.backpressure.is_leaving(id)
+    }
+
     /// Records that a target has accepted a request that was sent at `sent_at`.
     pub fn record_accepted(&mut self, id: &TargetId, sent_at: Instant) {
         let slots = self.rows.get(id).map_or(1, |row| row.record.slots);
@@ -28,6 +38,7 @@
         let ids = self.services.get(query.service)?;
         let is_usable = |id: &&TargetId| {
             !query.tried.contains(*id)
+                && !self.backpressure.has_left(id, now)
                 && self.rows.get(*id).is_some_and(|row| row.takes_requests(now))
         };
         let mut first: Option<Instant> = None;
--- a/tests/all/backpressure.rs
+++ b/tests/all/backpressure.rs
@@ -2,10 +2,10 @@
 //! take, and to targets that take everything.
 
 use crate::serving_tables::{record, service, status};
-use egretseam_proto::ZoneName;
+use egretseam_proto::{ServiceName, ZoneName};
 use egretseam_serving::{
     AttemptOutcome, PlacementOutcome, PlacementPolicy, PlacementQuery, TargetId, TargetState,
-    TargetTable,
+    TargetTable, WithholdReason,
 };
 use indexmap::IndexMap;
 use proptest::prelude::*;
@@ -30,6 +30,8 @@
 const RETURN_TICKS: usize = TICKS_PER_SECOND * 3 / 2;
 /// Requests of an entry of which one is placed at a given target with all but certainty.
 const PLACED_WITHIN: f64 = 100.0;
+/// How long a target that leaves still serves.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Targets that ask for rest, and those that do not.
 const TIRED: std::ops::RangeInclusive<u8> = 1..=3;
 const FREE: std::ops::RangeInclusive<u8> = 4..=6;
@@ -99,15 +101,7 @@
     }
 
     fn place(&mut self, tick: usize, now: Instant, rng: &mut StdRng) {
-        let service = service();
-        let query = PlacementQuery {
-            service: &service,
-            model: None,
-            tried: &[],
-            late: false,
-            first_byte_deadline: None,
-        };
-        let PlacementOutcome::Target(id) = self.table.choose(&query, now) else {
+        let PlacementOutcome::Target(id) = choose(&self.table, now) else {
             self.unplaced += 1;
             return;
         };
@@ -150,79 +144,95 @@
     }
 }
 
-/// Plays a scenario; returns the entries at its end, and the most requests during a rest that
-/// entries which restarted had sent before.
-fn play(scenario: &Scenario) -> (Vec<ModelEntry>, usize) {
-    let mut rng = StdRng::seed_from_u64(scenario.seed);
-    let start = Instant::now();
-    let at = |tick: usize| start + TICK * tick as u32;
-    let tired: Vec<TargetId> = TIRED.map(|host| record(host, 1, TargetState::Ready).id).collect();
-    let mut targets: IndexMap<TargetId, TiredTarget> =
-        tired.into_iter().map(|id| (id, TiredTarget::default())).collect();
-    let mut entries: Vec<ModelEntry> =
-        (0..scenario.entries).map(|_| ModelEntry::new(scenario.entries, start)).collect();
-    let mut most_before_restarts = 0;
-    for tick in 0..SCENARIO_TICKS {
-        let now = at(tick);
-        for entry in &mut entries {
-            if tick < RELIEF_AT && rng.random_bool(scenario.restart / TICKS_PER_SECOND as f64) {
-                most_before_restarts = most_before_restarts.max(entry.most_during_rest());
-                *entry = ModelEntry::new(scenario.entries, now);
-            }
-            let due: Vec<_> = entry.open.extract_if(.., |(_, due, _)| *due <= tick).collect();
-            for (id, _, step) in due {
-                follow(scenario, entry, &mut targets, id, step, tick, &mut rng, &at);
-            }
-            let rate = scenario.load / TICKS_PER_SECOND as f64;
-            let count = rate.floor() as usize + usize::from(rng.random_bool(rate.fract()));
-            for _ in 0..count {
-                entry.place(tick, now, &mut rng);
+/// The targets of a scenario, and what its chances are drawn from.
+struct ModelWorld<'a> {
+    scenario: &'a Scenario,
+    start: Instant,
+    targets: IndexMap<TargetId, TiredTarget>,
+    rng: StdRng,
+}
+
+impl<'a> ModelWorld<'a> {
+    fn new(scenario: &'a Scenario) -> Self {
+        let tired = TIRED.map(|host| record(host, 1, TargetState::Ready).id);
+        Self {
+            scenario,
+            start: Instant::now(),
+            targets: tired.map(|id| (id, TiredTarget::default())).collect(),
+            rng: StdRng::seed_from_u64(scenario.seed),
+        }
+    }
+
+    fn at(&self, tick: usize) -> Instant {
+        self.start + TICK * tick as u32
+    }
+
+    /// Plays the scenario; returns the entries at its end, and the most requests during a rest that
+    /// entries which restarted had sent before.
+    fn play(&mut self) -> (Vec<ModelEntry>, usize) {
+        let count = self.scenario.entries;
+        let mut entries: Vec<ModelEntry> =
+            (0..count).map(|_| ModelEntry::new(count, self.start)).collect();
+        let mut most_before_restarts = 0;
+        for tick in 0..SCENARIO_TICKS {
+            for entry in &mut entries {
+                let restart = self.scenario.restart / TICKS_PER_SECOND as f64;
+                if tick < RELIEF_AT && self.rng.random_bool(restart) {
+                    most_before_restarts = most_before_restarts.max(entry.most_during_rest());
+                    *entry = ModelEntry::new(count, self.at(tick));
+                }
+                self.advance(entry, tick);
             }
         }
+        (entries, most_before_restarts)
     }
-    (entries, most_before_restarts)
-}
 
-#[allow(clippy::too_many_arguments)]
-fn follow(
-    scenario: &Scenario,
-    entry: &mut ModelEntry,
-    targets: &mut IndexMap<TargetId, TiredTarget>,
-    id: TargetId,
-    step: Step,
-    tick: usize,
-    rng: &mut StdRng,
-    at: &dyn Fn(usize) -> Instant,
-) {
-    let now = at(tick);
-    match step {
-        Step::Send if entry.table.withheld(&id, now).is_some() => {
-            entry.table.finish_attempt(&id, AttemptOutcome::Abandoned, now);
+    fn advance(&mut self, entry: &mut ModelEntry, tick: usize) {
+        let due: Vec<_> = entry.open.extract_if(.., |(_, due, _)| *due <= tick).collect();
+        for (id, _, step) in due {
+            self.follow(entry, id, step, tick);
         }
-        Step::Send => {
-            entry.arrivals.entry(id.clone()).or_default().push(tick);
-            let responds_at = tick + rng.random_range(1..MAX_RESPONSE_TICKS);
-            let accepts =
-                targets.get_mut(&id).is_none_or(|target| target.accepts(scenario.rate, tick));
-            let step = if accepts {
-                Step::Accept { sent_at: tick }
-            } else {
-                let (least, most) = scenario.rests;
-                let rest = rng.random_range(least..=most);
-                let until = tick + (rest * TICKS_PER_SECOND as f64) as usize;
-                entry.told.entry(id.clone()).or_default().push((tick, until));
-                Step::Reject { rest }
-            };
-            entry.open.push((id, responds_at, step));
+        let rate = self.scenario.load / TICKS_PER_SECOND as f64;
+        let count = rate.floor() as usize + usize::from(self.rng.random_bool(rate.fract()));
+        for _ in 0..count {
+            entry.place(tick, self.at(tick), &mut self.rng);
         }
-        Step::Accept { sent_at } => {
-            entry.table.record_accepted(&id, at(sent_at));
-            entry.table.finish_attempt(&id, AttemptOutcome::Answered, now);
+    }
+
+    fn follow(&mut self, entry: &mut ModelEntry, id: TargetId, step: Step, tick: usize) {
+        let now = self.at(tick);
+        match step {
+            Step::Send if entry.table.withheld(&id, now).is_some() => {
+                entry.table.finish_attempt(&id, AttemptOutcome::Abandoned, now);
+            }
+            Step::Send => {
+                entry.arrivals.entry(id.clone()).or_default().push(tick);
+                let step = self.respond(entry, &id, tick);
+                let responds_at = tick + self.rng.random_range(1..MAX_RESPONSE_TICKS);
+                entry.open.push((id, responds_at, step));
+            }
+            Step::Accept { sent_at } => {
+                entry.table.record_accepted(&id, self.at(sent_at));
+                entry.table.finish_attempt(&id, AttemptOutcome::Answered, now);
+            }
+            Step::Reject { rest } => {
+                entry.table.record_rest(&id, Duration::from_secs_f64(rest), now);
+                entry.table.finish_attempt(&id, AttemptOutcome::Full, now);
+            }
         }
-        Step::Reject { rest } => {
-            entry.table.record_rest(&id, Duration::from_secs_f64(rest), now);
-            entry.table.finish_attempt(&id, AttemptOutcome::Full, now);
+    }
+
+    /// What a target responds to a request.
+    fn respond(&mut self, entry: &mut ModelEntry, id: &TargetId, tick: usize) -> Step {
+        let rate = self.scenario.rate;
+        if self.targets.get_mut(id).is_none_or(|target| target.accepts(rate, tick)) {
+            return Step::Accept { sent_at: tick };
         }
+        let (least, most) = self.scenario.rests;
+        let rest = self.rng.random_range(least..=most);
+        let until = tick + (rest * TICKS_PER_SECOND as f64) as usize;
+        entry.told.entry(id.clone()).or_default().push((tick, until));
+        Step::Reject { rest }
     }
 }
 
@@ -233,7 +243,7 @@
     /// target while some are free, and against targets that stay unused after their rest.
     #[test]
     fn rests_are_heeded_end_and_leave_free_targets_in_use(scenario in scenarios()) {
-        let (entries, most_before_restarts) = play(&scenario);
+        let (entries, most_before_restarts) = ModelWorld::new(&scenario).play();
         prop_assert!(most_before_restarts <= MAX_DURING_REST, "{most_before_restarts}");
         let placing = (PLACED_WITHIN / scenario.load * TICKS_PER_SECOND as f64) as usize;
         for (number, entry) in entries.iter().enumerate() {
@@ -252,3 +262,62 @@
         }
     }
 }
+
+/// Guards against a target that gets requests again after it has said that it leaves: by later
+/// heartbeats, by control members that restart, or by its own rest, which ends.
+#[test]
+fn nothing_takes_back_that_a_target_leaves() {
+    let start = Instant::now();
+    let mut table = leaving_table(start);
+    let leaving = record(1, 1, TargetState::Ready).id;
+    assert!(table.record_leaving(&leaving, start));
+    assert!(!table.record_leaving(&leaving, start + DRAIN_TIME), "it is known");
+    table.record_rest(&leaving, DRAIN_TIME / 4, start);
+    let mut now = start;
+    for sequence in 2..200 {
+        now += Duration::from_millis(500);
+        if sequence % 20 == 0 {
+            table.source_restarted(0, now);
+        }
+        table.expire(now);
+        table.apply_target(0, &status(record(1, sequence, TargetState::Ready)), now);
+        if now >= start + DRAIN_TIME {
+            assert_eq!(choose(&table, now), PlacementOutcome::NoTarget);
+            assert_eq!(table.withheld(&leaving, now), Some(WithholdReason::Leaving));
+        }
+    }
+}
+
+/// Guards against a target that leaves and is used while others have room, and against callers who
+/// are rejected while it is the only one and still serves.
+#[test]
+fn a_target_that_leaves_is_the_last_resort() {
+    let start = Instant::now();
+    let mut table = leaving_table(start);
+    let leaving = record(1, 1, TargetState::Ready).id;
+    table.record_leaving(&leaving, start);
+    let now = start + DRAIN_TIME / 2;
+    assert_eq!(choose(&table, now), PlacementOutcome::Target(leaving.clone()));
+    table.apply_target(0, &status(record(2, 1, TargetState::Ready)), now);
+    for _ in 0..100 {
+        assert_ne!(choose(&table, now), PlacementOutcome::Target(leaving.clone()));
+    }
+}
+
+/// A table with one target, and a drain time.
+fn leaving_table(now: Instant) -> TargetTable {
+    let zone = ZoneName::try_from("z1").expect("a valid name");
+    let policy = PlacementPolicy { drain_time: DRAIN_TIME, ..PlacementPolicy::default() };
+    let mut table = TargetTable::new(policy, zone);
+    table.apply_target(0, &status(record(1, 1, TargetState::Ready)), now);
+    table
+}
+
+fn query(service: &ServiceName) -> PlacementQuery<'_> {
+    PlacementQuery { service, model: None, tried: &[], late: false, first_byte_deadline: None }
+}
+
+fn choose(table: &TargetTable, now: Instant) -> PlacementOutcome {
+    let service = service();
+    table.choose(&query(&service), now)
+}
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -93,6 +93,7 @@
             stop_timeout: Duration::from_secs(8),
             // Engines do not wait for their turn to load a version, so that tests are fast.
             staleness_bound: Duration::ZERO,
+            drain_time: Duration::from_secs(2),
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_minimum: 100,
--- a/tests/all/fleet_settings.rs
+++ b/tests/all/fleet_settings.rs
@@ -23,6 +23,11 @@
     let parsed = FleetSettings::parse(&settings().to_string()).expect("valid settings");
     assert_eq!(parsed.announce_interval.as_millis(), 1_200);
     assert!(parsed.entry.is_some() && parsed.control.is_none() && parsed.agent.is_none());
+    assert_eq!(parsed.drain_time, Duration::ZERO);
+    let mut draining = settings();
+    draining["drain_limit_seconds"] = json!(2000e-3);
+    let parsed = FleetSettings::parse(&draining.to_string()).expect("valid settings");
+    assert_eq!(parsed.drain_time, Duration::from_secs(2));
 }
 
 /// Operators override single policy fields; the others keep their defaults.
