A forwarded rejection does not pass on its target's rest

A 503 that does not say that the request has not run is forwarded unchanged, with the target's Retry-After: callers were told to wait for as long as that one target rests, while others may serve them at once. The rest is the entry's to heed, and it does. The header of a forwarded 503 is dropped; status, signature and body stay.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -37,6 +37,9 @@
     "content-length",
 ];
 
+/// Status with which a target rejects a request, and may ask for rest.
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// How forwarding a response ended.
 pub(crate) enum RelayOutcome {
     /// The caller has the complete response.
@@ -59,7 +62,9 @@
     let is_listed = |name: &str| head.headers.has_token("connection", name);
     for field in head.headers.iter() {
         let name = String::from_utf8_lossy(&field.name).to_ascii_lowercase();
-        if !UNFORWARDED_HEADERS.contains(&name.as_str()) && !is_listed(&name) {
+        // A target at rest asks its entry to wait; its callers may be served by others at once.
+        let asks_entry = head.status == SERVICE_UNAVAILABLE && name == "retry-after";
+        if !UNFORWARDED_HEADERS.contains(&name.as_str()) && !is_listed(&name) && !asks_entry {
             writer.field(&field.name, &field.value);
         }
     }
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -20,6 +20,8 @@
     Fail,
     /// Says that it has no room.
     Full,
+    /// Rejects and asks for a long rest, but does not say that it has not run the request.
+    Unavailable,
     /// Says that it is another target.
     Misdirected,
     /// Closes without an answer.
@@ -269,6 +271,9 @@
                 let fields = format!("X-Not-Executed: 1\r\n{own}{rest}");
                 whole("503 Service Unavailable", &fields, "")
             }
+            Script::Unavailable => {
+                whole("503 Service Unavailable", &format!("{signed}Retry-After: 60\r\n"), "")
+            }
             Script::Misdirected => {
                 whole("421 Misdirected Request", "X-Instance-Id: i-other\r\n", "")
             }
--- a/tests/all/fleet/rests.rs
+++ b/tests/all/fleet/rests.rs
@@ -1,6 +1,6 @@
 //! Targets that ask for rest, with real entries.
 
-use super::bed::{FleetBed, ScriptedTarget, call_all, entry_of};
+use super::bed::{FleetBed, Script, ScriptedTarget, call_all, entry_of, request};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -111,3 +111,16 @@
     assert!(first > REST.1.as_secs_f64(), "a caller comes back during the rest, at {first} s");
     assert!(last - first > 0.5, "all callers come back between {first} and {last} s");
 }
+
+/// Guards against callers who are told to wait for as long as one target rests, where its rejection
+/// does not say that it has not run the request and is forwarded.
+#[actix_rt::test]
+async fn a_forwarded_rejection_does_not_pass_on_its_rest() {
+    let mut bed = FleetBed::start().await;
+    let target = bed.start_target("i-1").await;
+    target.then(Script::Unavailable);
+    let answer = bed.send_request(&request("/once/1", "0-1", "", "")).await.expect("a response");
+    assert_eq!((answer.status, answer.retry_after), (503, None));
+    let again = bed.send_request(&request("/once/1", "0-2", "", "")).await.expect("a response");
+    assert_eq!((again.status, target.arrived()), (503, 1), "its rest is not heeded");
+}
