Placement says itself that all targets rest

Whether all targets of a request rest was asked apart from the placement, of targets that may not hold its model: ten new targets without weights hid that the four with weights rest, and requests waited in vain. The placement's own outcome says so now. A connection to a target that leaves is not kept when its request is withheld. Tests of rests, leaving, limits and tables pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,7 @@
     shared::GatewayShared,
 };
 use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ResponseHead};
-use egretseam_serving::{AttemptOutcome, RequestedRest, TargetId};
+use egretseam_serving::{AttemptOutcome, RequestedRest, TargetId, WithholdReason};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -154,9 +154,10 @@
     let mut connection = acquired.connection;
     // Between the placement and this moment lie a handshake and the wait for a turn.
     if let Some(reason) = backpressure::withheld(shared, request, slot) {
-        shared.metrics.requests_withheld.with_label_values(&[reason.slug()]).inc();
-        let now = Instant::now();
-        shared.pool.borrow_mut().put(&slot.target, connection, None, now);
+        if reason == WithholdReason::Resting {
+            let now = Instant::now();
+            shared.pool.borrow_mut().put(&slot.target, connection, None, now);
+        }
         return Err(AttemptFailure::Withheld);
     }
     let send = TargetRequest {
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -37,13 +37,15 @@
     tracing::info!(target_id = %slot.target, "target says that it leaves");
 }
 
-/// Why a request may not be sent to the target that it was placed at, if it may not.
+/// Why a request may not be sent to the target that it was placed at, if it may not; counted and
+/// logged.
 pub(crate) fn withheld(
     shared: &GatewayShared,
     request: &RequestState,
     slot: &SlotGuard,
 ) -> Option<WithholdReason> {
     let reason = shared.dispatch.borrow().targets.withheld(&slot.target, Instant::now())?;
+    shared.metrics.requests_withheld.with_label_values(&[reason.slug()]).inc();
     tracing::info!(
         request_id = %request.terms.id,
         target_id = %slot.target,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -163,37 +163,37 @@
     };
     let choice = dispatch.targets.choose(&query, now);
     let queue_is_empty = dispatch.queue(request.service).is_empty();
-    let in_outage = choice == PlacementOutcome::NoTarget;
-    match choice {
+    match &choice {
         PlacementOutcome::NoTarget if !dispatch.targets.expects_capacity(request.service, now) => {
             let after = dispatch.queue(request.service).retry_after(rand::random());
             return Ok(SlotReply::NoTarget(after));
         }
         PlacementOutcome::Target(target) if queue_is_empty => {
             record_placed(dispatch.queue(request.service), request.urgency.is_late(), now);
-            if let Some(guard) = occupy_slot(shared, &mut dispatch, request.service, target) {
+            if let Some(guard) = occupy_slot(shared, &mut dispatch, request.service, target.clone())
+            {
                 return Ok(SlotReply::Acquired(guard));
             }
         }
-        PlacementOutcome::Target(_) | PlacementOutcome::Full | PlacementOutcome::NoTarget => {}
+        _ => {}
     }
-    enqueue(shared, &mut dispatch, request, &query, in_outage, now)
+    enqueue(shared, &mut dispatch, request, &query, &choice, now)
 }
 
-/// Queues a request for a slot, unless it would wait in vain. `in_outage` if no target takes
-/// requests now.
+/// Queues a request for a slot that was not placed at once, unless it would wait in vain. `choice`
+/// says why it was not.
 fn enqueue(
     shared: &Rc<GatewayShared>,
     dispatch: &mut DispatchState,
     request: &SlotRequest<'_>,
     query: &PlacementQuery<'_>,
-    in_outage: bool,
+    choice: &PlacementOutcome,
     now: Instant,
 ) -> Result<SlotReply, PendingSlot> {
+    let in_outage = *choice == PlacementOutcome::NoTarget;
     let urgency = if in_outage { request.urgency.for_outage() } else { request.urgency };
     let median_first_byte = dispatch.targets.median_first_byte(request.service, now);
     let paced_room = dispatch.targets.paced_room(query, now).filter(|_| !in_outage);
-    let rest_end = dispatch.targets.all_rest_until(query, now).filter(|_| !in_outage);
     let queue = dispatch.queue(request.service);
     let limit = if in_outage {
         queue.outage_limit()
@@ -201,7 +201,7 @@
         queue.wait_limit(&urgency, median_first_byte)
     };
     let give_up_at = (now + limit).min(request.wait_deadline);
-    if let Some(rest_end) = rest_end
+    if let PlacementOutcome::Resting(rest_end) = *choice
         && rest_end > give_up_at
     {
         queue.record_rejected(now);
@@ -311,8 +311,8 @@
         match dispatch.targets.choose(&query, now) {
             PlacementOutcome::Target(target) => return Some((ticket, target)),
             // This request excludes the targets that it has tried; others may still find a slot.
-            PlacementOutcome::Full | PlacementOutcome::NoTarget if !request.tried.is_empty() => {}
-            PlacementOutcome::Full | PlacementOutcome::NoTarget => return None,
+            _ if !request.tried.is_empty() => {}
+            _ => return None,
         }
     }
     None
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -130,9 +130,10 @@
 pub enum PlacementOutcome {
     /// The request goes to this target.
     Target(TargetId),
-    /// Every target that could take the request is full, at its limit, at rest, ejected or backing
-    /// off.
+    /// Every target that could take the request is full, at its limit, ejected or backing off.
     Full,
+    /// Every target that could take the request has asked for rest; the first rest ends then.
+    Resting(Instant),
     /// No target of the service can take the request at all.
     NoTarget,
 }
@@ -153,10 +154,12 @@
         if eligible.is_empty() {
             return PlacementOutcome::NoTarget;
         }
-        let eligible: Vec<(&TargetId, &TargetRow)> = eligible
-            .into_iter()
-            .filter(|(id, _)| self.backpressure.withheld(id, now).is_none())
-            .collect();
+        let (resting, eligible): (Vec<_>, Vec<_>) =
+            eligible.into_iter().partition(|(id, _)| self.backpressure.withheld(id, now).is_some());
+        if eligible.is_empty() {
+            let ends = resting.iter().filter_map(|(id, _)| self.backpressure.rest_end(id));
+            return ends.min().map_or(PlacementOutcome::NoTarget, PlacementOutcome::Resting);
+        }
         if query.late && self.at_late_prefill_limit(&eligible) {
             return PlacementOutcome::Full;
         }
--- a/crates/serving/src/target_table/backpressure.rs
+++ b/crates/serving/src/target_table/backpressure.rs
@@ -1,7 +1,7 @@
 //! What targets ask of this entry in their responses.
 
 use super::TargetTable;
-use crate::{backpressure::WithholdReason, placement::PlacementQuery, status::TargetId};
+use crate::{backpressure::WithholdReason, status::TargetId};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -31,21 +31,4 @@
     pub fn withheld(&self, id: &TargetId, now: Instant) -> Option<WithholdReason> {
         self.backpressure.withheld(id, now)
     }
-
-    /// When the first of a service's targets ends its rest, if all that could take the request rest.
-    /// Of a large service, as many targets are asked as a placement compares.
-    pub fn all_rest_until(&self, query: &PlacementQuery<'_>, now: Instant) -> Option<Instant> {
-        let ids = self.services.get(query.service)?;
-        let is_usable = |id: &&TargetId| {
-            !query.tried.contains(*id)
-                && !self.backpressure.has_left(id, now)
-                && self.rows.get(*id).is_some_and(|row| row.takes_requests(now))
-        };
-        let mut first: Option<Instant> = None;
-        for id in self.sample(ids).filter(is_usable) {
-            let end = self.backpressure.rest_end(id).filter(|end| now < *end)?;
-            first = Some(first.map_or(end, |first| first.min(end)));
-        }
-        first
-    }
 }
--- a/crates/serving/src/target_table/limits.rs
+++ b/crates/serving/src/target_table/limits.rs
@@ -149,8 +149,8 @@
     }
 
     /// What this entry may send to a service all of whose usable targets name limits; `None` if one
-    /// of them names none. Targets from which requests are withheld are not usable. Of a large service it is estimated from as many targets as a placement
-    /// compares.
+    /// of them names none. Targets from which requests are withheld are not usable. Of a large
+    /// service it is estimated from as many targets as a placement compares.
     pub fn paced_room(&self, query: &PlacementQuery<'_>, now: Instant) -> Option<PacedRoom> {
         let ids = self.services.get(query.service)?;
         let mut room = PacedRoom::default();
