Soak: targets that ask for rest and that leave, several at once after the last fault

After the last fault one target names a limit, one rejects every request and asks for rest, and one says that it leaves, all at once; what they get from all entries is checked.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -47,6 +47,17 @@
 /// Requests that it may get in addition.
 const LIMIT_SLACK: f64 = 5.0;
 
+/// Seconds of rest that a target asks for whenever it names the last of [`NAMED_LIMITS`], and after
+/// the last fault.
+const REST_SECONDS: f64 = 1.5;
+/// Time after a rejection until its rest counts.
+const REST_TOLD: Duration = Duration::from_millis(500);
+/// Requests of one entry that may arrive during one rest.
+const REST_SLACK: usize = 2;
+/// Time after it first says so from which a target that leaves gets no request of an entry that it
+/// has told.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Run the real programs under faults and check their promises.
 #[derive(Args, Debug)]
 pub(super) struct SoakCommand {
@@ -141,6 +152,10 @@
         let limit = NAMED_LIMITS[random.random_range(0..NAMED_LIMITS.len())];
         say(began, &format!("target {number} names a limit of {limit}"));
         targets[number].set_limit(Some(limit));
+        if NAMED_LIMITS.last() == Some(&limit) {
+            say(began, &format!("target {number} asks for {REST_SECONDS} s of rest"));
+            targets[number].set_rest(Some(REST_SECONDS));
+        }
         return Ok(Undo::EndLimit(number));
     }
     if random.random_bool(0.4) {
@@ -208,6 +223,7 @@
             Undo::EndLimit(number) => {
                 say(began, &format!("target {number} names no limit"));
                 targets[number].set_limit(None);
+                targets[number].set_rest(None);
             }
         }
     }
@@ -223,8 +239,10 @@
 ) -> anyhow::Result<()> {
     say(began, "no more faults");
     tokio::time::sleep(RECOVERY - LIMIT_LEAD).await;
-    let limited = &targets[0];
+    let [limited, rested, leaving, ..] = targets else { bail!("too few targets") };
     limited.set_limit(Some(LIMIT_AFTER));
+    rested.set_rest(Some(REST_SECONDS));
+    leaving.say_leaving();
     let counted_from = Instant::now() + LIMIT_CONTACT;
     tokio::time::sleep(LIMIT_LEAD).await;
     ledger.begin_afterwards();
@@ -235,6 +253,8 @@
     if most as f64 > allowed {
         ledger.violation("", format!("{most} requests in 4 s at a limit, {allowed} allowed"));
     }
+    check_rest(rested, fleet.entry_addresses().len(), counted_from, ledger, began);
+    check_leaving(leaving, fleet.entry_addresses().len(), counted_from, ledger, began);
     let (asked, served) = ledger.afterwards();
     if (served as f64) < asked as f64 * SERVED_AFTER {
         ledger.violation("", format!("{served} of {asked} requests were served after recovery"));
@@ -252,3 +272,35 @@
     }
     Ok(())
 }
+
+/// Checks what a target got from all entries that rejects every request and asks for rest.
+fn check_rest(
+    rested: &SoakTarget,
+    entries: usize,
+    from: Instant,
+    ledger: &SoakLedger,
+    began: Instant,
+) {
+    let window = Duration::from_secs_f64(REST_SECONDS) - REST_TOLD;
+    let most = rested.most_arrivals(from, window);
+    let allowed = entries * REST_SLACK;
+    say(began, &format!("target 1 rests: {most} requests in {window:?}, {allowed} allowed"));
+    if most > allowed {
+        ledger.violation("", format!("{most} requests during a rest, {allowed} allowed"));
+    }
+}
+
+/// Checks what a target got that leaves: of each entry, the one request by which it is told.
+fn check_leaving(
+    leaving: &SoakTarget,
+    entries: usize,
+    from: Instant,
+    ledger: &SoakLedger,
+    began: Instant,
+) {
+    let arrived = leaving.arrivals_since(from + DRAIN_TIME);
+    say(began, &format!("target 2 leaves: {arrived} late requests, {entries} allowed"));
+    if arrived > entries {
+        ledger.violation("", format!("{arrived} requests reached a target that leaves"));
+    }
+}
--- a/crates/bench/src/soak/stand_ins.rs
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -78,6 +78,10 @@
     id: String,
     /// Requests a second that it says it takes.
     limit: Cell<Option<f64>>,
+    /// Seconds of rest that it asks for in rejections of all requests.
+    rest: Cell<Option<f64>>,
+    /// Whether it says that it leaves.
+    leaving: Cell<bool>,
     arrivals: RefCell<Vec<Instant>>,
     random: RefCell<SmallRng>,
 }
@@ -93,9 +97,10 @@
         let fault = Rc::new(Cell::new(RelayFault::None));
         let address = relay::start(listener.local_addr()?, fault.clone()).await?;
         let id = format!("soak-{number}-{}", address.port());
-        let (limit, arrivals) = (Cell::default(), RefCell::default());
+        let (limit, rest, leaving) = (Cell::default(), Cell::default(), Cell::default());
+        let arrivals = RefCell::default();
         let random = RefCell::new(SmallRng::seed_from_u64(seed));
-        let target = Rc::new(Self { fault, ledger, id, limit, arrivals, random });
+        let target = Rc::new(Self { fault, ledger, id, limit, rest, leaving, arrivals, random });
         actix_rt::spawn(target.clone().announce(address, control));
         let serving = target.clone();
         actix_rt::spawn(async move {
@@ -115,6 +120,21 @@
         self.limit.set(limit);
     }
 
+    /// Rejects all requests from now on and asks for so many seconds of rest, or no longer.
+    pub(super) fn set_rest(&self, seconds: Option<f64>) {
+        self.rest.set(seconds);
+    }
+
+    /// Says from now on that it leaves.
+    pub(super) fn say_leaving(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Requests that arrived from a moment on.
+    pub(super) fn arrivals_since(&self, from: Instant) -> usize {
+        self.arrivals.borrow().iter().filter(|at| **at >= from).count()
+    }
+
     /// Most requests that arrived within `window` from any moment on that is not before `from`.
     pub(super) fn most_arrivals(&self, from: Instant, window: Duration) -> usize {
         let arrivals = self.arrivals.borrow();
@@ -160,13 +180,20 @@
             let bytes = stand_in::misdirected_response().finish_with(b"");
             return connection.write(&bytes).await.is_ok();
         }
-        self.ledger.note_run(&id);
         self.arrivals.borrow_mut().push(Instant::now());
+        if let Some(seconds) = self.rest.get() {
+            let bytes = stand_in::rest_rejection(&id, seconds).finish_with(b"");
+            return connection.write(&bytes).await.is_ok();
+        }
+        self.ledger.note_run(&id);
         tokio::time::sleep(WORK).await;
         let mut writer = stand_in::response(200, &id, &self.id);
         if let Some(limit) = self.limit.get() {
             stand_in::name_limit(&mut writer, limit);
         }
+        if self.leaving.get() {
+            stand_in::say_leaving(&mut writer);
+        }
         let framing = ResponseFraming::draw(&mut self.random.borrow_mut());
         if head.path().starts_with("/stream/") {
             let from = stand_in::last_event_id(head);
