--- a/tests/all/caller_codec.rs
+++ b/tests/all/caller_codec.rs
@@ -1,7 +1,7 @@
 //! The HTTP/1.1 codec of the entries, against hostile and faulty peers over TCP sockets.
 
 use bytes::Bytes;
-use egretseam_gateway::{CallerDialect, EventBuffer, last_event_id};
+use egretseam_gateway::{CallerDialect, EventBuffer, ResponseMetadata, last_event_id};
 use egretseam_h1::{BodyReader, ConnectionOptions, HeadError, HttpConnection, ReadError};
 use egretseam_platform::PlatformCallers;
 use egretseam_serving::{NamedLimit, RequestRate, RequestedRest};
@@ -192,11 +192,15 @@
     }
 }
 
-async fn read_limit(fields: &str) -> NamedLimit {
-    let bytes = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n");
+async fn read_metadata(status: u16, fields: &str) -> ResponseMetadata {
+    let bytes = format!("HTTP/1.1 {status} Status\r\n{fields}Content-Length: 0\r\n\r\n");
     let mut connection = connection_with(bytes.as_bytes(), Ending::Close).await;
     let head = connection.read_response().await.expect("a response");
-    PlatformCallers.read_response_metadata(&head).limit
+    PlatformCallers.read_response_metadata(&head)
+}
+
+async fn read_limit(fields: &str) -> NamedLimit {
+    read_metadata(200, fields).await.limit
 }
 
 #[actix_rt::test]
@@ -214,10 +218,7 @@
 }
 
 async fn read_rest(status: u16, fields: &str) -> RequestedRest {
-    let bytes = format!("HTTP/1.1 {status} Status\r\n{fields}Content-Length: 0\r\n\r\n");
-    let mut connection = connection_with(bytes.as_bytes(), Ending::Close).await;
-    let head = connection.read_response().await.expect("a response");
-    PlatformCallers.read_response_metadata(&head).rest
+    read_metadata(status, fields).await.rest
 }
 
 #[actix_rt::test]
@@ -250,10 +251,7 @@
 }
 
 async fn reads_leaving(fields: &str) -> bool {
-    let bytes = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n");
-    let mut connection = connection_with(bytes.as_bytes(), Ending::Close).await;
-    let head = connection.read_response().await.expect("a response");
-    PlatformCallers.read_response_metadata(&head).leaving
+    read_metadata(200, fields).await.leaving
 }
 
 #[actix_rt::test]
