The last target that wants requests is not ejected

Callers were rejected for a second and a half while a target had room: of four targets one rested, one named a limit, one was leaving, and an entry ejected the fourth for three failures.

Cause: ejections are ignored once more than half of the targets are excluded, but targets at rest were taken out before the count. They count as excluded now. The new test failed before and passes.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -163,7 +163,7 @@
         if query.late && self.at_late_prefill_limit(&eligible) {
             return PlacementOutcome::Full;
         }
-        let view = ServiceView::of(&eligible, query, now);
+        let view = ServiceView::of(&eligible, resting.len(), query, now);
         let untried = eligible.iter().filter(|(id, _)| !query.tried.contains(*id));
         let mut weighted: Vec<(f64, &TargetId)> = Vec::new();
         let mut trials: Vec<(f64, &TargetId)> = Vec::new();
@@ -355,7 +355,7 @@
     /// When most targets fail, for example because something that they all depend on is down,
     /// ejecting them all would turn a service that answers some requests into one that answers
     /// none. Ejections and hangs are therefore ignored once more than half of the targets are
-    /// excluded.
+    /// excluded or at rest.
     ignores_failures: bool,
     /// Whether the links of all targets that the request was not sent to before are slow.
     all_links_slow: bool,
@@ -384,7 +384,14 @@
         !self.all_links_slow && !row.link_delay.is_zero()
     }
 
-    fn of(eligible: &[(&TargetId, &TargetRow)], query: &PlacementQuery<'_>, now: Instant) -> Self {
+    /// The view of the targets that could take the request, beside `resting` ones that have asked
+    /// for rest.
+    fn of(
+        eligible: &[(&TargetId, &TargetRow)],
+        resting: usize,
+        query: &PlacementQuery<'_>,
+        now: Instant,
+    ) -> Self {
         let mut untried = eligible.iter().filter(|(id, _)| !query.tried.contains(*id));
         let mut view = Self {
             mean_other_load: mean_other_load(eligible, now),
@@ -396,8 +403,8 @@
         let excluded = |row: &TargetRow| {
             row.health.is_ejected(now) || view.is_hung(row, now) || view.has_slow_link(row)
         };
-        let count = eligible.iter().filter(|(_, row)| excluded(row)).count();
-        view.ignores_failures = count * 2 > eligible.len();
+        let count = resting + eligible.iter().filter(|(_, row)| excluded(row)).count();
+        view.ignores_failures = count * 2 > resting + eligible.len();
         view
     }
 }
--- a/tests/all/backpressure.rs
+++ b/tests/all/backpressure.rs
@@ -4,8 +4,8 @@
 use crate::serving_tables::{record, service, status};
 use egretseam_proto::{ServiceName, ZoneName};
 use egretseam_serving::{
-    AttemptOutcome, PlacementOutcome, PlacementPolicy, PlacementQuery, TargetId, TargetState,
-    TargetTable, WithholdReason,
+    AttemptOutcome, PlacementOutcome, PlacementPolicy, PlacementQuery, RequestRate, TargetId,
+    TargetState, TargetTable, WithholdReason,
 };
 use indexmap::IndexMap;
 use proptest::prelude::*;
@@ -304,6 +304,27 @@
     }
 }
 
+/// Guards against callers who are rejected because the last target that wants requests has failed a
+/// few of them.
+#[test]
+fn a_failing_target_is_used_while_the_others_want_no_requests() {
+    let start = Instant::now();
+    let mut table = leaving_table(start);
+    let ids = [1, 2, 3].map(|host| record(host, 1, TargetState::Ready).id);
+    for host in 2..=3 {
+        table.apply_target(0, &status(record(host, 1, TargetState::Ready)), start);
+    }
+    let [failing, resting, limited] = &ids;
+    for _ in 0..4 {
+        table.start_attempt(failing, start);
+        table.finish_attempt(failing, AttemptOutcome::Failed, start);
+    }
+    table.record_rest(resting, DRAIN_TIME, start);
+    table.record_limit(limited, RequestRate::try_from(0.0).ok(), start, start);
+    let now = start + Duration::from_millis(100);
+    assert_eq!(choose(&table, now), PlacementOutcome::Target(failing.clone()));
+}
+
 /// A table with one target, and a drain time.
 fn leaving_table(now: Instant) -> TargetTable {
     let zone = ZoneName::try_from("z1").expect("a valid name");
