Parts of prompts are read, and logged with failed attempts

X-Prompt-Prefix is decoded once, in platform/, to typed ids of the parts that requests may share (all but the last); case, leading zeros, token counts, empty entries, repeated parts and fields do not matter. 'attempt failed' names them. Nothing is decided by them yet.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use egretseam_h1::{RequestHead, ResponseHead};
-use egretseam_proto::{ModelName, OrganisationName};
+use egretseam_proto::{ModelName, OrganisationName, PartId};
 use egretseam_serving::{NamedLimit, RequestedRest, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
@@ -19,6 +19,8 @@
     pub model: Option<ModelName>,
     /// Whether the caller resumes a stream after an event that it has.
     pub resumes: bool,
+    /// Parts of the prompt that other requests may share, each once.
+    pub shared_parts: Vec<PartId>,
 }
 
 /// A request as it is sent to a target.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -246,6 +246,7 @@
         target_id = target,
         reason = failure.slug(),
         digest = %request.digest(),
+        prompt_parts = request.part_texts(),
         tried = tried.len(),
         elapsed_millis = request.received_at.elapsed().as_millis() as u64,
         events_passed = request.last_event_id.as_deref().unwrap_or(""),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,7 @@
 use crate::dialect::RequestMetadata;
 use bytes::Bytes;
 use egretseam_h1::RequestHead;
-use egretseam_proto::{OrganisationName, ServiceName};
+use egretseam_proto::{OrganisationName, PartId, ServiceName};
 use egretseam_quarantine::{RequestContent, RequestDigest};
 use egretseam_serving::{AttemptLimits, KeyHolder, RouteRecord, WaitUrgency};
 use std::{cell::OnceCell, rc::Rc, time::Duration};
@@ -60,6 +60,12 @@
         *self.digest.get_or_init(compute)
     }
 
+    /// The parts of its prompt that other requests may share, for logs.
+    pub(crate) fn part_texts(&self) -> String {
+        let texts: Vec<String> = self.terms.shared_parts.iter().map(PartId::to_string).collect();
+        texts.join(" ")
+    }
+
     /// Records that events of a stream were forwarded.
     pub(crate) fn record_forwarded(&mut self, now: Instant) {
         match self.last_forwarded_at.replace(now) {
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod name;
 mod number;
+mod part;
 mod rendezvous;
 mod target;
 mod verdict;
@@ -18,6 +19,7 @@
         ServiceName, VersionName, ZoneName,
     },
     number::{FencingNumber, Incarnation, OperationId, Revision},
+    part::{PartId, PartIdError},
     rendezvous::rendezvous_score,
     target::{ServingVersion, TargetReport, TargetState},
     verdict::{FailureReport, RefusalReason, RequestVerdict},
--- a/tests/all/caller_codec.rs
+++ b/tests/all/caller_codec.rs
@@ -261,3 +261,32 @@
         assert!(!reads_leaving(fields).await, "{fields:?}");
     }
 }
+
+async fn read_parts(fields: &str) -> Vec<String> {
+    let text = format!("POST /a HTTP/1.1\r\nHost: a.example\r\n{fields}Content-Length: 0\r\n\r\n");
+    let mut connection = connection_with(text.as_bytes(), Ending::Close).await;
+    let head = connection.read_request(HEAD_LIMIT).await.expect("valid").expect("a request");
+    let parts = PlatformCallers.read_request_metadata(&head).shared_parts;
+    parts.iter().map(ToString::to_string).collect()
+}
+
+/// Guards against one part that counts as several because it is written differently, and against a
+/// header that makes its request expensive or unserved.
+#[actix_rt::test]
+async fn parts_of_prompts_are_read_however_they_are_written() {
+    let field = |value: &str| format!("X-Prompt-Prefix: {value}\r\n");
+    let same = ["5c1e07a2:800,91:1,e4:9", "5C1E07A2:1 , 0091:7,e4:9", ",5c1e07a2,,91:x,91:1,e4:9,"];
+    for value in same {
+        assert_eq!(read_parts(&field(value)).await, ["5c1e07a2", "91"], "{value}");
+    }
+    assert_eq!(read_parts("").await, Vec::<String>::new());
+    assert_eq!(read_parts(&field("5c1e07a2:800")).await, Vec::<String>::new(), "its own part");
+    assert_eq!(read_parts(&field("zz:1,:4,5c:1,e4:9")).await, ["5c"], "what is no id is ignored");
+    let two = field("5c:1").to_lowercase() + &field("91:1,e4:9");
+    assert_eq!(read_parts(&two).await, ["5c", "91"], "two fields are one list");
+    let long = ["A".repeat(40), "0".repeat(9) + &"a".repeat(40)];
+    let ids = read_parts(&field(&format!("{}:1,{}:2,e4:9", long[0], long[1]))).await;
+    assert_eq!(ids.len(), 1, "{ids:?}");
+    let many: String = (0..1_000).map(|number| format!("{number:x}:1,")).collect();
+    assert_eq!(read_parts(&field(&many)).await.len(), 64);
+}
