Tests of prompt parts that end their targets, known red

Three entries, twelve targets that are back 0.4 s after they end, 30 sound requests a second that share the first part and the key. Requests with one more part, never alike and spelled differently, end their target before the head, after it, or after one event. Bounds are those of the users' rules.

--- a/tests/all/fleet/crashing.rs
+++ b/tests/all/fleet/crashing.rs
@@ -1,8 +1,9 @@
-//! Requests that end each target that begins to run them.
+//! Requests that end each target that begins to run them: whole requests, and parts of prompts.
 
 mod engine;
+mod parts;
 
-use self::engine::{CRASHING_BODY, CrashingEngine, RESTART_TIME};
+use self::engine::{CRASHING_BODY, CrashCause, CrashingEngine, RESTART_TIME};
 use super::bed::{FleetBed, Script, request};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::Instant;
@@ -57,9 +58,9 @@
     }
 }
 
-async fn start_engine(bed: &mut FleetBed) -> Rc<CrashingEngine> {
+async fn start_engine(bed: &mut FleetBed, targets: usize) -> Rc<CrashingEngine> {
     let engine = Rc::new(CrashingEngine::default());
-    for number in 0..TARGETS {
+    for number in 0..targets {
         let host = bed.unused_host();
         engine.clone().start_target(bed, host, number).await;
     }
@@ -85,7 +86,7 @@
     for _ in 1..ENTRIES {
         bed.add_entry().await;
     }
-    let engine = start_engine(&mut bed).await;
+    let engine = start_engine(&mut bed, TARGETS).await;
     let started_at = Instant::now();
     let until = started_at + SPELL;
     let others = OtherCalls::default();
@@ -95,7 +96,11 @@
     let crashes = engine.crashes();
     assert!(crashes.len() >= 3, "the request ended only {} targets", crashes.len());
     let third_at = crashes[2];
-    let late = engine.lethal_runs().iter().filter(|at| **at > third_at + SPREAD_LIMIT).count();
+    let late = engine
+        .lethal_runs(CrashCause::Body)
+        .iter()
+        .filter(|at| **at > third_at + SPREAD_LIMIT)
+        .count();
     println!(
         "{} targets ended, {late} late runs, others served {} of {}",
         crashes.len(),
@@ -104,7 +109,7 @@
     );
     assert!(late <= MAX_LATE_RUNS, "{late} runs later than {SPREAD_LIMIT:?} after the third crash");
     assert_eq!(others.rejected.get(), 0, "an innocent request was rejected");
-    let runs = engine.lethal_runs().len();
+    let runs = engine.lethal_runs(CrashCause::Body).len();
     bed.add_entry().await;
     let added = *bed.caller_addresses().last().expect("an entry");
     tokio::time::sleep(ENTRY_LEARNS_WITHIN).await;
@@ -112,7 +117,11 @@
     let answer = bed.send_request_to(added, &text).await.expect("a complete response");
     assert_eq!((answer.status, answer.body.as_str()), (503, REJECTED));
     assert!(answer.retry_after.is_some_and(|after| after > 60.0), "{:?}", answer.retry_after);
-    assert_eq!(engine.lethal_runs().len(), runs, "an entry that started later runs it");
+    assert_eq!(
+        engine.lethal_runs(CrashCause::Body).len(),
+        runs,
+        "an entry that started later runs it"
+    );
 }
 
 /// Guards against the rejection of requests that were only present when all targets ended at once,
@@ -121,7 +130,7 @@
 async fn kills_of_all_targets_reject_no_request() {
     let mut bed = FleetBed::start().await;
     bed.add_entry().await;
-    let engine = start_engine(&mut bed).await;
+    let engine = start_engine(&mut bed, TARGETS).await;
     let until = Instant::now() + SPELL;
     let calls = OtherCalls::default();
     let popular = |_| "the same for all".to_owned();
--- a/tests/all/fleet/crashing/engine.rs
+++ b/tests/all/fleet/crashing/engine.rs
@@ -1,7 +1,9 @@
-//! Targets whose process ends when it begins to run a certain request, and starts again.
+//! Targets whose process ends when it begins to answer certain requests, and starts again.
 
 use super::super::bed::{EVENTS, FleetBed};
-use egretseam_h1::{BodyReader, ConnectionOptions, HttpConnection, chunk_frame, last_chunk};
+use egretseam_h1::{
+    BodyReader, ConnectionOptions, HttpConnection, RequestHead, chunk_frame, last_chunk,
+};
 use serde_json::json;
 use std::{
     cell::{Cell, RefCell},
@@ -13,6 +15,8 @@
 
 /// A request with this body ends the process that runs it.
 pub(super) const CRASHING_BODY: &str = "ends the process";
+/// A request with one of these among the shared parts of its prompt ends the process that runs it.
+pub(super) const CRASHING_PARTS: [u64; 2] = [0xbad1_0007, 0xbad2];
 /// Time after which a process that ended is back.
 pub(super) const RESTART_TIME: Duration = Duration::from_millis(400);
 /// Time from the arrival of a request to its first event.
@@ -21,11 +25,31 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 const SERVING_PORT: u16 = 17_980;
 
+/// What a request has that ends its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CrashCause {
+    /// [`CRASHING_BODY`].
+    Body,
+    /// One of [`CRASHING_PARTS`].
+    Part(u64),
+}
+
+/// When a process ends that begins to answer a request with a [`CrashCause`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashMoment {
+    BeforeHead,
+    AfterHead,
+    AfterEvent,
+}
+
 /// What happened at all targets.
 #[derive(Default)]
 pub(super) struct CrashingEngine {
     crashes: RefCell<Vec<Instant>>,
-    lethal_runs: RefCell<Vec<Instant>>,
+    lethal_runs: RefCell<Vec<(CrashCause, Instant)>>,
+    lethal_ends: RefCell<Vec<(CrashCause, Instant)>>,
+    /// Whether [`CRASHING_PARTS`] end no process yet.
+    parts_are_sound: Cell<bool>,
     incarnations: Cell<u64>,
     /// Ends the processes that run now.
     ends: RefCell<Vec<Rc<watch::Sender<bool>>>>,
@@ -37,9 +61,41 @@
         self.crashes.borrow().clone()
     }
 
-    /// When the request with [`CRASHING_BODY`] arrived at a target.
-    pub(super) fn lethal_runs(&self) -> Vec<Instant> {
-        self.lethal_runs.borrow().clone()
+    /// When requests that end their target for `cause` arrived at one.
+    pub(super) fn lethal_runs(&self, cause: CrashCause) -> Vec<Instant> {
+        times_of(&self.lethal_runs.borrow(), cause)
+    }
+
+    /// When processes ended under such requests.
+    pub(super) fn lethal_ends(&self, cause: CrashCause) -> Vec<Instant> {
+        times_of(&self.lethal_ends.borrow(), cause)
+    }
+
+    /// Sets whether [`CRASHING_PARTS`] end no process.
+    pub(super) fn set_parts_sound(&self, sound: bool) {
+        self.parts_are_sound.set(sound);
+    }
+
+    fn cause_of(&self, head: &RequestHead, body: &[u8]) -> Option<CrashCause> {
+        if body == CRASHING_BODY.as_bytes() {
+            return Some(CrashCause::Body);
+        }
+        let mut parts: Vec<u64> = head
+            .headers
+            .text("X-Prompt-Prefix")?
+            .split(',')
+            .filter_map(|entry| u64::from_str_radix(entry.split(':').next()?.trim(), 16).ok())
+            .collect();
+        parts.pop();
+        let lethal = parts.into_iter().find(|part| CRASHING_PARTS.contains(part))?;
+        (!self.parts_are_sound.get()).then_some(CrashCause::Part(lethal))
+    }
+
+    /// Records the end of a process under a request.
+    fn end_process(&self, cause: CrashCause, end: &watch::Sender<bool>) {
+        if !end.send_replace(true) {
+            self.lethal_ends.borrow_mut().push((cause, Instant::now()));
+        }
     }
 
     /// Ends the processes of all targets at once.
@@ -107,15 +163,29 @@
         while let Ok(Some(head)) = connection.read_request(64 * 1024).await {
             let reader = BodyReader::new(head.framing);
             let Ok(body) = connection.read_body(reader, 1 << 20).await else { return };
-            let is_lethal = body == CRASHING_BODY.as_bytes();
-            if is_lethal {
-                self.lethal_runs.borrow_mut().push(Instant::now());
+            let cause = self.cause_of(&head, &body);
+            let mut moment = CrashMoment::AfterEvent;
+            if let Some(cause) = cause {
+                let mut runs = self.lethal_runs.borrow_mut();
+                runs.push((cause, Instant::now()));
+                moment = match (cause, runs.len() % 3) {
+                    (CrashCause::Part(_), 0) => CrashMoment::BeforeHead,
+                    (CrashCause::Part(_), 1) => CrashMoment::AfterHead,
+                    _ => CrashMoment::AfterEvent,
+                };
             }
             let request_id = head.headers.text("X-Request-Id").unwrap_or_default();
             tokio::time::sleep(PREFILL_TIME).await;
+            if let (Some(cause), CrashMoment::BeforeHead) = (cause, moment) {
+                return self.end_process(cause, &end);
+            }
             if write_head(&mut connection, request_id, &id).await.is_err() {
                 return;
             }
+            if let (Some(cause), CrashMoment::AfterHead) = (cause, moment) {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+                return self.end_process(cause, &end);
+            }
             let from = head.headers.parse("Last-Event-Id").unwrap_or(0);
             for event in from + 1..=EVENTS {
                 let text = format!("id: {event}\ndata: {event}\n\n");
@@ -123,9 +193,8 @@
                     return;
                 }
                 tokio::time::sleep(EVENT_INTERVAL).await;
-                if is_lethal {
-                    end.send_replace(true);
-                    return;
+                if let Some(cause) = cause {
+                    return self.end_process(cause, &end);
                 }
             }
             if connection.write(last_chunk()).await.is_err() {
@@ -135,6 +204,10 @@
     }
 }
 
+fn times_of(rows: &[(CrashCause, Instant)], cause: CrashCause) -> Vec<Instant> {
+    rows.iter().filter(|(of, _)| *of == cause).map(|(_, at)| *at).collect()
+}
+
 async fn write_head(
     connection: &mut HttpConnection,
     request_id: &str,
