--- a/crates/bench/src/slopes/suspects.rs
+++ b/crates/bench/src/slopes/suspects.rs
@@ -2,7 +2,7 @@
 
 use super::SlopeRow;
 use egretseam_quarantine::{
-    CrashTable, EvidenceRecord, ProcessDigest, RequestContent, RequestDigest, RequestFate,
+    CrashTable, EvidenceRecord, FeatureDigest, ProcessDigest, RequestContent, RequestFate,
 };
 use std::time::Instant;
 
@@ -14,8 +14,8 @@
 /// Requests that a target has when it ends.
 const REQUESTS_PER_TARGET: u64 = 16;
 
-fn digest(body: &[u8]) -> RequestDigest {
-    RequestDigest::of(&RequestContent {
+fn digest(body: &[u8]) -> FeatureDigest {
+    FeatureDigest::of_content(&RequestContent {
         organisation: "organisation",
         host: "a.example",
         method: b"POST",
@@ -24,7 +24,7 @@
     })
 }
 
-fn numbered(number: u64) -> RequestDigest {
+fn numbered(number: u64) -> FeatureDigest {
     digest(&number.to_le_bytes())
 }
 
@@ -35,7 +35,7 @@
         let process = ProcessDigest::of(&target, "1");
         let fate = RequestFate::ProcessEnded { process, isolated: false };
         let age_millis = 500 * (suspect / REQUESTS_PER_TARGET) + 200 * round;
-        EvidenceRecord { request: numbered(suspect), fate, age_millis }
+        EvidenceRecord { feature: numbered(suspect), fate, age_millis }
     };
     (0..suspects).flat_map(|suspect| [ended(suspect, 0), ended(suspect, 1)]).collect()
 }
@@ -65,7 +65,7 @@
         let other = numbered(u64::MAX);
         let begun = Instant::now();
         for _ in 0..ROUNDS {
-            std::hint::black_box(table.treatment(&other, now));
+            std::hint::black_box(table.treatment(&[other], now));
         }
         (suspects as f64, begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS))
     };
@@ -86,7 +86,7 @@
         let begun = Instant::now();
         for record in records.iter().cycle().take(RECORDS as usize) {
             table.apply(record, now);
-            std::hint::black_box(table.treatment(&record.request, now));
+            std::hint::black_box(table.treatment(&[record.feature], now));
         }
         (suspects as f64, begun.elapsed().as_secs_f64() * 1e6 / f64::from(RECORDS))
     };
--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -50,7 +50,7 @@
             Ok(slot) => slot,
             Err(error) => return Some(Err(error)),
         };
-        let turn = permit.prepare(caller, &slot.target).await?;
+        let turn = permit.prepare(caller, request, &slot.target).await?;
         // Targets may have ended under the request while it waited.
         if turn != RunTurn::Lost && permit.is_valid(shared, request) {
             let isolated = turn == RunTurn::Isolated;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -135,7 +135,9 @@
         longest_pause: Duration::ZERO,
         last_forwarded_at: None,
         status: 0,
-        digest: OnceCell::new(),
+        parts_cleared: false,
+        events_since: None,
+        features: OnceCell::new(),
     })
 }
 
@@ -174,6 +176,7 @@
             attempt: tried.len() + 1,
         };
         tried.push(slot.target.clone());
+        request.begin_attempt();
         let failure = match run_attempt(shared, caller, request, slot, options, retry).await {
             Ok(action) => {
                 log_answered(shared, request, &tried, action);
@@ -190,8 +193,8 @@
         may_have_run |= failure.may_have_run();
         log_failure(request, &tried, failure);
         if failure == AttemptFailure::Broken {
-            let digest = request.digest();
-            let attempt = BrokenAttempt { request: digest, started_at, isolated, permit };
+            let features = request.suspect_features().to_vec();
+            let attempt = BrokenAttempt { features, started_at, isolated, permit };
             quarantine::record_broken(shared, &target, address, attempt);
             quarantine::await_check(shared, request, &target).await;
         }
@@ -245,7 +248,7 @@
         request_id = %request.terms.id,
         target_id = target,
         reason = failure.slug(),
-        digest = %request.digest(),
+        digest = %request.features()[0],
         prompt_parts = request.part_texts(),
         tried = tried.len(),
         elapsed_millis = request.received_at.elapsed().as_millis() as u64,
@@ -379,7 +382,7 @@
 }
 
 async fn relay_response(
-    shared: &GatewayShared,
+    shared: &Rc<GatewayShared>,
     caller: &mut HttpConnection,
     request: &mut RequestState,
     slot: &SlotGuard,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,5 +1,5 @@
-//! Requests that end targets: which ones this entry had at a target that ended, and which of them it
-//! still runs.
+//! Requests that end targets: what those had in common that this entry had at targets that ended, and
+//! which requests it still runs.
 
 mod ended_targets;
 mod outbox;
@@ -14,19 +14,24 @@
 use self::ended_targets::EndedTargets;
 use crate::{request::RequestState, shared::GatewayShared};
 use egretseam_quarantine::{
-    CrashTable, EvidenceRecord, ProcessDigest, RequestDigest, RequestFate, RequestTreatment,
+    CrashTable, EvidenceRecord, FeatureDigest, ProcessDigest, RequestFate, RequestTreatment,
     SuspectChange, SuspectStatus,
 };
 use egretseam_serving::TargetId;
 use indexmap::IndexMap;
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 use tokio::{sync::Notify, time::Instant};
 
+/// How long a target goes on answering before the parts of the prompt are cleared. A part that ends
+/// targets does so when they begin to answer, within a few events.
+const PARTS_CLEARED_AFTER: Duration = Duration::from_millis(300);
+
 /// Evidence of this entry and others, and the runs that depend on it.
 pub(crate) struct QuarantineState {
     table: RefCell<CrashTable>,
-    /// Requests that run with care here, and their targets once these are chosen.
-    careful_runs: RefCell<IndexMap<RequestDigest, Option<TargetId>>>,
+    /// Suspect features of the requests that run with care here, and the targets of these once they
+    /// are chosen.
+    careful_runs: RefCell<IndexMap<FeatureDigest, Option<TargetId>>>,
     ended_targets: RefCell<EndedTargets>,
     pub(crate) outbox: EvidenceOutbox,
     /// Wakes requests that wait until they may run with care.
@@ -49,7 +54,7 @@
         if self.table.borrow().is_empty() {
             return RequestTreatment::Normal;
         }
-        self.table.borrow_mut().treatment(&request.digest(), Instant::now())
+        self.table.borrow_mut().treatment(request.features(), Instant::now())
     }
 
     /// Whether the request gets no further attempt once it may have run, because targets ended under
@@ -58,9 +63,27 @@
         self.treatment(request) != RequestTreatment::Normal
     }
 
-    fn is_suspect(&self, request: &RequestState) -> bool {
+    /// Those of the request's features under which targets have ended.
+    fn suspects(&self, request: &RequestState) -> Vec<FeatureDigest> {
         let table = self.table.borrow();
-        !table.is_empty() && table.is_suspect(&request.digest())
+        if table.is_empty() {
+            return Vec::new();
+        }
+        let features = request.features().iter();
+        features.filter(|feature| table.is_suspect(feature)).copied().collect()
+    }
+
+    fn count_answered(&self, request: &RequestState) {
+        if request.terms.shared_parts.is_empty() {
+            return;
+        }
+        let parts: Vec<FeatureDigest> = request.part_features().collect();
+        self.table.borrow_mut().count_answered(&parts);
+    }
+
+    /// Those of the request's features that are to be run with care.
+    fn careful_features(&self, request: &RequestState) -> Vec<FeatureDigest> {
+        self.table.borrow_mut().careful_features(request.features(), Instant::now())
     }
 
     /// Drops what is too old to matter.
@@ -88,30 +111,64 @@
     shared.quarantine.changed.notify_waiters();
 }
 
-/// Logs and counts what the evidence newly says of requests.
+/// Logs and counts what the evidence newly says of features.
 pub(crate) fn log_changes(shared: &GatewayShared) {
     let changes = shared.quarantine.table.borrow_mut().take_changes(Instant::now());
-    for SuspectChange { request, status, ends } in changes {
+    for SuspectChange { feature, status, ends } in changes {
         let metrics = &shared.metrics;
-        match status {
-            SuspectStatus::Suspicious => metrics.suspects_found.inc(),
-            SuspectStatus::Guilty => metrics.suspects_rejected.inc(),
-            SuspectStatus::Unsuspicious => metrics.suspects_cleared.inc(),
+        let counter = match status {
+            SuspectStatus::Suspicious => &metrics.suspects_found,
+            SuspectStatus::Guilty => &metrics.suspects_rejected,
+            SuspectStatus::Unsuspicious => &metrics.suspects_cleared,
+        };
+        counter.inc();
+        if feature.is_part() {
+            metrics.suspect_parts.with_label_values(&[status_slug(status)]).inc();
         }
-        tracing::info!(digest = %request, ?status, ends, "request under which targets ended");
+        tracing::info!(digest = %feature, ?status, ends, "request under which targets ended");
+    }
+}
+
+fn status_slug(status: SuspectStatus) -> &'static str {
+    match status {
+        SuspectStatus::Suspicious => "suspicious",
+        SuspectStatus::Guilty => "rejected",
+        SuspectStatus::Unsuspicious => "cleared",
     }
 }
 
 /// Records what this entry has seen, here and for the others.
-fn record_fate(shared: &Rc<GatewayShared>, request: RequestDigest, fate: RequestFate, at: Instant) {
+fn record_fate(shared: &Rc<GatewayShared>, feature: FeatureDigest, fate: RequestFate, at: Instant) {
     let age_millis = at.elapsed().as_millis() as u64;
-    apply_records(shared, &[EvidenceRecord { request, fate, age_millis }]);
-    outbox::push(shared, request, fate, at);
+    apply_records(shared, &[EvidenceRecord { feature, fate, age_millis }]);
+    outbox::push(shared, feature, fate, at);
 }
 
-/// Records that a target answered a request whole: it does not end the targets that run it.
+/// Records that a target answered a request whole: no feature of it ends the targets that run it.
 pub(crate) fn record_served(shared: &Rc<GatewayShared>, request: &RequestState) {
-    if request.status < 300 && shared.quarantine.is_suspect(request) {
-        record_fate(shared, request.digest(), RequestFate::Served, Instant::now());
+    if request.status >= 300 {
+        return;
+    }
+    if !request.parts_cleared {
+        shared.quarantine.count_answered(request);
+    }
+    for feature in shared.quarantine.suspects(request) {
+        record_fate(shared, feature, RequestFate::Served, Instant::now());
+    }
+}
+
+/// Records that a target goes on answering a request, once it has done so for
+/// [`PARTS_CLEARED_AFTER`]: no part of its prompt ends the targets that run it.
+pub(crate) fn record_progress(shared: &Rc<GatewayShared>, request: &mut RequestState) {
+    let is_due = request.events_since.is_some_and(|at| at.elapsed() >= PARTS_CLEARED_AFTER);
+    if request.parts_cleared || !is_due {
+        return;
+    }
+    request.parts_cleared = true;
+    shared.quarantine.count_answered(request);
+    for feature in shared.quarantine.suspects(request) {
+        if feature.is_part() {
+            record_fate(shared, feature, RequestFate::Served, Instant::now());
+        }
     }
 }
--- a/crates/gateway/src/quarantine/ended_targets.rs
+++ b/crates/gateway/src/quarantine/ended_targets.rs
@@ -3,7 +3,7 @@
 
 use super::{permit::RunPermit, process_of, record_fate};
 use crate::{request::RequestState, shared::GatewayShared};
-use egretseam_quarantine::{RequestDigest, RequestFate};
+use egretseam_quarantine::{FeatureDigest, RequestFate};
 use egretseam_serving::{TargetId, TargetLifetime};
 use indexmap::IndexMap;
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
@@ -26,7 +26,8 @@
 
 /// An attempt whose connection broke.
 pub(crate) struct BrokenAttempt {
-    pub(crate) request: RequestDigest,
+    /// What it had that may have ended the target.
+    pub(crate) features: Vec<FeatureDigest>,
     pub(crate) started_at: Instant,
     /// Whether it ran by a claim.
     pub(crate) isolated: bool,
@@ -86,7 +87,7 @@
 
 /// Waits until it is known whether a target listens, if a target has ended under the request before.
 pub(crate) async fn await_check(shared: &GatewayShared, request: &RequestState, target: &TargetId) {
-    if !shared.quarantine.is_suspect(request) {
+    if shared.quarantine.suspects(request).is_empty() {
         return;
     }
     let checked = {
@@ -223,5 +224,7 @@
     }
     let process = process_of(target);
     let fate = RequestFate::ProcessEnded { process, isolated: attempt.isolated };
-    record_fate(shared, attempt.request, fate, ended_at);
+    for feature in attempt.features {
+        record_fate(shared, feature, fate, ended_at);
+    }
 }
--- a/crates/gateway/src/quarantine/outbox.rs
+++ b/crates/gateway/src/quarantine/outbox.rs
@@ -1,12 +1,12 @@
 //! What this entry has seen and still has to report to control members.
 
 use crate::shared::GatewayShared;
-use egretseam_quarantine::{EvidenceRecord, RequestDigest, RequestFate};
+use egretseam_quarantine::{CrashTable, EvidenceRecord, FeatureDigest, RequestFate};
 use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
 use tokio::{sync::watch, time::Instant};
 
-/// How long records are held back. What ended with many other targets at the same time is then not
-/// reported at all.
+/// How long records are held back. What ended with many other targets at the same time, and parts that
+/// are answered meanwhile, are then not reported at all.
 const REPORT_DELAY: Duration = Duration::from_millis(60);
 /// Most records kept for control members that restart or are reached later.
 const MAX_RECORDS: usize = 256;
@@ -15,7 +15,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct OutboxRow {
-    request: RequestDigest,
+    feature: FeatureDigest,
     fate: RequestFate,
     at: Instant,
 }
@@ -53,7 +53,7 @@
             .map(|(number, row)| {
                 last = *number;
                 let age_millis = row.at.elapsed().as_millis() as u64;
-                EvidenceRecord { request: row.request, fate: row.fate, age_millis }
+                EvidenceRecord { feature: row.feature, fate: row.fate, age_millis }
             })
             .collect();
         (records, last)
@@ -74,19 +74,31 @@
     }
 }
 
+/// Whether the others have to know of a record that was held back.
+fn is_reported(table: &CrashTable, row: &OutboxRow) -> bool {
+    if !matches!(row.fate, RequestFate::ProcessEnded { .. }) {
+        return true;
+    }
+    if row.feature.is_part() {
+        // Which other targets ended without the part, only all entries together know.
+        return table.is_suspect(&row.feature);
+    }
+    !table.has_common_cause(&row.feature, row.at)
+}
+
 /// Adds a record; it is reported after [`REPORT_DELAY`].
 pub(super) fn push(
     shared: &Rc<GatewayShared>,
-    request: RequestDigest,
+    feature: FeatureDigest,
     fate: RequestFate,
     at: Instant,
 ) {
     let outbox = &shared.quarantine.outbox;
     if matches!(fate, RequestFate::Claimed(_)) {
-        return outbox.release(vec![OutboxRow { request, fate, at }]);
+        return outbox.release(vec![OutboxRow { feature, fate, at }]);
     }
     let mut held_back = outbox.held_back.borrow_mut();
-    held_back.push(OutboxRow { request, fate, at });
+    held_back.push(OutboxRow { feature, fate, at });
     if held_back.len() > 1 {
         return;
     }
@@ -96,10 +108,7 @@
         tokio::time::sleep(REPORT_DELAY).await;
         let mut rows = shared.quarantine.outbox.held_back.take();
         let table = shared.quarantine.table.borrow();
-        rows.retain(|row| {
-            let is_end = matches!(row.fate, RequestFate::ProcessEnded { .. });
-            !is_end || !table.has_common_cause(&row.request, row.at)
-        });
+        rows.retain(|row| is_reported(&table, row));
         drop(table);
         shared.quarantine.outbox.release(rows);
     });
--- a/crates/gateway/src/quarantine/permit.rs
+++ b/crates/gateway/src/quarantine/permit.rs
@@ -9,7 +9,7 @@
 };
 use egretseam_h1::HttpConnection;
 use egretseam_proto::ServiceName;
-use egretseam_quarantine::{CLAIM_TIME, RequestDigest, RequestFate, RequestTreatment, RunClaim};
+use egretseam_quarantine::{CLAIM_TIME, FeatureDigest, RequestFate, RequestTreatment};
 use egretseam_serving::TargetId;
 use std::rc::Rc;
 use tokio::time::Instant;
@@ -17,7 +17,8 @@
 /// The only run with care of a request at this entry, until dropped.
 pub(crate) struct CarefulRun {
     shared: Rc<GatewayShared>,
-    request: RequestDigest,
+    /// The features of the request that are suspect.
+    features: Vec<FeatureDigest>,
     needs_claim: bool,
 }
 
@@ -25,7 +26,9 @@
     /// Records the target of the run.
     fn set_target(&self, target: &TargetId) {
         let mut runs = self.shared.quarantine.careful_runs.borrow_mut();
-        runs.insert(self.request, Some(target.clone()));
+        for feature in &self.features {
+            runs.insert(*feature, Some(target.clone()));
+        }
     }
 
     /// Targets of `service` that the run has to keep away from: those where other requests of this
@@ -33,10 +36,10 @@
     pub(crate) fn other_targets(&self, service: &ServiceName) -> Vec<TargetId> {
         let quarantine = &self.shared.quarantine;
         let runs = quarantine.careful_runs.borrow();
-        let own = runs.iter().filter(|(request, _)| **request != self.request);
+        let own = runs.iter().filter(|(feature, _)| !self.features.contains(*feature));
         let mut targets: Vec<TargetId> = own.filter_map(|(_, target)| target.clone()).collect();
         let table = quarantine.table.borrow();
-        let claimed = table.claimed_processes(&self.request, Instant::now());
+        let claimed = table.claimed_processes(&self.features, Instant::now());
         if !claimed.is_empty() {
             let dispatch = self.shared.dispatch.borrow();
             let ids = dispatch.targets.ids(service);
@@ -45,24 +48,45 @@
         targets
     }
 
+    /// Whether the run is careful enough for a request with these suspect features.
+    fn covers(&self, features: &[FeatureDigest], needs_claim: bool) -> bool {
+        let has_all = features.iter().all(|feature| self.features.contains(feature));
+        has_all && (self.needs_claim || !needs_claim)
+    }
+
     /// Claims the run at `target` and waits until the other entries have heard of it. Returns
     /// whether it is this one's turn; `None` if the caller disconnects first.
-    async fn claim(&self, caller: &mut HttpConnection, target: &TargetId) -> Option<bool> {
-        let claim = RunClaim { process: process_of(target), number: rand::random() };
-        super::record_fate(&self.shared, self.request, RequestFate::Claimed(claim), Instant::now());
+    async fn claim(
+        &self,
+        caller: &mut HttpConnection,
+        request: &RequestState,
+        target: &TargetId,
+    ) -> Option<bool> {
+        let claim = {
+            let table = self.shared.quarantine.table.borrow();
+            table.claim(request.features(), process_of(target), rand::random())
+        };
+        for feature in &self.features {
+            let fate = RequestFate::Claimed(claim);
+            super::record_fate(&self.shared, *feature, fate, Instant::now());
+        }
         tokio::select! {
             () = tokio::time::sleep(CLAIM_TIME) => {}
             () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return None,
         }
         let table = self.shared.quarantine.table.borrow();
-        Some(table.has_turn(&self.request, &claim, Instant::now()))
+        Some(table.has_turn(&self.features, &claim, Instant::now()))
     }
 }
 
 impl Drop for CarefulRun {
     fn drop(&mut self) {
         let quarantine = &self.shared.quarantine;
-        quarantine.careful_runs.borrow_mut().swap_remove(&self.request);
+        let mut runs = quarantine.careful_runs.borrow_mut();
+        for feature in &self.features {
+            runs.swap_remove(feature);
+        }
+        drop(runs);
         quarantine.changed.notify_waiters();
     }
 }
@@ -91,6 +115,7 @@
     pub(crate) async fn prepare(
         &self,
         caller: &mut HttpConnection,
+        request: &RequestState,
         target: &TargetId,
     ) -> Option<RunTurn> {
         let Self::Careful(run) = self else { return Some(RunTurn::Shared) };
@@ -98,7 +123,7 @@
         if !run.needs_claim {
             return Some(RunTurn::Shared);
         }
-        let has_turn = run.claim(caller, target).await?;
+        let has_turn = run.claim(caller, request, target).await?;
         Some(if has_turn { RunTurn::Isolated } else { RunTurn::Lost })
     }
 
@@ -107,7 +132,8 @@
         match shared.quarantine.treatment(request) {
             RequestTreatment::Normal => true,
             RequestTreatment::Careful { needs_claim, .. } => {
-                matches!(self, Self::Careful(run) if run.needs_claim || !needs_claim)
+                let careful = shared.quarantine.careful_features(request);
+                matches!(self, Self::Careful(run) if run.covers(&careful, needs_claim))
             }
             RequestTreatment::Rejected { .. } => false,
         }
@@ -125,7 +151,8 @@
         let changed = shared.quarantine.changed.notified();
         let retry_at = match shared.quarantine.treatment(request) {
             RequestTreatment::Normal => return Some(Ok(RunPermit::Normal)),
-            RequestTreatment::Rejected { until } => {
+            RequestTreatment::Rejected { until, feature } => {
+                log_rejected(shared, request, &feature);
                 let after = until.saturating_duration_since(Instant::now());
                 return Some(Err(ErrorResponse::with_retry_after(ErrorKind::Quarantined, after)));
             }
@@ -155,12 +182,22 @@
     request: &RequestState,
     needs_claim: bool,
 ) -> Option<CarefulRun> {
-    let digest = request.digest();
+    let features = shared.quarantine.careful_features(request);
     let mut runs = shared.quarantine.careful_runs.borrow_mut();
-    if runs.contains_key(&digest) {
+    if features.iter().any(|feature| runs.contains_key(feature)) {
         return None;
     }
-    runs.insert(digest, None);
+    runs.extend(features.iter().map(|feature| (*feature, None)));
     shared.metrics.careful_runs.inc();
-    Some(CarefulRun { shared: shared.clone(), request: digest, needs_claim })
+    Some(CarefulRun { shared: shared.clone(), features, needs_claim })
+}
+
+fn log_rejected(shared: &GatewayShared, request: &RequestState, feature: &FeatureDigest) {
+    let kind = if feature.is_part() { "part" } else { "content" };
+    shared.metrics.quarantined_requests.with_label_values(&[kind]).inc();
+    tracing::info!(
+        request_id = %request.terms.id,
+        digest = %feature,
+        "request rejected: targets ended under this feature"
+    );
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use egretseam_h1::{
     BodyFraming, BodyReader, HeadWriter, HttpConnection, ResponseHead, chunk_frame, last_chunk,
 };
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// Largest body of a response that is not a stream. It is read completely before any of it is
@@ -120,7 +120,7 @@
 /// Forwards a stream as complete events arrive. After a break the caller's response stays open, and
 /// another attempt resumes the stream after the last forwarded event.
 pub(crate) async fn stream(
-    shared: &GatewayShared,
+    shared: &Rc<GatewayShared>,
     caller: &mut HttpConnection,
     request: &mut RequestState,
     slot: &SlotGuard,
@@ -150,6 +150,7 @@
         {
             return RelayOutcome::CallerLeft;
         }
+        quarantine::record_progress(shared, request);
     }
     let content = BodyContent::Events {
         has_events: request.response_started || request.terms.resumes,
@@ -214,7 +215,9 @@
         first.into()
     };
     write_before(caller, &bytes, request.deadline).await?;
-    request.record_forwarded(Instant::now());
+    let now = Instant::now();
+    request.record_forwarded(now);
+    request.events_since.get_or_insert(now);
     request.response_started = true;
     if let Some(id) = last_event_id(events) {
         request.last_event_id = Some(id.to_owned());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use egretseam_h1::RequestHead;
 use egretseam_proto::{OrganisationName, PartId, ServiceName};
-use egretseam_quarantine::{RequestContent, RequestDigest};
+use egretseam_quarantine::{FeatureDigest, RequestContent};
 use egretseam_serving::{AttemptLimits, KeyHolder, RouteRecord, WaitUrgency};
 use std::{cell::OnceCell, rc::Rc, time::Duration};
 use tokio::time::Instant;
@@ -37,8 +37,12 @@
     pub(crate) last_forwarded_at: Option<Instant>,
     /// Status of the response that is forwarded.
     pub(crate) status: u16,
+    /// Whether the current attempt has shown that no part of the prompt ends its target.
+    pub(crate) parts_cleared: bool,
+    /// When the first events of the current attempt's stream were read.
+    pub(crate) events_since: Option<Instant>,
     /// Computed when it is first needed.
-    pub(crate) digest: OnceCell<RequestDigest>,
+    pub(crate) features: OnceCell<Vec<FeatureDigest>>,
 }
 
 impl RequestState {
@@ -46,18 +50,36 @@
         self.holder.as_ref().map(|holder| &holder.organisation)
     }
 
-    /// What identifies the request across attempts and entries.
-    pub(crate) fn digest(&self) -> RequestDigest {
+    /// What may end the targets that run the request: its whole content, then the parts of its prompt.
+    pub(crate) fn features(&self) -> &[FeatureDigest] {
         let compute = || {
-            RequestDigest::of(&RequestContent {
+            let content = FeatureDigest::of_content(&RequestContent {
                 organisation: self.organisation().map_or("", OrganisationName::as_str),
                 host: self.head.headers.text("host").unwrap_or_default(),
                 method: &self.head.method,
                 target: self.head.target_text(),
                 body: &self.body,
-            })
+            });
+            std::iter::once(content).chain(self.part_features()).collect()
         };
-        *self.digest.get_or_init(compute)
+        self.features.get_or_init(compute)
+    }
+
+    /// The parts of its prompt that other requests may share.
+    pub(crate) fn part_features(&self) -> impl Iterator<Item = FeatureDigest> {
+        self.terms.shared_parts.iter().copied().map(FeatureDigest::of_part)
+    }
+
+    /// What may have ended the target of the current attempt.
+    pub(crate) fn suspect_features(&self) -> &[FeatureDigest] {
+        let features = self.features();
+        if self.parts_cleared { &features[..1] } else { features }
+    }
+
+    /// Forgets what the former attempt has shown.
+    pub(crate) fn begin_attempt(&mut self) {
+        self.parts_cleared = false;
+        self.events_since = None;
     }
 
     /// The parts of its prompt that other requests may share, for logs.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -54,6 +54,8 @@
     pub(crate) suspects_found: IntCounter,
     pub(crate) suspects_rejected: IntCounter,
     pub(crate) suspects_cleared: IntCounter,
+    pub(crate) suspect_parts: IntCounterVec,
+    pub(crate) quarantined_requests: IntCounterVec,
     pub(crate) careful_runs: IntCounter,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) wait_seconds: Histogram,
@@ -159,6 +161,16 @@
                 "egretseam_gateway_suspects_cleared_total",
                 "Such requests that were served whole later.",
             ),
+            suspect_parts: metrics.counter_by(
+                "egretseam_gateway_suspect_parts_total",
+                "Parts of prompts under which several targets ended, by what was decided.",
+                "status",
+            ),
+            quarantined_requests: metrics.counter_by(
+                "egretseam_gateway_quarantined_requests_total",
+                "Requests rejected because targets ended under a feature, by its kind.",
+                "feature",
+            ),
             careful_runs: metrics.counter(
                 "egretseam_gateway_careful_runs_total",
                 "Runs of such requests, one at a time and apart from each other.",
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -1,10 +1,13 @@
-//! Identity of a request across its attempts, its callers' retries and the entries that serve it.
+//! What requests that end their targets may have in common, across attempts, callers and entries.
 
+use egretseam_proto::PartId;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
 const DIGEST_BYTES: usize = 16;
 const CONTEXT: &str = "egretseam 2026 request content";
+/// First bytes of the digests of parts; no other digest begins with them but by chance.
+const PART_TAG: [u8; 8] = *b"\0part-id";
 
 /// What identifies a request: who sends it and what it asks for. Not its id, deadline or
 /// connection, which differ between attempts.
@@ -22,13 +25,27 @@
     pub body: &'a [u8],
 }
 
-/// Digest of a [`RequestContent`]: the first half of a BLAKE3 hash.
+/// Identity of a feature of a request that may end the process which runs it: the request's whole
+/// content, as the first half of a BLAKE3 hash, or a part of its prompt.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct RequestDigest([u8; DIGEST_BYTES]);
+pub struct FeatureDigest([u8; DIGEST_BYTES]);
 
-impl RequestDigest {
-    /// Digest of `content`.
-    pub fn of(content: &RequestContent<'_>) -> Self {
+impl FeatureDigest {
+    /// Identity of a part of a prompt, wherever it stands and whoever sends it.
+    pub fn of_part(part: PartId) -> Self {
+        let mut digest = [0; DIGEST_BYTES];
+        digest[..PART_TAG.len()].copy_from_slice(&PART_TAG);
+        digest[PART_TAG.len()..].copy_from_slice(&part.get().to_be_bytes());
+        Self(digest)
+    }
+
+    /// Whether the feature is a part of a prompt.
+    pub fn is_part(&self) -> bool {
+        self.0.starts_with(&PART_TAG)
+    }
+
+    /// Digest of a request's whole `content`.
+    pub fn of_content(content: &RequestContent<'_>) -> Self {
         let fields = [
             content.organisation.as_bytes(),
             content.host.as_bytes(),
@@ -48,13 +65,16 @@
     }
 }
 
-impl fmt::Display for RequestDigest {
+impl fmt::Display for FeatureDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&hex::encode(self.0))
+        match self.0.strip_prefix(&PART_TAG) {
+            Some(id) => write!(f, "part-{}", hex::encode(id)),
+            None => f.write_str(&hex::encode(self.0)),
+        }
     }
 }
 
-impl fmt::Debug for RequestDigest {
+impl fmt::Debug for FeatureDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(self, f)
     }
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,6 +1,6 @@
-//! Records of what became of a request, as entries exchange them.
+//! Records of what became of requests with a feature, as entries exchange them.
 
-use crate::digest::RequestDigest;
+use crate::digest::FeatureDigest;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -27,7 +27,7 @@
     }
 }
 
-/// What became of a request.
+/// What became of a request with a feature.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RequestFate {
     /// A process ended while it had the request.
@@ -39,7 +39,8 @@
     },
     /// An entry is about to run it, apart from other suspects.
     Claimed(RunClaim),
-    /// A target answered it whole.
+    /// A target answered it whole; of a part of its prompt also: it has gone on answering for longer
+    /// than a part that ends targets lets it.
     Served,
 }
 
@@ -49,15 +50,15 @@
 pub struct RunClaim {
     /// The process that is to run the request.
     pub process: ProcessDigest,
-    /// Random number; of two claims made at the same time the lower one goes first.
+    /// Of two claims made at the same time the one with the lower number goes first.
     pub number: u64,
 }
 
-/// What became of a request, and when.
+/// What became of a request with a feature, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvidenceRecord {
-    /// The request.
-    pub request: RequestDigest,
+    /// The feature.
+    pub feature: FeatureDigest,
     /// What became of it.
     pub fate: RequestFate,
     /// Milliseconds since then.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Free of I/O; the current time is passed in as an argument. The main types:
 //!
-//! - [`RequestDigest`]: which requests are the same one.
+//! - [`FeatureDigest`]: which requests are the same one.
 //! - [`CrashTable`]: at an entry, the evidence of all entries and how a request is treated.
 //! - [`EvidenceLog`]: at control, the records on their way to the entries.
 
@@ -12,7 +12,7 @@
 mod table;
 
 pub use crate::{
-    digest::{RequestContent, RequestDigest},
+    digest::{FeatureDigest, RequestContent},
     evidence::{EvidenceRecord, ProcessDigest, RequestFate, RunClaim},
     log::EvidenceLog,
     table::{CLAIM_TIME, CrashTable, RequestTreatment, SuspectChange, SuspectStatus},
--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -1,12 +1,12 @@
 //! Records on their way from the entry that made them to all entries.
 //!
-//! Load pattern: when many targets end, each entry reports every request that it had there, and
-//! each report goes to every entry. The log takes what belongs to a request that is known already,
-//! and of others only so many a second: a request that ends its targets is reported again and
+//! Load pattern: when many targets end, each entry reports the features of every request that it had
+//! there, and each report goes to every entry. The log takes what belongs to a feature that is known
+//! already, and of others only so many a second: a feature that ends targets is reported again and
 //! again, an innocent one seldom twice.
 
 use crate::{
-    digest::RequestDigest,
+    digest::FeatureDigest,
     evidence::{EvidenceRecord, ProcessDigest, RequestFate},
 };
 use indexmap::IndexMap;
@@ -15,13 +15,13 @@
 
 /// Most records kept.
 const MAX_RECORDS: usize = 1_024;
-/// Records of unknown requests that are taken at once: those of a dozen targets that end.
-const NEW_REQUEST_BURST: f64 = 256.0;
-/// Records of unknown requests taken per second after that.
-const NEW_REQUESTS_PER_SECOND: f64 = 10.0;
+/// Records of unknown features of one kind that are taken at once: those of a dozen targets that end.
+const NEW_FEATURE_BURST: f64 = 256.0;
+/// Records of unknown features of one kind taken per second after that.
+const NEW_FEATURES_PER_SECOND: f64 = 10.0;
 /// How long a record is kept.
 const RECORD_RETENTION: Duration = Duration::from_secs(600);
-/// How long a record is kept if its request has [`MIN_REPEATED_RECORDS`]: an entry that starts later
+/// How long a record is kept if its feature has [`MIN_REPEATED_RECORDS`]: an entry that starts later
 /// has to know which requests are rejected.
 const REPEATED_RETENTION: Duration = Duration::from_secs(4 * 3_600);
 const MIN_REPEATED_RECORDS: usize = 3;
@@ -33,19 +33,19 @@
 /// What tells records apart; of two equal ones the first is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum RecordKey {
-    Ended(RequestDigest, ProcessDigest, bool),
-    Served(RequestDigest),
-    Claimed(RequestDigest, u64),
+    Ended(FeatureDigest, ProcessDigest, bool),
+    Served(FeatureDigest),
+    Claimed(FeatureDigest, u64),
 }
 
 impl RecordKey {
     fn of(record: &EvidenceRecord) -> Self {
         match record.fate {
             RequestFate::ProcessEnded { process, isolated } => {
-                Self::Ended(record.request, process, isolated)
+                Self::Ended(record.feature, process, isolated)
             }
-            RequestFate::Served => Self::Served(record.request),
-            RequestFate::Claimed(claim) => Self::Claimed(record.request, claim.number),
+            RequestFate::Served => Self::Served(record.feature),
+            RequestFate::Claimed(claim) => Self::Claimed(record.feature, claim.number),
         }
     }
 }
@@ -57,15 +57,41 @@
     at: Instant,
 }
 
+/// Allowance for records of unknown features, refilled over time.
+#[derive(Clone, Copy, Debug)]
+struct NewFeatureBucket {
+    tokens: f64,
+    refilled_at: Instant,
+}
+
+impl NewFeatureBucket {
+    fn full(now: Instant) -> Self {
+        Self { tokens: NEW_FEATURE_BURST, refilled_at: now }
+    }
+
+    fn take(&mut self, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        self.tokens = (self.tokens + elapsed * NEW_FEATURES_PER_SECOND).min(NEW_FEATURE_BURST);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
 /// Numbered records, so that readers fetch only what they have not seen.
 #[derive(Clone, Debug)]
 pub struct EvidenceLog {
     rows: IndexMap<RecordKey, LogRow>,
-    /// Records by request.
-    counts: IndexMap<RequestDigest, usize>,
+    /// Records by feature.
+    counts: IndexMap<FeatureDigest, usize>,
     last_number: u64,
-    tokens: f64,
-    refilled_at: Instant,
+    new_contents: NewFeatureBucket,
+    /// Apart from contents: where no two requests are alike, each end brings a dozen new contents,
+    /// which would take the place of the part that they share.
+    new_parts: NewFeatureBucket,
 }
 
 impl EvidenceLog {
@@ -75,8 +101,8 @@
             rows: IndexMap::new(),
             counts: IndexMap::new(),
             last_number: 0,
-            tokens: NEW_REQUEST_BURST,
-            refilled_at: now,
+            new_contents: NewFeatureBucket::full(now),
+            new_parts: NewFeatureBucket::full(now),
         }
     }
 
@@ -90,49 +116,43 @@
         let at = now.checked_sub(Duration::from_millis(record.age_millis)).unwrap_or(now);
         let key = RecordKey::of(record);
         let is_clear = record.fate == RequestFate::Served;
-        let is_known = self.counts.contains_key(&record.request);
+        let is_known = self.counts.contains_key(&record.feature);
         match self.rows.get(&key).copied() {
             // A later clear replaces the earlier one; the same end is reported once.
             Some(row) if !is_clear || at <= row.at + Duration::from_secs(1) => return false,
             Some(_) => self.remove(&key),
             None if is_clear && !is_known => return false,
-            None if !is_known && !self.take_token(now) => return false,
+            None if !is_known && !self.take_token(&record.feature, now) => return false,
             None => {}
         }
         if self.rows.len() >= MAX_RECORDS {
             self.remove_oldest();
         }
         self.last_number += 1;
-        *self.counts.entry(record.request).or_default() += 1;
+        *self.counts.entry(record.feature).or_default() += 1;
         self.rows.insert(key, LogRow { number: self.last_number, record: *record, at });
         true
     }
 
-    fn take_token(&mut self, now: Instant) -> bool {
-        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
-        self.refilled_at = now;
-        self.tokens = (self.tokens + elapsed * NEW_REQUESTS_PER_SECOND).min(NEW_REQUEST_BURST);
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+    fn take_token(&mut self, feature: &FeatureDigest, now: Instant) -> bool {
+        let bucket = if feature.is_part() { &mut self.new_parts } else { &mut self.new_contents };
+        bucket.take(now)
     }
 
     fn remove(&mut self, key: &RecordKey) {
         let Some(row) = self.rows.shift_remove(key) else { return };
-        if let Some(count) = self.counts.get_mut(&row.record.request) {
+        if let Some(count) = self.counts.get_mut(&row.record.feature) {
             *count -= 1;
             if *count == 0 {
-                self.counts.swap_remove(&row.record.request);
+                self.counts.swap_remove(&row.record.feature);
             }
         }
     }
 
-    /// Removes the oldest record of a request that has few, or the oldest of all.
+    /// Removes the oldest record of a feature that has few, or the oldest of all.
     fn remove_oldest(&mut self) {
         let is_repeated = |row: &LogRow| {
-            self.counts.get(&row.record.request).is_some_and(|count| *count >= MIN_REPEATED_RECORDS)
+            self.counts.get(&row.record.feature).is_some_and(|count| *count >= MIN_REPEATED_RECORDS)
         };
         let oldest = self.rows.iter().find(|(_, row)| !is_repeated(row)).or(self.rows.first());
         if let Some(key) = oldest.map(|(key, _)| *key) {
@@ -161,7 +181,7 @@
             .rows
             .iter()
             .filter(|(_, row)| {
-                let count = self.counts.get(&row.record.request).copied().unwrap_or_default();
+                let count = self.counts.get(&row.record.feature).copied().unwrap_or_default();
                 let is_repeated = count >= MIN_REPEATED_RECORDS;
                 let is_claim = matches!(row.record.fate, RequestFate::Claimed(_));
                 if is_claim && now.saturating_duration_since(row.at) > CLAIM_RETENTION {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,21 +1,24 @@
-//! Which requests an entry runs, runs with care, or rejects, by the processes that ended under them.
+//! Which requests an entry runs, runs with care, or rejects, by the processes that ended under their
+//! features: their whole content, and the parts of their prompts.
 //!
-//! Everything in flight at a process that ends is suspect, and one request, or none, has ended it. A
-//! request that is served whole is not the one. Of the others, those at which several processes
-//! ended are run one at a time and apart from each other; the one under which they still end is
-//! rejected.
+//! Every feature in flight at a process that ends is suspect, and one of them, or none, has ended it.
+//! A feature that is answered is not the one. Of the others, those at which several processes ended
+//! are run one at a time and apart from each other; the one under which they still end is rejected.
 //!
-//! Load pattern: a caller repeats, at any entry, a request that ends each process that runs it.
-//! Without a count shared by all entries, one caller takes all targets of a service from all others.
+//! Load pattern: a caller repeats, at any entry, requests with a feature that ends each process that
+//! runs it. Without a count shared by all entries, one caller takes all targets of a service from all
+//! others.
 
 mod assessment;
 mod claims;
+mod part_assessment;
+mod part_shares;
 
 pub use self::claims::CLAIM_TIME;
 
-use self::claims::ClaimRow;
+use self::{claims::ClaimRow, part_shares::PartShares};
 use crate::{
-    digest::RequestDigest,
+    digest::FeatureDigest,
     evidence::{EvidenceRecord, ProcessDigest, RequestFate},
 };
 use indexmap::IndexMap;
@@ -49,7 +52,7 @@
 /// Most suspects that are kept: the requests at sixty targets that end.
 const MAX_SUSPECTS: usize = 1_024;
 /// Most ends of processes that are kept for one suspect.
-const MAX_ENDS: usize = 16;
+const MAX_ENDS: usize = 64;
 /// Most processes that are kept of those that ended.
 const MAX_PROCESSES: usize = 256;
 
@@ -69,10 +72,29 @@
     Rejected {
         /// When it may be tried again.
         until: Instant,
+        /// The feature that ends the processes.
+        feature: FeatureDigest,
     },
 }
 
-/// What the evidence says of a request.
+impl RequestTreatment {
+    /// The one of two that allows less.
+    fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Rejected { until: one, .. }, Self::Rejected { until: two, .. }) => {
+                if one >= two { self } else { other }
+            }
+            (Self::Rejected { .. }, _) | (Self::Careful { .. }, Self::Normal) => self,
+            (
+                Self::Careful { not_before: one, needs_claim: one_claims },
+                Self::Careful { not_before: two, needs_claim: two_claims },
+            ) => Self::Careful { not_before: one.max(two), needs_claim: one_claims || two_claims },
+            (_, other) => other,
+        }
+    }
+}
+
+/// What the evidence says of a feature.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SuspectStatus {
     /// Too few processes ended under it.
@@ -84,11 +106,11 @@
     Guilty,
 }
 
-/// A change of what the evidence says of a request.
+/// A change of what the evidence says of a feature.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectChange {
-    /// The request.
-    pub request: RequestDigest,
+    /// The feature.
+    pub feature: FeatureDigest,
     /// What the evidence says now.
     pub status: SuspectStatus,
     /// Processes that ended under it and that nothing else explains.
@@ -123,13 +145,13 @@
 #[derive(Clone, Debug)]
 struct ProcessRow {
     at: Instant,
-    suspects: Vec<RequestDigest>,
+    suspects: Vec<FeatureDigest>,
 }
 
-/// Evidence against requests, at one entry.
+/// Evidence against features of requests, at one entry.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
-    suspects: IndexMap<RequestDigest, SuspectRow>,
+    suspects: IndexMap<FeatureDigest, SuspectRow>,
     processes: IndexMap<ProcessDigest, ProcessRow>,
     /// When [`Self::processes`] ended, in order. With a thousand suspects one assessment searches it
     /// some thousand times.
@@ -141,6 +163,7 @@
     assess_at: Option<Instant>,
     changes: Vec<SuspectChange>,
     claims: Vec<ClaimRow>,
+    part_shares: PartShares,
 }
 
 impl CrashTable {
@@ -154,6 +177,7 @@
             assess_at: None,
             changes: Vec::new(),
             claims: Vec::new(),
+            part_shares: PartShares::default(),
         }
     }
 
@@ -162,9 +186,14 @@
         self.suspects.is_empty()
     }
 
-    /// Whether any process has ended under the request since it was last served.
-    pub fn is_suspect(&self, request: &RequestDigest) -> bool {
-        self.suspects.get(request).is_some_and(|row| !row.ends.is_empty())
+    /// Counts an answered request with these parts in its prompt.
+    pub fn count_answered(&mut self, parts: &[FeatureDigest]) {
+        self.part_shares.count(parts);
+    }
+
+    /// Whether any process has ended under the feature since it was last served.
+    pub fn is_suspect(&self, feature: &FeatureDigest) -> bool {
+        self.suspects.get(feature).is_some_and(|row| !row.ends.is_empty())
     }
 
     /// Applies what this entry or another has seen. Records may come in any order, and repeatedly.
@@ -174,14 +203,14 @@
             return;
         }
         if let RequestFate::Claimed(claim) = record.fate {
-            return self.apply_claim(ClaimRow { request: record.request, claim, at }, now);
+            return self.apply_claim(ClaimRow { feature: record.feature, claim, at }, now);
         }
         self.assess_at = Some(now);
-        self.make_room(&record.request);
-        let row = self.suspects.entry(record.request).or_default();
+        self.make_room(&record.feature);
+        let row = self.suspects.entry(record.feature).or_default();
         match record.fate {
             RequestFate::ProcessEnded { process, isolated } => {
-                self.apply_end(record.request, process, ProcessEnd { at, isolated });
+                self.apply_end(record.feature, process, ProcessEnd { at, isolated });
             }
             RequestFate::Served => {
                 row.cleared_at = row.cleared_at.max(Some(at));
@@ -191,9 +220,9 @@
         }
     }
 
-    fn apply_end(&mut self, request: RequestDigest, process: ProcessDigest, end: ProcessEnd) {
-        self.record_process(request, process, end.at);
-        let row = self.suspects.entry(request).or_default();
+    fn apply_end(&mut self, feature: FeatureDigest, process: ProcessDigest, end: ProcessEnd) {
+        self.record_process(feature, process, end.at);
+        let row = self.suspects.entry(feature).or_default();
         if row.cleared_at.is_some_and(|cleared_at| cleared_at >= end.at) {
             return;
         }
@@ -203,13 +232,13 @@
         bound_length(&mut row.ends, MAX_ENDS);
     }
 
-    fn record_process(&mut self, request: RequestDigest, process: ProcessDigest, at: Instant) {
+    fn record_process(&mut self, feature: FeatureDigest, process: ProcessDigest, at: Instant) {
         let former_at = self.processes.get(&process).map(|row| row.at);
         let new_process = || ProcessRow { at, suspects: Vec::new() };
         let row = self.processes.entry(process).or_insert_with(new_process);
         row.at = row.at.min(at);
-        if !row.suspects.contains(&request) {
-            row.suspects.push(request);
+        if !row.suspects.contains(&feature) {
+            row.suspects.push(feature);
         }
         if former_at != Some(row.at) {
             bound_length(&mut self.processes, MAX_PROCESSES);
@@ -230,8 +259,8 @@
     }
 
     /// Makes room for a new suspect: drops the one with the fewest ends, the oldest of them.
-    fn make_room(&mut self, request: &RequestDigest) {
-        if self.suspects.contains_key(request) || self.suspects.len() < MAX_SUSPECTS {
+    fn make_room(&mut self, feature: &FeatureDigest) {
+        if self.suspects.contains_key(feature) || self.suspects.len() < MAX_SUSPECTS {
             return;
         }
         let least = self
@@ -244,25 +273,46 @@
         }
     }
 
-    /// How to treat a request that arrives, or is about to be sent, now.
-    pub fn treatment(&mut self, request: &RequestDigest, now: Instant) -> RequestTreatment {
+    /// How to treat a request with these features that arrives, or is about to be sent, now: as the
+    /// most suspect of them.
+    pub fn treatment(&mut self, features: &[FeatureDigest], now: Instant) -> RequestTreatment {
         let is_repeated = |row: &SuspectRow| row.ends.len() >= MIN_CAREFUL_ENDS;
-        if !self.suspects.get(request).is_some_and(is_repeated) {
+        if !features.iter().any(|feature| self.suspects.get(feature).is_some_and(is_repeated)) {
             return RequestTreatment::Normal;
         }
         self.assess_due(now);
-        let Some(row) = self.suspects.get(request) else { return RequestTreatment::Normal };
+        let treatments = features.iter().map(|feature| self.feature_treatment(feature, now));
+        treatments.reduce(RequestTreatment::stricter).unwrap_or(RequestTreatment::Normal)
+    }
+
+    /// Those of the features that are to be run with care.
+    pub fn careful_features(
+        &mut self,
+        features: &[FeatureDigest],
+        now: Instant,
+    ) -> Vec<FeatureDigest> {
+        self.assess_due(now);
+        let is_careful = |feature: &&FeatureDigest| {
+            matches!(self.feature_treatment(feature, now), RequestTreatment::Careful { .. })
+        };
+        features.iter().filter(is_careful).copied().collect()
+    }
+
+    fn feature_treatment(&self, feature: &FeatureDigest, now: Instant) -> RequestTreatment {
+        let Some(row) = self.suspects.get(feature) else { return RequestTreatment::Normal };
         let ends = row.counted;
         // Ends that came together with others count here: a claim costs an innocent request little.
-        let needs_claim = row.ends.len() >= MIN_REJECTED_ENDS;
+        let needs_claim = feature.is_part() || row.ends.len() >= MIN_REJECTED_ENDS;
         let last_end_at = row.last_end_at().unwrap_or(now);
-        let share = self.share_of(request, ends);
+        let share = self.share_of(feature, ends);
         let until = last_end_at + rejection_time(ends).mul_f64(1.0 + share * MAX_REJECTION_STAGGER);
         match row.status {
             SuspectStatus::Unsuspicious => RequestTreatment::Normal,
-            SuspectStatus::Guilty if now < until => RequestTreatment::Rejected { until },
+            SuspectStatus::Guilty if now < until => {
+                RequestTreatment::Rejected { until, feature: *feature }
+            }
             SuspectStatus::Suspicious | SuspectStatus::Guilty => {
-                let held_until = self.held_until(request, now);
+                let held_until = self.held_until(feature, now);
                 RequestTreatment::Careful {
                     not_before: (last_end_at + SETTLING_TIME).max(held_until),
                     needs_claim,
@@ -271,10 +321,10 @@
         }
     }
 
-    /// A share from 0 to 1 that differs between entries, requests and numbers of ends.
-    fn share_of(&self, request: &RequestDigest, ends: usize) -> f64 {
+    /// A share from 0 to 1 that differs between entries, features and numbers of ends.
+    fn share_of(&self, feature: &FeatureDigest, ends: usize) -> f64 {
         let mut hasher = DefaultHasher::new();
-        (self.seed, request, ends).hash(&mut hasher);
+        (self.seed, feature, ends).hash(&mut hasher);
         hasher.finish() as f64 / u64::MAX as f64
     }
 
--- a/crates/quarantine/src/table/assessment.rs
+++ b/crates/quarantine/src/table/assessment.rs
@@ -1,11 +1,11 @@
-//! What the evidence says of each request.
+//! What the evidence says of each feature, by the rules for whole contents.
 
 use super::{
     COMMON_CAUSE_WINDOW, CrashTable, MAX_SUSPECTS, MIN_CAREFUL_ENDS, MIN_REJECTED_ENDS, ProcessEnd,
     ProcessRow, SETTLING_TIME, SuspectChange, SuspectRow, SuspectStatus,
 };
-use crate::{digest::RequestDigest, evidence::ProcessDigest};
-use indexmap::IndexMap;
+use crate::{digest::FeatureDigest, evidence::ProcessDigest};
+use indexmap::{IndexMap, IndexSet};
 use tokio::time::Instant;
 
 /// Moments at which processes ended under claimed runs of a request, beside requests that are not
@@ -16,7 +16,7 @@
 const MANY_ENDS: usize = 5;
 /// Other processes that end at the same time without the request, which show that it is not the
 /// cause: a zone has lost power, or a service is restarted at once.
-const MIN_COMMON_CAUSE_ENDS: usize = 3;
+pub(super) const MIN_COMMON_CAUSE_ENDS: usize = 3;
 
 impl CrashTable {
     /// Decides for all suspects what the evidence says. Those with the most ends come first, since
@@ -31,7 +31,7 @@
             before.insert(*request, row.status);
             row.counted = counted;
             row.status = SuspectStatus::Unsuspicious;
-            if counted >= MIN_REJECTED_ENDS {
+            if counted >= MIN_REJECTED_ENDS && !request.is_part() {
                 candidates.push((std::cmp::Reverse(counted), *request));
             }
         }
@@ -41,14 +41,15 @@
                 self.convict(&request);
             }
         }
-        self.record_changes(&before);
+        let explained = self.assess_parts(now);
+        self.record_changes(&before, &explained);
         let settle_at = |end: &ProcessEnd| end.at + SETTLING_TIME;
         let ends = self.suspects.values().flat_map(|row| row.ends.values());
         self.assess_at = ends.map(settle_at).filter(|at| *at > now).min();
     }
 
     /// Marks a request as guilty. The processes that it ended count against no other request.
-    fn convict(&mut self, request: &RequestDigest) {
+    fn convict(&mut self, request: &FeatureDigest) {
         let Some(row) = self.suspects.get(request) else { return };
         let unexplained = row.ends.iter().filter(|(process, _)| !self.had_guilty(process));
         let ends: Vec<(ProcessDigest, ProcessEnd)> =
@@ -68,15 +69,25 @@
         }
     }
 
-    fn record_changes(&mut self, before: &IndexMap<RequestDigest, SuspectStatus>) {
-        for (request, row) in &mut self.suspects {
-            if row.status == SuspectStatus::Unsuspicious && row.counted >= MIN_CAREFUL_ENDS {
+    /// Records the statuses that have changed. Ends of `explained` processes, which had a suspicious
+    /// part, make no other content suspicious.
+    fn record_changes(
+        &mut self,
+        before: &IndexMap<FeatureDigest, SuspectStatus>,
+        explained: &IndexSet<ProcessDigest>,
+    ) {
+        for (feature, row) in &mut self.suspects {
+            let unexplained = row.ends.keys().filter(|process| !explained.contains(*process));
+            let is_suspicious = row.status == SuspectStatus::Unsuspicious
+                && !feature.is_part()
+                && row.counted.min(unexplained.count()) >= MIN_CAREFUL_ENDS;
+            if is_suspicious {
                 row.status = SuspectStatus::Suspicious;
             }
-            let former = before.get(request).copied().unwrap_or_default();
+            let former = before.get(feature).copied().unwrap_or_default();
             if row.status != former {
                 let (status, ends) = (row.status, row.counted);
-                self.changes.push(SuspectChange { request: *request, status, ends });
+                self.changes.push(SuspectChange { feature: *feature, status, ends });
             }
         }
         let excess = self.changes.len().saturating_sub(MAX_SUSPECTS);
@@ -92,7 +103,7 @@
     }
 
     /// Whether a process that ended at `at` under the request ended with others without it.
-    pub fn has_common_cause(&self, request: &RequestDigest, at: Instant) -> bool {
+    pub fn has_common_cause(&self, request: &FeatureDigest, at: Instant) -> bool {
         self.suspects.get(request).is_some_and(|row| self.ended_with_others(row, at))
     }
 
@@ -110,12 +121,14 @@
         self.processes.iter().filter(is_other).nth(MIN_COMMON_CAUSE_ENDS - 1).is_some()
     }
 
-    /// The other suspects that a process had when it ended.
-    fn rivals(&self, request: &RequestDigest, process: &ProcessDigest) -> Vec<RequestDigest> {
+    /// The other contents that a process had when it ended and that are suspect.
+    fn rivals(&self, request: &FeatureDigest, process: &ProcessDigest) -> Vec<FeatureDigest> {
         let suspects = self.processes.get(process).into_iter().flat_map(|row| &row.suspects);
-        let is_rival = |other: &&RequestDigest| {
+        let is_rival = |other: &&FeatureDigest| {
             let row = self.suspects.get(*other);
-            *other != request && row.is_some_and(|row| row.ends.contains_key(process))
+            !other.is_part()
+                && *other != request
+                && row.is_some_and(|row| row.ends.contains_key(process))
         };
         suspects.filter(is_rival).copied().collect()
     }
@@ -124,7 +137,7 @@
     /// ended, and those that ended under claimed runs point to it. Where it was the only suspect at a
     /// process that ended alone, one is enough; where no other was suspicious, it takes
     /// [`MIN_SUSPICIOUS_MOMENTS`], or one after [`MANY_ENDS`].
-    fn is_guilty(&self, request: &RequestDigest, now: Instant) -> bool {
+    fn is_guilty(&self, request: &FeatureDigest, now: Instant) -> bool {
         let Some(row) = self.suspects.get(request) else { return false };
         if row.counted < MIN_REJECTED_ENDS {
             return false;
@@ -154,7 +167,7 @@
 
     /// Whether processes that `row` does not explain had ended under a rival before `at`, so that the
     /// rival may be the guilty one.
-    fn was_suspicious(&self, rival: &RequestDigest, row: &SuspectRow, at: Instant) -> bool {
+    fn was_suspicious(&self, rival: &FeatureDigest, row: &SuspectRow, at: Instant) -> bool {
         let Some(rival) = self.suspects.get(rival) else { return false };
         let earlier = rival.ends.iter().filter(|(_, end)| end.at < at);
         let unexplained = earlier.filter(|(process, end)| {
@@ -165,8 +178,8 @@
         unexplained.count() >= MIN_CAREFUL_ENDS
     }
 
-    /// Whether a process had a request that is guilty when it ended.
-    fn had_guilty(&self, process: &ProcessDigest) -> bool {
+    /// Whether a process had a content that is guilty when it ended.
+    pub(super) fn had_guilty(&self, process: &ProcessDigest) -> bool {
         let suspects = self.processes.get(process).into_iter().flat_map(|row| &row.suspects);
         let mut rows = suspects.filter_map(|request| self.suspects.get(request));
         rows.any(|row| row.status == SuspectStatus::Guilty && row.ends.contains_key(process))
@@ -174,6 +187,6 @@
 }
 
 /// Whether two ends may have a common cause.
-fn is_same_moment(one: Instant, other: Instant) -> bool {
+pub(super) fn is_same_moment(one: Instant, other: Instant) -> bool {
     one.max(other) - one.min(other) <= COMMON_CAUSE_WINDOW
 }
--- a/crates/quarantine/src/table/claims.rs
+++ b/crates/quarantine/src/table/claims.rs
@@ -1,8 +1,8 @@
-//! Claims, by which one copy of a suspect runs at a time, at a process without another suspect.
+//! Claims, by which one request with a suspect feature runs at a time, at a process without another.
 
 use super::CrashTable;
 use crate::{
-    digest::RequestDigest,
+    digest::FeatureDigest,
     evidence::{ProcessDigest, RunClaim},
 };
 use std::time::Duration;
@@ -16,30 +16,49 @@
 /// How long a claim keeps others from running the request, unless it is settled before: most
 /// requests that end their target do so within this time.
 const CLAIM_HOLD: Duration = Duration::from_millis(1_500);
+/// Bits of a claim's number that are random.
+const RANDOM_BITS: u32 = 48;
 /// Most claims that are kept.
 const MAX_CLAIMS: usize = 256;
 
 /// A claim, and when it was made.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ClaimRow {
-    pub(super) request: RequestDigest,
+    pub(super) feature: FeatureDigest,
     pub(super) claim: RunClaim,
     pub(super) at: Instant,
 }
 
 impl CrashTable {
+    /// A claim of a request with these features at a process. `random` tells it from others.
+    ///
+    /// Of requests that are all suspect for a part which they share, one under whose other features
+    /// fewer processes ended goes first: if it is answered, the shared part is cleared.
+    pub fn claim(
+        &self,
+        features: &[FeatureDigest],
+        process: ProcessDigest,
+        random: u64,
+    ) -> RunClaim {
+        let rows = features.iter().filter_map(|feature| self.suspects.get(feature));
+        let ends = rows.map(|row| row.ends.len()).sum::<usize>().min(usize::from(u16::MAX));
+        let number = (ends as u64) << RANDOM_BITS | random >> (u64::BITS - RANDOM_BITS);
+        RunClaim { process, number }
+    }
+
     pub(super) fn apply_claim(&mut self, row: ClaimRow, now: Instant) {
         self.claims.retain(|held| now.saturating_duration_since(held.at) < CLAIM_HOLD);
-        let is_known = self.claims.iter().any(|held| held.claim.number == row.claim.number);
-        if !is_known && self.claims.len() < MAX_CLAIMS {
+        let is_same =
+            |held: &ClaimRow| held.claim.number == row.claim.number && held.feature == row.feature;
+        if !self.claims.iter().any(is_same) && self.claims.len() < MAX_CLAIMS {
             self.claims.push(row);
         }
     }
 
-    /// Claims that keep others from running the same request or a suspect at the same process.
+    /// Claims that keep others from running the same feature or a suspect at the same process.
     fn holding_claims(&self, now: Instant) -> impl Iterator<Item = &ClaimRow> {
         self.claims.iter().filter(move |row| {
-            let suspect = self.suspects.get(&row.request);
+            let suspect = self.suspects.get(&row.feature);
             let is_settled = suspect.is_none_or(|suspect| {
                 suspect.last_end_at().max(suspect.cleared_at).is_some_and(|at| at >= row.at)
             });
@@ -47,27 +66,35 @@
         })
     }
 
-    /// Until when claims keep the request from being run.
-    pub(super) fn held_until(&self, request: &RequestDigest, now: Instant) -> Instant {
-        let claims = self.holding_claims(now).filter(|row| row.request == *request);
+    /// Until when claims keep requests with the feature from being run.
+    pub(super) fn held_until(&self, feature: &FeatureDigest, now: Instant) -> Instant {
+        let claims = self.holding_claims(now).filter(|row| row.feature == *feature);
         claims.map(|row| row.at + CLAIM_HOLD).max().unwrap_or(now)
     }
 
-    /// Processes that are claimed for other requests.
-    pub fn claimed_processes(&self, request: &RequestDigest, now: Instant) -> Vec<ProcessDigest> {
-        let claims = self.holding_claims(now).filter(|row| row.request != *request);
+    /// Processes that are claimed for requests with other features.
+    pub fn claimed_processes(
+        &self,
+        features: &[FeatureDigest],
+        now: Instant,
+    ) -> Vec<ProcessDigest> {
+        let claims = self.holding_claims(now).filter(|row| !features.contains(&row.feature));
         claims.map(|row| row.claim.process).collect()
     }
 
-    /// Whether a request may run by a claim made [`CLAIM_TIME`] ago: nobody else has claimed the
-    /// request or the process before, and the claim still holds.
+    /// Whether a request with these suspect features may run by a claim made [`CLAIM_TIME`] ago:
+    /// nobody else has claimed one of them or the process before, and the claim still holds.
     ///
-    /// Guards against copies of a request that wait at all entries until its evidence has settled,
-    /// and then end a target each.
-    pub fn has_turn(&self, request: &RequestDigest, claim: &RunClaim, now: Instant) -> bool {
-        let is_own = |row: &&ClaimRow| row.claim == *claim && row.request == *request;
+    /// Guards against requests that wait at all entries until the evidence has settled, and then end
+    /// a target each.
+    pub fn has_turn(&self, features: &[FeatureDigest], claim: &RunClaim, now: Instant) -> bool {
+        features.iter().all(|feature| self.goes_first(feature, claim, now))
+    }
+
+    fn goes_first(&self, feature: &FeatureDigest, claim: &RunClaim, now: Instant) -> bool {
+        let is_own = |row: &&ClaimRow| row.claim == *claim && row.feature == *feature;
         let Some(own) = self.holding_claims(now).find(is_own) else { return false };
-        let goes_first = |row: &ClaimRow| {
+        let is_before = |row: &ClaimRow| {
             if row.at + CLAIM_SPREAD < own.at {
                 return true;
             }
@@ -75,8 +102,8 @@
         };
         let is_rival = |row: &&ClaimRow| {
             row.claim.number != claim.number
-                && (row.request == *request || row.claim.process == claim.process)
+                && (row.feature == *feature || row.claim.process == claim.process)
         };
-        !self.holding_claims(now).filter(is_rival).any(goes_first)
+        !self.holding_claims(now).filter(is_rival).any(is_before)
     }
 }
--- /dev/null
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -0,0 +1,202 @@
+//! What the evidence says of parts of prompts.
+//!
+//! Many requests share a part, so a part is seldom alone at a process that ends. One that is answered
+//! loses its ends at once, the more frequent the sooner; those that nothing has answered since are
+//! suspect, by the number of ends and by how seldom the part is. Where all targets have ended and
+//! nothing is answered, that holds for the parts of all requests: then these are tested one by one.
+
+use super::{
+    CrashTable, MIN_CAREFUL_ENDS, ProcessEnd, SETTLING_TIME, SuspectRow, SuspectStatus,
+    assessment::{MIN_COMMON_CAUSE_ENDS, is_same_moment},
+};
+use crate::{digest::FeatureDigest, evidence::ProcessDigest};
+use indexmap::{IndexMap, IndexSet};
+use tokio::time::Instant;
+
+/// Requests at a process that may have ended it.
+const TYPICAL_CONCURRENCY: i32 = 8;
+/// Least weight of an end, however frequent the part is.
+const MIN_END_WEIGHT: f64 = 0.25;
+/// Weight of an end under a claimed run of the part.
+const ISOLATED_END_WEIGHT: f64 = 1.5;
+/// Weight of ends from which a part is run with care.
+const CAREFUL_WEIGHT: f64 = 1.5;
+/// Ends under claimed runs, with no other suspect at all of them, that show that a part ends its processes.
+const MIN_ISOLATED_ENDS: usize = 2;
+/// Weight of ends with which one such end shows it.
+const CERTAIN_WEIGHT: f64 = 4.5;
+/// Ends under claimed runs that show it of one of several parts that come together.
+const MIN_SHARED_ENDS: usize = 3;
+/// Most parts that are suspected at a time. Further ones are at mass ends, which no part explains.
+const MAX_SUSPECT_PARTS: usize = 32;
+
+/// A part and the ends that count against it.
+struct PartCandidate {
+    part: FeatureDigest,
+    ends: IndexMap<ProcessDigest, ProcessEnd>,
+    weight: f64,
+    /// How often the part occurs in requests that are answered.
+    share: f64,
+}
+
+impl PartCandidate {
+    /// Whether both parts were at the same ends.
+    fn comes_with(&self, other: &Self) -> bool {
+        let is_same = |process: &ProcessDigest| other.ends.contains_key(process);
+        self.ends.len() == other.ends.len() && self.ends.keys().all(is_same)
+    }
+}
+
+impl CrashTable {
+    /// Decides for all parts what the evidence says. Returns the processes whose ends suspicious or
+    /// guilty parts explain.
+    pub(super) fn assess_parts(&mut self, now: Instant) -> IndexSet<ProcessDigest> {
+        let explained = processes_of(&self.suspect_parts(&IndexSet::new()));
+        let suspects = self.suspect_parts(&explained);
+        self.set_statuses(&suspects, now);
+        processes_of(&suspects)
+    }
+
+    /// The parts that are suspect, strongest first. Where many processes ended at the same time, those
+    /// in `explained` do not show a common cause.
+    fn suspect_parts(&self, explained: &IndexSet<ProcessDigest>) -> Vec<PartCandidate> {
+        let is_repeated = |row: &SuspectRow| row.ends.len() >= MIN_CAREFUL_ENDS;
+        let parts = self.suspects.iter().filter(|(part, row)| part.is_part() && is_repeated(row));
+        let mut candidates: Vec<PartCandidate> =
+            parts.filter_map(|(part, row)| self.candidate(part, row, explained)).collect();
+        candidates.sort_by(|one, two| {
+            let by_weight = two.weight.total_cmp(&one.weight);
+            by_weight.then(one.share.total_cmp(&two.share)).then(one.part.cmp(&two.part))
+        });
+        candidates.truncate(MAX_SUSPECT_PARTS);
+        candidates
+    }
+
+    /// The part with the ends that count; `None` if they are too few to suspect it.
+    fn candidate(
+        &self,
+        part: &FeatureDigest,
+        row: &SuspectRow,
+        explained: &IndexSet<ProcessDigest>,
+    ) -> Option<PartCandidate> {
+        let is_counted = |end: &ProcessEnd| !self.ended_mostly_without(row, end.at, explained);
+        let counted = row.ends.iter().filter(|(_, end)| is_counted(end));
+        let ends: IndexMap<ProcessDigest, ProcessEnd> =
+            counted.map(|(process, end)| (*process, *end)).collect();
+        // A content that ends its processes takes the parts of its prompt there, and nowhere else.
+        let beside_contents = ends.keys().filter(|process| !self.had_guilty(process));
+        if beside_contents.count() < MIN_CAREFUL_ENDS {
+            return None;
+        }
+        let share = self.part_shares.share(part).min(1.0);
+        let weight = weight_of(ends.values(), share);
+        let candidate = PartCandidate { part: *part, ends, weight, share };
+        (weight >= CAREFUL_WEIGHT).then_some(candidate)
+    }
+
+    /// Decides which of the suspects are guilty, those with the most ends under claimed runs first.
+    ///
+    /// Guards against the rejection of a part that was only there when the guilty one was tested: what
+    /// a guilty part or content explains does not count, and of several parts at the same ends none is
+    /// guilty unless they go on coming together.
+    fn set_statuses(&mut self, suspects: &[PartCandidate], now: Instant) {
+        let mut order: Vec<(&PartCandidate, IndexSet<ProcessDigest>)> =
+            suspects.iter().map(|suspect| (suspect, self.isolated_ends(suspect, now))).collect();
+        order.sort_by_key(|(_, isolated)| std::cmp::Reverse(isolated.len()));
+        let mut guilty: Vec<&PartCandidate> = Vec::new();
+        for (index, (suspect, isolated)) in order.iter().enumerate() {
+            let is_open = |process: &&ProcessDigest| {
+                let mut guilty = guilty.iter();
+                !self.had_guilty(process) && !guilty.any(|other| self.was_at(&other.part, process))
+            };
+            let open: Vec<&ProcessDigest> = isolated.iter().filter(is_open).collect();
+            let is_rival =
+                |other: &FeatureDigest| open.iter().all(|process| self.was_at(other, process));
+            let earlier = order[..index].iter().any(|(other, _)| is_rival(&other.part))
+                || self.repeated_contents().any(is_rival);
+            let mut later = order[index + 1..].iter().filter(|(other, _)| is_rival(&other.part));
+            let needed = if earlier {
+                usize::MAX
+            } else if later.any(|(other, _)| !suspect.comes_with(other)) {
+                MIN_SHARED_ENDS
+            } else if own_weight(suspect, suspects) >= CERTAIN_WEIGHT {
+                1
+            } else {
+                MIN_ISOLATED_ENDS
+            };
+            if open.len() >= needed {
+                guilty.push(suspect);
+            }
+        }
+        let guilty: IndexSet<FeatureDigest> = guilty.iter().map(|suspect| suspect.part).collect();
+        for suspect in suspects {
+            let Some(row) = self.suspects.get_mut(&suspect.part) else { continue };
+            let is_guilty = guilty.contains(&suspect.part);
+            row.counted = suspect.ends.len();
+            row.status = if is_guilty { SuspectStatus::Guilty } else { SuspectStatus::Suspicious };
+        }
+    }
+
+    /// Processes that ended alone, under claimed runs of the part, and whose evidence has settled.
+    fn isolated_ends(&self, suspect: &PartCandidate, now: Instant) -> IndexSet<ProcessDigest> {
+        let is_settled = |end: &ProcessEnd| now.saturating_duration_since(end.at) >= SETTLING_TIME;
+        let is_isolated =
+            |end: &ProcessEnd| end.isolated && is_settled(end) && self.ends_at(end.at) == 1;
+        let isolated = suspect.ends.iter().filter(|(_, end)| is_isolated(end));
+        isolated.map(|(process, _)| *process).collect()
+    }
+
+    /// Whether the feature was at a process when it ended, and has not been answered since.
+    fn was_at(&self, feature: &FeatureDigest, process: &ProcessDigest) -> bool {
+        self.suspects.get(feature).is_some_and(|row| row.ends.contains_key(process))
+    }
+
+    /// Contents under which several processes ended.
+    fn repeated_contents(&self) -> impl Iterator<Item = &FeatureDigest> {
+        let is_repeated = |row: &SuspectRow| row.ends.len() >= MIN_CAREFUL_ENDS;
+        let rows = self.suspects.iter();
+        let contents = rows.filter(move |(feature, row)| !feature.is_part() && is_repeated(row));
+        contents.map(|(content, _)| content)
+    }
+
+    /// Whether more processes ended at the same time without the part than with it, so that a zone
+    /// has lost power or a service is restarted. Those that a suspect explains do not count: a part
+    /// that ends many targets at once would otherwise hide the one beside it.
+    fn ended_mostly_without(
+        &self,
+        row: &SuspectRow,
+        at: Instant,
+        explained: &IndexSet<ProcessDigest>,
+    ) -> bool {
+        if self.ends_at(at) <= MIN_COMMON_CAUSE_ENDS {
+            return false;
+        }
+        let ended = self.processes.iter().filter(|(_, other)| is_same_moment(other.at, at));
+        let (with, without): (Vec<_>, Vec<_>) =
+            ended.partition(|(process, _)| row.ends.contains_key(*process));
+        let unexplained = without.iter().filter(|(process, _)| !explained.contains(*process));
+        let unexplained = unexplained.count();
+        unexplained >= MIN_COMMON_CAUSE_ENDS && unexplained > with.len()
+    }
+}
+
+fn processes_of(suspects: &[PartCandidate]) -> IndexSet<ProcessDigest> {
+    suspects.iter().flat_map(|suspect| suspect.ends.keys().copied()).collect()
+}
+
+/// Weight of the ends at which none of the stronger suspects was that come before it.
+fn own_weight(suspect: &PartCandidate, suspects: &[PartCandidate]) -> f64 {
+    let stronger = suspects.iter().take_while(|other| other.part != suspect.part);
+    let stronger: Vec<&PartCandidate> = stronger.collect();
+    let is_own =
+        |process: &ProcessDigest| !stronger.iter().any(|other| other.ends.contains_key(process));
+    let own = suspect.ends.iter().filter(|(process, _)| is_own(process));
+    weight_of(own.map(|(_, end)| end), suspect.share)
+}
+
+/// How much the ends say against a part with this share: each by the likelihood that an innocent
+/// part which is so frequent is not there.
+fn weight_of<'a>(ends: impl Iterator<Item = &'a ProcessEnd>, share: f64) -> f64 {
+    let usual = (1.0 - share).powi(TYPICAL_CONCURRENCY).max(MIN_END_WEIGHT);
+    ends.map(|end| if end.isolated { ISOLATED_END_WEIGHT } else { usual }).sum()
+}
