Control passes on that a feature was answered, also soon after it did so before

Cause: of two clears of a feature within a second control kept the first, though a process had ended in between. An entry that starts later held that end against the parts that all requests share, which then were as suspect as the guilty one.

Change: a clear is kept if a process has ended under the feature since the last one.

--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -27,6 +27,8 @@
 const MIN_REPEATED_RECORDS: usize = 3;
 /// How long a claim is kept: longer than it holds.
 const CLAIM_RETENTION: Duration = Duration::from_secs(5);
+/// Time between two clears of a feature without an end in between.
+const MIN_CLEAR_INTERVAL: Duration = Duration::from_secs(1);
 /// Most records in one reply.
 const MAX_REPLY_RECORDS: usize = 64;
 
@@ -118,8 +120,16 @@
         let is_clear = record.fate == RequestFate::Served;
         let is_known = self.counts.contains_key(&record.feature);
         match self.rows.get(&key).copied() {
-            // A later clear replaces the earlier one; the same end is reported once.
-            Some(row) if !is_clear || at <= row.at + Duration::from_secs(1) => return false,
+            // The same end is reported once.
+            Some(_) if !is_clear => return false,
+            // A later clear replaces the earlier one: soon, if processes have ended in between, which
+            // readers that come later would else hold against the feature.
+            Some(row)
+                if at <= row.at + MIN_CLEAR_INTERVAL
+                    && !self.has_end_between(&record.feature, row.at, at) =>
+            {
+                return false;
+            }
             Some(_) => self.remove(&key),
             None if is_clear && !is_known => return false,
             None if !is_known && !self.take_token(&record.feature, now) => return false,
@@ -134,6 +144,13 @@
         true
     }
 
+    fn has_end_between(&self, feature: &FeatureDigest, after: Instant, until: Instant) -> bool {
+        self.rows.iter().any(|(key, row)| {
+            let is_end = matches!(key, RecordKey::Ended(of, ..) if of == feature);
+            is_end && row.at > after && row.at <= until
+        })
+    }
+
     fn take_token(&mut self, feature: &FeatureDigest, now: Instant) -> bool {
         let bucket = if feature.is_part() { &mut self.new_parts } else { &mut self.new_contents };
         bucket.take(now)
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -217,6 +217,19 @@
     assert_eq!(passed, taken + 2);
 }
 
+/// Guards against an entry that starts later and suspects what all others have seen answered since.
+#[test]
+fn control_passes_on_that_a_feature_was_answered_after_its_last_end() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut log = EvidenceLog::new(now);
+    let records =
+        [ended(1, 1, false, 900), served(1, 800), ended(1, 2, false, 700), served(1, 600)];
+    assert!(records.iter().all(|record| log.add(record, now)));
+    assert!(!log.add(&served(1, 500), now), "nothing has ended since");
+    let (records, _) = log.records_since(0, now);
+    assert!(!table_of(&records, now).is_suspect(&digest(1)));
+}
+
 /// Guards against readers that call control again at once, without end, because the records that
 /// they have not seen have expired.
 #[test]
