Tests of two parts that end their targets at the same moment count

Two suspect parts are tested by claims at about the same time, so their targets end within 50 ms of each other. A process that ends together with others now counts if claimed runs explain all of them.

--- a/crates/quarantine/src/table/part_assessment.rs
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -100,8 +100,11 @@
     /// a guilty part or content explains does not count, and of several parts at the same ends none is
     /// guilty unless they go on coming together.
     fn set_statuses(&mut self, suspects: &[PartCandidate], now: Instant) {
-        let mut order: Vec<(&PartCandidate, IndexSet<ProcessDigest>)> =
-            suspects.iter().map(|suspect| (suspect, self.isolated_ends(suspect, now))).collect();
+        let claimed = self.claimed_ends();
+        let mut order: Vec<(&PartCandidate, IndexSet<ProcessDigest>)> = suspects
+            .iter()
+            .map(|suspect| (suspect, self.isolated_ends(suspect, &claimed, now)))
+            .collect();
         order.sort_by_key(|(_, isolated)| std::cmp::Reverse(isolated.len()));
         let mut guilty: Vec<&PartCandidate> = Vec::new();
         for (index, (suspect, isolated)) in order.iter().enumerate() {
@@ -137,13 +140,28 @@
         }
     }
 
-    /// Processes that ended alone, under claimed runs of the part, and whose evidence has settled.
-    fn isolated_ends(&self, suspect: &PartCandidate, now: Instant) -> IndexSet<ProcessDigest> {
+    /// Processes that ended under claimed runs, of whatever features.
+    fn claimed_ends(&self) -> IndexSet<ProcessDigest> {
+        let ends = self.suspects.values().flat_map(|row| &row.ends);
+        ends.filter(|(_, end)| end.isolated).map(|(process, _)| *process).collect()
+    }
+
+    /// Processes that ended under claimed runs of the part and whose evidence has settled. One that
+    /// ended together with a process which had no such run may have been killed with it.
+    fn isolated_ends(
+        &self,
+        suspect: &PartCandidate,
+        claimed: &IndexSet<ProcessDigest>,
+        now: Instant,
+    ) -> IndexSet<ProcessDigest> {
         let is_settled = |end: &ProcessEnd| now.saturating_duration_since(end.at) >= SETTLING_TIME;
-        let is_isolated =
-            |end: &ProcessEnd| end.isolated && is_settled(end) && self.ends_at(end.at) == 1;
-        let isolated = suspect.ends.iter().filter(|(_, end)| is_isolated(end));
-        isolated.map(|(process, _)| *process).collect()
+        let is_alone = |end: &ProcessEnd| {
+            let mut together =
+                self.processes.iter().filter(|(_, other)| is_same_moment(other.at, end.at));
+            together.all(|(process, _)| claimed.contains(process))
+        };
+        let isolated = suspect.ends.iter().filter(|(_, end)| end.isolated && is_settled(end));
+        isolated.filter(|(_, end)| is_alone(end)).map(|(process, _)| *process).collect()
     }
 
     /// Whether the feature was at a process when it ended, and has not been answered since.
