No claimed run begins without time to show its outcome

Cause, by a trace: requests that wait to be tested go in the order in which they came, so each was within milliseconds of its deadline when its turn came. It reached a target, was cut off, ended the target all the same, and proved nothing, once every 1.5 s.

--- a/crates/gateway/src/quarantine/permit.rs
+++ b/crates/gateway/src/quarantine/permit.rs
@@ -11,9 +11,12 @@
 use egretseam_proto::ServiceName;
 use egretseam_quarantine::{CLAIM_TIME, FeatureDigest, RequestFate, RequestTreatment};
 use egretseam_serving::TargetId;
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
 
+/// Time that a claimed run is left, the claim included, so that its target begins to answer.
+const MAX_CLAIMED_RUN_TIME: Duration = Duration::from_millis(1_500);
+
 /// The only run with care of a request at this entry, until dropped.
 pub(crate) struct CarefulRun {
     shared: Rc<GatewayShared>,
@@ -123,6 +126,9 @@
         if !run.needs_claim {
             return Some(RunTurn::Shared);
         }
+        if Instant::now() >= latest_start(request, true) {
+            return Some(RunTurn::Lost);
+        }
         let has_turn = run.claim(caller, request, target).await?;
         Some(if has_turn { RunTurn::Isolated } else { RunTurn::Lost })
     }
@@ -156,19 +162,23 @@
                 let after = until.saturating_duration_since(Instant::now());
                 return Some(Err(ErrorResponse::with_retry_after(ErrorKind::Quarantined, after)));
             }
+            RequestTreatment::Careful { needs_claim, .. }
+                if Instant::now() >= latest_start(request, needs_claim) =>
+            {
+                return Some(Err(ErrorResponse::new(ErrorKind::ExpiredUnsent)));
+            }
             RequestTreatment::Careful { not_before, needs_claim }
                 if not_before <= Instant::now() =>
             {
                 if let Some(run) = begin_careful_run(shared, request, needs_claim) {
                     return Some(Ok(RunPermit::Careful(run)));
                 }
-                request.deadline
+                latest_start(request, needs_claim)
+            }
+            RequestTreatment::Careful { not_before, needs_claim } => {
+                not_before.min(latest_start(request, needs_claim))
             }
-            RequestTreatment::Careful { not_before, .. } => not_before.min(request.deadline),
         };
-        if Instant::now() >= request.deadline {
-            return Some(Err(ErrorResponse::new(ErrorKind::ExpiredUnsent)));
-        }
         tokio::select! {
             () = changed => {}
             () = tokio::time::sleep_until(retry_at) => {}
@@ -177,6 +187,18 @@
     }
 }
 
+/// Until when a run with care has time to show whether it ends its target.
+///
+/// Guards against claimed runs that nothing is learned from: those that have waited longest are cut
+/// off by their deadline as soon as they have reached a target, and still end it.
+fn latest_start(request: &RequestState, needs_claim: bool) -> Instant {
+    if !needs_claim {
+        return request.deadline;
+    }
+    let usual = (request.deadline - request.received_at) / 2;
+    request.deadline - usual.min(MAX_CLAIMED_RUN_TIME)
+}
+
 fn begin_careful_run(
     shared: &Rc<GatewayShared>,
     request: &RequestState,
