--- a/tests/all/fleet/crashing/engine.rs
+++ b/tests/all/fleet/crashing/engine.rs
@@ -4,6 +4,7 @@
 use egretseam_h1::{
     BodyReader, ConnectionOptions, HttpConnection, RequestHead, chunk_frame, last_chunk,
 };
+use egretseam_platform::stand_in;
 use serde_json::json;
 use std::{
     cell::{Cell, RefCell},
@@ -163,6 +164,15 @@
         while let Ok(Some(head)) = connection.read_request(64 * 1024).await {
             let reader = BodyReader::new(head.framing);
             let Ok(body) = connection.read_body(reader, 1 << 20).await else { return };
+            if !stand_in::is_addressed_to(&head, &id) {
+                let mut rejection = stand_in::misdirected_response();
+                rejection.text("X-Instance-Id", &id);
+                let bytes = rejection.finish_with(b"");
+                if connection.write(&bytes).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let cause = self.cause_of(&head, &body);
             let mut moment = CrashMoment::AfterEvent;
             if let Some(cause) = cause {
