Treatment apart from evidence; scenarios of the model apart from its world

How requests are treated is a module of its own, and so is what a simulation plays and shows. Nothing else changes.

--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -1,8 +1,9 @@
 //! Which requests are rejected because they end the targets that run them.
 
+mod scenario;
 mod simulation;
 
-use self::simulation::{Scenario, simulate};
+use self::{scenario::Scenario, simulation::simulate};
 use egretseam_proto::PartId;
 use egretseam_quarantine::{
     CrashTable, EvidenceLog, EvidenceRecord, FeatureDigest, ProcessDigest, RequestContent,
