A claim whose target did not run the request holds for the next target

Cause, by an earlier trace: while nothing is answered, requests are tested one at a time. The request whose turn it was met a target that had been replaced, and lost its claim with the attempt; all entries then waited 1.5 s until the claim expired, three times in a row.

Change: the permit of an attempt that no target ran is kept, with its claim, and the request goes to another target at once.

--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -22,17 +22,21 @@
 }
 
 /// Waits until the request may be sent to a target and for a slot there; `None` if the caller
-/// disconnects first.
+/// disconnects first. `kept` is the permit of an attempt that no target ran.
 pub(crate) async fn acquire_permitted_slot(
     shared: &Rc<GatewayShared>,
     caller: &mut HttpConnection,
     request: &RequestState,
     tried: &[TargetId],
+    mut kept: Option<RunPermit>,
 ) -> Option<Result<PermittedSlot, ErrorResponse>> {
     loop {
-        let permit = match quarantine::await_permit(shared, caller, request).await? {
-            Ok(permit) => permit,
-            Err(error) => return Some(Err(error)),
+        let permit = match kept.take().filter(|permit| permit.is_valid(shared, request)) {
+            Some(permit) => permit,
+            None => match quarantine::await_permit(shared, caller, request).await? {
+                Ok(permit) => permit,
+                Err(error) => return Some(Err(error)),
+            },
         };
         let is_first = tried.is_empty();
         let mut acquired = None;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -158,9 +158,12 @@
     let mut unreachable = 0;
     let mut may_have_run = false;
     let mut retry = None;
+    let mut kept = None;
     loop {
         let wait_started_at = Instant::now();
-        let acquired = acquire::acquire_permitted_slot(shared, caller, request, &tried).await;
+        let acquired =
+            acquire::acquire_permitted_slot(shared, caller, request, &tried, kept.take());
+        let acquired = acquired.await;
         request.waited += wait_started_at.elapsed();
         let PermittedSlot { slot, permit, isolated } = match acquired {
             Some(Ok(slot)) => slot,
@@ -197,6 +200,9 @@
             let attempt = BrokenAttempt { features, started_at, isolated, permit };
             quarantine::record_broken(shared, &target, address, attempt);
             quarantine::await_check(shared, request, &target).await;
+        } else if !failure.may_have_run() {
+            // Without it, all entries would wait until the claim of a run that never began expires.
+            kept = Some(permit);
         }
         let attempts = AttemptCounts { reached, unreachable };
         retry = match retries::decide(shared, request, failure, attempts) {
--- a/crates/gateway/src/quarantine/permit.rs
+++ b/crates/gateway/src/quarantine/permit.rs
@@ -9,9 +9,9 @@
 };
 use egretseam_h1::HttpConnection;
 use egretseam_proto::ServiceName;
-use egretseam_quarantine::{CLAIM_TIME, FeatureDigest, RequestFate, RequestTreatment};
+use egretseam_quarantine::{CLAIM_TIME, FeatureDigest, RequestFate, RequestTreatment, RunClaim};
 use egretseam_serving::TargetId;
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// Time that a claimed run is left, the claim included, so that its target begins to answer.
@@ -23,6 +23,7 @@
     /// The features of the request that are suspect.
     features: Vec<FeatureDigest>,
     needs_claim: bool,
+    claim: Cell<Option<RunClaim>>,
 }
 
 impl CarefulRun {
@@ -57,7 +58,8 @@
         has_all && (self.needs_claim || !needs_claim)
     }
 
-    /// Claims the run at `target` and waits until the other entries have heard of it. Returns
+    /// Claims the run at `target`, unless that was done, and waits until the other entries have heard
+    /// of it. Returns
     /// whether it is this one's turn; `None` if the caller disconnects first.
     async fn claim(
         &self,
@@ -65,10 +67,14 @@
         request: &RequestState,
         target: &TargetId,
     ) -> Option<bool> {
+        if self.has_turn() {
+            return Some(true);
+        }
         let claim = {
             let table = self.shared.quarantine.table.borrow();
             table.claim(request.features(), process_of(target), rand::random())
         };
+        self.claim.set(Some(claim));
         for feature in &self.features {
             let fate = RequestFate::Claimed(claim);
             super::record_fate(&self.shared, *feature, fate, Instant::now());
@@ -77,8 +83,15 @@
             () = tokio::time::sleep(CLAIM_TIME) => {}
             () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return None,
         }
+        Some(self.has_turn())
+    }
+
+    /// Whether the run may begin by the claim made for it, which may have named a target that did
+    /// not run the request.
+    fn has_turn(&self) -> bool {
         let table = self.shared.quarantine.table.borrow();
-        Some(table.has_turn(&self.features, &claim, Instant::now()))
+        let claim = self.claim.get();
+        claim.is_some_and(|claim| table.has_turn(&self.features, &claim, Instant::now()))
     }
 }
 
@@ -211,7 +224,8 @@
     }
     runs.extend(features.iter().map(|feature| (*feature, None)));
     shared.metrics.careful_runs.inc();
-    Some(CarefulRun { shared: shared.clone(), features, needs_claim })
+    let shared = shared.clone();
+    Some(CarefulRun { shared, features, needs_claim, claim: Cell::new(None) })
 }
 
 fn log_rejected(shared: &GatewayShared, request: &RequestState, feature: &FeatureDigest) {
