--- a/crates/quarantine/src/table/part_assessment.rs
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -21,7 +21,8 @@
 const ISOLATED_END_WEIGHT: f64 = 1.5;
 /// Weight of ends from which a part is run with care.
 const CAREFUL_WEIGHT: f64 = 1.5;
-/// Ends under claimed runs, with no other suspect at all of them, that show that a part ends its processes.
+/// Ends under claimed runs, with no other suspect at all of them, that show that a part ends its
+/// processes.
 const MIN_ISOLATED_ENDS: usize = 2;
 /// Weight of ends with which one such end shows it.
 const CERTAIN_WEIGHT: f64 = 4.5;
--- a/tests/all/fleet/crashing/parts.rs
+++ b/tests/all/fleet/crashing/parts.rs
@@ -16,7 +16,8 @@
 const TARGETS: usize = 12;
 /// Time for which requests are sent.
 const SPELL: Duration = Duration::from_secs(11);
-/// Time after the fifth crash, or the last if there are fewer, from which such requests may hardly reach targets.
+/// Time after the fifth crash, or the last if there are fewer, from which such requests may hardly
+/// reach targets.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Requests that may reach targets after that.
 const MAX_LATE_RUNS: usize = 3;
--- a/tests/all/quarantine/simulation.rs
+++ b/tests/all/quarantine/simulation.rs
@@ -22,12 +22,13 @@
 const CRASH_MILLIS: std::ops::Range<u64> = 50..400;
 /// Time that an innocent request runs.
 const RUN_MILLIS: std::ops::Range<u64> = 200..2_000;
+/// Time that an innocent request runs where prompts have parts, so that half of the targets can serve
+/// all requests.
+const PART_RUN_MILLIS: std::ops::Range<u64> = 200..800;
 /// Delay with which another entry learns of evidence.
 const SPREAD_MILLIS: std::ops::Range<u64> = 65..200;
 /// Time after a crash at which entries drop evidence that has a common cause.
 const REPORT_DELAY_MILLIS: u64 = 60;
-/// The same where prompts have parts, so that half of the targets can serve all requests.
-const PART_RUN_MILLIS: std::ops::Range<u64> = 200..800;
 /// Time after which a caller gives up.
 const PATIENCE_MILLIS: u64 = 5_000;
 const SLOTS: usize = 16;
@@ -50,7 +51,7 @@
 const BAD_PARTS: u64 = 200;
 const GROUPS: u64 = 6;
 const RARE: u64 = 30;
-/// First number of requests with a bad part; the last digit tells which.
+/// First number of requests with a bad part; the remainder tells which.
 const FIRST_BAD: u64 = 1_000_000;
 const POPULAR: u64 = 10;
 const COMPANION: u64 = 11;
