Requests that end without an answer are logged and counted, with the reason

What the logs could not tell: an entry that reset a caller's stream wrote nothing, nor why it made no further attempt. One place now sees each request that was read whole and logs and counts those that get neither a complete answer nor a rejection: reason, elapsed time, silence, timeout, configuration on arrival and now. A refused further attempt says why (attempts, budget, no slot, deadline, may have run, suspect, unreachable). No decision changes.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,6 +2,7 @@
 //! which error to send when none succeeds.
 
 use crate::{
+    accepted::{AcceptedRequest, UnansweredReason},
     acquire::{self, PermittedSlot},
     attempt::{self, AttemptFailure, AttemptOptions, OpenResponse},
     dialect::RequestMetadata,
@@ -10,7 +11,7 @@
     quarantine::{self, BrokenAttempt},
     relay::{self, RelayOutcome},
     request::RequestState,
-    retries::{self, AttemptCounts, RetryDecision, RetryPermit},
+    retries::{self, AttemptCounts, RefusalReason, RetryDecision, RetryPermit},
     shared::{GatewayShared, StopPhase},
 };
 use bytes::Bytes;
@@ -41,6 +42,13 @@
     Reset,
 }
 
+/// How a request ended that was not rejected.
+enum RequestEnd {
+    /// The caller has the complete answer.
+    Answered(ConnectionAction),
+    Unanswered(UnansweredReason),
+}
+
 /// Serves one request whose body has been read.
 pub(crate) async fn serve(
     shared: &Rc<GatewayShared>,
@@ -53,24 +61,53 @@
     let keep_alive = head.keeps_alive();
     let terms = shared.dialect.read_request_metadata(&head);
     let id = terms.id.clone();
+    let accepted = AcceptedRequest::new(shared, &id, received_at);
     if shared.routes().is_none() && !await_config(shared, caller, &terms).await {
+        accepted.fail(UnansweredReason::CallerLeft, None);
         return ConnectionAction::Reset;
     }
     let mut request = match admit(shared, head, terms, body, received_at) {
         Ok(request) => request,
-        Err(error) => return send_error(shared, caller, &error, keep_alive, &id).await,
+        Err(error) => {
+            return reject(shared, caller, &error, keep_alive, &accepted, None).await;
+        }
     };
     match run_attempts(shared, caller, &mut request).await {
-        Ok(action) => action,
+        Ok(RequestEnd::Answered(action)) => {
+            accepted.finish();
+            action
+        }
+        Ok(RequestEnd::Unanswered(reason)) => {
+            accepted.fail(reason, Some(&request));
+            ConnectionAction::Reset
+        }
         Err(error) => {
             if error.retry_after.is_some() && error.kind != ErrorKind::Quarantined {
                 shared.record_rejected(&request.route);
             }
-            send_error(shared, caller, &error, keep_alive, &id).await
+            reject(shared, caller, &error, keep_alive, &accepted, Some(&request)).await
         }
     }
 }
 
+/// Sends the error that a request ends with.
+async fn reject(
+    shared: &GatewayShared,
+    caller: &mut HttpConnection,
+    error: &ErrorResponse,
+    keep_alive: bool,
+    accepted: &AcceptedRequest,
+    request: Option<&RequestState>,
+) -> ConnectionAction {
+    let action = send_error(shared, caller, error, keep_alive, accepted.id()).await;
+    if action == ConnectionAction::Reset {
+        accepted.fail(UnansweredReason::CallerLeft, request);
+    } else {
+        accepted.finish();
+    }
+    action
+}
+
 /// Waits until an entry that has just started has its first configuration or the outage limit has
 /// passed. Returns whether the caller is still connected.
 ///
@@ -152,7 +189,7 @@
     shared: &Rc<GatewayShared>,
     caller: &mut HttpConnection,
     request: &mut RequestState,
-) -> Result<ConnectionAction, ErrorResponse> {
+) -> Result<RequestEnd, ErrorResponse> {
     let mut tried: Vec<TargetId> = Vec::new();
     let mut reached = 0;
     let mut unreachable = 0;
@@ -168,7 +205,10 @@
         let PermittedSlot { slot, permit, isolated } = match acquired {
             Some(Ok(slot)) => slot,
             Some(Err(error)) if !may_have_run => return Err(error),
-            Some(Err(_)) => return give_up(request, AttemptFailure::Broken),
+            Some(Err(error)) => {
+                log_no_slot(request, &error);
+                return give_up(request, AttemptFailure::Broken);
+            }
             None => return Ok(record_caller_left(shared, request)),
         };
         let (target, address) = (slot.target.clone(), slot.address);
@@ -184,7 +224,7 @@
             Ok(action) => {
                 log_answered(shared, request, &tried, action);
                 quarantine::record_served(shared, request);
-                return Ok(action);
+                return Ok(RequestEnd::Answered(action));
             }
             Err(failure) => failure,
         };
@@ -208,8 +248,12 @@
         retry = match retries::decide(shared, request, failure, attempts) {
             RetryDecision::Free => None,
             RetryDecision::Charged(permit) => Some(permit),
-            RetryDecision::Refused if may_have_run => return give_up(request, failure),
-            RetryDecision::Refused => {
+            RetryDecision::Refused(reason) if may_have_run => {
+                log_refused(request, reason);
+                return give_up(request, failure);
+            }
+            RetryDecision::Refused(reason) => {
+                log_refused(request, reason);
                 let after = RETRY_AFTER_REJECTED;
                 return Err(ErrorResponse::with_retry_after(ErrorKind::TargetsRefused, after));
             }
@@ -263,21 +307,43 @@
     );
 }
 
-/// Ends a request that may have run: resets a started stream, else returns the error to send.
-fn give_up(
-    request: &RequestState,
-    failure: AttemptFailure,
-) -> Result<ConnectionAction, ErrorResponse> {
+/// Logs a request that may have run and got no slot at another target.
+fn log_no_slot(request: &RequestState, error: &ErrorResponse) {
+    tracing::info!(
+        request_id = %request.terms.id,
+        reason = error.kind.slug(),
+        elapsed_millis = request.received_at.elapsed().as_millis() as u64,
+        "no further attempt"
+    );
+}
+
+/// Logs why a request is not sent to another target.
+fn log_refused(request: &RequestState, reason: RefusalReason) {
+    tracing::info!(
+        request_id = %request.terms.id,
+        reason = reason.slug(),
+        elapsed_millis = request.received_at.elapsed().as_millis() as u64,
+        "no further attempt"
+    );
+}
+
+/// Ends a request that may have run: a started stream without an answer, since only a reset shows its
+/// caller that it is incomplete, any other with the error to send.
+fn give_up(request: &RequestState, failure: AttemptFailure) -> Result<RequestEnd, ErrorResponse> {
+    let is_over = Instant::now() >= request.deadline;
     if request.response_started {
-        // The caller has part of a stream; only a reset connection shows that it is incomplete.
-        return Ok(ConnectionAction::Reset);
+        return Ok(RequestEnd::Unanswered(if is_over {
+            UnansweredReason::DeadlinePassed
+        } else {
+            UnansweredReason::AnswerBroken
+        }));
     }
-    let expired = failure == AttemptFailure::TimedOut || Instant::now() >= request.deadline;
+    let expired = failure == AttemptFailure::TimedOut || is_over;
     let kind = if expired { ErrorKind::Expired } else { ErrorKind::BrokenAnswer };
     Err(ErrorResponse::new(kind))
 }
 
-fn record_caller_left(shared: &GatewayShared, request: &RequestState) -> ConnectionAction {
+fn record_caller_left(shared: &GatewayShared, request: &RequestState) -> RequestEnd {
     shared.metrics.callers_disconnected.inc();
     tracing::info!(
         request_id = %request.terms.id,
@@ -285,7 +351,7 @@
         events_passed = request.last_event_id.as_deref().unwrap_or(""),
         "caller disconnected before the end of the response"
     );
-    ConnectionAction::Reset
+    RequestEnd::Unanswered(UnansweredReason::CallerLeft)
 }
 
 async fn run_attempt(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! them; `directory` replies to callers' lookups of entry addresses.
 //! [`CallerDialect`] defines header names and message formats.
 
+mod accepted;
 mod acquire;
 mod attempt;
 mod backpressure;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Time since the caller last got events, or since the request was received.
+    pub(crate) fn silence(&self) -> Duration {
+        self.last_forwarded_at.unwrap_or(self.received_at).elapsed()
+    }
+
+    /// Time that the request is given in all.
+    pub(crate) fn timeout(&self) -> Duration {
+        self.deadline.saturating_duration_since(self.received_at)
+    }
+
     /// Time limits of its attempts and of its waits for further slots.
     pub(crate) fn limits(&self, stream_idle_timeout: Duration) -> AttemptLimits {
         AttemptLimits {
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -197,7 +197,38 @@
     Free,
     /// The budget of the service allows it.
     Charged(RetryPermit),
-    Refused,
+    Refused(RefusalReason),
+}
+
+/// Why a request is not sent to another target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalReason {
+    /// It may have run, and may not run again.
+    MayHaveRun,
+    /// Its deadline has passed.
+    DeadlinePassed,
+    /// No connection could be opened to several targets.
+    Unreachable,
+    /// Targets have ended under it.
+    Suspect,
+    /// It has reached as many targets as its route allows.
+    Attempts,
+    /// The retry budget of its service is used up.
+    Budget,
+}
+
+impl RefusalReason {
+    /// The name in logs and metrics.
+    pub(crate) fn slug(self) -> &'static str {
+        match self {
+            Self::MayHaveRun => "may-have-run",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::Unreachable => "unreachable",
+            Self::Suspect => "suspect",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+        }
+    }
 }
 
 /// Decides whether the request may be sent to another target.
@@ -211,21 +242,41 @@
     request: &RequestState,
     failure: AttemptFailure,
     attempts: AttemptCounts,
+) -> RetryDecision {
+    let decision = decide_uncounted(shared, request, failure, attempts);
+    if let RetryDecision::Refused(reason) = &decision {
+        shared.metrics.attempts_refused.with_label_values(&[reason.slug()]).inc();
+    }
+    decision
+}
+
+fn decide_uncounted(
+    shared: &Rc<GatewayShared>,
+    request: &RequestState,
+    failure: AttemptFailure,
+    attempts: AttemptCounts,
 ) -> RetryDecision {
     let AttemptCounts { reached, unreachable } = attempts;
-    let retryable = !failure.may_have_run() || request.route.kind.may_retry();
-    if !retryable || Instant::now() >= request.deadline || unreachable > MAX_UNREACHABLE_TARGETS {
-        return RetryDecision::Refused;
+    if failure.may_have_run() && !request.route.kind.may_retry() {
+        return RetryDecision::Refused(RefusalReason::MayHaveRun);
+    }
+    if Instant::now() >= request.deadline {
+        return RetryDecision::Refused(RefusalReason::DeadlinePassed);
+    }
+    if unreachable > MAX_UNREACHABLE_TARGETS {
+        return RetryDecision::Refused(RefusalReason::Unreachable);
     }
     if reached == 0 {
         return RetryDecision::Free;
     }
-    let is_last = failure.may_have_run() && shared.quarantine.is_sent_once(request);
-    if is_last || reached >= max_reached_targets(shared, request) {
-        return RetryDecision::Refused;
+    if failure.may_have_run() && shared.quarantine.is_sent_once(request) {
+        return RetryDecision::Refused(RefusalReason::Suspect);
+    }
+    if reached >= max_reached_targets(shared, request) {
+        return RetryDecision::Refused(RefusalReason::Attempts);
     }
     let permit = RetryPermit::reserve(shared, &request.service);
-    permit.map_or(RetryDecision::Refused, RetryDecision::Charged)
+    permit.map_or(RetryDecision::Refused(RefusalReason::Budget), RetryDecision::Charged)
 }
 
 /// Number of targets that the request may reach.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,6 +37,8 @@
     pub(crate) responses_broken: IntCounterVec,
     pub(crate) responses_closed: IntCounter,
     pub(crate) callers_disconnected: IntCounter,
+    pub(crate) requests_unanswered: IntCounterVec,
+    pub(crate) attempts_refused: IntCounterVec,
     pub(crate) connections_opened: IntCounter,
     pub(crate) config_version: IntGauge,
     pub(crate) config_unusable: IntCounter,
@@ -94,6 +96,16 @@
             ),
             callers_disconnected: metrics
                 .counter("egretseam_gateway_callers_left_total", "Callers that left unanswered."),
+            requests_unanswered: metrics.counter_by(
+                "egretseam_gateway_unanswered_total",
+                "Requests read whole that got neither a complete answer nor a rejection.",
+                "reason",
+            ),
+            attempts_refused: metrics.counter_by(
+                "egretseam_gateway_attempts_refused_total",
+                "Further attempts that were not allowed.",
+                "reason",
+            ),
             connections_opened: metrics
                 .counter("egretseam_gateway_connections_total", "Connections opened to targets."),
             config_version: metrics.gauge(
