Tests of targets that fall silent and go on

Callers see connections reset, 502 and 504 although their targets are sound: an attempt is given up for its silence before another one is certain. The scripted targets now pause at a place of a response and go on, or stay silent for good, and record which connections end meanwhile.

--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -19,5 +19,6 @@
 mod reports;
 mod rests;
 mod retry_budget;
+mod silence;
 mod weights;
 mod weights_bed;
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -2,11 +2,17 @@
 
 mod caller;
 mod load;
+mod outcomes;
+mod pauses;
 mod target;
 
 pub(super) use self::{
     caller::{Caller, SeenAnswer, request},
     load::{Calls, call, call_all, entry_of},
+    outcomes::{
+        CallOutcome, OutcomeCounts, count_outcomes, lost, runs, send_one, send_paced, send_to,
+    },
+    pauses::{FOREVER, PausePlace, ScriptedPause},
     target::{EVENTS, Script, ScriptedEnd, ScriptedFraming, ScriptedResponse, ScriptedTarget},
 };
 
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -1,5 +1,6 @@
 //! A target that follows a script.
 
+use super::pauses::{PauseState, ScriptedPause};
 use bytes::Bytes;
 use egretseam_h1::{BodyReader, ConnectionOptions, HttpConnection};
 use std::{
@@ -36,6 +37,8 @@
     CutAfter(u64),
     /// Streams all events, each after this pause.
     Slow(Duration),
+    /// Answers whole, with a pause.
+    Pause(ScriptedPause),
     /// Sends this response and ends its connection.
     Send(ScriptedResponse),
     /// Breaks off after this event; to a request that resumes a stream it does the other.
@@ -147,6 +150,7 @@
     pub(crate) abandoned: Cell<u32>,
     /// Those among them that were reset, not closed in order.
     pub(crate) reset_count: Cell<u32>,
+    pub(crate) pauses: PauseState,
     /// Accepts its connections until the process ends.
     listening: RefCell<Option<JoinHandle<()>>>,
 }
@@ -183,6 +187,7 @@
             used: Cell::new(0),
             abandoned: Cell::new(0),
             reset_count: Cell::new(0),
+            pauses: PauseState::default(),
             listening: RefCell::default(),
         })
     }
@@ -224,7 +229,8 @@
             };
             let is_stream = head.path().starts_with("/stream/");
             self.arrivals.borrow_mut().push(arrival.clone());
-            let script = self.script.borrow_mut().pop_front().unwrap_or(Script::Answer);
+            let scripted = self.script.borrow_mut().pop_front();
+            let script = scripted.unwrap_or_else(|| self.pauses.planned(&arrival));
             let script = match script {
                 _ if self.rest.get().is_some() => Script::Full,
                 Script::CutThen(_, second) if arrival.last_event.is_some() => *second,
@@ -234,6 +240,12 @@
             if let Script::Send(response) = script {
                 return self.send(connection, &arrival, &response).await;
             }
+            if let Script::Pause(pause) = script {
+                if !self.respond_with_pause(&mut connection, &arrival, pause).await {
+                    return;
+                }
+                continue;
+            }
             if !self.follow(&mut connection, &arrival, is_stream, script).await {
                 return;
             }
@@ -279,7 +291,9 @@
             }
             Script::Unsigned => whole("200 OK", "", "anything"),
             Script::Twice => whole("200 OK", &signed, &body).repeat(2),
-            Script::Close | Script::Send(_) | Script::CutThen(..) => return false,
+            Script::Close | Script::Send(_) | Script::CutThen(..) | Script::Pause(_) => {
+                return false;
+            }
             Script::Hang => {
                 if connection.wait_for_message().await.is_err() {
                     self.reset_count.set(self.reset_count.get() + 1);
@@ -308,7 +322,7 @@
         }
     }
 
-    async fn stop_listening(&self) {
+    pub(crate) async fn stop_listening(&self) {
         let listening = self.listening.take();
         if let Some(listening) = listening {
             listening.abort();
