Silence of a target only starts the search for another one

What callers saw: streams reset in the middle, and 502 or 504, although their targets were sound and would have gone on a moment later; beside a change of the configuration the users' rules count that as a lost request. While the body of a rejection stalled, its request hung without any answer.

Cause: an attempt was given up on a timer (1.5 s without an event, four objectives without a head), its connection closed, and only then was it asked whether the request may go elsewhere: attempts, retry budget, a slot, a permit. Each of them may say no. Class: something that works is given up before its successor is certain.

Silence only starts the search; attempts that run are read on until one delivers events after the caller's last one, or a whole response. The first to deliver goes on, the others are reset at once. Where nothing else is allowed, the search is asked again every 0.3 s, and the target is awaited until the deadline. An error status of a later attempt does not end a request whose first target may still answer. Weights that are superseded still end an attempt at their deadline. The rest of a rejection is read beside the next attempt. `RunningAttempt` reads a response step by step and can be interrupted at any await; dropped, it resets its connection. A stream that goes on elsewhere keeps the connection as its head announced it, also when a stop begins meanwhile: it used to be closed without an announcement.

Why it works: a request ends without an answer only if no attempt runs and none may be added, at its deadline, or when its caller has left. What may run twice, how often and at whose cost is decided where it was (`retries::decide`).

--- a/crates/gateway/src/accepted.rs
+++ b/crates/gateway/src/accepted.rs
@@ -1,9 +1,17 @@
 //! How each request that an entry has read whole ends: answered, rejected, or with neither.
 
-use crate::{request::RequestState, shared::GatewayShared};
+use crate::{forward::ConnectionAction, request::RequestState, shared::GatewayShared};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
+/// How a request ended that was not rejected.
+pub(crate) enum RequestEnd {
+    /// The caller has the complete answer.
+    Answered(ConnectionAction),
+    /// The caller gets no complete answer.
+    Unanswered(UnansweredReason),
+}
+
 /// Why a request that was read whole got neither a complete answer nor a rejection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UnansweredReason {
@@ -72,7 +80,7 @@
             elapsed_millis = self.received_at.elapsed().as_millis() as u64,
             silence_millis = silence.as_millis() as u64,
             timeout_millis = request.map_or(0, |request| request.timeout().as_millis() as u64),
-            events_passed = request.and_then(|r| r.last_event_id.as_deref()).unwrap_or(""),
+            events_passed = request.map(RequestState::events_passed).unwrap_or_default(),
             config_version = self.config_version,
             config_version_now = self.shared.config_version(),
             "request ended without an answer"
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,47 +1,26 @@
-//! One attempt: sends a request to one target and reads the head of its response.
+//! Opens one attempt: connects to the target that a request was placed at and prepares what is sent.
 
 use crate::{
+    acquire::PermittedSlot,
     backpressure,
-    dialect::{ResponseMetadata, TargetRequest},
+    dialect::TargetRequest,
     dispatch::SlotGuard,
     limits,
     pool::{self, CONNECT_TIMEOUT, STREAM_RETRY_CONNECT_TIMEOUT},
+    quarantine::RunPermit,
     request::RequestState,
-    retries::RetryPermit,
+    retries::{self, RetryPermit},
+    running_attempt::{AttemptLog, RunningAttempt},
     shared::GatewayShared,
 };
-use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ResponseHead};
-use egretseam_serving::{AttemptOutcome, RequestedRest, TargetId, WithholdReason};
-use std::time::Duration;
+use egretseam_h1::HttpConnection;
+use egretseam_serving::{AttemptOutcome, TargetId, WithholdReason};
+use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
 
-/// Largest body of a rejection that is read and discarded so that its connection can be reused.
-const MAX_REJECTION_BODY_BYTES: usize = 16 * 1024;
-/// Most responses to other requests that are discarded before the connection is closed.
-const MAX_STRAY_RESPONSES: usize = 2;
-/// Most bytes that a caller may pipeline while its response is pending. After more, the entry no
-/// longer notices that the caller disconnects.
-pub(crate) const MAX_PIPELINED_BYTES: usize = 64 * 1024;
-
-/// A response whose head has been read and whose body has not.
-pub(crate) struct OpenResponse {
-    pub(crate) connection: HttpConnection,
-    pub(crate) head: ResponseHead,
-    pub(crate) marks: ResponseMetadata,
-}
-
-impl OpenResponse {
-    /// A reader for the body of the response to a request with this method.
-    pub(crate) fn body(&self, method: &[u8]) -> BodyReader {
-        BodyReader::new(self.head.framing(method))
-    }
-
-    /// Whether the connection can carry another request once the body has been read. One that the
-    /// body ends with cannot, whatever the head says.
-    pub(crate) fn is_reusable(&self, method: &[u8]) -> bool {
-        self.head.keeps_alive() && self.head.framing(method) != BodyFraming::UntilClose
-    }
-}
+/// How long after the start deadline of superseded weights an attempt still waits for its response.
+/// The rest of the margin before the staleness bound is for the reset to reach the engine.
+const START_DEADLINE_GRACE: Duration = Duration::from_millis(200);
 
 /// Why an attempt got no response from its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,10 +37,8 @@
     Broken,
     /// The response is whole but cannot continue the stream that the caller has begun to receive.
     NoContinuation,
-    /// No response before the deadline of the attempt; the request may have run.
+    /// No response before the deadline; the request may have run.
     TimedOut,
-    /// The caller disconnected.
-    CallerLeft,
 }
 
 impl AttemptFailure {
@@ -75,7 +52,6 @@
             Self::Broken => "broken-answer",
             Self::NoContinuation => "no-continuation",
             Self::TimedOut => "no-answer",
-            Self::CallerLeft => "caller-left",
         }
     }
 
@@ -84,11 +60,6 @@
         matches!(self, Self::Broken | Self::NoContinuation | Self::TimedOut)
     }
 
-    /// Whether the request reached the target.
-    pub(crate) fn reached_target(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::Withheld)
-    }
-
     /// The outcome to record in the target's health.
     pub(crate) fn outcome(self) -> AttemptOutcome {
         match self {
@@ -97,20 +68,28 @@
             Self::OtherTarget | Self::Broken | Self::NoContinuation | Self::TimedOut => {
                 AttemptOutcome::Failed
             }
-            Self::Withheld | Self::CallerLeft => AttemptOutcome::Abandoned,
+            Self::Withheld => AttemptOutcome::Abandoned,
         }
     }
 }
 
-/// Deadline and connection of one attempt.
-#[derive(Clone, Copy, Debug)]
+/// What is known of an attempt before it is opened.
 pub(crate) struct AttemptOptions {
-    /// When the attempt times out if the head of the response has not been read.
-    pub(crate) response_deadline: Instant,
     /// Whether to open a new connection even if the pool has an idle one.
     pub(crate) new_connection: bool,
-    /// Targets that the request was sent to, this one included.
+    /// Targets that the request was placed at, this one included.
     pub(crate) attempt: usize,
+    /// Whether another target may get the request after this one.
+    pub(crate) may_follow: bool,
+    /// What the retry budget granted for the attempt, if it needs that.
+    pub(crate) retry: Option<RetryPermit>,
+}
+
+/// An attempt that did not reach its target.
+pub(crate) struct FailedStart {
+    pub(crate) target: TargetId,
+    pub(crate) failure: AttemptFailure,
+    pub(crate) permit: RunPermit,
 }
 
 /// A connection to a target, and how it was obtained.
@@ -122,165 +101,107 @@
     connect_time: Duration,
 }
 
-/// How a request was sent to a target, for logs.
-#[derive(Clone, Copy, Debug)]
-struct SentRequest {
-    attempt: usize,
-    reused: bool,
-    connect_time: Duration,
-    bytes: usize,
-    sent_at: Instant,
-    /// Delay of the target's link, as known when the request was sent.
-    link_delay: Duration,
-}
-
-/// Sends the request to the target of `slot` and reads the head of the response. `retry` is what
-/// the retry budget granted for the attempt, if it needs that.
-pub(crate) async fn open_response(
-    shared: &GatewayShared,
-    caller: &mut HttpConnection,
+/// Opens an attempt at the target of `placed`.
+pub(crate) async fn open(
+    shared: &Rc<GatewayShared>,
     request: &RequestState,
-    slot: &SlotGuard,
+    placed: PermittedSlot,
     options: AttemptOptions,
-    retry: Option<RetryPermit>,
-) -> Result<OpenResponse, AttemptFailure> {
-    // Without this, a handshake that takes long ends after the caller has left, and the request is
-    // sent for no one.
-    let acquired = tokio::select! {
-        biased;
-        () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return Err(AttemptFailure::CallerLeft),
-        acquired = acquire_connection(shared, slot, options.new_connection) => acquired?,
-    };
-    let mut connection = acquired.connection;
-    // Between the placement and this moment lie a handshake and the wait for a turn.
-    if let Some(reason) = backpressure::withheld(shared, request, slot) {
-        if reason == WithholdReason::Resting {
-            let now = Instant::now();
-            shared.pool.borrow_mut().put(&slot.target, connection, None, now);
+) -> Result<RunningAttempt, FailedStart> {
+    let started_at = Instant::now();
+    let target = placed.slot.target.clone();
+    let connected = connect(shared, request, &placed.slot, options.new_connection).await;
+    let acquired = match connected {
+        Ok(acquired) => acquired,
+        Err(failure) => {
+            placed.slot.finish(failure.outcome());
+            return Err(FailedStart { target, failure, permit: placed.permit });
         }
-        return Err(AttemptFailure::Withheld);
-    }
-    let send = TargetRequest {
-        target: &slot.target,
-        organisation: request.organisation(),
-        time_left: request.deadline.saturating_duration_since(Instant::now()),
-        urgent: request.response_started,
-        last_event_id: request.last_event_id.as_deref(),
-        body: &request.body,
     };
-    let bytes = shared.dialect.write_request(&request.head, &send);
-    if let Some(retry) = retry {
+    if let Some(retry) = options.retry {
         retry.record_sent();
     }
-    let exchange = async {
-        connection.write(&bytes).await.map_err(|_| AttemptFailure::Broken)?;
-        read_matching_head(shared, &mut connection, request).await
-    };
-    limits::record_sent(shared, slot, &request.terms.id);
-    let timer = FirstByteTimer::start(shared, slot);
-    let sent = SentRequest {
+    limits::record_sent(shared, &placed.slot, &request.terms.id);
+    let now = Instant::now();
+    let message = encode_request(shared, request, &placed.slot);
+    let (silent_at, cancel_at) = response_limits(shared, request, &target, options.may_follow);
+    let log = AttemptLog {
         attempt: options.attempt,
         reused: acquired.reused,
         connect_time: acquired.connect_time,
-        bytes: bytes.len(),
-        sent_at: Instant::now(),
-        link_delay: shared.dispatch.borrow().targets.link_delay(&slot.target),
+        bytes: message.len(),
+        started_at,
+        sent_at: now,
+        link_delay: shared.dispatch.borrow().targets.link_delay(&target),
     };
-    let result = tokio::select! {
-        result = tokio::time::timeout_at(options.response_deadline, exchange) => {
-            timer.stop();
-            result.unwrap_or(Err(AttemptFailure::TimedOut))
-        }
-        () = caller.wait_for_close(MAX_PIPELINED_BYTES) => {
-            log_caller_left(shared, request, slot, &sent);
-            Err(AttemptFailure::CallerLeft)
-        }
-    };
-    let (head, marks) = match result {
-        Ok(response) => response,
-        // Without a reset the target would work for a caller that has left, or on a request that
-        // another target has by now. An orderly close is queued behind the request; a reset
-        // discards the bytes still queued here and cancels a request that has arrived.
-        Err(failure) => {
-            connection.abort();
-            return Err(failure);
-        }
-    };
-    limits::record_named(shared, slot, &marks, sent.sent_at);
-    backpressure::record(shared, slot, &marks);
-    if let Some(busy) = marks.load {
-        let now = Instant::now();
-        shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
-    }
-    let response = OpenResponse { connection, head, marks };
-    if response.marks.not_executed {
-        return Err(drain_rejection(shared, request, slot, response).await);
-    }
-    // A success without the target's signature is not the target's response to this request; it
-    // may be the remainder of a broken one. Forwarding it would give the caller a wrong response.
-    if response.head.status < 300 && !response.marks.signed {
-        return Err(AttemptFailure::Broken);
-    }
-    if response.marks.rest == RequestedRest::Absent {
-        let targets = &mut shared.dispatch.borrow_mut().targets;
-        targets.record_accepted(&slot.target, sent.sent_at);
-    }
-    Ok(response)
+    let attempt = RunningAttempt::new(shared, placed, acquired.connection, message, log);
+    Ok(attempt.with_limits(silent_at, cancel_at))
 }
 
-/// Logs a request whose caller disconnected before the target responded: the time since the request
-/// was sent, which it spent in flight or running at the target, how it was sent, and the delay of
-/// the target's link as known then and now.
-fn log_caller_left(
+/// Obtains a connection for the attempt, unless the target wants no request by now.
+async fn connect(
     shared: &GatewayShared,
     request: &RequestState,
     slot: &SlotGuard,
-    sent: &SentRequest,
-) {
-    let link_delay = shared.dispatch.borrow().targets.link_delay(&slot.target);
-    tracing::info!(
-        request_id = %request.terms.id,
-        target_id = %slot.target,
-        attempt = sent.attempt,
-        connection_reused = sent.reused,
-        connect_millis = sent.connect_time.as_millis() as u64,
-        bytes = sent.bytes,
-        sent_after_millis =
-            sent.sent_at.saturating_duration_since(request.received_at).as_millis() as u64,
-        awaited_millis = sent.sent_at.elapsed().as_millis() as u64,
-        link_delay_when_sent_millis = sent.link_delay.as_millis() as u64,
-        link_delay_millis = link_delay.as_millis() as u64,
-        "caller disconnected before the target responded"
-    );
+    new_connection: bool,
+) -> Result<AcquiredConnection, AttemptFailure> {
+    let acquired = acquire_connection(shared, slot, new_connection).await?;
+    // Between the placement and this moment lie a handshake and the wait for a turn.
+    let Some(reason) = backpressure::withheld(shared, request, slot) else { return Ok(acquired) };
+    if reason == WithholdReason::Resting {
+        let now = Instant::now();
+        shared.pool.borrow_mut().put(&slot.target, acquired.connection, None, now);
+    }
+    Err(AttemptFailure::Withheld)
 }
 
-/// Measures the time to the first byte of a response. Dropped before [`Self::stop`], it records
-/// nothing about the target.
-struct FirstByteTimer<'a> {
-    shared: &'a GatewayShared,
-    target: &'a TargetId,
-    sent_at: Instant,
+fn encode_request(
+    shared: &GatewayShared,
+    request: &RequestState,
+    slot: &SlotGuard,
+) -> bytes::Bytes {
+    let progress = request.progress.borrow();
+    let send = TargetRequest {
+        target: &slot.target,
+        organisation: request.organisation(),
+        time_left: request.deadline.saturating_duration_since(Instant::now()),
+        urgent: progress.response_started,
+        last_event_id: progress.last_event_id.as_deref(),
+        body: &request.body,
+    };
+    shared.dialect.write_request(&request.head, &send)
 }
 
-impl<'a> FirstByteTimer<'a> {
-    fn start(shared: &'a GatewayShared, slot: &'a SlotGuard) -> Self {
-        let sent_at = Instant::now();
-        let target = &slot.target;
-        shared.dispatch.borrow_mut().targets.record_sent(target, sent_at);
-        Self { shared, target, sent_at }
-    }
-
-    /// Records the time to the first byte, or the time waited if the attempt failed or timed out.
-    fn stop(self) {
-        let now = Instant::now();
-        self.shared.dispatch.borrow_mut().targets.record_first_byte(self.target, self.sent_at, now);
+/// When silence of the target starts the search for another one, and when the attempt has to end if
+/// no head has been read, for weights that are superseded.
+///
+/// Without the second, a request could wait in a full engine until after the staleness bound and then
+/// start on superseded weights. It is cancelled while there is still time to reset its connection.
+fn response_limits(
+    shared: &GatewayShared,
+    request: &RequestState,
+    target: &TargetId,
+    may_follow: bool,
+) -> (Instant, Option<Instant>) {
+    if !may_follow || !request.route.kind.may_retry() {
+        return (request.deadline, None);
+    }
+    let limits = request.limits(shared.options.stream_idle_timeout);
+    let silent_at = limits.attempt_deadline(Instant::now());
+    let model = request.terms.model.as_ref();
+    let dispatch = shared.dispatch.borrow();
+    let start_deadline = model.and_then(|model| dispatch.targets.start_deadline(target, model));
+    match start_deadline {
+        Some(start_deadline) => {
+            (silent_at.min(start_deadline), Some(start_deadline + START_DEADLINE_GRACE))
+        }
+        None => (silent_at, None),
     }
 }
 
-impl Drop for FirstByteTimer<'_> {
-    fn drop(&mut self) {
-        self.shared.dispatch.borrow_mut().targets.stop_awaiting(self.target, self.sent_at);
-    }
+/// Whether another target may get the request once `reached` have.
+pub(crate) fn may_follow(shared: &GatewayShared, request: &RequestState, reached: u32) -> bool {
+    reached < retries::max_reached_targets(shared, request)
 }
 
 async fn acquire_connection(
@@ -302,49 +223,3 @@
     })?;
     Ok(AcquiredConnection { connection, reused: false, connect_time: started_at.elapsed() })
 }
-
-/// Reads response heads until one belongs to this request.
-///
-/// A target may respond to a request twice, so that the second response arrives where that to the
-/// next request is expected. Targets echo the request id; a response with another id is read and
-/// discarded.
-async fn read_matching_head(
-    shared: &GatewayShared,
-    connection: &mut HttpConnection,
-    request: &RequestState,
-) -> Result<(ResponseHead, ResponseMetadata), AttemptFailure> {
-    for _ in 0..=MAX_STRAY_RESPONSES {
-        let head = connection.read_response().await.map_err(|_| AttemptFailure::Broken)?;
-        let marks = shared.dialect.read_response_metadata(&head);
-        if marks.request_id.as_deref().is_none_or(|id| id == request.terms.id) {
-            return Ok((head, marks));
-        }
-        tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
-        let reader = BodyReader::new(head.framing(&request.head.method));
-        let body = connection.read_body(reader, MAX_REJECTION_BODY_BYTES).await;
-        body.map_err(|_| AttemptFailure::Broken)?;
-    }
-    Err(AttemptFailure::Broken)
-}
-
-/// Reads the rest of a response that states that the request did not run, and returns its
-/// connection to the pool if it can be reused.
-async fn drain_rejection(
-    shared: &GatewayShared,
-    request: &RequestState,
-    slot: &SlotGuard,
-    response: OpenResponse,
-) -> AttemptFailure {
-    let is_other_target = response.marks.wrong_target;
-    let reader = response.body(&request.head.method);
-    let is_leaving = shared.dispatch.borrow().targets.is_leaving(&slot.target);
-    let reusable = response.is_reusable(&request.head.method) && !is_other_target && !is_leaving;
-    let mut connection = response.connection;
-    let body = connection.read_body(reader, MAX_REJECTION_BODY_BYTES).await;
-    if reusable && body.is_ok() {
-        let now = Instant::now();
-        let idle_timeout = response.marks.keep_alive;
-        shared.pool.borrow_mut().put(&slot.target, connection, idle_timeout, now);
-    }
-    if is_other_target { AttemptFailure::OtherTarget } else { AttemptFailure::Full }
-}
--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|---|---|
 //! | at its length or last chunk | whole | whole | whole | broken |
 //! | with its connection, closed in an orderly way | whole while the target's process lives | the same | broken, unless the caller has events | broken |
-//! | early, by a reset, or in time | broken | broken | broken | broken |
+//! | early, or by a reset | broken | broken | broken | broken |
 //!
 //! A connection closes in an orderly way also when its process crashes, so the close of a body that
 //! ends with it proves nothing while the process may have ended.
@@ -80,8 +80,6 @@
     Malformed,
     /// The body, or an event in it, is larger than any may be.
     TooLarge,
-    /// No byte arrived in time.
-    TimedOut,
     /// The body ended inside an event.
     InsideEvent,
     /// The connection of a body that ends with it was closed before the first event.
@@ -98,7 +96,6 @@
             Self::Reset => "reset",
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
-            Self::TimedOut => "timed-out",
             Self::InsideEvent => "inside-event",
             Self::NoEvent => "no-event",
             Self::ProcessEnded => "process-ended",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,9 +2,10 @@
 //! targets.
 //!
 //! [`GatewayRuntime`] owns the listeners and tasks of one process, all on one thread. `caller`
-//! serves a caller's connection, `forward` one request (it decides after each attempt whether the
-//! request may be retried) and `attempt` one attempt; `relay` forwards a stream's events as they
-//! arrive, and `body_end` decides whether a response is whole. `dispatch` holds the tables of
+//! serves a caller's connection and `forward` one request. `attempts` runs the attempts of a request,
+//! several at a time while targets are silent; `attempt` opens one, and `running_attempt` reads its
+//! response. `relay` forwards what is read, and `body_end` decides whether a response is whole;
+//! `accepted` records how each request ends. `dispatch` holds the tables of
 //! [`egretseam_serving`] and the requests that wait for a slot; `follow` updates the tables from
 //! the feeds of all control members; `loads` updates them from load datagrams; `quarantine` keeps
 //! requests from running that end their targets, and `evidence` exchanges what entries know of
@@ -13,7 +14,9 @@
 
 mod accepted;
 mod acquire;
+mod answer_progress;
 mod attempt;
+mod attempts;
 mod backpressure;
 mod body_end;
 mod caller;
@@ -30,9 +33,11 @@
 mod options;
 mod pool;
 mod quarantine;
+mod rejection;
 mod relay;
 mod request;
 mod retries;
+mod running_attempt;
 mod runtime;
 mod shared;
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -144,12 +144,25 @@
     outbox::push(shared, feature, fate, at);
 }
 
+/// What one attempt has shown of its request so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AttemptEvidence {
+    /// When the first events of the stream were read.
+    pub(crate) events_since: Option<Instant>,
+    /// Whether the attempt has shown that no part of the prompt ends its target.
+    pub(crate) parts_cleared: bool,
+}
+
 /// Records that a target answered a request whole: no feature of it ends the targets that run it.
-pub(crate) fn record_served(shared: &Rc<GatewayShared>, request: &RequestState) {
-    if request.status >= 300 {
+pub(crate) fn record_served(
+    shared: &Rc<GatewayShared>,
+    request: &RequestState,
+    evidence: AttemptEvidence,
+) {
+    if request.progress.borrow().status >= 300 {
         return;
     }
-    if !request.parts_cleared {
+    if !evidence.parts_cleared {
         shared.quarantine.count_answered(request);
     }
     for feature in shared.quarantine.suspects(request) {
@@ -159,12 +172,16 @@
 
 /// Records that a target goes on answering a request, once it has done so for
 /// [`PARTS_CLEARED_AFTER`]: no part of its prompt ends the targets that run it.
-pub(crate) fn record_progress(shared: &Rc<GatewayShared>, request: &mut RequestState) {
-    let is_due = request.events_since.is_some_and(|at| at.elapsed() >= PARTS_CLEARED_AFTER);
-    if request.parts_cleared || !is_due {
+pub(crate) fn record_progress(
+    shared: &Rc<GatewayShared>,
+    request: &RequestState,
+    evidence: &mut AttemptEvidence,
+) {
+    let is_due = evidence.events_since.is_some_and(|at| at.elapsed() >= PARTS_CLEARED_AFTER);
+    if evidence.parts_cleared || !is_due {
         return;
     }
-    request.parts_cleared = true;
+    evidence.parts_cleared = true;
     shared.quarantine.count_answered(request);
     for feature in shared.quarantine.suspects(request) {
         if feature.is_part() {
--- a/crates/gateway/src/quarantine/permit.rs
+++ b/crates/gateway/src/quarantine/permit.rs
@@ -2,12 +2,10 @@
 
 use super::process_of;
 use crate::{
-    attempt::MAX_PIPELINED_BYTES,
     error_response::{ErrorKind, ErrorResponse},
     request::RequestState,
     shared::GatewayShared,
 };
-use egretseam_h1::HttpConnection;
 use egretseam_proto::ServiceName;
 use egretseam_quarantine::{CLAIM_TIME, FeatureDigest, RequestFate, RequestTreatment, RunClaim};
 use egretseam_serving::TargetId;
@@ -59,16 +57,10 @@
     }
 
     /// Claims the run at `target`, unless that was done, and waits until the other entries have heard
-    /// of it. Returns
-    /// whether it is this one's turn; `None` if the caller disconnects first.
-    async fn claim(
-        &self,
-        caller: &mut HttpConnection,
-        request: &RequestState,
-        target: &TargetId,
-    ) -> Option<bool> {
+    /// of it. Returns whether it is this one's turn.
+    async fn claim(&self, request: &RequestState, target: &TargetId) -> bool {
         if self.has_turn() {
-            return Some(true);
+            return true;
         }
         let claim = {
             let table = self.shared.quarantine.table.borrow();
@@ -79,11 +71,8 @@
             let fate = RequestFate::Claimed(claim);
             super::record_fate(&self.shared, *feature, fate, Instant::now());
         }
-        tokio::select! {
-            () = tokio::time::sleep(CLAIM_TIME) => {}
-            () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return None,
-        }
-        Some(self.has_turn())
+        tokio::time::sleep(CLAIM_TIME).await;
+        self.has_turn()
     }
 
     /// Whether the run may begin by the claim made for it, which may have named a target that did
@@ -128,22 +117,16 @@
 
 impl RunPermit {
     /// Prepares the run at `target`, for which a slot is held.
-    pub(crate) async fn prepare(
-        &self,
-        caller: &mut HttpConnection,
-        request: &RequestState,
-        target: &TargetId,
-    ) -> Option<RunTurn> {
-        let Self::Careful(run) = self else { return Some(RunTurn::Shared) };
+    pub(crate) async fn prepare(&self, request: &RequestState, target: &TargetId) -> RunTurn {
+        let Self::Careful(run) = self else { return RunTurn::Shared };
         run.set_target(target);
         if !run.needs_claim {
-            return Some(RunTurn::Shared);
+            return RunTurn::Shared;
         }
         if Instant::now() >= latest_start(request, true) {
-            return Some(RunTurn::Lost);
+            return RunTurn::Lost;
         }
-        let has_turn = run.claim(caller, request, target).await?;
-        Some(if has_turn { RunTurn::Isolated } else { RunTurn::Lost })
+        if run.claim(request, target).await { RunTurn::Isolated } else { RunTurn::Lost }
     }
 
     /// Whether the request is still treated as when this was given.
@@ -159,32 +142,31 @@
     }
 }
 
-/// Waits until the request may be sent to a target; an error if it may not. `None` if the caller
-/// disconnects first. A request that is not suspect does not wait.
+/// Waits until the request may be sent to a target; an error if it may not. A request that is not
+/// suspect does not wait.
 pub(crate) async fn await_permit(
     shared: &Rc<GatewayShared>,
-    caller: &mut HttpConnection,
     request: &RequestState,
-) -> Option<Result<RunPermit, ErrorResponse>> {
+) -> Result<RunPermit, ErrorResponse> {
     loop {
         let changed = shared.quarantine.changed.notified();
         let retry_at = match shared.quarantine.treatment(request) {
-            RequestTreatment::Normal => return Some(Ok(RunPermit::Normal)),
+            RequestTreatment::Normal => return Ok(RunPermit::Normal),
             RequestTreatment::Rejected { until, feature } => {
                 log_rejected(shared, request, &feature);
                 let after = until.saturating_duration_since(Instant::now());
-                return Some(Err(ErrorResponse::with_retry_after(ErrorKind::Quarantined, after)));
+                return Err(ErrorResponse::with_retry_after(ErrorKind::Quarantined, after));
             }
             RequestTreatment::Careful { needs_claim, .. }
                 if Instant::now() >= latest_start(request, needs_claim) =>
             {
-                return Some(Err(ErrorResponse::new(ErrorKind::ExpiredUnsent)));
+                return Err(ErrorResponse::new(ErrorKind::ExpiredUnsent));
             }
             RequestTreatment::Careful { not_before, needs_claim }
                 if not_before <= Instant::now() =>
             {
                 if let Some(run) = begin_careful_run(shared, request, needs_claim) {
-                    return Some(Ok(RunPermit::Careful(run)));
+                    return Ok(RunPermit::Careful(run));
                 }
                 latest_start(request, needs_claim)
             }
@@ -195,7 +177,6 @@
         tokio::select! {
             () = changed => {}
             () = tokio::time::sleep_until(retry_at) => {}
-            () = caller.wait_for_close(MAX_PIPELINED_BYTES) => return None,
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/rejection.rs
@@ -0,0 +1,34 @@
+//! Reads the rest of a rejection, so that its connection can carry another request.
+
+use crate::shared::GatewayShared;
+use egretseam_h1::{BodyReader, HttpConnection};
+use egretseam_serving::TargetId;
+use std::{rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// Largest body of a rejection that is read and discarded so that its connection can be reused.
+const MAX_REJECTION_BODY_BYTES: usize = 16 * 1024;
+/// How long the rest of a rejection is waited for. A new connection costs less than one that is held
+/// open longer.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reads the rest of a response that states that a request did not run, beside the request's next
+/// attempt, and returns its connection to the pool.
+pub(crate) fn drain(
+    shared: &Rc<GatewayShared>,
+    target: &TargetId,
+    mut connection: HttpConnection,
+    reader: BodyReader,
+    idle_timeout: Option<Duration>,
+) {
+    let (shared, target) = (shared.clone(), target.clone());
+    actix_rt::spawn(async move {
+        let body = connection.read_body(reader, MAX_REJECTION_BODY_BYTES);
+        let is_read = matches!(tokio::time::timeout(DRAIN_TIMEOUT, body).await, Ok(Ok(_)));
+        let is_leaving = shared.dispatch.borrow().targets.is_leaving(&target);
+        if is_read && !is_leaving {
+            let now = Instant::now();
+            shared.pool.borrow_mut().put(&target, connection, idle_timeout, now);
+        }
+    });
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,12 +1,16 @@
 //! State of one request while it is served.
 
-use crate::dialect::RequestMetadata;
+use crate::{answer_progress::AnswerProgress, dialect::RequestMetadata};
 use bytes::Bytes;
 use egretseam_h1::RequestHead;
 use egretseam_proto::{OrganisationName, PartId, ServiceName};
 use egretseam_quarantine::{FeatureDigest, RequestContent};
 use egretseam_serving::{AttemptLimits, KeyHolder, RouteRecord, WaitUrgency};
-use std::{cell::OnceCell, rc::Rc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// State of a request while it is served.
@@ -21,26 +25,8 @@
     pub(crate) deadline: Instant,
     /// How long the caller had been trying when this request arrived; zero for a first attempt.
     pub(crate) tried_before: Duration,
-    /// Id of the last event that this entry forwarded to the caller, if any.
-    pub(crate) last_event_id: Option<String>,
-    /// Whether the head of a streamed response has been sent to the caller.
-    pub(crate) response_started: bool,
-    /// Total time spent waiting for slots.
-    pub(crate) waited: Duration,
-    /// Time from receiving the request to the head of its response.
-    pub(crate) time_to_first_byte: Duration,
-    /// Time from receiving the request to forwarding the first events of a stream.
-    pub(crate) time_to_first_event: Duration,
-    /// Longest time between forwarding two groups of events of a stream.
-    pub(crate) longest_pause: Duration,
-    /// When events of a stream were last forwarded.
-    pub(crate) last_forwarded_at: Option<Instant>,
-    /// Status of the response that is forwarded.
-    pub(crate) status: u16,
-    /// Whether the current attempt has shown that no part of the prompt ends its target.
-    pub(crate) parts_cleared: bool,
-    /// When the first events of the current attempt's stream were read.
-    pub(crate) events_since: Option<Instant>,
+    /// What the caller has got so far. Attempts that run at the same time read it.
+    pub(crate) progress: RefCell<AnswerProgress>,
     /// Computed when it is first needed.
     pub(crate) features: OnceCell<Vec<FeatureDigest>>,
 }
@@ -70,16 +56,11 @@
         self.terms.shared_parts.iter().copied().map(FeatureDigest::of_part)
     }
 
-    /// What may have ended the target of the current attempt.
-    pub(crate) fn suspect_features(&self) -> &[FeatureDigest] {
+    /// What may have ended a target. `parts_cleared` is whether the attempt there has shown that no
+    /// part of the prompt did.
+    pub(crate) fn suspect_features(&self, parts_cleared: bool) -> &[FeatureDigest] {
         let features = self.features();
-        if self.parts_cleared { &features[..1] } else { features }
-    }
-
-    /// Forgets what the former attempt has shown.
-    pub(crate) fn begin_attempt(&mut self) {
-        self.parts_cleared = false;
-        self.events_since = None;
+        if parts_cleared { &features[..1] } else { features }
     }
 
     /// The parts of its prompt that other requests may share, for logs.
@@ -88,20 +69,20 @@
         texts.join(" ")
     }
 
-    /// Records that events of a stream were forwarded.
-    pub(crate) fn record_forwarded(&mut self, now: Instant) {
-        match self.last_forwarded_at.replace(now) {
-            None => self.time_to_first_event = now.saturating_duration_since(self.received_at),
-            Some(before) => {
-                let pause = now.saturating_duration_since(before);
-                self.longest_pause = self.longest_pause.max(pause);
-            }
-        }
+    /// Whether the head of a streamed response has been sent to the caller.
+    pub(crate) fn response_started(&self) -> bool {
+        self.progress.borrow().response_started
+    }
+
+    /// Id of the last event that was forwarded, empty for none.
+    pub(crate) fn events_passed(&self) -> String {
+        self.progress.borrow().last_event_id.clone().unwrap_or_default()
     }
 
     /// Time since the caller last got events, or since the request was received.
     pub(crate) fn silence(&self) -> Duration {
-        self.last_forwarded_at.unwrap_or(self.received_at).elapsed()
+        let progress = self.progress.borrow();
+        progress.last_forwarded_at.unwrap_or(self.received_at).elapsed()
     }
 
     /// Time that the request is given in all.
@@ -112,7 +93,7 @@
     /// Time limits of its attempts and of its waits for further slots.
     pub(crate) fn limits(&self, stream_idle_timeout: Duration) -> AttemptLimits {
         AttemptLimits {
-            awaits_stream: self.route.kind.is_stream() && !self.response_started,
+            awaits_stream: self.route.kind.is_stream() && !self.response_started(),
             objective: self.route.objective,
             received_at: self.received_at,
             deadline: self.deadline,
@@ -123,7 +104,7 @@
     /// Urgency of the request in the wait queue, by its priority and how long its caller has been
     /// trying.
     pub(crate) fn urgency(&self) -> WaitUrgency {
-        if self.response_started {
+        if self.response_started() {
             return WaitUrgency::resumed();
         }
         let key_priority = self.holder.as_ref().and_then(|holder| holder.priority);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,6 +39,7 @@
     pub(crate) callers_disconnected: IntCounter,
     pub(crate) requests_unanswered: IntCounterVec,
     pub(crate) attempts_refused: IntCounterVec,
+    pub(crate) silences: IntCounterVec,
     pub(crate) connections_opened: IntCounter,
     pub(crate) config_version: IntGauge,
     pub(crate) config_unusable: IntCounter,
@@ -106,6 +107,11 @@
                 "Further attempts that were not allowed.",
                 "reason",
             ),
+            silences: metrics.counter_by(
+                "egretseam_gateway_silences_total",
+                "Silences of targets for which another one was searched for, by which delivered first.",
+                "outcome",
+            ),
             connections_opened: metrics
                 .counter("egretseam_gateway_connections_total", "Connections opened to targets."),
             config_version: metrics.gauge(
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -189,6 +189,15 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Writes all of `bytes` and removes what has been written. Cancel-safe: if the future is dropped,
+    /// `bytes` holds the rest.
+    ///
+    /// # Errors
+    /// Fails on an I/O error.
+    pub async fn write_from(&mut self, bytes: &mut Bytes) -> io::Result<()> {
+        self.stream.write_all_buf(bytes).await
+    }
+
     /// Waits until the peer closes or resets the connection, and buffers the bytes that arrive
     /// meanwhile. Once `max_buffered` bytes are buffered, it reads no further and never returns.
     pub async fn wait_for_close(&mut self, max_buffered: usize) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,8 @@
 //! - [`PeerList`]: at control, the agents that exchange chunks, with numbered changes.
 //! - [`RetryDetector`]: how long a caller has been trying.
 //! - [`AttemptLimits`]: deadlines of attempts and waits, set before the caller disconnects.
+//! - [`AttemptRace`]: the attempts of one request at the same time; silence of a target starts the
+//!   search for another one.
 //! - [`RetryBudget`]: the entry's share of a service's retry budget, among [`EntryCount`] entries.
 //! - [`RequestRate`]: the limit of requests that a target names; [`TargetTable`] paces them, and
 //!   [`PacedRoom`] tells what is left where all targets name limits.
@@ -26,6 +28,7 @@
 //! - [`OlderVersionPolicy`]: when an instance loads a superseded version.
 
 mod attempt_limits;
+mod attempt_race;
 mod backpressure;
 mod config;
 mod config_holder;
@@ -49,6 +52,7 @@
 
 pub use crate::{
     attempt_limits::{AttemptLimits, DEFAULT_STREAM_IDLE_TIMEOUT},
+    attempt_race::{AttemptId, AttemptRace, RaceStep, RaceTerms},
     backpressure::WithholdReason,
     config::{
         CallerLimits, Destination, EngineRecord, OrganisationRecord, OriginRecord, RouteKind,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one module per subject.
 
 mod attempt_limits;
+mod attempt_race;
 mod backpressure;
 mod bad_input;
 mod caller_codec;
