An entry answers or rejects all that arrives while it closes connections

Three ways in which a request was accepted, read and dropped without a response or a line in the log:

- From the moment at which a stopping entry rejects requests, each connection that waited for a request was closed: shut down, then read and discarded for up to 0.5 s.
A new connection is not known to be readable when its task first runs, so it was closed although its request had arrived or followed a moment later.
- The same happened to a request that arrived as the idle timeout of its connection passed.
- The idle timeout was fixed when the wait began, so a configuration that raised it did not keep the connections open on which callers may send for four fifths of the newest timeout.
- Connections in the accept queue were reset when the process ended.

Now a stopping entry has a third phase. It rejects requests (503) on kept and new connections until none has arrived for 0.25 s, at most a second after the caches of its address have expired. Then it accepts what waits in the queues of its listeners, closes them, closes each connection that has been idle for 0.25 s, and ends when all are closed. `HttpConnection::wait_for_message_until` asks the socket before a connection is closed as idle, and the connection is then dropped unread: what crosses the close is reset by the kernel, so its caller knows that it was not read. The drain after a response with `Connection: close` stays; if it discards bytes of a further request, that is logged and counted (`egretseam_gateway_connections_discarding_total`). The idle timeout follows the configuration; after a shorter one a connection stays open for the whole of it from the change on, since callers learn of it later.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,9 +1,10 @@
 //! Serves one connection of a caller: one request after another until either side closes it.
 
 use crate::{
+    connections::{self, CountGuard},
     error_response::{ErrorKind, ErrorResponse},
     forward::{self, ConnectionAction},
-    shared::{GatewayShared, StopPhase},
+    shared::GatewayShared,
 };
 use bytes::Bytes;
 use egretseam_h1::{
@@ -17,25 +18,24 @@
 /// arrive with their head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Increments a count, and decrements it when dropped.
-struct CountGuard<'a>(&'a std::cell::Cell<usize>);
-
-impl<'a> CountGuard<'a> {
-    fn new(count: &'a std::cell::Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
+/// A request that has been read whole.
+struct ReceivedRequest {
+    head: RequestHead,
+    body: Bytes,
+    received_at: Instant,
+    _progress: CountGuard,
 }
 
-impl Drop for CountGuard<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
+/// Why no request was read from a connection.
+enum ReceiveError {
+    /// The peer closed or reset the connection.
+    Ended,
+    /// What it sent is rejected with this kind of error.
+    Rejected(ErrorKind),
 }
 
 /// Serves a caller's connection until it closes.
 pub(crate) async fn serve(shared: Rc<GatewayShared>, stream: TcpStream) {
-    let _connection = CountGuard::new(&shared.open_connections);
     // A caller that reads slowly is still there, so its pauses are bounded by the deadlines of its
     // requests. The kernel's limit only ends connections to callers that are gone.
     let options = ConnectionOptions { peer_timeout: Duration::from_secs(6) };
@@ -46,50 +46,82 @@
             return;
         }
     };
-    loop {
-        match serve_next_request(&shared, &mut caller).await {
+    while caller.wait_for_message_until(may_close(&shared)).await {
+        shared.last_request.set(Instant::now());
+        let request = match receive(&shared, &mut caller).await {
+            Ok(request) => request,
+            Err(ReceiveError::Ended) => return caller.abort(),
+            Err(ReceiveError::Rejected(kind)) => return reject(&shared, caller, kind).await,
+        };
+        match serve_request(&shared, &mut caller, request).await {
             ConnectionAction::Keep => {}
-            ConnectionAction::Close => return caller.close().await,
+            ConnectionAction::Close => return close(&shared, caller).await,
             ConnectionAction::Reset => return caller.abort(),
         }
     }
 }
 
-async fn serve_next_request(
-    shared: &Rc<GatewayShared>,
+/// Completes when a connection that is idle from now on may be closed.
+async fn may_close(shared: &GatewayShared) {
+    tokio::select! {
+        () = connections::idle_timeout(shared) => {}
+        () = connections::may_close(shared) => {}
+    }
+}
+
+/// Reads a request whose first byte has arrived.
+async fn receive(
+    shared: &GatewayShared,
     caller: &mut HttpConnection,
-) -> ConnectionAction {
+) -> Result<ReceivedRequest, ReceiveError> {
     let limits =
         shared.routes().map_or_else(CallerLimits::default, |routes| routes.config().limits);
-    let mut stop = shared.stop_phase.subscribe();
-    let waiting = tokio::time::timeout(limits.idle_timeout, caller.wait_for_message());
-    let readable = tokio::select! {
-        biased;
-        readable = waiting => readable,
-        // A stopping entry closes its idle connections. A request sent at that moment is not read;
-        // callers can tell from the close that it has not run.
-        _ = stop.wait_for(|phase| *phase == StopPhase::Rejecting) => return ConnectionAction::Close,
-    };
-    if !matches!(readable, Ok(Ok(true))) {
-        return ConnectionAction::Close;
-    }
     let received_at = Instant::now();
     let read = caller.read_request(limits.max_head_bytes);
     let head = match tokio::time::timeout(limits.head_timeout, read).await {
         Ok(Ok(Some(head))) => head,
-        Ok(Ok(None)) => return ConnectionAction::Close,
-        Ok(Err(error)) => return send_read_error(shared, caller, &error).await,
-        Err(_) => return send_error(shared, caller, ErrorKind::SlowCaller).await,
+        Ok(Ok(None)) => return Err(ReceiveError::Ended),
+        Ok(Err(error)) => return Err(receive_error(&error)),
+        Err(_) => return Err(ReceiveError::Rejected(ErrorKind::SlowCaller)),
     };
-    let _progress = CountGuard::new(&shared.in_progress);
+    let progress = CountGuard::new(&shared.in_progress);
     let body = match read_body(caller, &head, &limits).await {
         Ok(body) => body,
-        Err(BodyError::Read(error)) => return send_read_error(shared, caller, &error).await,
-        Err(BodyError::TimedOut) => return send_error(shared, caller, ErrorKind::SlowCaller).await,
+        Err(BodyError::Read(error)) => return Err(receive_error(&error)),
+        Err(BodyError::TimedOut) => return Err(ReceiveError::Rejected(ErrorKind::SlowCaller)),
     };
+    Ok(ReceivedRequest { head, body, received_at, _progress: progress })
+}
+
+async fn serve_request(
+    shared: &Rc<GatewayShared>,
+    caller: &mut HttpConnection,
+    request: ReceivedRequest,
+) -> ConnectionAction {
+    let ReceivedRequest { head, body, received_at, _progress } = request;
     forward::serve(shared, caller, head, body, received_at).await
 }
 
+/// Closes a connection after a response that announced it.
+async fn close(shared: &GatewayShared, caller: HttpConnection) {
+    let bytes = caller.close().await;
+    if bytes > 0 {
+        shared.metrics.connections_discarding.inc();
+        tracing::info!(bytes, "closed a connection with bytes of a further request unserved");
+    }
+}
+
+/// Sends an error response to what is no proper request, and closes the connection.
+async fn reject(shared: &GatewayShared, mut caller: HttpConnection, kind: ErrorKind) {
+    let error = ErrorResponse::new(kind);
+    match forward::send_error(shared, &mut caller, &error, false, "").await {
+        ConnectionAction::Reset => caller.abort(),
+        ConnectionAction::Keep | ConnectionAction::Close => {
+            caller.close().await;
+        }
+    }
+}
+
 enum BodyError {
     Read(ReadError),
     TimedOut,
@@ -121,26 +153,14 @@
     }
 }
 
-async fn send_read_error(
-    shared: &GatewayShared,
-    caller: &mut HttpConnection,
-    error: &ReadError,
-) -> ConnectionAction {
+fn receive_error(error: &ReadError) -> ReceiveError {
     let kind = match error {
         ReadError::HeadTooLarge | ReadError::Head(HeadError::TooManyFields) => {
             ErrorKind::HeadTooLarge
         }
         ReadError::BodyTooLarge => ErrorKind::BodyTooLarge,
         ReadError::Head(_) => ErrorKind::Malformed,
-        ReadError::Closed | ReadError::Io(_) => return ConnectionAction::Reset,
+        ReadError::Closed | ReadError::Io(_) => return ReceiveError::Ended,
     };
-    send_error(shared, caller, kind).await
-}
-
-async fn send_error(
-    shared: &GatewayShared,
-    caller: &mut HttpConnection,
-    kind: ErrorKind,
-) -> ConnectionAction {
-    forward::send_error(shared, caller, &ErrorResponse::new(kind), false, "").await
+    ReceiveError::Rejected(kind)
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,7 +1,8 @@
 //! Replies to callers' lookups of entry addresses and to the platform's readiness checks.
 
-use crate::shared::GatewayShared;
-use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection};
+use crate::{connections, shared::GatewayShared};
+use bytes::Bytes;
+use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection, RequestHead};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{net::TcpStream, time::Instant};
 
@@ -9,12 +10,14 @@
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a peer may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Most addresses in one response; callers ignore any further ones.
 const MAX_ADDRESSES: usize = 64;
 
 /// Serves a connection for address lookups by callers.
 pub(crate) async fn serve_lookups(shared: Rc<GatewayShared>, stream: TcpStream) {
-    serve(stream, |head| match shared.dialect.read_lookup(head) {
+    serve(&shared, stream, |head| match shared.dialect.read_lookup(head) {
         Some(query) => {
             let cross_zone = is_cross_zone(&shared, query.zone.as_deref());
             let addresses = addresses(&shared, query.zone.as_deref(), cross_zone);
@@ -31,7 +34,7 @@
 
 /// Serves a connection for the platform's readiness checks.
 pub(crate) async fn serve_health(shared: Rc<GatewayShared>, stream: TcpStream) {
-    serve(stream, |head| {
+    serve(&shared, stream, |head| {
         if !shared.dialect.is_health_check(head) {
             return response(404, "Not Found", b"no such call");
         }
@@ -43,7 +46,7 @@
     .await;
 }
 
-fn response(status: u16, phrase: &str, body: &[u8]) -> bytes::Bytes {
+fn response(status: u16, phrase: &str, body: &[u8]) -> Bytes {
     let mut head = HeadWriter::response(status, phrase.as_bytes());
     head.text("Content-Type", "application/json");
     head.finish_with(body)
@@ -81,15 +84,23 @@
     }
 }
 
-async fn serve(stream: TcpStream, respond: impl Fn(&egretseam_h1::RequestHead) -> bytes::Bytes) {
+async fn serve(shared: &GatewayShared, stream: TcpStream, respond: impl Fn(&RequestHead) -> Bytes) {
     let Ok(mut connection) = HttpConnection::new(stream, &ConnectionOptions::default()) else {
         return;
     };
-    loop {
+    while connection.wait_for_message_until(may_close(shared)).await {
         let read = connection.read_request(MAX_HEAD_BYTES);
-        let Ok(Ok(Some(head))) = tokio::time::timeout(IDLE_TIMEOUT, read).await else { return };
+        let Ok(Ok(Some(head))) = tokio::time::timeout(HEAD_TIMEOUT, read).await else { return };
         if connection.write(&respond(&head)).await.is_err() || !head.keeps_alive() {
             return;
         }
     }
 }
+
+/// Completes when a connection that is idle from now on may be closed.
+async fn may_close(shared: &GatewayShared) {
+    tokio::select! {
+        () = tokio::time::sleep(IDLE_TIMEOUT) => {}
+        () = connections::may_close(shared) => {}
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //! targets.
 //!
 //! [`GatewayRuntime`] owns the listeners and tasks of one process, all on one thread. `caller`
-//! serves a caller's connection, `forward` one request (it decides after each attempt whether the
+//! serves a caller's connection, which `connections` counts and closes once it is idle, `forward`
+//! one request (it decides after each attempt whether the
 //! request may be retried) and `attempt` one attempt; `relay` forwards a stream's events as they
 //! arrive, and `body_end` decides whether a response is whole. `dispatch` holds the tables of
 //! [`egretseam_serving`] and the requests that wait for a slot; `follow` updates the tables from
@@ -17,6 +18,7 @@
 mod backpressure;
 mod body_end;
 mod caller;
+mod connections;
 mod dialect;
 mod directory;
 mod dispatch;
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     caller,
+    connections::{self, CountGuard, QUIET_TIME},
     dialect::CallerDialect,
     directory, dispatch, follow, limits, loads,
     options::{GatewayListeners, GatewayOptions},
     quarantine,
     shared::{GatewayShared, StopPhase},
 };
-use egretseam_h1::spawn_accept;
+use egretseam_h1::spawn_accept_until;
 use egretseam_http::DaemonMetrics;
 use std::{
     io,
@@ -17,7 +18,7 @@
     time::Duration,
 };
 use thiserror::Error;
-use tokio::{net::TcpStream, sync::watch, time::Instant};
+use tokio::{net::TcpStream, sync::watch, task::JoinHandle, time::Instant};
 
 /// Interval at which expired connections and targets are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
@@ -27,6 +28,12 @@
 const SERVING_SHARE: f64 = 0.4;
 /// Time reserved before the stop limit, in which the process exits.
 const STOP_RESERVE: Duration = Duration::from_millis(300);
+/// Time reserved before that, in which idle connections are closed and last responses delivered.
+const CLOSING_TIME: Duration = Duration::from_millis(800);
+/// How long callers may delay the close that still send requests when no cache should name the entry.
+const MAX_QUIET_WAIT: Duration = Duration::from_secs(1);
+/// How often a stopping entry looks whether it is still used.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why an entry could not start.
 #[derive(Debug, Error)]
@@ -41,6 +48,8 @@
     shared: Rc<GatewayShared>,
     /// Whether [`Self::stop`] has been called.
     leaving: watch::Sender<bool>,
+    /// The tasks that accept connections, until the entry closes its listeners.
+    accepting: [JoinHandle<()>; 3],
 }
 
 impl GatewayRuntime {
@@ -56,9 +65,11 @@
     ) -> Result<Self, StartError> {
         let shared = Rc::new(GatewayShared::new(options, dialect, metrics));
         let (leaving, leaving_receiver) = watch::channel(false);
-        accept(&shared, listeners.callers, caller::serve)?;
-        accept(&shared, listeners.health, directory::serve_health)?;
-        accept(&shared, listeners.directory, directory::serve_lookups)?;
+        let accepting = [
+            accept(&shared, listeners.callers, caller::serve)?,
+            accept(&shared, listeners.health, directory::serve_health)?,
+            accept(&shared, listeners.directory, directory::serve_lookups)?,
+        ];
         actix_rt::spawn(follow::follow_members(Rc::downgrade(&shared), leaving_receiver));
         listeners.loads.set_nonblocking(true)?;
         let datagrams = Rc::new(tokio::net::UdpSocket::from_std(listeners.loads)?);
@@ -67,7 +78,7 @@
         actix_rt::spawn(limits::announce(Rc::downgrade(&shared), datagrams));
         actix_rt::spawn(expire(Rc::downgrade(&shared)));
         actix_rt::spawn(dispatch_periodically(Rc::downgrade(&shared)));
-        Ok(Self { shared, leaving })
+        Ok(Self { shared, leaving, accepting })
     }
 
     /// Version of the configuration in force; 0 for none.
@@ -81,46 +92,89 @@
     }
 
     /// Stops without interrupting requests. First the entry leaves the directory and still serves
-    /// requests of callers that cache its address. Then it rejects new requests, and returns when
-    /// the last response has ended or the stop limit is reached.
+    /// requests of callers that cache its address. Then it rejects new requests. Once no more arrive
+    /// it closes its listeners and idle connections, and returns when the last connection is closed
+    /// or the stop limit is reached.
     pub async fn stop(self) {
-        const POLL: Duration = Duration::from_millis(20);
         let began = Instant::now();
         let limit = self.shared.options.stop_limit;
-        self.shared.stop_phase.send_replace(StopPhase::Leaving);
         self.leaving.send_replace(true);
+        self.enter(StopPhase::Leaving);
+        tokio::time::sleep(limit.mul_f64(SERVING_SHARE)).await;
+        self.enter(StopPhase::Rejecting);
+        self.wait_until_unused(began).await;
+        self.enter(StopPhase::Closing);
+        let give_up_at = began + limit.saturating_sub(STOP_RESERVE);
+        let shared = self.shared.clone();
+        tokio::time::timeout_at(give_up_at, self.wait_until_closed()).await.ok();
         tracing::info!(
-            in_progress = self.shared.in_progress.get(),
-            "entry stopping: left the directory, still serving requests"
+            in_progress = shared.in_progress.get(),
+            open_connections = shared.open_connections.get(),
+            "entry stopped"
         );
-        tokio::time::sleep(limit.mul_f64(SERVING_SHARE)).await;
-        self.shared.stop_phase.send_replace(StopPhase::Rejecting);
+    }
+
+    fn enter(&self, phase: StopPhase) {
+        self.shared.stop_phase.send_replace(phase);
         tracing::info!(
+            ?phase,
             in_progress = self.shared.in_progress.get(),
-            "entry stopping: rejecting new requests"
+            open_connections = self.shared.open_connections.get(),
+            "entry stopping"
         );
-        let give_up_at = began + limit.saturating_sub(STOP_RESERVE);
-        // Callers that still cache the address are told to use another entry.
-        let caches_expired_at = began + (self.shared.options.address_lifetime * 4).min(limit);
-        while Instant::now() < give_up_at {
-            let idle = self.shared.in_progress.get() == 0;
-            if idle && Instant::now() >= caches_expired_at {
-                break;
+    }
+
+    /// Waits until no request is in progress and none has arrived for a while. Callers that still
+    /// cache the address are told to use another entry.
+    async fn wait_until_unused(&self, began: Instant) {
+        let limit = self.shared.options.stop_limit;
+        let caches_expired_at = began + self.shared.options.address_lifetime * 4;
+        let quiet_wait_ends = caches_expired_at + MAX_QUIET_WAIT;
+        let give_up_at = began + limit.saturating_sub(STOP_RESERVE + CLOSING_TIME);
+        loop {
+            let now = Instant::now();
+            let is_quiet = now >= self.shared.last_request.get() + QUIET_TIME;
+            let is_unused = now >= caches_expired_at && (is_quiet || now >= quiet_wait_ends);
+            if now >= give_up_at || (is_unused && self.shared.in_progress.get() == 0) {
+                return;
             }
-            tokio::time::sleep(POLL).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn wait_until_closed(self) {
+        // The connections that wait to be accepted are counted only then.
+        for accepting in self.accepting {
+            accepting.await.ok();
+        }
+        while self.shared.open_connections.get() > 0 {
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
-        tracing::info!(in_progress = self.shared.in_progress.get(), "entry stopped");
     }
 }
 
-/// Accepts connections until the entry is dropped.
-fn accept<F, Fut>(shared: &Rc<GatewayShared>, listener: TcpListener, serve: F) -> io::Result<()>
+/// Accepts connections until the entry closes its listeners or is dropped. They count as open until
+/// `serve` ends.
+fn accept<F, Fut>(
+    shared: &Rc<GatewayShared>,
+    listener: TcpListener,
+    serve: F,
+) -> io::Result<JoinHandle<()>>
 where
     F: Fn(Rc<GatewayShared>, TcpStream) -> Fut + 'static,
     Fut: Future<Output = ()> + 'static,
 {
+    let closing = connections::closing(shared);
     let shared = Rc::downgrade(shared);
-    spawn_accept(listener, move |stream| Some(serve(shared.upgrade()?, stream)))
+    spawn_accept_until(listener, closing, move |stream| {
+        let shared = shared.upgrade()?;
+        let open = CountGuard::new(&shared.open_connections);
+        let serving = serve(shared, stream);
+        Some(async move {
+            let _open = open;
+            serving.await;
+        })
+    })
 }
 
 async fn expire(shared: Weak<GatewayShared>) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,7 +12,7 @@
 };
 use egretseam_http::DaemonMetrics;
 use egretseam_serving::{
-    ConfigHolder, EntryRecord, EntryRoster, RetryDetector, RouteRecord, RouteTable,
+    CallerLimits, ConfigHolder, EntryRecord, EntryRoster, RetryDetector, RouteRecord, RouteTable,
 };
 use indexmap::IndexMap;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
@@ -38,6 +38,7 @@
     pub(crate) responses_closed: IntCounter,
     pub(crate) callers_disconnected: IntCounter,
     pub(crate) requests_unanswered: IntCounterVec,
+    pub(crate) connections_discarding: IntCounter,
     pub(crate) attempts_refused: IntCounterVec,
     pub(crate) connections_opened: IntCounter,
     pub(crate) config_version: IntGauge,
@@ -101,6 +102,10 @@
                 "Requests read whole that got neither a complete answer nor a rejection.",
                 "reason",
             ),
+            connections_discarding: metrics.counter(
+                "egretseam_gateway_connections_discarding_total",
+                "Connections closed after a response with bytes of a further request unserved.",
+            ),
             attempts_refused: metrics.counter_by(
                 "egretseam_gateway_attempts_refused_total",
                 "Further attempts that were not allowed.",
@@ -219,6 +224,8 @@
     Leaving,
     /// New requests are rejected.
     Rejecting,
+    /// No connections are accepted, and idle ones are closed.
+    Closing,
 }
 
 pub(crate) struct GatewayShared {
@@ -245,8 +252,13 @@
     /// Merged from [`Self::member_rosters`]; address lookups update this entry's own record in it.
     pub(crate) roster: RefCell<EntryRoster>,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
-    pub(crate) open_connections: Cell<usize>,
-    pub(crate) in_progress: Cell<usize>,
+    pub(crate) open_connections: Rc<Cell<usize>>,
+    /// Requests of callers whose head has been read and whose response has not ended.
+    pub(crate) in_progress: Rc<Cell<usize>>,
+    /// When the last request of a caller began to arrive.
+    pub(crate) last_request: Cell<Instant>,
+    /// How long callers' connections may be idle.
+    pub(crate) idle_timeout: watch::Sender<Duration>,
 }
 
 impl GatewayShared {
@@ -273,14 +285,19 @@
             member_rosters: RefCell::default(),
             roster: RefCell::default(),
             stop_phase: watch::Sender::new(StopPhase::Running),
-            open_connections: Cell::new(0),
-            in_progress: Cell::new(0),
+            open_connections: Rc::default(),
+            in_progress: Rc::default(),
+            last_request: Cell::new(Instant::now()),
+            idle_timeout: watch::Sender::new(CallerLimits::default().idle_timeout),
             options,
         }
     }
 
     /// Puts a configuration in force.
     pub(crate) fn set_routes(&self, routes: RouteTable) {
+        let idle_timeout = routes.config().limits.idle_timeout;
+        self.idle_timeout
+            .send_if_modified(|timeout| std::mem::replace(timeout, idle_timeout) != idle_timeout);
         *self.routes.borrow_mut() = Some(Rc::new(routes));
         self.routes_available.notify_waiters();
     }
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -138,6 +138,22 @@
         Ok(self.has_buffered() || self.fill().await? > 0)
     }
 
+    /// Waits for the first byte of a message until `expiry` completes. If it returns false, nothing
+    /// can be read: the peer closed the connection, or nothing had arrived when `expiry` completed.
+    /// The connection should then be dropped, so that a message that crosses the close is not read
+    /// and its sender gets a reset.
+    ///
+    /// Prevents requests from being discarded that wait unread at that moment. The runtime may learn
+    /// of received bytes after it learns of the expiry, so the socket itself is asked.
+    pub async fn wait_for_message_until(&mut self, expiry: impl Future<Output = ()>) -> bool {
+        tokio::select! {
+            biased;
+            message = self.wait_for_message() => return matches!(message, Ok(true)),
+            () = expiry => {}
+        }
+        has_unread_bytes(&self.stream) && matches!(self.wait_for_message().await, Ok(true))
+    }
+
     /// Reads the head of a response, skipping interim (1xx) responses other than 101.
     ///
     /// # Errors
@@ -208,9 +224,7 @@
         if self.has_buffered() {
             return false;
         }
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
-        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        matches!(peek(&self.stream), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Closes with a reset, so that the peer does not take a truncated message for a complete one.
@@ -220,20 +234,26 @@
         socket.set_linger(Some(Duration::ZERO)).ok();
     }
 
-    /// Closes the connection gracefully: data already written is delivered first.
-    pub async fn close(mut self) {
+    /// Closes the connection gracefully: data already written is delivered first. Returns the number
+    /// of bytes that were discarded.
+    pub async fn close(mut self) -> usize {
         /// How long to read and discard input until the peer closes as well. Input that arrives
         /// after the close causes a reset, which can destroy a response that the peer has not read
         /// yet.
         const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+        let mut discarded = self.buffer.len();
         if self.stream.shutdown().await.is_ok() {
             let drain = async {
-                while matches!(self.fill().await, Ok(read) if read > 0) {
+                while let Ok(read) = self.fill().await
+                    && read > 0
+                {
+                    discarded += read;
                     self.buffer.clear();
                 }
             };
             tokio::time::timeout(LINGER_TIMEOUT, drain).await.ok();
         }
+        discarded
     }
 
     async fn skip_empty_lines(&mut self) -> Result<(), ReadError> {
@@ -269,6 +289,16 @@
     }
 }
 
+/// Whether bytes have arrived on a socket that were not read, also if the runtime does not know yet.
+pub fn has_unread_bytes(stream: &TcpStream) -> bool {
+    peek(stream).is_ok_and(|count| count > 0)
+}
+
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte)
+}
+
 /// Binds a listener whose accept queue holds a burst of new connections.
 ///
 /// # Errors
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -9,8 +9,8 @@
 //! [`HttpConnection`] reads and writes messages; [`RequestHead`] and [`ResponseHead`] are parsed
 //! heads whose header fields share one buffer; [`BodyReader`] reads a body incrementally;
 //! [`HeadWriter`] encodes heads; [`exchange`] makes one call on a new connection;
-//! [`PersistentClient`] reuses its connection between calls; [`spawn_accept`] accepts connections
-//! on a listener.
+//! [`PersistentClient`] reuses its connection between calls; [`spawn_accept`] and
+//! [`spawn_accept_until`] accept connections on a listener.
 
 mod accept;
 mod body;
@@ -20,9 +20,9 @@
 mod writer;
 
 pub use crate::{
-    accept::spawn_accept,
+    accept::{spawn_accept, spawn_accept_until, waiting_connections},
     body::{BodyFraming, BodyReader},
-    connection::{ConnectionOptions, HttpConnection, ReadError, bind_listener},
+    connection::{ConnectionOptions, HttpConnection, ReadError, bind_listener, has_unread_bytes},
     exchange::{CallRequest, CallResponse, ExchangeError, PersistentClient, exchange},
     head::{HeadError, HeaderField, HeaderList, RequestHead, ResponseHead},
     writer::{HeadWriter, chunk_frame, last_chunk},
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,12 +1,11 @@
 //! An accepted connection, which a stopping server closes only while no request is on it.
 
 use actix_http::{Extensions, Request};
+use egretseam_h1::has_unread_bytes;
 use futures::future::{Fuse, FusedFuture, FutureExt, LocalBoxFuture};
-use socket2::SockRef;
 use std::{
     cell::Cell,
     io,
-    mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -59,12 +58,7 @@
         if !self.close_signal.is_terminated() && self.close_signal.poll_unpin(cx).is_pending() {
             return false;
         }
-        !self.in_request.0.get() && !self.has_unread_bytes()
-    }
-
-    fn has_unread_bytes(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|count| count > 0)
+        !self.in_request.0.get() && !has_unread_bytes(&self.stream)
     }
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,6 +5,7 @@
     ConnectionType, HttpService, Protocol, Request, Response, body::BoxBody, error::DispatchError,
 };
 use actix_service::{Service, ServiceFactory};
+use egretseam_h1::waiting_connections;
 use futures::future::{FutureExt, LocalBoxFuture};
 use std::{
     cell::Cell,
@@ -289,18 +290,3 @@
         }
     }
 }
-
-/// Accepts the connections that wait in the queue of `listener` and closes it.
-///
-/// Prevents the close of the listener from resetting connections that clients have opened and sent
-/// a request on: they would get no response.
-fn waiting_connections(
-    listener: tokio::net::TcpListener,
-) -> impl Iterator<Item = (TcpStream, SocketAddr)> {
-    let listener = listener.into_std().ok();
-    std::iter::from_fn(move || {
-        let (stream, peer) = listener.as_ref()?.accept().ok()?;
-        stream.set_nonblocking(true).ok()?;
-        Some((TcpStream::from_std(stream).ok()?, peer))
-    })
-}
--- a/crates/registrar/src/front.rs
+++ b/crates/registrar/src/front.rs
@@ -20,8 +20,10 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Largest body: a configuration of thousands of routes has a few MiB.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-/// How long a connection may take to send the head of its next request.
+/// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long a peer may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Timeout for receiving a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a change may wait for its quorum: slightly less than the second after which operators
@@ -33,9 +35,9 @@
     let Ok(mut connection) = HttpConnection::new(stream, &ConnectionOptions::default()) else {
         return;
     };
-    loop {
+    while connection.wait_for_message_until(tokio::time::sleep(IDLE_TIMEOUT)).await {
         let read = connection.read_request(MAX_HEAD_BYTES);
-        let Ok(Ok(Some(head))) = tokio::time::timeout(IDLE_TIMEOUT, read).await else { return };
+        let Ok(Ok(Some(head))) = tokio::time::timeout(HEAD_TIMEOUT, read).await else { return };
         let reader = BodyReader::new(head.framing);
         let read = connection.read_body(reader, MAX_BODY_BYTES);
         let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod bad_input;
 mod caller_codec;
 mod catalog_model;
+mod connection_close;
 mod digest_turns;
 mod entry_lists;
 mod event_buffer;
