--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,10 +2,11 @@
 //! targets.
 //!
 //! [`GatewayRuntime`] owns the listeners and tasks of one process, all on one thread. `caller`
-//! serves a caller's connection and `forward` one request. `attempts` runs the attempts of a request,
-//! several at a time while targets are silent; `attempt` opens one, and `running_attempt` reads its
-//! response. `relay` forwards what is read, and `body_end` decides whether a response is whole;
-//! `accepted` records how each request ends. `dispatch` holds the tables of
+//! serves a caller's connection, which `connections` counts and closes once it is idle, and `forward`
+//! one request. `attempts` runs the attempts of a request, several at a time while targets are
+//! silent; `attempt` opens one, and `running_attempt` reads its response. `relay` forwards what is
+//! read, and `body_end` decides whether a response is whole; `accepted` records how each request
+//! ends. `dispatch` holds the tables of
 //! [`egretseam_serving`] and the requests that wait for a slot; `follow` updates the tables from
 //! the feeds of all control members; `loads` updates them from load datagrams; `quarantine` keeps
 //! requests from running that end their targets, and `evidence` exchanges what entries know of
@@ -20,6 +21,7 @@
 mod backpressure;
 mod body_end;
 mod caller;
+mod connections;
 mod dialect;
 mod directory;
 mod dispatch;
