Test of requests that cross the close of their idle connection

Change: 64 requests, 0.5 ms apart, around the idle limit of a new configuration; each is answered whole after one run, or cut off and run nowhere.

--- a/tests/all/fleet/changes_midway.rs
+++ b/tests/all/fleet/changes_midway.rs
@@ -10,7 +10,7 @@
     outcome::{OutcomeRow, RequestOutcome},
 };
 use super::bed::{Script, request};
-use futures::{FutureExt, StreamExt, stream};
+use futures::{FutureExt, StreamExt, future::join_all, stream};
 use serde_json::json;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,6 +19,9 @@
 const HOLD_TIME: Duration = Duration::from_millis(250);
 /// Fleets that a test runs at a time.
 const FLEETS: usize = 2;
+/// Requests that are sent about when their connections are closed, and the time between two.
+const CROSSING_REQUESTS: u32 = 64;
+const CROSSING_STEP: Duration = Duration::from_micros(500);
 
 /// Makes each change while requests are in this stage.
 async fn assert_all_answered(stage: RequestStage) {
@@ -116,6 +119,34 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+/// Guards against runs for no one, and answers that are lost: requests that arrive while the entry
+/// closes their idle connections.
+#[actix_rt::test]
+async fn a_request_that_crosses_the_close_of_its_idle_connection_runs_nowhere() {
+    let midway = MidwayBed::start().await;
+    let idle_timeout = Duration::from_millis(200);
+    let mut config = base_config(3);
+    config["limits"]["idleTimeoutMs"] = json!(idle_timeout.as_millis() as u64);
+    midway.bed.replace_config(3, &config).await;
+    midway.bed.wait_for_version(3).await;
+    let calls = (0..CROSSING_REQUESTS).map(async |number| {
+        let mut caller = midway.bed.connect_caller().await;
+        let spread = CROSSING_STEP * number;
+        tokio::time::sleep(idle_timeout - CROSSING_STEP * (CROSSING_REQUESTS / 2) + spread).await;
+        let id = format!("r{number}");
+        caller.send(&request("/once/1", &id, "", BODY)).await;
+        let seen = RequestOutcome::read(&mut caller, "/once/1", &id).await;
+        (seen, midway.runs(&id))
+    });
+    let ends = join_all(calls).await;
+    let is_due = |end: &(RequestOutcome, usize)| {
+        [(RequestOutcome::Whole, 1), (RequestOutcome::CutOff, 0)].contains(end)
+    };
+    let wrong: Vec<_> = ends.iter().filter(|end| !is_due(end)).collect();
+    println!("{} whole", ends.iter().filter(|(seen, _)| *seen == RequestOutcome::Whole).count());
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
 /// Guards against a change that discards a request whose body is arriving.
 #[actix_rt::test]
 async fn requests_that_are_arriving_are_admitted_or_rejected() {
