An entry keeps its lease while the control member that it watches is silent

What callers saw: one of three control members falls silent, the other two work. Every entry that watches its configuration there rejects all requests with 503 (lease expired) for about two seconds.

Cause: a lease is counted from when a watch was sent. The next watch waits a third of the lease at the same member and fails only after a further 2 s; by then the lease of the one before has ended. Only then is another member asked, and asked to wait a third of the lease once more before it confirms. So what works is given up on a timer before another member has been asked.

Evidence: the new test freezes the link to one member of three right after a watch that waited in full.

Change: `ControlClient::watch` asks the next member, without a wait, when a reply is half a second overdue, and leaves the first call open; the first confirmed reply counts. An entry asks a member to hold a watch only if the last watch was confirmed. With the default lease of 6 s another member is asked 2.5 s after the watch was sent, when at least 1.5 s of the lease are left. A lease shorter than 1.5 s still leaves no time for that. The lease is counted from the first call of a watch, so it is never longer than before.

--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -226,7 +226,7 @@
     options.caller_address = entry.advertised_caller_address.clone();
     options.peer_address = entry.advertised_peer_address.clone();
     options.lease = entry.lease;
-    // Three watch calls fit into a lease, so it does not expire if one response is lost.
+    // Three waits fit into a lease, so that other members confirm in time if one falls silent.
     options.max_watch_wait = entry.lease / 3;
     options.address_lifetime = entry.address_lifetime;
     options.default_deadline = entry.default_deadline;
--- a/crates/entry/src/config_watch.rs
+++ b/crates/entry/src/config_watch.rs
@@ -16,6 +16,7 @@
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 
 pub(crate) async fn watch_config(shared: Weak<EntryShared>) {
+    let mut is_confirmed = false;
     loop {
         let Some(shared) = shared.upgrade() else { return };
         let sent_at = Instant::now();
@@ -23,9 +24,11 @@
             entry: shared.options.name.clone(),
             incarnation: shared.options.incarnation,
             held: shared.view.borrow().revision,
-            wait_millis: shared.options.max_watch_wait.as_millis() as u64,
+            wait_millis: watch_wait(&shared, is_confirmed).as_millis() as u64,
         };
-        match shared.control.watch(call).await {
+        let reply = shared.control.watch(call).await;
+        is_confirmed = matches!(reply, Ok(WatchReply::Confirmed { .. }));
+        match reply {
             Ok(WatchReply::Confirmed { update, clock }) => {
                 shared.clock.set(shared.clock.get().max(clock));
                 let mut view = (**shared.view.borrow()).clone();
@@ -49,6 +52,12 @@
     }
 }
 
+/// How long a control member may hold a watch. Until a member confirms the configuration, they are
+/// asked to reply at once: the lease may be about to expire.
+fn watch_wait(shared: &EntryShared, is_confirmed: bool) -> Duration {
+    if is_confirmed { shared.options.max_watch_wait } else { Duration::ZERO }
+}
+
 /// Announces this entry whenever the configuration lacks its current record, for example after
 /// control removed an entry that it had not heard from.
 pub(crate) async fn keep_announced(shared: Weak<EntryShared>) {
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -7,6 +7,7 @@
 };
 use egretseam_catalog::{CatalogCommand, CatalogReply, HistoryRecord};
 use egretseam_proto::ProfileName;
+use futures::{StreamExt, stream::FuturesUnordered};
 use indexmap::IndexMap;
 use std::{
     cell::{Cell, RefCell},
@@ -19,6 +20,11 @@
 /// Pause after the first round over all members; doubles with each round up to [`MAX_ROUND_PAUSE`].
 const INITIAL_ROUND_PAUSE: Duration = Duration::from_millis(20);
 const MAX_ROUND_PAUSE: Duration = Duration::from_millis(200);
+/// Time beyond the wait of a watch after which another member is asked too. Longer than a confirmed
+/// read takes between regions, and short enough for several members to be asked within a lease.
+const WATCH_REPLY_MARGIN: Duration = Duration::from_millis(500);
+/// How often each member is asked at most in one watch.
+const MAX_WATCH_ROUNDS: usize = 2;
 
 /// Why a command has no reply.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -53,7 +59,8 @@
     links: RefCell<IndexMap<String, Rc<ControlLink>>>,
     /// Address tried first: the leader, if known.
     preferred: RefCell<Option<String>>,
-    /// Index of the seed that watches use; advances when that member does not confirm.
+    /// Selects the seed that watches use, modulo their number; advances when that member does not
+    /// confirm.
     watch_seed: Cell<usize>,
 }
 
@@ -144,19 +151,47 @@
         self.retry_until_answered(timeout, attempt).await
     }
 
-    /// Watches the configuration at one member. Unless it confirms, the next call goes to the next
-    /// seed.
+    /// Watches the configuration at one member. While no reply arrives in time, the other members
+    /// are asked one after the other, without a wait; the first confirmed reply counts. The next
+    /// watch starts with the member that confirmed, or with one that was not asked last.
     ///
     /// # Errors
     /// See [`CallError`].
     pub async fn watch(&self, call: WatchCall) -> Result<WatchReply, CallError> {
-        let seed = self.watch_seed.get();
-        let address = self.seeds.get(seed).cloned().unwrap_or_default();
-        let reply = self.link(&address).watch(call).await;
-        if !matches!(reply, Ok(WatchReply::Confirmed { .. })) {
-            self.watch_seed.set((seed + 1) % self.seeds.len().max(1));
+        let first_seed = self.watch_seed.get();
+        let max_asked = self.seeds.len() * MAX_WATCH_ROUNDS;
+        let wait = Duration::from_millis(call.wait_millis);
+        let mut overdue_at = Instant::now() + wait + WATCH_REPLY_MARGIN;
+        let mut calls = FuturesUnordered::new();
+        calls.push(self.watch_at(first_seed, call.clone()));
+        let mut asked = 1;
+        loop {
+            let (seed, reply) = tokio::select! {
+                Some(answer) = calls.next() => answer,
+                () = tokio::time::sleep_until(overdue_at), if asked < max_asked => {
+                    let urgent_call = WatchCall { wait_millis: 0, ..call.clone() };
+                    calls.push(self.watch_at(first_seed + asked, urgent_call));
+                    asked += 1;
+                    overdue_at = Instant::now() + WATCH_REPLY_MARGIN;
+                    continue;
+                }
+            };
+            let is_confirmed = matches!(reply, Ok(WatchReply::Confirmed { .. }));
+            if is_confirmed || calls.is_empty() {
+                self.watch_seed.set(if is_confirmed { seed } else { first_seed + asked });
+                return reply;
+            }
         }
-        reply
+    }
+
+    /// Watches at the member that `seed` selects, and returns `seed` with the reply.
+    async fn watch_at(
+        &self,
+        seed: usize,
+        call: WatchCall,
+    ) -> (usize, Result<WatchReply, CallError>) {
+        let address = self.seeds.get(seed % self.seeds.len().max(1)).cloned().unwrap_or_default();
+        (seed, self.link(&address).watch(call).await)
     }
 
     async fn retry_until_answered<T, F, Fut>(
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod caller_codec;
 mod catalog_model;
 mod digest_turns;
+mod entry_lease;
 mod entry_lists;
 mod event_buffer;
 mod fleet;
