An entry that stops leaves half of its time to the requests it has accepted

What callers saw: an entry with a stop limit of 16 s or less accepts requests to the end of that limit and cuts off all that are in progress then, also those accepted milliseconds before. (With the default limit of 120 s it does not.)

Cause: a stopping entry serves until all lists of addresses that may name it have expired, a lease and the lists' lifetime, 16 s by default. That time was cut to the whole stop limit, so nothing was left for the drain. The drain itself, which waits for a moment without requests before it closes the listener, could use up its time in the same way while callers kept sending.

Change: the entry serves for at most half of the limit, and the wait for a quiet moment takes at most half of a drain. Callers that come later are refused a connection and go to another entry.

Evidence: the new test stops an entry with a limit of 4 s while four callers book one order after the other, 400 ms each.

--- a/crates/entry/src/runtime.rs
+++ b/crates/entry/src/runtime.rs
@@ -26,6 +26,9 @@
 
 /// Interval at which time-dependent state and gauges are updated.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Part of the time of a stop after which no new requests are accepted, however many lists of
+/// addresses still name this entry. The rest is for the requests in progress.
+const MAX_SERVING_SHARE: f64 = 0.5;
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
@@ -182,14 +185,15 @@
     /// lists that still name this entry. Without waiting for these as well, the close of a
     /// connection can cross a request of a caller that holds such a list.
     pub async fn stop(self, drain_timeout: Duration) -> bool {
-        let deadline = Instant::now() + drain_timeout;
+        let began = Instant::now();
+        let deadline = began + drain_timeout;
         self.shared.stopping.set(true);
         self.callers.leave();
         config_watch::announce_leaving(&self.shared).await;
         let options = &self.shared.options;
-        let grace = options.lease + options.address_lifetime;
-        let grace = grace.min(deadline.saturating_duration_since(Instant::now()));
-        tokio::time::sleep(grace).await;
+        let lists_expired_at = Instant::now() + options.lease + options.address_lifetime;
+        let serving_ends_at = began + drain_timeout.mul_f64(MAX_SERVING_SHARE);
+        tokio::time::sleep_until(lists_expired_at.min(serving_ends_at)).await;
         self.callers.drain(deadline.saturating_duration_since(Instant::now())).await
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -26,6 +26,8 @@
 const QUIET_TIME: Duration = Duration::from_millis(250);
 /// Longest wait of a draining server for the end of requests from clients that keep sending.
 const MAX_QUIET_WAIT: Duration = Duration::from_secs(3);
+/// The same, as a part of the time that a drain may take. The rest is for the requests in progress.
+const MAX_QUIET_SHARE: f64 = 0.5;
 /// How long a connection that was opened shortly before the stop is kept for its first request.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
@@ -162,7 +164,7 @@
         const POLL_INTERVAL: Duration = Duration::from_millis(10);
         let deadline = Instant::now() + timeout;
         self.leave();
-        self.wait_until_quiet(deadline).await;
+        self.wait_until_quiet(MAX_QUIET_WAIT.min(timeout.mul_f64(MAX_QUIET_SHARE))).await;
         self.stop();
         while self.connections() > 0 {
             if Instant::now() >= deadline {
@@ -173,14 +175,14 @@
         true
     }
 
-    /// Waits until no request has arrived for [`QUIET_TIME`].
+    /// Waits until no request has arrived for [`QUIET_TIME`], for at most `max_wait`.
     ///
     /// Prevents the close of a connection from crossing a request that a client is just sending on
     /// it: the client would get no response. Clients that know that this server leaves send
     /// nothing, and those that do not yet know are answered until they do.
-    async fn wait_until_quiet(&self, deadline: Instant) {
+    async fn wait_until_quiet(&self, max_wait: Duration) {
         let began = Instant::now();
-        let give_up_at = deadline.min(began + MAX_QUIET_WAIT);
+        let give_up_at = began + max_wait;
         loop {
             let quiet_at = self.shared.last_request.get().max(began) + QUIET_TIME;
             let wake_at = quiet_at.min(give_up_at);
--- a/tests/all/entry_lease.rs
+++ b/tests/all/entry_lease.rs
@@ -1,14 +1,12 @@
 //! The lease under which an entry uses its configuration, while control members fail.
 
-use crate::support::{API_KEY, TestCluster, WAIT_TIMEOUT, cluster_options};
-use egretseam_entry::{EntryListeners, EntryOptions, EntryRuntime};
+use crate::support::{
+    API_KEY, TestCluster, WAIT_TIMEOUT, bind, cluster_options, entry_options, start_entry,
+};
+use egretseam_entry::{EntryOptions, EntryRuntime};
 use egretseam_fakes::{FakeRelay, RelayFaults};
-use egretseam_http::{ClientOptions, DaemonMetrics, http_client};
-use egretseam_local::LocalCluster;
-use egretseam_proto::{Incarnation, InstanceName, ZoneName};
-use egretseam_rpc::PeerSecret;
+use egretseam_http::{ClientOptions, http_client};
 use std::{
-    net::TcpListener,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -19,24 +17,6 @@
 /// Interval between two requests of the caller.
 const CALL_INTERVAL: Duration = Duration::from_millis(20);
 
-fn bind() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free port")
-}
-
-/// Options of an entry that watches its configuration at the first of `members`.
-fn entry_options(members: Vec<String>) -> EntryOptions {
-    let name = InstanceName::try_from("entry-new").expect("a valid name");
-    let zone = ZoneName::try_from("zone-0").expect("a valid name");
-    let secret = PeerSecret::derive(LocalCluster::PEER_TOKEN);
-    let incarnation = Incarnation(members.len() as u64);
-    EntryOptions::new(name, zone, incarnation, secret, members)
-}
-
-fn start_entry(options: EntryOptions) -> EntryRuntime {
-    let listeners = EntryListeners { caller: bind(), peer: bind() };
-    EntryRuntime::start(options, listeners, &DaemonMetrics::new()).expect("the entry starts")
-}
-
 /// Waits until the lease was renewed by a watch that waited for a change as long as it may. No
 /// renewal leaves less of the lease.
 async fn wait_for_shortest_lease(entry: &EntryRuntime, options: &EntryOptions) {
--- a/tests/all/server_stop.rs
+++ b/tests/all/server_stop.rs
@@ -1,8 +1,12 @@
 //! Requests that cross the planned stop of a server.
 
-use crate::support::{API_KEY, TestCluster, WAIT_TIMEOUT, block_on, cluster_options};
+use crate::support::{
+    API_KEY, TestCluster, WAIT_TIMEOUT, block_on, cluster_options, entry_options, start_entry,
+};
 use egretseam_fakes::{BookingLedger, FakeBookingService};
-use egretseam_http::ServerHandle;
+use egretseam_http::{ClientOptions, ServerHandle, classify_send_error, http_client};
+use egretseam_local::ClusterOptions;
+use egretseam_proto::RequestVerdict;
 use std::{
     io::Write,
     net::SocketAddr,
@@ -187,3 +191,55 @@
     let lease = Duration::from_millis(options.lease_millis);
     assert!(served_for >= lifetime + lease, "served for {served_for:?}");
 }
+
+/// Sends bookings to an entry, one after the other and each on a new connection if the last one was
+/// closed, until the entry accepts none. Returns whether all that it accepted were answered.
+async fn book_until_refused(address: SocketAddr, caller: usize) -> bool {
+    let client = http_client(ClientOptions::default());
+    let url = format!("http://{address}/services/orders/orders");
+    for number in 0.. {
+        let request = client.post(&url).bearer_auth(API_KEY).timeout(WAIT_TIMEOUT);
+        let body = serde_json::json!({ "id": format!("{caller}-{number}") });
+        match request.send_json(&body).await {
+            Ok(mut response) => {
+                if response.body().await.is_err() {
+                    return false;
+                }
+            }
+            Err(error) => return classify_send_error(&error).verdict == RequestVerdict::NotRun,
+        }
+    }
+    false
+}
+
+/// Guards against an entry that accepts requests to the end of its stop and then cuts them off.
+#[test]
+fn a_stopping_entry_answers_what_it_accepts_within_a_short_limit() {
+    /// Shorter than the time for which lists of other entries may name the entry.
+    const STOP_LIMIT: Duration = Duration::from_secs(4);
+    const CALLERS: usize = 4;
+    let booking_delay = Duration::from_millis(400);
+    let test = TestCluster::start(ClusterOptions { booking_delay, ..cluster_options(0, 1) });
+    let members = test.cluster.control_peer_addresses();
+    actix_rt::System::new().block_on(async move {
+        let entry = start_entry(entry_options(members));
+        let address = entry.caller_address();
+        let ready = async {
+            let client = http_client(ClientOptions::default());
+            let url = format!("http://{address}/services/orders/events/whole");
+            loop {
+                let reply = client.get(&url).bearer_auth(API_KEY).send().await;
+                if reply.is_ok_and(|reply| reply.status().is_success()) {
+                    return;
+                }
+                tokio::time::sleep(WORK_TIME).await;
+            }
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, ready).await.expect("the entry serves");
+        let callers = (0..CALLERS).map(|caller| book_until_refused(address, caller));
+        let (are_all_ended, are_all_answered) =
+            tokio::join!(entry.stop(STOP_LIMIT), futures::future::join_all(callers));
+        assert!(are_all_ended, "requests were in progress at the end of the stop");
+        assert_eq!(are_all_answered, [true; CALLERS]);
+    });
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -1,12 +1,18 @@
 //! A small cluster on the loopback interface, and callers that verify every response.
 
 use egretseam_catalog::{CatalogCommand, ConfigEdit, EditRequest, OrganisationSpec, ProfileSpec};
+use egretseam_entry::{EntryListeners, EntryOptions, EntryRuntime};
 use egretseam_fakes::EngineOptions;
+use egretseam_http::DaemonMetrics;
 use egretseam_local::{
     CallOutcome, CallerClient, CallerCounts, ClusterOptions, LocalCluster, PublishedModel,
 };
-use egretseam_proto::{ChunkDigest, GroupName, OperationId, OrganisationName, Revision};
-use std::{sync::Arc, time::Duration};
+use egretseam_proto::{
+    ChunkDigest, GroupName, Incarnation, InstanceName, OperationId, OrganisationName, Revision,
+    ZoneName,
+};
+use egretseam_rpc::PeerSecret;
+use std::{net::TcpListener, sync::Arc, time::Duration};
 
 /// Timeout of every wait; far above the time that the awaited events take.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -99,6 +105,26 @@
     }
 }
 
+/// A listener on a free port.
+pub(crate) fn bind() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+/// Options of an entry that watches its configuration at the first of `members`.
+pub(crate) fn entry_options(members: Vec<String>) -> EntryOptions {
+    let name = InstanceName::try_from("entry-new").expect("a valid name");
+    let zone = ZoneName::try_from("zone-0").expect("a valid name");
+    let secret = PeerSecret::derive(LocalCluster::PEER_TOKEN);
+    let incarnation = Incarnation(members.len() as u64);
+    EntryOptions::new(name, zone, incarnation, secret, members)
+}
+
+/// Starts an entry on the current thread.
+pub(crate) fn start_entry(options: EntryOptions) -> EntryRuntime {
+    let listeners = EntryListeners { caller: bind(), peer: bind() };
+    EntryRuntime::start(options, listeners, &DaemonMetrics::new()).expect("the entry starts")
+}
+
 /// Runs a future on a runtime of its own.
 pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     actix_rt::System::new().block_on(future)
