A membership change that was made is acknowledged when it is sent again

What the operator saw: a change of the control group's members was answered 409 "the change does not apply to the present membership", again and again, though it had been made.

Cause: control gives up waiting for the commit after 1.8 s, or the leader falls silent, and the change is sent once more, by the client or by the operator. By then it is in force, and a change that is in force did not apply.

Evidence: seen in the setup of a test on the busy machine (load 32), refused for 20 s; the new test sends each kind of change twice and failed at the first one. A change that is made, and committed, is now answered as done. A member that is added under another name or address, a removed id that is added again and an unknown one that is promoted are still refused (same test).

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -278,6 +278,12 @@
                 let leader = self.leader_address();
                 reply.send(MemberReply::NotLeader { leader }).ok();
             }
+            // The membership in force is committed: otherwise the replica reports a change in progress.
+            Err(ProposeError::InvalidChange | ProposeError::NotCaughtUp)
+                if self.node.membership().reflects(change) =>
+            {
+                reply.send(MemberReply::Done).ok();
+            }
             Err(error) => {
                 reply.send(MemberReply::Refused(error.to_string())).ok();
             }
--- a/crates/replica/src/membership.rs
+++ b/crates/replica/src/membership.rs
@@ -104,6 +104,21 @@
         self.voters().count() / 2 + 1
     }
 
+    /// Whether `change` has been made already: the added member is known at the same address, the
+    /// promoted one votes, the removed one was removed.
+    pub fn reflects(&self, change: &MembershipChange) -> bool {
+        match change {
+            MembershipChange::AddLearner(record) => {
+                let known = self.get(record.id);
+                known.is_some_and(|known| {
+                    known.name == record.name && known.address == record.address
+                })
+            }
+            MembershipChange::Promote(id) => self.is_voter(*id),
+            MembershipChange::Remove(id) => self.is_removed(*id),
+        }
+    }
+
     /// The membership after `change`, or `None` if the change does not apply: the added member is
     /// known or was removed, the promoted one is not a learner, the removed one is not a member or
     /// is the last voter.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod incarnations;
 mod kept_client;
 mod keyed_requests;
+mod member_changes;
 mod named_limits;
 mod narrow_links;
 mod order_fence;
