The soak's targets pause and go on, and each request that was sent whole gets an answer or a refusal

Cause: the soak's targets were never silent without a fault before them, and its check of answers that are cut off held only after a 200 head, in 4 s without a fault anywhere. So entries that give up a sound target for its silence were never seen.

Change: targets pause for 0.2 to 3 s, in single responses (before the head, before the body, between events, inside a body), one target or all together, with heartbeats and without. Processes get SIGHUP, too; half of the callers keep a connection until it is closed. Each connection that ends without a complete response to a request that was sent whole is a violation, unless one of seven named reasons holds (soak/losses.rs, after the rule on lost requests). This replaces the check of answers cut off by nothing but a stop. Stricter than that one: it counts requests without a head; a fault excuses only what it can have struck (own entry, control member, targets that ran the request), from 1 s before it until its end; a stop of a control member excuses nothing; a target that broke off excuses only if no other ran the request after it. Excused in addition, since responses now last so long: the route's timeout was reached, and the last sixth of the time to stop. 502 and 504 of entries to which none of these reasons applies are counted and printed, and are no violation. The timeline of faults of a seed stays: pauses and reloads have random numbers of their own. CallerTask moves to callers.rs as it is, but for this.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -3,21 +3,27 @@
 //!
 //! A fleet without gates: control members and entries are processes; targets, callers and an
 //! operator are stand-ins here. Each target stands behind a loopback relay that delays, resets, cuts
-//! one way or silences its connections; processes are stopped, frozen, killed and restarted by
-//! signals. Only processes that the soak started are signalled, by their ids.
+//! one way or silences its connections, and pauses by itself; processes are stopped, frozen, killed,
+//! reloaded and restarted by signals. Only processes that the soak started are signalled, by their
+//! ids.
 
+mod callers;
 mod checks;
 mod fleet;
+mod losses;
 mod relay;
+mod silences;
 mod stand_ins;
 
 use anyhow::{Context, bail};
+use callers::CallerTask;
 use checks::SoakLedger;
 use clap::Args;
-use fleet::{ProcessKind, SoakFleet};
+use fleet::SoakFleet;
+use losses::{FaultKind, FaultSubject};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use relay::RelayFault;
-use stand_ins::{CallerTask, OperatorTask, SoakTarget};
+use stand_ins::{OperatorTask, SoakTarget};
 use std::{path::PathBuf, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
@@ -25,6 +31,8 @@
 const FAULT_GAP: std::ops::Range<u64> = 300..1_500;
 /// Shortest and longest time that a fault lasts.
 const FAULT_TIME: std::ops::Range<u64> = 400..3_000;
+/// Chance of a reload at each step of the schedule.
+const RELOAD_SHARE: f64 = 0.4;
 /// Time after the last fault within which the fleet serves again.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Part of the requests after that time that must be served.
@@ -110,19 +118,28 @@
     }
     let began = Instant::now();
     let end = began + Duration::from_secs(command.seconds);
+    // Numbers of their own, so that the faults of a seed stay.
+    let mut reload_random = SmallRng::seed_from_u64(!seed);
+    silences::start(targets.clone(), seed.rotate_left(32), began, end);
     let mut pending: Vec<(Instant, Undo)> = Vec::new();
     while Instant::now() < end || !pending.is_empty() {
         let next_undo = pending.iter().map(|(at, _)| *at).min();
         let gap = Duration::from_millis(random.random_range(FAULT_GAP));
         let wake = next_undo.unwrap_or(end).min(Instant::now() + gap);
         tokio::time::sleep_until(wake).await;
-        undo_due(&mut pending, &mut fleet, &targets, began)?;
+        undo_due(&mut pending, &mut fleet, &targets, &ledger, began)?;
         if Instant::now() < end && next_undo.is_none_or(|at| Instant::now() < at) {
             let lasts = Duration::from_millis(random.random_range(FAULT_TIME));
             let undo = inject(&mut fleet, &targets, &ledger, &mut random, began)?;
             pending.push((Instant::now() + lasts, undo));
         }
-        fleet.restart_exited()?;
+        for number in fleet.restart_exited()? {
+            ledger.note_start(fleet.subject(number));
+        }
+        reload_some(&fleet, &mut reload_random, began)?;
+    }
+    for target in &targets {
+        target.silence().end();
     }
     finish(&fleet, &targets, &operator, &ledger, began).await
 }
@@ -162,30 +179,30 @@
         let number = random.random_range(0..targets.len());
         let fault = RelayFault::ALL[random.random_range(0..RelayFault::ALL.len())];
         say(began, &format!("{fault:?} before target {number}"));
-        ledger.note_fault();
+        ledger.begin_fault(FaultSubject::Target(number), FaultKind::Relay);
         targets[number].set_fault(fault);
         return Ok(Undo::Heal(number));
     }
     // A lost majority of control may stop changes, but nothing may be lost or taken back.
     let number = random.random_range(0..fleet.count());
-    let name = fleet.name(number);
+    let (name, subject) = (fleet.name(number), fleet.subject(number));
     match random.random_range(0..3) {
         0 => {
             say(began, &format!("SIGKILL {name}"));
-            ledger.note_fault();
+            ledger.begin_fault(subject, FaultKind::Kill);
             fleet.kill(number)?;
             Ok(Undo::Restart(number))
         }
         1 => {
             say(began, &format!("SIGSTOP {name}"));
-            ledger.note_fault();
+            ledger.begin_fault(subject, FaultKind::Freeze);
             fleet.freeze(number)?;
             Ok(Undo::Continue(number))
         }
         _ => {
             say(began, &format!("SIGTERM {name}"));
-            if fleet.kind(number) == ProcessKind::Control {
-                ledger.note_fault();
+            if let FaultSubject::Entry(entry) = subject {
+                ledger.note_stop(entry);
             }
             fleet.terminate(number)?;
             Ok(Undo::Restart(number))
@@ -193,10 +210,20 @@
     }
 }
 
+/// Has a process reload its settings, by chance.
+fn reload_some(fleet: &SoakFleet, random: &mut SmallRng, began: Instant) -> anyhow::Result<()> {
+    let number = random.random_range(0..fleet.count());
+    if random.random_bool(RELOAD_SHARE) && fleet.reload(number)? {
+        say(began, &format!("SIGHUP {}", fleet.name(number)));
+    }
+    Ok(())
+}
+
 fn undo_due(
     pending: &mut Vec<(Instant, Undo)>,
     fleet: &mut SoakFleet,
     targets: &[Rc<SoakTarget>],
+    ledger: &SoakLedger,
     began: Instant,
 ) -> anyhow::Result<()> {
     let now = Instant::now();
@@ -215,10 +242,12 @@
             Undo::Continue(number) => {
                 say(began, &format!("SIGCONT {}", fleet.name(number)));
                 fleet.thaw(number)?;
+                ledger.end_fault(fleet.subject(number), FaultKind::Freeze);
             }
             Undo::Heal(number) => {
                 say(began, &format!("heal target {number}"));
                 targets[number].set_fault(RelayFault::None);
+                ledger.end_fault(FaultSubject::Target(number), FaultKind::Relay);
             }
             Undo::EndLimit(number) => {
                 say(began, &format!("target {number} names no limit"));
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -1,24 +1,19 @@
 //! What callers and targets saw, and what it breaks.
 
-use indexmap::IndexMap;
-use std::{
-    cell::{Cell, RefCell},
-    time::Duration,
+use super::losses::{
+    FaultKind, FaultSpan, FaultSubject, LossExcuse, LostRequest, TargetRun, excuse,
 };
+use indexmap::IndexMap;
+use std::cell::{Cell, RefCell};
 use tokio::time::Instant;
 
-/// Time around a fault in which an answer that is cut off proves nothing about planned stops.
-const FAULT_SHADOW: Duration = Duration::from_secs(4);
-
 /// What became of one request.
 #[derive(Debug, Default)]
 struct RequestRow {
     once_only: bool,
-    runs: u32,
+    runs: Vec<TargetRun>,
     /// The caller was told that it has not run and never will.
     told_not_run: bool,
-    /// A target ended its stream inside an event.
-    cut: bool,
 }
 
 /// Requests, runs and violations of one soak.
@@ -26,7 +21,12 @@
 pub(super) struct SoakLedger {
     requests: RefCell<IndexMap<String, RequestRow>>,
     violations: RefCell<Vec<(String, String)>>,
-    last_fault: Cell<Option<Instant>>,
+    faults: RefCell<Vec<FaultSpan>>,
+    /// When the running process of an entry was told to stop.
+    stops: RefCell<IndexMap<usize, Instant>>,
+    excused: RefCell<IndexMap<LossExcuse, u32>>,
+    /// Requests that an entry ended with an error of its own, which nothing excuses.
+    given_up: Cell<u32>,
     afterwards: Cell<Option<(u64, u64)>>,
     answered: Cell<u64>,
     refused: Cell<u64>,
@@ -34,14 +34,29 @@
 }
 
 impl SoakLedger {
-    /// Notes that a fault begins that may cut answers off.
-    pub(super) fn note_fault(&self) {
-        self.last_fault.set(Some(Instant::now()));
+    /// Notes that a fault begins.
+    pub(super) fn begin_fault(&self, subject: FaultSubject, kind: FaultKind) {
+        let from = Instant::now();
+        self.faults.borrow_mut().push(FaultSpan { subject, kind, from, until: None });
+    }
+
+    /// Notes that all faults of this kind end.
+    pub(super) fn end_fault(&self, subject: FaultSubject, kind: FaultKind) {
+        let now = Instant::now();
+        self.faults.borrow_mut().iter_mut().for_each(|fault| fault.end(subject, kind, now));
     }
 
-    /// Whether only planned work has happened for a while.
-    pub(super) fn is_calm(&self) -> bool {
-        self.last_fault.get().is_none_or(|at| at.elapsed() > FAULT_SHADOW)
+    /// Notes that an entry is told to stop.
+    pub(super) fn note_stop(&self, entry: usize) {
+        self.stops.borrow_mut().entry(entry).or_insert_with(Instant::now);
+    }
+
+    /// Notes that a process was started again.
+    pub(super) fn note_start(&self, subject: FaultSubject) {
+        self.end_fault(subject, FaultKind::Kill);
+        if let FaultSubject::Entry(entry) = subject {
+            self.stops.borrow_mut().swap_remove(&entry);
+        }
     }
 
     pub(super) fn note_sent(&self, id: &str, once_only: bool) {
@@ -51,26 +66,58 @@
         }
     }
 
-    pub(super) fn note_run(&self, id: &str) {
+    /// Notes that a target begins to work on a request; returns the number of the run.
+    pub(super) fn note_run(&self, id: &str, target: usize) -> usize {
         let mut requests = self.requests.borrow_mut();
         let Some(row) = requests.get_mut(id) else {
             drop(requests);
-            return self.violation(id, format!("{id} ran and nobody sent it"));
+            self.violation(id, format!("{id} ran and nobody sent it"));
+            return 0;
         };
-        row.runs += 1;
+        row.runs.push(TargetRun { target, broke_off: false });
+        row.runs.len() - 1
     }
 
-    /// Notes that a target ends a stream inside an event.
-    pub(super) fn note_cut(&self, id: &str) {
-        if let Some(row) = self.requests.borrow_mut().get_mut(id) {
-            row.cut = true;
+    /// Notes that a target ends the stream of a run inside an event.
+    pub(super) fn note_cut(&self, id: &str, run: usize) {
+        let mut requests = self.requests.borrow_mut();
+        if let Some(run) = requests.get_mut(id).and_then(|row| row.runs.get_mut(run)) {
+            run.broke_off = true;
         }
     }
 
-    /// Whether a target ended a stream of this request inside an event, so that the caller may see
-    /// it break off.
-    pub(super) fn was_cut(&self, id: &str) -> bool {
-        self.requests.borrow().get(id).is_some_and(|row| row.cut)
+    /// Notes that the connection of a request that was sent whole has just ended without a complete
+    /// response.
+    pub(super) fn note_lost(&self, id: &str, entry: usize, sent: Instant) {
+        if let Some(excuse) = self.excuse(id, entry, sent) {
+            *self.excused.borrow_mut().entry(excuse).or_default() += 1;
+            return;
+        }
+        let requests = self.requests.borrow();
+        let runs = requests.get(id).map_or(&[][..], |row| &row.runs);
+        let targets: Vec<usize> = runs.iter().map(|run| run.target).collect();
+        let waited = sent.elapsed();
+        let text = format!(
+            "{id} got neither answer nor refusal of entry {entry}: cut after {waited:?}, \
+             ran at targets {targets:?}"
+        );
+        self.violation(id, text);
+    }
+
+    /// Notes that an entry has just ended a request with an error of its own. That is an answer, so
+    /// it is counted only.
+    pub(super) fn note_own_error(&self, id: &str, entry: usize, sent: Instant) {
+        if self.excuse(id, entry, sent).is_none() {
+            self.given_up.set(self.given_up.get() + 1);
+        }
+    }
+
+    fn excuse(&self, id: &str, entry: usize, sent: Instant) -> Option<LossExcuse> {
+        let requests = self.requests.borrow();
+        let runs = requests.get(id).map_or(&[][..], |row| &row.runs);
+        let stopped = self.stops.borrow().get(&entry).copied();
+        let lost = LostRequest { entry, sent, ended: Instant::now(), runs, stopped };
+        excuse(&lost, &self.faults.borrow())
     }
 
     pub(super) fn note_answered(&self) {
@@ -115,10 +162,13 @@
     pub(super) fn check_runs(&self) {
         let mut found = Vec::new();
         for (id, row) in self.requests.borrow().iter() {
-            if row.once_only && row.runs > 1 {
-                found.push((id.clone(), format!("{id} must run once and ran {} times", row.runs)));
+            if row.once_only && row.runs.len() > 1 {
+                found.push((
+                    id.clone(),
+                    format!("{id} must run once and ran {} times", row.runs.len()),
+                ));
             }
-            if row.once_only && row.told_not_run && row.runs > 0 {
+            if row.once_only && row.told_not_run && !row.runs.is_empty() {
                 found.push((id.clone(), format!("{id} was told not to have run, and had")));
             }
         }
@@ -129,14 +179,17 @@
 
     pub(super) fn summary(&self) -> String {
         let requests = self.requests.borrow();
-        let runs: u32 = requests.values().map(|row| row.runs).sum();
+        let runs: usize = requests.values().map(|row| row.runs.len()).sum();
         format!(
-            "{} requests, {runs} runs: {} answered, {} refused, {} failed; {} violation(s)",
+            "{} requests, {runs} runs: {} answered, {} refused, {} failed; {} violation(s); \
+             cut and excused: {:?}; own errors without excuse: {}",
             requests.len(),
             self.answered.get(),
             self.refused.get(),
             self.failed.get(),
-            self.violations.borrow().len()
+            self.violations.borrow().len(),
+            self.excused.borrow(),
+            self.given_up.get()
         )
     }
 }
--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -1,5 +1,6 @@
 //! The processes: settings, starts, signals, logs.
 
+use super::losses::{FaultSubject, STOP_LIMIT};
 use anyhow::Context;
 use rand::{RngExt, rngs::SmallRng};
 use rustix::process::{Pid, Signal, kill_process};
@@ -9,6 +10,7 @@
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    time::{Duration, Instant},
 };
 use tempfile::TempDir;
 
@@ -16,10 +18,12 @@
 const PEER_PORT: u16 = 27_700;
 const CALL_PORT: u16 = 28_000;
 const CALLER_PORT: u16 = 28_005;
+/// Time after its start from which a process handles the signal to reload.
+const RELOADS_AFTER: Duration = Duration::from_secs(2);
 
 /// What a process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ProcessKind {
+enum ProcessKind {
     Control,
     Entry,
 }
@@ -30,6 +34,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    started: Instant,
     /// Whether it is to run again once it has ended.
     restart: bool,
 }
@@ -61,7 +66,9 @@
             let settings = fleet.folder.path().join(format!("{name}.json"));
             std::fs::write(&settings, fleet.settings(number, &name, true).to_string())?;
             let log = fleet.folder.path().join(format!("{name}.log"));
-            let row = ProcessRow { kind, name, settings, log, child: None, restart: false };
+            let started = Instant::now();
+            let row =
+                ProcessRow { kind, name, settings, log, child: None, started, restart: false };
             fleet.rows.push(row);
             fleet.spawn(number)?;
         }
@@ -86,7 +93,7 @@
             "instance": name, "zone": format!("z{}", number % 3), "host": host.to_string(),
             "first_peer_port": PEER_PORT, "control_seeds": seeds, "link_mbps": 1000.0,
             "founding": founding, "announce_interval_seconds": 0.5, "tolerated_losses": 1,
-            "stop_limit_seconds": 5.0, "version_limit_seconds": 8.0, "retry_ratio": 0.2,
+            "stop_limit_seconds": STOP_LIMIT.as_secs_f64(), "version_limit_seconds": 8.0, "retry_ratio": 0.2,
             "retry_window_seconds": 10.0, "retry_minimum": 100
         });
         if number < CONTROL_MEMBERS {
@@ -113,6 +120,7 @@
             .stdout(log)
             .spawn()?;
         row.child = Some(child);
+        row.started = Instant::now();
         row.restart = false;
         Ok(())
     }
@@ -137,8 +145,12 @@
         &self.rows[number].name
     }
 
-    pub(super) fn kind(&self, number: usize) -> ProcessKind {
-        self.rows[number].kind
+    /// What a fault of this process strikes.
+    pub(super) fn subject(&self, number: usize) -> FaultSubject {
+        match self.rows[number].kind {
+            ProcessKind::Control => FaultSubject::Member(number),
+            ProcessKind::Entry => FaultSubject::Entry(number - CONTROL_MEMBERS),
+        }
     }
 
     fn signal(&self, number: usize, signal: Signal) -> anyhow::Result<()> {
@@ -166,13 +178,23 @@
         self.signal(number, Signal::TERM)
     }
 
+    /// Has a process reload its settings; returns whether it was told to.
+    pub(super) fn reload(&self, number: usize) -> anyhow::Result<bool> {
+        if self.rows[number].started.elapsed() < RELOADS_AFTER {
+            return Ok(false);
+        }
+        self.signal(number, Signal::HUP)?;
+        Ok(true)
+    }
+
     /// Has a process run again as soon as it has ended.
     pub(super) fn restart_when_gone(&mut self, number: usize) {
         self.rows[number].restart = true;
     }
 
-    /// Starts processes again that have ended and are to run.
-    pub(super) fn restart_exited(&mut self) -> anyhow::Result<()> {
+    /// Starts processes again that have ended and are to run; returns which.
+    pub(super) fn restart_exited(&mut self) -> anyhow::Result<Vec<usize>> {
+        let mut started = Vec::new();
         for number in 0..self.rows.len() {
             let row = &mut self.rows[number];
             let ended = match &mut row.child {
@@ -181,9 +203,10 @@
             };
             if ended && row.restart {
                 self.spawn(number)?;
+                started.push(number);
             }
         }
-        Ok(())
+        Ok(started)
     }
 
     /// Prints what all processes logged about a request.
--- a/crates/bench/src/soak/stand_ins.rs
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -1,8 +1,10 @@
-//! Targets, callers and an operator.
+//! Targets and an operator.
 
 use super::{
     checks::SoakLedger,
+    losses::REQUEST_TIMEOUT,
     relay::{self, RelayFault},
+    silences::TargetSilence,
 };
 use anyhow::bail;
 use bytes::Bytes;
@@ -21,20 +23,20 @@
 };
 use tokio::{net::TcpStream, time::Instant};
 
-const KEY: &str = "soak-key";
-const HOST: &str = "soak.example";
-const EVENTS: u64 = 6;
+pub(super) const KEY: &str = "soak-key";
+pub(super) const HOST: &str = "soak.example";
+/// Events of a whole stream.
+pub(super) const EVENTS: u64 = 6;
 /// Requests that a target says it runs at a time.
 const SLOTS: u32 = 32;
-/// Timeout of the routes in milliseconds.
-const ROUTE_MILLIS: u64 = 3_500;
+/// Parts in which a body without events is written.
+const BODY_PARTS: u64 = 2;
 /// Share of the streams that end inside an event.
 const CUT_SHARE: f64 = 0.05;
 /// Work of one request, and pause between two events.
 const WORK: Duration = Duration::from_millis(15);
 const ANNOUNCE: Duration = Duration::from_millis(500);
-const CALL_LIMIT: Duration = Duration::from_millis(1_000);
-const CALLER_LIMIT: Duration = Duration::from_millis(4_000);
+pub(super) const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time between two changes of the configuration.
 const CHANGE: Duration = Duration::from_millis(700);
 /// Time after an acknowledgement from which a read must not be older.
@@ -73,6 +75,8 @@
 
 /// A target behind a relay; every run goes into the ledger.
 pub(super) struct SoakTarget {
+    number: usize,
+    silence: TargetSilence,
     fault: Rc<Cell<RelayFault>>,
     ledger: Rc<SoakLedger>,
     id: String,
@@ -100,7 +104,18 @@
         let (limit, rest, leaving) = (Cell::default(), Cell::default(), Cell::default());
         let arrivals = RefCell::default();
         let random = RefCell::new(SmallRng::seed_from_u64(seed));
-        let target = Rc::new(Self { fault, ledger, id, limit, rest, leaving, arrivals, random });
+        let target = Rc::new(Self {
+            number,
+            silence: TargetSilence::default(),
+            fault,
+            ledger,
+            id,
+            limit,
+            rest,
+            leaving,
+            arrivals,
+            random,
+        });
         actix_rt::spawn(target.clone().announce(address, control));
         let serving = target.clone();
         actix_rt::spawn(async move {
@@ -115,6 +130,11 @@
         self.fault.set(fault);
     }
 
+    /// Its pauses.
+    pub(super) fn silence(&self) -> &TargetSilence {
+        &self.silence
+    }
+
     /// Names a limit of requests a second from now on, or none.
     pub(super) fn set_limit(&self, limit: Option<f64>) {
         self.limit.set(limit);
@@ -147,6 +167,10 @@
 
     async fn announce(self: Rc<Self>, address: SocketAddr, control: Vec<SocketAddr>) {
         for sequence in 1_u64.. {
+            if self.silence.is_mute() {
+                tokio::time::sleep(ANNOUNCE).await;
+                continue;
+            }
             let (path, beat) =
                 stand_in::announcement(&self.id, "soak", address, "z0", SLOTS, sequence);
             for at in 0..control.len() {
@@ -182,10 +206,11 @@
         }
         self.arrivals.borrow_mut().push(Instant::now());
         if let Some(seconds) = self.rest.get() {
+            self.silence.wait_out(0, None).await;
             let bytes = stand_in::rest_rejection(&id, seconds).finish_with(b"");
             return connection.write(&bytes).await.is_ok();
         }
-        self.ledger.note_run(&id);
+        let run = self.ledger.note_run(&id, self.number);
         tokio::time::sleep(WORK).await;
         let mut writer = stand_in::response(200, &id, &self.id);
         if let Some(limit) = self.limit.get() {
@@ -197,7 +222,7 @@
         let framing = ResponseFraming::draw(&mut self.random.borrow_mut());
         if head.path().starts_with("/stream/") {
             let from = stand_in::last_event_id(head);
-            return self.stream(connection, writer, framing, &id, from).await;
+            return self.stream(connection, writer, framing, &id, run, from).await;
         }
         let message = if framing == ResponseFraming::UntilClose {
             let mut message = writer.finish().to_vec();
@@ -206,7 +231,30 @@
         } else {
             writer.finish_with(id.as_bytes())
         };
-        connection.write(&message).await.is_ok() && end(connection, framing).await
+        let is_written = self.write_in_parts(connection, &message, id.len()).await;
+        is_written && end(connection, framing).await
+    }
+
+    /// Writes a message whose body has no events, at once unless it pauses inside; returns whether
+    /// the connection goes on.
+    async fn write_in_parts(
+        &self,
+        connection: &mut HttpConnection,
+        message: &[u8],
+        body_bytes: usize,
+    ) -> bool {
+        let pause = self.silence.draw(&mut self.random.borrow_mut(), BODY_PARTS);
+        self.silence.wait_out(0, pause).await;
+        let split = match pause {
+            Some(pause) if pause.part == 1 => message.len() - body_bytes,
+            Some(pause) if pause.part == 2 => message.len() - body_bytes / 2,
+            _ => return connection.write(message).await.is_ok(),
+        };
+        if connection.write(&message[..split]).await.is_err() {
+            return false;
+        }
+        self.silence.wait_out(pause.map_or(0, |pause| pause.part), pause).await;
+        connection.write(&message[split..]).await.is_ok()
     }
 
     /// Sends the events after `from`; returns whether the connection goes on. Some streams end
@@ -217,8 +265,12 @@
         mut writer: HeadWriter,
         framing: ResponseFraming,
         id: &str,
+        run: usize,
         from: u64,
     ) -> bool {
+        let parts = EVENTS.saturating_sub(from);
+        let pause = self.silence.draw(&mut self.random.borrow_mut(), parts);
+        self.silence.wait_out(0, pause).await;
         let is_chunked = framing != ResponseFraming::UntilClose;
         if is_chunked {
             writer.text("Transfer-Encoding", "chunked");
@@ -232,6 +284,7 @@
         };
         for event in from + 1..=EVENTS {
             tokio::time::sleep(WORK).await;
+            self.silence.wait_out(event - from, pause).await;
             let is_cut = breaks_after.is_some_and(|last| event > last);
             let text = format!("id: {event}\ndata: {id}\n\n");
             let text = if is_cut { &text[..text.len() / 2] } else { &text };
@@ -241,7 +294,7 @@
                 return false;
             }
             if is_cut {
-                self.ledger.note_cut(id);
+                self.ledger.note_cut(id, run);
                 break;
             }
         }
@@ -259,91 +312,6 @@
     }
 }
 
-/// A caller that sends request after request, on a kept connection while it lasts.
-pub(super) struct CallerTask {
-    name: usize,
-    entries: Vec<SocketAddr>,
-    ledger: Rc<SoakLedger>,
-    random: SmallRng,
-}
-
-impl CallerTask {
-    pub(super) fn start(name: usize, entries: Vec<SocketAddr>, ledger: Rc<SoakLedger>, seed: u64) {
-        let task = Self { name, entries, ledger, random: SmallRng::seed_from_u64(seed) };
-        actix_rt::spawn(task.run());
-    }
-
-    async fn run(mut self) {
-        let mut kept: Option<HttpConnection> = None;
-        for number in 0_u64.. {
-            let pause = Duration::from_millis(self.random.random_range(5..60));
-            tokio::time::sleep(pause).await;
-            let Some(mut connection) = self.connection(kept.take()).await else { continue };
-            let kind = ["once", "safe", "stream"][self.random.random_range(0..3)];
-            let id = format!("c{}-{number}-{kind}", self.name);
-            if self.ask(&mut connection, kind, &id).await {
-                kept = Some(connection);
-            }
-        }
-    }
-
-    async fn connection(&mut self, kept: Option<HttpConnection>) -> Option<HttpConnection> {
-        let kept = kept.filter(HttpConnection::is_idle);
-        if kept.is_some() && self.random.random_bool(0.9) {
-            return kept;
-        }
-        let address = self.entries[self.random.random_range(0..self.entries.len())];
-        HttpConnection::open(address, CALL_LIMIT, &ConnectionOptions::default()).await.ok()
-    }
-
-    /// Sends one request and checks its answer; returns whether the connection goes on.
-    async fn ask(&self, connection: &mut HttpConnection, kind: &str, id: &str) -> bool {
-        self.ledger.note_sent(id, kind == "once");
-        let began_calm = self.ledger.is_calm();
-        let millis = CALLER_LIMIT.as_millis() as u64;
-        let text = stand_in::caller_request(&format!("/{kind}/x"), HOST, id, KEY, millis);
-        let work = async {
-            connection.write(text.as_bytes()).await.ok()?;
-            let head = connection.read_response().await.ok()?;
-            let reader = BodyReader::new(head.framing(b"POST"));
-            let body = connection.read_body(reader, 1 << 20).await.ok();
-            Some((head, body))
-        };
-        let answer = tokio::time::timeout(CALLER_LIMIT, work).await.ok().flatten();
-        let Some((head, body)) = answer else {
-            self.ledger.note_failure(id, 0);
-            return false;
-        };
-        match (head.status, body) {
-            (200, Some(body)) => {
-                self.check_body(kind, id, &body);
-                self.ledger.note_answered();
-            }
-            (200, None) => {
-                if began_calm && self.ledger.is_calm() && !self.ledger.was_cut(id) {
-                    self.ledger.violation(id, format!("{id} was cut off by nothing but a stop"));
-                }
-                self.ledger.note_failure(id, 0);
-                return false;
-            }
-            (status, _) => self.ledger.note_failure(id, status),
-        }
-        !head.headers.wants_close()
-    }
-
-    fn check_body(&self, kind: &str, id: &str, body: &[u8]) {
-        let expected = if kind == "stream" {
-            (1..=EVENTS).map(|event| format!("id: {event}\ndata: {id}\n\n")).collect()
-        } else {
-            id.to_owned()
-        };
-        if body != expected.as_bytes() {
-            let text = String::from_utf8_lossy(body);
-            self.ledger.violation(id, format!("{id} got another answer: {text:?}"));
-        }
-    }
-}
-
 /// An operator that replaces the configuration again and again and reads it back.
 pub(super) struct OperatorTask {
     acknowledged: Rc<RefCell<Vec<(u64, Instant)>>>,
@@ -356,7 +324,8 @@
         let task = Self { acknowledged: acknowledged.clone(), control: control.clone() };
         actix_rt::spawn(async move {
             for version in 1.. {
-                let body = stand_in::configuration(version, HOST, "soak", KEY, ROUTE_MILLIS);
+                let millis = REQUEST_TIMEOUT.as_millis() as u64;
+                let body = stand_in::configuration(version, HOST, "soak", KEY, millis);
                 let body = body.to_string();
                 let mut at = version as usize;
                 // Sent again, to another member, until it is acknowledged.
