A stopping entry accepts no request later than 2.9 s after its signal

An entry served new requests for four tenths of its stop limit, 3.2 s at a limit of 8 s, and cuts off what is unfinished at 7.7 s. The platform excuses that for requests sent within 3 s of the signal, and for none sent later. Limits up to 7.25 s are as before.

--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -26,6 +26,9 @@
 /// up to three times their lifetime, and responses that start during this time can still end
 /// within the limit.
 const SERVING_SHARE: f64 = 0.4;
+/// Longest such time: the platform accepts that a stop cuts off responses to requests sent within 3 s
+/// of its signal, and none sent later.
+const MAX_SERVING_TIME: Duration = Duration::from_millis(2_900);
 /// Time reserved before the stop limit, in which the process exits.
 const STOP_RESERVE: Duration = Duration::from_millis(300);
 /// Time reserved before that, in which idle connections are closed and last responses delivered.
@@ -100,7 +103,7 @@
         let limit = self.shared.options.stop_limit;
         self.leaving.send_replace(true);
         self.enter(StopPhase::Leaving);
-        tokio::time::sleep(limit.mul_f64(SERVING_SHARE)).await;
+        tokio::time::sleep(limit.mul_f64(SERVING_SHARE).min(MAX_SERVING_TIME)).await;
         self.enter(StopPhase::Rejecting);
         self.wait_until_unused(began).await;
         self.enter(StopPhase::Closing);
--- a/tests/all/fleet/closing.rs
+++ b/tests/all/fleet/closing.rs
@@ -7,7 +7,7 @@
     callers::{BlockingCaller, CallCounts, CallEnd, keep_calling, pause_up_to},
     entry_thread::EntryThread,
 };
-use super::bed::{FleetBed, WAIT_TIMEOUT, default_config, request};
+use super::bed::{FleetBed, Script, WAIT_TIMEOUT, default_config, request};
 use std::{
     net::SocketAddr,
     sync::{
@@ -215,3 +215,23 @@
     let counted = "egretseam_gateway_connections_discarding_total 1\n";
     bed.wait_for_metrics(bed.caller_address().ip(), |text| text.contains(counted)).await;
 }
+
+/// Guards against streams that a stopping entry cuts off although it accepted them later than the
+/// platform allows.
+#[actix_rt::test]
+async fn a_request_of_a_late_moment_of_a_stop_is_served_whole_or_rejected() {
+    const SENT_AFTER: Duration = Duration::from_millis(3_050);
+    const EVENT_PAUSE: Duration = Duration::from_millis(600);
+    let mut bed = FleetBed::start().await;
+    let target = bed.start_target(TARGET).await;
+    target.then(Script::Slow(EVENT_PAUSE));
+    let entry = EntryThread::start(&mut bed, TARGET, false).await;
+    entry.begin_stop();
+    tokio::time::sleep(SENT_AFTER).await;
+    let text = request("/stream/1", "r1", "", "");
+    let answer = bed.send_request_to(entry.address, &text).await;
+    println!("late in a stop: {answer:?}");
+    let answer = answer.expect("a complete response");
+    assert!(matches!(answer.status, 200 | 503), "{answer:?}");
+    entry.join().await;
+}
