A resumed stream waits for a slot at the target where it continues

What callers saw: a target fails in the middle of a stream, with most of the time left. The other targets with the same weights are all at their limit just then, and the entry cuts the stream off at once.

Cause: a new request waits for a slot, the successor of a stream did not. Here nothing is known against the successor; it is given up for want of a slot that becomes free in milliseconds.

Change: the successor of a stream is chosen as the target of a new request is, but waits until the request's deadline, since nothing else can complete the stream. The retry is taken from the budget once there is a slot, so none is lost for a stream that is not sent again. The slot at the target that failed is given back before the wait: two streams that wait for each other's targets would wait to their deadlines.

Not changed: a stream is still cut off at once if the retry budget is empty or no untried target serves its version; a target whose gate rejects the resumed stream for want of a slot still counts as tried.

Evidence: the new test gives each of two targets one slot; the target of one stream fails after four events while the other stream runs.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -98,7 +98,7 @@
 }
 
 /// Chooses a target for `request`.
-pub(crate) fn choose(
+fn choose(
     shared: &EntryShared,
     request: &CallerRequest,
     profile: &ProfileRecord,
@@ -131,8 +131,20 @@
 ) -> Result<TargetChoice, FailureReport> {
     let max_wait = shared.admission.borrow().max_wait();
     let wait_deadline = (Instant::now() + max_wait).min(request.deadline);
+    choose_until(shared, request, profile, exclude, None, wait_deadline).await
+}
+
+/// As [`choose`], but waits until `wait_deadline` if all targets are at their limit.
+pub(crate) async fn choose_until(
+    shared: &EntryShared,
+    request: &CallerRequest,
+    profile: &ProfileRecord,
+    exclude: &[InstanceName],
+    manifest: Option<ManifestId>,
+    wait_deadline: Instant,
+) -> Result<TargetChoice, FailureReport> {
     loop {
-        match choose(shared, request, profile, exclude, None) {
+        match choose(shared, request, profile, exclude, manifest) {
             Err(report)
                 if report.reason == RefusalReason::Overloaded && Instant::now() < wait_deadline =>
             {
--- a/crates/entry/src/guards.rs
+++ b/crates/entry/src/guards.rs
@@ -61,12 +61,14 @@
     shared: Rc<EntryShared>,
     target: InstanceName,
     outcome: RequestOutcome,
+    has_ended: bool,
 }
 
 impl TargetGuard {
     pub(crate) fn new(shared: Rc<EntryShared>, target: &InstanceName) -> Self {
         shared.targets.borrow_mut().record_start(target);
-        Self { shared, target: target.clone(), outcome: RequestOutcome::Cancelled }
+        let outcome = RequestOutcome::Cancelled;
+        Self { shared, target: target.clone(), outcome, has_ended: false }
     }
 
     /// Sets the outcome that is recorded when the guard is dropped; without a call it is
@@ -74,11 +76,18 @@
     pub(crate) fn set_outcome(&mut self, outcome: RequestOutcome) {
         self.outcome = outcome;
     }
+
+    /// Records the end of the request at the target before the guard is dropped.
+    pub(crate) fn end(&mut self, outcome: RequestOutcome) {
+        if !std::mem::replace(&mut self.has_ended, true) {
+            let now = self.shared.now();
+            self.shared.targets.borrow_mut().record_end(&self.target, outcome, now);
+        }
+    }
 }
 
 impl Drop for TargetGuard {
     fn drop(&mut self) {
-        let now = self.shared.now();
-        self.shared.targets.borrow_mut().record_end(&self.target, self.outcome, now);
+        self.end(self.outcome);
     }
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -12,8 +12,8 @@
 use bytes::{Bytes, BytesMut};
 use egretseam_catalog::ProfileRecord;
 use egretseam_http::HttpReply;
-use egretseam_proto::{InstanceName, RefusalReason};
-use egretseam_routing::RequestOutcome;
+use egretseam_proto::{InstanceName, ManifestId, RefusalReason};
+use egretseam_routing::{RequestOutcome, TargetChoice};
 use futures::StreamExt;
 use std::{io, rc::Rc, time::Duration};
 use tokio::time::Instant;
@@ -95,7 +95,8 @@
                 Ok(Some(Err(_))) => RefusalReason::BrokenAnswer,
                 Err(_) => RefusalReason::DeadlineExceeded,
             };
-            self.reply.guard.set_outcome(RequestOutcome::Failed(failure));
+            // At once: streams that wait for each other's targets would wait to their deadlines.
+            self.reply.guard.end(RequestOutcome::Failed(failure));
             if failure == RefusalReason::DeadlineExceeded || !self.resume().await {
                 self.finished = true;
                 self.shared.counters.broken.inc();
@@ -167,12 +168,10 @@
         let manifest = self.reply.choice.manifest;
         self.tried.push(self.reply.choice.target.clone());
         while self.tried.len() <= MAX_RESUMES && Instant::now() < self.request.deadline {
+            let Some(choice) = self.choose_successor(manifest).await else { return false };
             if !self.shared.retry_budget.borrow_mut().spend(&self.request.organisation) {
                 return false;
             }
-            let chosen =
-                forward::choose(&self.shared, &self.request, &self.profile, &self.tried, manifest);
-            let Ok(choice) = chosen else { return false };
             let target = choice.target.clone();
             self.shared.metrics.count_retry(RefusalReason::BrokenAnswer);
             let sent = attempt::send(&self.shared, &self.request, choice, Some(self.events)).await;
@@ -194,6 +193,15 @@
         }
         false
     }
+
+    /// Chooses an untried target with these weights, and waits for a free slot until the deadline:
+    /// nothing else can complete the stream.
+    async fn choose_successor(&self, manifest: Option<ManifestId>) -> Option<TargetChoice> {
+        let Self { shared, request, profile, tried, .. } = self;
+        let chosen =
+            forward::choose_until(shared, request, profile, tried, manifest, request.deadline);
+        chosen.await.ok()
+    }
 }
 
 /// Offset after the last complete event.
--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -4,10 +4,10 @@
     API_KEY, CHUNK_BYTES, MODEL_BYTES, TestCluster, WAIT_TIMEOUT, block_on, cluster_options,
     model_profile,
 };
-use egretseam_catalog::ConfigEdit;
+use egretseam_catalog::{ConfigEdit, ProfileSpec};
 use egretseam_http::{ClientOptions, http_client};
-use egretseam_local::{CallOutcome, LoadGenerator, LoadOptions};
-use egretseam_proto::{IDEMPOTENCY_HEADER, ProfileName, TargetState};
+use egretseam_local::{CallOutcome, ClusterOptions, LoadGenerator, LoadOptions};
+use egretseam_proto::{IDEMPOTENCY_HEADER, ProfileName, Revision, TargetState};
 use std::{sync::atomic::Ordering, time::Duration};
 
 /// A target breaks off its streamed responses midway. Each stream must continue at another target
@@ -50,6 +50,33 @@
     assert_no_failures(load);
 }
 
+/// Guards against a stream that is cut off because the only other target with its weights has no free
+/// slot at the moment at which the first one fails.
+#[test]
+fn a_stream_waits_for_a_slot_at_the_target_where_it_continues() {
+    let test = TestCluster::start(ClusterOptions { entries: 1, ..cluster_options(2, 0) });
+    let spec = ProfileSpec { max_in_flight: 1, ..model_profile(&test.model) };
+    let name = ProfileName::try_from("model").expect("a valid name");
+    let edit = ConfigEdit::ChangeProfile { name, spec };
+    let revision = test.cluster.edit(test.revision, edit).expect("accepted");
+    wait_for_entry_revision(&test, revision);
+    for agent in test.cluster.agents() {
+        agent.faults.slowdown.store(20, Ordering::Relaxed);
+    }
+    let broken = test.cluster.agent("runner-0").expect("an agent");
+    broken.faults.break_after_tokens.store(4, Ordering::Relaxed);
+    let outcomes: Vec<CallOutcome> = std::thread::scope(|scope| {
+        let stream = |number| {
+            let test = &test;
+            scope.spawn(move || test.stream(&format!("prompt {number}"), 16, &[test.model.digest]))
+        };
+        let threads: Vec<_> = (0..2).map(stream).collect();
+        threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
+    });
+    assert_eq!(outcomes, [CallOutcome::Answered; 2]);
+    assert!(broken.counters.requests.load(Ordering::Relaxed) > 0, "runner-0 got no request");
+}
+
 /// Engines end their streams without the last event, as an engine does that crashes but closes its
 /// connections cleanly. Such a response must not count as complete.
 #[test]
@@ -62,6 +89,22 @@
     assert_eq!(outcome, CallOutcome::CutOff);
 }
 
+/// Waits until the first entry routes by this revision of the configuration.
+fn wait_for_entry_revision(test: &TestCluster, revision: Revision) {
+    let url = format!("http://{}/metrics", test.cluster.running_entry_operator_addresses()[0]);
+    let line = format!("egretseam_entry_revision {revision}");
+    let is_applied = || {
+        let body = block_on(async {
+            let mut response = http_client(ClientOptions::default()).get(&url).send().await.ok()?;
+            response.body().await.ok()
+        });
+        Ok(body.is_some_and(|body| String::from_utf8_lossy(&body).lines().any(|row| row == line)))
+    };
+    test.cluster
+        .wait_until("the entry to apply the configuration", WAIT_TIMEOUT, is_applied)
+        .expect("applied");
+}
+
 fn start_load(test: &TestCluster, versions: Vec<egretseam_proto::ChunkDigest>) -> LoadGenerator {
     let options = LoadOptions {
         seeds: test.cluster.caller_addresses(),
