Silent requests cost others nothing, and their targets their good name

A search beside a running attempt waits only if there is another target, and counts nothing. - A slot that came free 2.6 s after a stream had begun to wait was not used: the moment at which callers may leave had passed. Also: no search in the last 0.3 s; a request under which targets ended gets no second run beside the first; retries are counted when they are sent, refusals once a request and reason.

--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -19,12 +19,21 @@
     pub(crate) isolated: bool,
 }
 
+/// What a request needs a slot for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotNeed<'a> {
+    /// Targets that the request was placed at before.
+    pub(crate) tried: &'a [TargetId],
+    /// Whether an attempt of the request runs, at a target that may still answer.
+    pub(crate) is_beside: bool,
+}
+
 /// Waits until the request may be sent to a target and for a slot there. `kept` is the permit of an
 /// attempt that no target ran.
 pub(crate) async fn acquire_permitted_slot(
     shared: &Rc<GatewayShared>,
     request: &RequestState,
-    tried: &[TargetId],
+    need: &SlotNeed<'_>,
     mut kept: Option<RunPermit>,
 ) -> Result<PermittedSlot, ErrorResponse> {
     loop {
@@ -32,7 +41,7 @@
             Some(permit) => permit,
             None => quarantine::await_permit(shared, request).await?,
         };
-        let slot = acquire_for(shared, request, tried, &permit).await?;
+        let slot = acquire_for(shared, request, need, &permit).await?;
         let turn = permit.prepare(request, &slot.target).await;
         // Targets may have ended under the request while it waited.
         if turn != RunTurn::Lost && permit.is_valid(shared, request) {
@@ -45,35 +54,34 @@
 async fn acquire_for(
     shared: &Rc<GatewayShared>,
     request: &RequestState,
-    tried: &[TargetId],
+    need: &SlotNeed<'_>,
     permit: &RunPermit,
 ) -> Result<SlotGuard, ErrorResponse> {
-    let is_first = tried.is_empty();
     if let RunPermit::Careful(run) = permit {
-        let apart = [tried, &run.other_targets(&request.service)].concat();
-        let slot = acquire_slot(shared, request, &apart, is_first).await;
+        let apart = [need.tried, &run.other_targets(&request.service)].concat();
+        let slot = acquire_slot(shared, request, need, &apart).await;
         let is_crowded = matches!(&slot, Err(error) if error.kind == ErrorKind::NoTarget);
         if !is_crowded {
             return slot;
         }
     }
-    acquire_slot(shared, request, tried, is_first).await
+    acquire_slot(shared, request, need, need.tried).await
 }
 
 async fn acquire_slot(
     shared: &Rc<GatewayShared>,
     request: &RequestState,
+    need: &SlotNeed<'_>,
     excluded: &[TargetId],
-    is_first: bool,
 ) -> Result<SlotGuard, ErrorResponse> {
-    let limits = request.limits(shared.options.stream_idle_timeout);
     let slot_request = SlotRequest {
         service: &request.service,
         model: request.terms.model.as_ref(),
         tried: excluded,
         urgency: request.urgency(),
-        first_byte_deadline: (!is_first && limits.awaits_stream).then(|| limits.wait_deadline()),
-        wait_deadline: if is_first { request.deadline } else { limits.wait_deadline() },
+        first_byte_deadline: first_byte_deadline(shared, request, need),
+        wait_deadline: wait_deadline(shared, request, need),
+        is_beside: need.is_beside,
     };
     match dispatch::acquire_slot(shared, &slot_request).await {
         SlotReply::Acquired(guard) => Ok(guard),
@@ -86,3 +94,28 @@
         }
     }
 }
+
+/// When the caller of a further attempt may leave; `None` if there is no such moment, or it has
+/// passed and the caller is still there.
+fn leave_deadline(
+    shared: &GatewayShared,
+    request: &RequestState,
+    need: &SlotNeed<'_>,
+) -> Option<Instant> {
+    let limits = request.limits(shared.options.stream_idle_timeout);
+    let deadline = limits.wait_deadline();
+    (!need.tried.is_empty() && deadline > Instant::now()).then_some(deadline)
+}
+
+fn first_byte_deadline(
+    shared: &GatewayShared,
+    request: &RequestState,
+    need: &SlotNeed<'_>,
+) -> Option<Instant> {
+    let awaits_stream = request.limits(shared.options.stream_idle_timeout).awaits_stream;
+    leave_deadline(shared, request, need).filter(|_| awaits_stream)
+}
+
+fn wait_deadline(shared: &GatewayShared, request: &RequestState, need: &SlotNeed<'_>) -> Instant {
+    leave_deadline(shared, request, need).unwrap_or(request.deadline)
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     accepted::{RequestEnd, UnansweredReason},
-    acquire,
+    acquire::{self, SlotNeed},
     attempt::{self, AttemptFailure, AttemptOptions, FailedStart},
     error_response::{ErrorKind, ErrorResponse},
     forward::ConnectionAction,
@@ -20,7 +20,7 @@
 use egretseam_h1::HttpConnection;
 use egretseam_proto::OrganisationName;
 use egretseam_serving::{AttemptId, AttemptOutcome, AttemptRace, RaceStep, RaceTerms, TargetId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{
     future::poll_fn,
     pin::{Pin, pin},
@@ -42,14 +42,14 @@
     caller: &mut HttpConnection,
     request: &RequestState,
 ) -> Result<RequestEnd, ErrorResponse> {
-    let mut runner = AttemptRunner::new(shared, request);
+    let mut attempts = RequestAttempts::new(shared, request);
     loop {
-        let wake_at = match runner.advance() {
-            Ok(wake_at) => wake_at,
-            Err(end) => return end,
+        let wake_at = match attempts.advance() {
+            AdvanceOutcome::Wait(wake_at) => wake_at,
+            AdvanceOutcome::End(end) => return end,
         };
-        let event = runner.next_event(caller, wake_at).await;
-        if let Some(end) = runner.handle(caller, event).await {
+        let event = attempts.next_event(caller, wake_at).await;
+        if let Some(end) = attempts.handle(caller, event).await {
             return end;
         }
     }
@@ -58,8 +58,17 @@
 /// How a request ends: answered, without an answer, or with an error for its caller.
 type AttemptsEnd = Result<RequestEnd, ErrorResponse>;
 
+/// What remains once everything that is due has begun.
+enum AdvanceOutcome {
+    /// To wait for an event, until this moment at the latest.
+    Wait(Instant),
+    End(AttemptsEnd),
+}
+
 /// What a search for a target ends with.
 enum SearchOutcome {
+    /// It is known whether the target at which an attempt broke has ended.
+    Checked,
     Sent(Box<RunningAttempt>),
     NoSlot(ErrorResponse),
     Failed(FailedStart),
@@ -73,7 +82,7 @@
     TimerExpired,
 }
 
-struct AttemptRunner<'a> {
+struct RequestAttempts<'a> {
     shared: &'a Rc<GatewayShared>,
     request: &'a RequestState,
     race: AttemptRace,
@@ -91,9 +100,11 @@
     /// The permit of an attempt that no target ran. Without it, all entries would wait until the
     /// claim of a run that never began expires.
     kept: Option<RunPermit>,
+    /// Why there was no further attempt so far.
+    refusals: IndexSet<&'static str>,
 }
 
-impl<'a> AttemptRunner<'a> {
+impl<'a> RequestAttempts<'a> {
     fn new(shared: &'a Rc<GatewayShared>, request: &'a RequestState) -> Self {
         let terms = RaceTerms {
             may_repeat: request.route.kind.may_retry(),
@@ -112,25 +123,41 @@
             last_failure: None,
             broken: None,
             kept: None,
+            refusals: IndexSet::new(),
         }
     }
 
-    /// Begins what is due, and returns when to wake up at the latest; an error if the request ends.
-    fn advance(&mut self) -> Result<Instant, AttemptsEnd> {
+    /// Begins what is due.
+    fn advance(&mut self) -> AdvanceOutcome {
         loop {
             let now = Instant::now();
             self.cancel_overdue(now);
-            match self.race.next_step(now) {
-                RaceStep::Wait(until) => {
-                    let cancel_at = self.running.values().filter_map(RunningAttempt::cancel_at);
-                    return Ok(cancel_at.fold(until, Instant::min));
-                }
-                RaceStep::Expired => return Err(self.expire()),
-                RaceStep::Search | RaceStep::Exhausted => self.begin_search(now)?,
+            self.record_silences(now);
+            let end = match self.race.next_step(now) {
+                RaceStep::Wait(until) => return AdvanceOutcome::Wait(self.wake_at(until)),
+                RaceStep::Expired => Some(self.expire()),
+                RaceStep::Search => self.begin_search(now),
+                RaceStep::Exhausted => Some(self.end_exhausted()),
+            };
+            if let Some(end) = end {
+                return AdvanceOutcome::End(end);
             }
         }
     }
 
+    /// When something is due at the latest, given when it is for the race.
+    fn wake_at(&self, until: Instant) -> Instant {
+        let cancels = self.running.values().filter_map(RunningAttempt::cancel_at);
+        let silences = self.running.values().filter_map(RunningAttempt::next_silence);
+        cancels.chain(silences).fold(until, Instant::min)
+    }
+
+    fn record_silences(&mut self, now: Instant) {
+        for attempt in self.running.values_mut() {
+            attempt.record_silence(now);
+        }
+    }
+
     /// Ends the attempts whose target must not begin with the request any more.
     fn cancel_overdue(&mut self, now: Instant) {
         let is_overdue = |attempt: &RunningAttempt| attempt.cancel_at().is_some_and(|at| at <= now);
@@ -141,27 +168,38 @@
         }
     }
 
-    /// Starts the search for a target, if the request may have another one.
-    fn begin_search(&mut self, now: Instant) -> Result<(), AttemptsEnd> {
+    /// Starts the search for a target, if the request may have another one. Returns how the request
+    /// ends if it may not, and no attempt runs.
+    fn begin_search(&mut self, now: Instant) -> Option<AttemptsEnd> {
+        if let Some(target) = self.broken.take() {
+            // The check may show that the request ends its targets, which forbids a further one.
+            let (shared, request) = (self.shared, self.request);
+            self.start(async move {
+                quarantine::await_check(shared, request, &target).await;
+                SearchOutcome::Checked
+            });
+            return None;
+        }
         let retry = match self.decide_retry() {
             RetryDecision::Free => None,
             RetryDecision::Charged(permit) => Some(permit),
             RetryDecision::Refused(reason) => return self.refuse_search(reason, now),
         };
-        if let Some(failure) = self.retry_reason() {
-            self.shared.metrics.count_retry(failure.slug());
-        }
         let reached = self.race.reached() + 1;
         let options = SearchOptions {
             tried: self.tried.clone(),
             kept: self.kept.take(),
             retry,
             may_follow: attempt::may_follow(self.shared, self.request, reached),
-            broken: self.broken.take(),
+            is_beside: self.race.is_running(),
         };
+        self.start(search(self.shared, self.request, options));
+        None
+    }
+
+    fn start(&mut self, search: impl Future<Output = SearchOutcome> + 'a) {
         self.race.begin_search();
-        self.search = Some(Box::pin(search(self.shared, self.request, options)));
-        Ok(())
+        self.search = Some(Box::pin(search));
     }
 
     /// Why another attempt is made; `None` for the first one.
@@ -178,21 +216,39 @@
     }
 
     /// Goes on without a further attempt: with those that run, or not at all.
-    fn refuse_search(&mut self, reason: RefusalReason, now: Instant) -> Result<(), AttemptsEnd> {
-        if self.race.is_running() {
-            if reason == RefusalReason::Budget {
-                self.race.end_search(now);
-            } else {
-                self.race.close();
-            }
-            return Ok(());
+    fn refuse_search(&mut self, reason: RefusalReason, now: Instant) -> Option<AttemptsEnd> {
+        self.count_refused(reason.slug());
+        if !self.race.is_running() {
+            return Some(self.end_refused(reason));
         }
+        if reason == RefusalReason::Budget {
+            self.race.end_search(now);
+        } else {
+            self.race.close();
+        }
+        None
+    }
+
+    /// Ends a request that has reached as many targets as it may.
+    fn end_exhausted(&mut self) -> AttemptsEnd {
+        let reason = RefusalReason::Attempts;
+        self.count_refused(reason.slug());
+        self.end_refused(reason)
+    }
+
+    fn end_refused(&self, reason: RefusalReason) -> AttemptsEnd {
         log_no_attempt(self.request, reason.slug());
         if self.may_have_run {
-            return Err(self.give_up());
+            return self.give_up();
+        }
+        Err(ErrorResponse::with_retry_after(ErrorKind::TargetsRefused, RETRY_AFTER_REJECTED))
+    }
+
+    /// Counts why there is no further attempt, each reason once.
+    fn count_refused(&mut self, reason: &'static str) {
+        if self.refusals.insert(reason) {
+            self.shared.metrics.attempts_refused.with_label_values(&[reason]).inc();
         }
-        let after = RETRY_AFTER_REJECTED;
-        Err(Err(ErrorResponse::with_retry_after(ErrorKind::TargetsRefused, after)))
     }
 
     /// Waits for the next event, until `wake_at` at the latest.
@@ -225,7 +281,14 @@
 
     fn end_search(&mut self, outcome: SearchOutcome) -> Option<AttemptsEnd> {
         match outcome {
+            SearchOutcome::Checked => {
+                self.race.restart_search();
+                None
+            }
             SearchOutcome::Sent(attempt) => {
+                if let Some(reason) = self.retry_reason() {
+                    self.shared.metrics.count_retry(reason.slug());
+                }
                 self.tried.push(attempt.target.clone());
                 let id = self.race.add(attempt.silent_at());
                 self.running.insert(id, *attempt);
@@ -245,8 +308,8 @@
 
     fn end_without_slot(&mut self, error: ErrorResponse) -> Option<AttemptsEnd> {
         self.race.end_search(Instant::now());
+        self.count_refused(error.kind.slug());
         if self.race.is_running() {
-            self.shared.metrics.attempts_refused.with_label_values(&[error.kind.slug()]).inc();
             return None;
         }
         if !self.may_have_run {
@@ -347,9 +410,6 @@
     fn cancel_others(&mut self, id: AttemptId) {
         let others: Vec<AttemptId> =
             self.running.keys().copied().filter(|other| *other != id).collect();
-        let is_first = self.running.get_index_of(&id) == Some(0);
-        let outcome = if is_first { "went-on" } else { "replaced" };
-        self.shared.metrics.silences.with_label_values(&[outcome]).inc();
         for other in others {
             if let Some(attempt) = self.running.shift_remove(&other) {
                 attempt.supersede(self.request);
@@ -498,8 +558,8 @@
     retry: Option<RetryPermit>,
     /// Whether another target may get the request after this one.
     may_follow: bool,
-    /// The target at which the previous attempt broke.
-    broken: Option<TargetId>,
+    /// Whether another attempt runs.
+    is_beside: bool,
 }
 
 /// Searches for a target that takes the request, and opens an attempt there.
@@ -508,17 +568,21 @@
     request: &RequestState,
     options: SearchOptions,
 ) -> SearchOutcome {
-    let SearchOptions { tried, kept, retry, may_follow, broken } = options;
-    if let Some(target) = &broken {
-        quarantine::await_check(shared, request, target).await;
-    }
+    let SearchOptions { tried, kept, retry, may_follow, is_beside } = options;
     let wait_started_at = Instant::now();
-    let placed = acquire::acquire_permitted_slot(shared, request, &tried, kept).await;
-    request.progress.borrow_mut().waited += wait_started_at.elapsed();
+    let need = SlotNeed { tried: &tried, is_beside };
+    let placed = acquire::acquire_permitted_slot(shared, request, &need, kept).await;
+    if !is_beside {
+        request.progress.borrow_mut().waited += wait_started_at.elapsed();
+    }
     let placed = match placed {
         Ok(placed) => placed,
         Err(error) => return SearchOutcome::NoSlot(error),
     };
+    if is_beside && !matches!(placed.permit, RunPermit::Normal) {
+        // Targets have ended under the request meanwhile, and it runs already.
+        return SearchOutcome::NoSlot(ErrorResponse::new(ErrorKind::Quarantined));
+    }
     let options = AttemptOptions {
         new_connection: needs_new_connection(request, &tried),
         attempt: tried.len() + 1,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -93,6 +93,9 @@
     pub(crate) first_byte_deadline: Option<Instant>,
     /// When waiting ends at the latest.
     pub(crate) wait_deadline: Instant,
+    /// Whether an attempt of the request runs. Its search counts for no prediction, and waits only
+    /// for targets that exist.
+    pub(crate) is_beside: bool,
 }
 
 /// Result of a [`SlotRequest`].
@@ -122,7 +125,7 @@
     drop(queue_guard);
     match slot {
         Ok(Ok(guard)) => SlotReply::Acquired(guard),
-        Ok(Err(_)) | Err(_) => reject_full(shared, request.service),
+        Ok(Err(_)) | Err(_) => reject_full(shared, request),
     }
 }
 
@@ -177,6 +180,10 @@
         }
         _ => {}
     }
+    if request.is_beside && !dispatch.targets.has_other(request.service, request.tried) {
+        let after = dispatch.queue(request.service).retry_after(rand::random());
+        return Ok(SlotReply::NoTarget(after));
+    }
     enqueue(shared, &mut dispatch, request, &query, &choice, now)
 }
 
@@ -243,10 +250,12 @@
     if is_late { queue.record_late_placed(now) } else { queue.record_placed(now) }
 }
 
-fn reject_full(shared: &GatewayShared, service: &ServiceName) -> SlotReply {
+fn reject_full(shared: &GatewayShared, request: &SlotRequest<'_>) -> SlotReply {
     let mut dispatch = shared.dispatch.borrow_mut();
-    let queue = dispatch.queue(service);
-    queue.record_rejected(Instant::now());
+    let queue = dispatch.queue(request.service);
+    if !request.is_beside {
+        queue.record_rejected(Instant::now());
+    }
     SlotReply::Full(queue.retry_after(rand::random()))
 }
 
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -242,19 +242,6 @@
     request: &RequestState,
     failure: AttemptFailure,
     attempts: AttemptCounts,
-) -> RetryDecision {
-    let decision = decide_uncounted(shared, request, failure, attempts);
-    if let RetryDecision::Refused(reason) = &decision {
-        shared.metrics.attempts_refused.with_label_values(&[reason.slug()]).inc();
-    }
-    decision
-}
-
-fn decide_uncounted(
-    shared: &Rc<GatewayShared>,
-    request: &RequestState,
-    failure: AttemptFailure,
-    attempts: AttemptCounts,
 ) -> RetryDecision {
     let AttemptCounts { reached, unreachable } = attempts;
     if failure.may_have_run() && !request.route.kind.may_retry() {
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -143,6 +143,8 @@
     evidence: AttemptEvidence,
     log: AttemptLog,
     silent_at: Instant,
+    /// Whether the silence that began then has been recorded.
+    is_silent: bool,
     cancel_at: Option<Instant>,
     /// Whether any of it has been forwarded to the caller.
     pub(crate) has_delivered: bool,
@@ -180,6 +182,7 @@
             evidence: AttemptEvidence::default(),
             log,
             silent_at: log.sent_at,
+            is_silent: false,
             cancel_at: None,
             has_delivered: false,
         }
@@ -197,6 +200,32 @@
         self.silent_at
     }
 
+    /// When its silence begins, if that has not been recorded.
+    pub(crate) fn next_silence(&self) -> Option<Instant> {
+        (!self.is_silent).then_some(self.silent_at)
+    }
+
+    /// Records that the attempt is silent once it is. Its first byte does not count as pending any
+    /// more: those limit how many late requests are sent, also to targets that answer.
+    pub(crate) fn record_silence(&mut self, now: Instant) {
+        if self.is_silent || now < self.silent_at {
+            return;
+        }
+        self.is_silent = true;
+        self.shared.metrics.silences.with_label_values(&["began"]).inc();
+        if let Some(timer) = self.timer.take() {
+            timer.stop();
+        }
+    }
+
+    /// Records bytes of the response; its silence begins at `silent_at` now.
+    fn record_bytes(&mut self, silent_at: Instant) {
+        self.silent_at = silent_at;
+        if std::mem::replace(&mut self.is_silent, false) {
+            self.shared.metrics.silences.with_label_values(&["went-on"]).inc();
+        }
+    }
+
     /// When it has to end unless a head has been read.
     pub(crate) fn cancel_at(&self) -> Option<Instant> {
         self.cancel_at.filter(|_| self.start.is_none())
@@ -371,7 +400,7 @@
             return Err(self.broken(request, BreakReason::TooLarge));
         }
         let now = Instant::now();
-        self.silent_at = now + MAX_STREAM_PAUSE;
+        self.record_bytes(now + MAX_STREAM_PAUSE);
         if events.is_some() {
             self.evidence.events_since.get_or_insert(now);
         }
@@ -414,7 +443,7 @@
             return self.end_body(request, BodyContent::Plain, whole);
         }
         let limits = request.limits(self.shared.options.stream_idle_timeout);
-        self.silent_at = limits.attempt_deadline(Instant::now());
+        self.record_bytes(limits.attempt_deadline(Instant::now()));
         Ok(AttemptOutput::Progress)
     }
 
@@ -517,24 +546,20 @@
         (!failure.may_have_run()).then_some(permit)
     }
 
-    /// Cancels the attempt because another one delivers. Silence until now counts against its target
-    /// as a failure.
+    /// Cancels the attempt because another one delivers.
     pub(crate) fn supersede(mut self, request: &RequestState) {
-        let now = Instant::now();
-        let is_silent = now >= self.silent_at;
-        if is_silent && let Some(timer) = self.timer.take() {
-            timer.stop();
-        }
         tracing::info!(
             request_id = %request.terms.id,
             target_id = %self.target,
             attempt = self.log.attempt,
-            is_silent,
+            is_silent = self.is_silent,
             sent_millis_ago = self.log.sent_at.elapsed().as_millis() as u64,
             "attempt cancelled: another one delivers"
         );
-        let outcome = if is_silent { AttemptOutcome::Failed } else { AttemptOutcome::Abandoned };
-        self.finish(outcome);
+        if self.is_silent {
+            self.shared.metrics.silences.with_label_values(&["replaced"]).inc();
+        }
+        self.finish_unanswered();
     }
 
     /// Cancels the attempt because the caller has disconnected.
@@ -542,7 +567,14 @@
         if self.start.is_none() {
             self.log_caller_left(request);
         }
-        self.finish(AttemptOutcome::Abandoned);
+        self.finish_unanswered();
+    }
+
+    /// Silence until the end counts as a failure of the target: otherwise a dead one, whose callers
+    /// leave, would get request after request.
+    fn finish_unanswered(&mut self) {
+        let is_failed = self.is_silent;
+        self.finish(if is_failed { AttemptOutcome::Failed } else { AttemptOutcome::Abandoned });
     }
 
     /// Logs a request whose caller disconnected before the target responded: the time since the
--- a/crates/serving/src/attempt_race.rs
+++ b/crates/serving/src/attempt_race.rs
@@ -12,6 +12,10 @@
 /// service change with every request that ends.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time before the deadline in which no search begins beside a running attempt: an answer would come
+/// too late.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(300);
+
 /// What the route and the caller allow for a request.
 #[derive(Clone, Copy, Debug)]
 pub struct RaceTerms {
@@ -42,7 +46,7 @@
 
 /// An attempt that has been sent and whose answer is not complete.
 #[derive(Clone, Copy, Debug)]
-struct RunningAttempt {
+struct SentAttempt {
     id: AttemptId,
     /// When its silence starts a search.
     silent_at: Instant,
@@ -52,7 +56,7 @@
 #[derive(Clone, Debug)]
 pub struct AttemptRace {
     terms: RaceTerms,
-    running: Vec<RunningAttempt>,
+    running: Vec<SentAttempt>,
     /// Targets that have received the request.
     reached: u32,
     is_searching: bool,
@@ -102,7 +106,10 @@
             return RaceStep::Wait(deadline);
         }
         let search_at = self.next_search_at.map_or(silent_at, |next| next.max(silent_at));
-        if search_at <= now { RaceStep::Search } else { RaceStep::Wait(search_at.min(deadline)) }
+        if search_at + MIN_TIME_LEFT > deadline {
+            return RaceStep::Wait(deadline);
+        }
+        if search_at <= now { RaceStep::Search } else { RaceStep::Wait(search_at) }
     }
 
     /// When all running attempts count as silent; `None` if none runs.
@@ -134,7 +141,7 @@
         self.next_search_at = None;
         self.reached += 1;
         let id = AttemptId(self.reached);
-        self.running.push(RunningAttempt { id, silent_at });
+        self.running.push(SentAttempt { id, silent_at });
         id
     }
 
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -441,6 +441,11 @@
         }
     }
 
+    /// Whether a service has a target beside those in `tried`.
+    pub fn has_other(&self, service: &ServiceName, tried: &[TargetId]) -> bool {
+        self.ids(service).any(|id| !tried.contains(id))
+    }
+
     /// The targets of a service.
     pub fn ids(&self, service: &ServiceName) -> impl Iterator<Item = &TargetId> {
         self.services.get(service).into_iter().flatten()
--- a/tests/all/fleet/silence.rs
+++ b/tests/all/fleet/silence.rs
@@ -1,6 +1,7 @@
 //! Sound targets that fall silent for a while and go on.
 
 mod bed;
+mod costs;
 mod doubles;
 mod framings;
 mod guards;
