Targets of a lost control member stay in use until another one hears them

What callers saw: an entry that lost its connection to one control member left out at once all targets that announce themselves only there, if another member remembered them as silent: sound targets given up before it was known that another member hears them. The lost member's report stands for 4 s now, or until another one reports the target as alive. Shown on the table: the new test found no target before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -203,7 +203,7 @@
         if self.failures == LOST_AFTER_FAILURES {
             let member = self.link.address();
             tracing::warn!(member, %error, "control member lost: consecutive feed calls failed");
-            shared.dispatch.borrow_mut().targets.source_lost(self.source);
+            shared.dispatch.borrow_mut().targets.source_lost(self.source, Instant::now());
             shared.apply_roster(self.source, None);
             // When the member replies again, its complete state is requested.
             self.position = FeedPosition::default();
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -249,10 +249,11 @@
 
     /// Drops what a control member reported because it cannot be reached, where another member
     /// reports the target too. Where it is the only one, its report stands, so that targets stay in
-    /// use while all of control is down.
-    pub fn source_lost(&mut self, source: u32) {
+    /// use while all of control is down. Where the others report the target as silent, its report
+    /// stands until the target has had the time to announce itself to one of them.
+    pub fn source_lost(&mut self, source: u32, now: Instant) {
         for row in self.rows.values_mut().filter(|row| row.liveness.len() > 1) {
-            row.liveness.shift_remove(&source);
+            row.lose_source(source, now);
         }
     }
 
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -10,7 +10,8 @@
 use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
-/// How long a target counts as alive if it is known only through a control member that restarted.
+/// How long a target counts as alive if it is known only through a control member that restarted or
+/// was lost.
 /// Targets announce themselves about once a second, so a live one announces itself well within it.
 const RESTART_GRACE: Duration = Duration::from_secs(4);
 /// Weight of the newest answer in the moving average of the time to the first byte.
@@ -69,7 +70,7 @@
     Alive,
     /// The announcements have stopped.
     Silent,
-    /// The member restarted at this moment and has not reported the target since.
+    /// The member restarted or was lost at this moment and has not reported the target since.
     Unconfirmed(Instant),
 }
 
@@ -148,8 +149,8 @@
         self.limit.as_ref().is_none_or(|limit| limit.pacer.admits(now))
     }
 
-    /// Whether each control member that knows the target reports it as silent, or restarted more
-    /// than [`RESTART_GRACE`] ago and has not reported it since. False if none knows it.
+    /// Whether each control member that knows the target reports it as silent, or restarted or was
+    /// lost more than [`RESTART_GRACE`] ago and has not reported it since. False if none knows it.
     pub(crate) fn is_silent(&self, now: Instant) -> bool {
         let silent = |liveness: &Liveness| match liveness {
             Liveness::Alive => false,
@@ -159,6 +160,16 @@
         !self.liveness.is_empty() && self.liveness.values().all(silent)
     }
 
+    /// Drops what a lost control member reported, or marks it as unconfirmed if no other member
+    /// reports the target as alive.
+    pub(super) fn lose_source(&mut self, source: u32, now: Instant) {
+        let lost = self.liveness.shift_remove(&source);
+        let is_confirmed = self.liveness.values().any(|liveness| *liveness == Liveness::Alive);
+        if lost == Some(Liveness::Alive) && !is_confirmed {
+            self.liveness.insert(source, Liveness::Unconfirmed(now));
+        }
+    }
+
     /// Applies what an agent reports on the engine at this target's address.
     ///
     /// Guards against taking the state of one incarnation of an engine for that of another: an
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -132,8 +132,8 @@
     let now = Instant::now();
     let mut table = table(&[1], now);
     table.apply_target(1, &status(record(1, 1, TargetState::Ready)), now);
-    table.source_lost(0);
-    table.source_lost(1);
+    table.source_lost(0, now);
+    table.source_lost(1, now);
     let later = now + Duration::from_secs(600);
     table.expire(later);
     assert_eq!(choose(&table, &[], later), PlacementOutcome::Target(id(1)));
@@ -424,3 +424,22 @@
         PlacementQuery { first_byte_deadline: Some(now + Duration::from_secs(1)), ..further };
     assert_eq!(table.choose(&later_deadline, now), PlacementOutcome::Target(id(2)));
 }
+
+/// Guards against sound targets that are left out as soon as the entry loses the one member to which
+/// they announce themselves, because another remembers that they once announced themselves there.
+#[actix_rt::test]
+async fn targets_of_a_lost_member_stay_in_use_until_another_hears_them() {
+    let now = Instant::now();
+    let mut table = table(&[1], now);
+    let mut moved = status(record(1, 2, TargetState::Ready));
+    moved.silent = true;
+    table.apply_target(0, &moved, now);
+    table.apply_target(1, &status(record(1, 3, TargetState::Ready)), now);
+    assert_eq!(choose(&table, &[], now), PlacementOutcome::Target(id(1)));
+    table.source_lost(1, now);
+    assert_eq!(choose(&table, &[], now), PlacementOutcome::Target(id(1)));
+    let later = now + Duration::from_secs(5);
+    assert_eq!(choose(&table, &[], later), PlacementOutcome::NoTarget);
+    table.apply_target(0, &status(record(1, 4, TargetState::Ready)), later);
+    assert_eq!(choose(&table, &[], later), PlacementOutcome::Target(id(1)));
+}
