A stream without an event gets an error before its caller may leave

Targets freeze for three seconds before the first event, the callers leave after 2.4 s, and the targets run the requests as soon as they go on.

Cause: with silence no reason to end an attempt, these requests stayed where they were until their callers left. Callers of streams may leave after two seconds without an event, so a request that may be repeated and has delivered nothing by then, and for 0.6 s after its last attempt was sent, gets 504 and its target a reset: its caller can retry. Streams that have begun, and all that may not be repeated, are awaited as before.

The new test waits in vain for 3.5 s without the change (by reading: it would until the deadline).

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -133,6 +133,9 @@
             let now = Instant::now();
             self.cancel_overdue(now);
             self.record_silences(now);
+            if self.answer_deadline().is_some_and(|deadline| deadline <= now) {
+                return AdvanceOutcome::End(self.expire());
+            }
             let end = match self.race.next_step(now) {
                 RaceStep::Wait(until) => return AdvanceOutcome::Wait(self.wake_at(until)),
                 RaceStep::Expired => Some(self.expire()),
@@ -149,7 +152,17 @@
     fn wake_at(&self, until: Instant) -> Instant {
         let cancels = self.running.values().filter_map(RunningAttempt::cancel_at);
         let silences = self.running.values().filter_map(RunningAttempt::next_silence);
-        cancels.chain(silences).fold(until, Instant::min)
+        cancels.chain(silences).chain(self.answer_deadline()).fold(until, Instant::min)
+    }
+
+    /// When the request ends if nothing of its answer has been delivered; `None` if no target has it.
+    fn answer_deadline(&self) -> Option<Instant> {
+        let last_sent_at = self.running.values().map(RunningAttempt::sent_at).max()?;
+        if !self.request.route.kind.may_retry() {
+            return None;
+        }
+        let limits = self.request.limits(self.shared.options.stream_idle_timeout);
+        Some(limits.answer_deadline(last_sent_at))
     }
 
     fn record_silences(&mut self, now: Instant) {
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -195,6 +195,10 @@
         self
     }
 
+    pub(crate) fn sent_at(&self) -> Instant {
+        self.log.sent_at
+    }
+
     /// When its silence starts the search for another target.
     pub(crate) fn silent_at(&self) -> Instant {
         self.silent_at
--- a/crates/serving/src/attempt_limits.rs
+++ b/crates/serving/src/attempt_limits.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time in which an attempt must begin its answer while another attempt is allowed, in multiples of
-/// the latency objective, between [`MIN_ATTEMPT_TIMEOUT`] and [`MAX_ATTEMPT_TIMEOUT`]. A target
-/// that takes longer hangs: a busy one answers well before, since no request is sent to a full one.
+/// Time after which an attempt without an answer counts as silent while another attempt is allowed,
+/// in multiples of the latency objective, between [`MIN_ATTEMPT_TIMEOUT`] and
+/// [`MAX_ATTEMPT_TIMEOUT`]. A busy target answers well before, since no request is sent to a full one.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u32 = 4;
 /// Lower limit of an attempt's timeout, whatever the objective.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -40,7 +40,8 @@
 }
 
 impl AttemptLimits {
-    /// Deadline for an attempt made at `now` to begin its answer, if another attempt may follow.
+    /// When an attempt made at `now` counts as silent if its answer has not begun and another attempt
+    /// may follow.
     ///
     /// Failure guarded: a request queued during an outage is sent to a target that then freezes,
     /// and its caller disconnects before the attempt times out.
@@ -58,6 +59,20 @@
         (now + limit).min(self.deadline)
     }
 
+    /// When a request that may be repeated gets an error if nothing of its answer has been delivered.
+    /// Its last attempt was sent at `sent_at`.
+    ///
+    /// Failure guarded: a target freezes before a stream's first event, the caller leaves, and the
+    /// target runs the request when it goes on. A caller that gets an error just before it may leave
+    /// can retry.
+    pub fn answer_deadline(&self, sent_at: Instant) -> Instant {
+        if !self.awaits_stream {
+            return self.deadline;
+        }
+        let after_wait = sent_at + MIN_ATTEMPT_TIMEOUT_AFTER_WAIT;
+        self.deadline.min(after_wait.max(self.received_at + self.stream_idle_timeout))
+    }
+
     /// Deadline for a slot at another target after one was tried.
     ///
     /// Failure guarded: a target that has the request freezes, and the entry waits for another slot
--- a/tests/all/fleet/silence/guards.rs
+++ b/tests/all/fleet/silence/guards.rs
@@ -105,3 +105,19 @@
     let outcome = send_one(&bed.fleet, "/stream/1", ID).await;
     assert_eq!(outcome, CallOutcome::Whole);
 }
+
+/// Guards against targets that run requests of callers that have left: a target freezes before the
+/// first event of a stream, and no other may take it over.
+#[actix_rt::test]
+async fn a_stream_without_an_event_gets_an_error_that_its_caller_can_use() {
+    /// Far less than the time of the request, more than a slow machine takes.
+    const LIMIT: Duration = Duration::from_millis(3_500);
+    let case = |place: PausePlace| async move {
+        let bed = SilenceBed::start(1).await;
+        bed.targets[0].always_pause(ScriptedPause::new(place, FOREVER));
+        let outcome = tokio::time::timeout(LIMIT, send_one(&bed.fleet, "/stream/1", ID)).await;
+        assert_eq!(outcome.ok(), Some(CallOutcome::ExpiredInTime), "{place:?}");
+        bed.fleet.wait_until(|| bed.targets[0].ended_at(ID).is_some()).await;
+    };
+    join_all([PausePlace::BeforeHead, PausePlace::AfterHead].map(case)).await;
+}
