--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod forward;
 mod limits;
 mod loads;
+mod metrics;
 mod options;
 mod pool;
 mod quarantine;
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -1,36 +1,25 @@
 //! An attempt that has been sent: reads the target's response step by step.
 
+mod first_byte_timer;
+mod reading;
+
+use self::first_byte_timer::FirstByteTimer;
 use crate::{
     acquire::PermittedSlot,
     attempt::AttemptFailure,
-    backpressure,
-    body_end::{self, BodyContent, BodyEnd, BreakReason, EndMeaning, framing_slug},
     dialect::ResponseMetadata,
     dispatch::SlotGuard,
     events::EventBuffer,
-    limits,
     quarantine::{self, AttemptEvidence, BrokenAttempt, RunPermit},
-    rejection,
     request::RequestState,
     shared::GatewayShared,
 };
 use bytes::{Bytes, BytesMut};
 use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ResponseHead};
-use egretseam_serving::{AttemptOutcome, RequestedRest, TargetId};
+use egretseam_serving::{AttemptOutcome, TargetId};
 use std::{net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
-/// Largest body of a response that is not a stream. It is read completely before any of it is
-/// forwarded, so that the request can be retried or an error sent if the response breaks off.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-/// Largest body of a response to another request that is read and discarded.
-const MAX_STRAY_BODY_BYTES: usize = 16 * 1024;
-/// Most responses to other requests that are discarded before the connection is closed.
-const MAX_STRAY_RESPONSES: usize = 2;
-/// Longest pause within a stream before another target is searched for. Longer than an engine pauses
-/// to switch weights, shorter than the two seconds after which callers disconnect.
-const MAX_STREAM_PAUSE: Duration = Duration::from_millis(1_500);
-
 /// How an attempt was opened and sent, for logs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptLog {
@@ -93,34 +82,6 @@
     EndCheck { ended: Pin<Box<dyn Future<Output = bool>>>, whole: Option<AttemptOutput> },
 }
 
-/// Measures the time to the first byte of a response. Dropped before [`Self::stop`], it records
-/// nothing about the target.
-struct FirstByteTimer {
-    shared: Rc<GatewayShared>,
-    target: TargetId,
-    sent_at: Instant,
-}
-
-impl FirstByteTimer {
-    fn start(shared: &Rc<GatewayShared>, target: &TargetId, sent_at: Instant) -> Self {
-        shared.dispatch.borrow_mut().targets.record_sent(target, sent_at);
-        Self { shared: shared.clone(), target: target.clone(), sent_at }
-    }
-
-    /// Records the time to the first byte, or the time waited if the attempt failed or timed out.
-    fn stop(self) {
-        let now = Instant::now();
-        let targets = &mut self.shared.dispatch.borrow_mut().targets;
-        targets.record_first_byte(&self.target, self.sent_at, now);
-    }
-}
-
-impl Drop for FirstByteTimer {
-    fn drop(&mut self) {
-        self.shared.dispatch.borrow_mut().targets.stop_awaiting(&self.target, self.sent_at);
-    }
-}
-
 /// An attempt that has been sent. Dropped before [`Self::complete`], it resets its connection.
 ///
 /// Without the reset the target would work for a caller that has left, or on a request that another
@@ -222,14 +183,6 @@
         }
     }
 
-    /// Records bytes of the response; its silence begins at `silent_at` now.
-    fn record_bytes(&mut self, silent_at: Instant) {
-        self.silent_at = silent_at;
-        if std::mem::replace(&mut self.is_silent, false) {
-            self.shared.metrics.silences.with_label_values(&["went-on"]).inc();
-        }
-    }
-
     /// When it has to end unless a head has been read.
     pub(crate) fn cancel_at(&self) -> Option<Instant> {
         self.cancel_at.filter(|_| self.start.is_none())
@@ -254,253 +207,6 @@
         }
     }
 
-    async fn read(&mut self, request: &RequestState) -> Result<AttemptOutput, AttemptFailure> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Err(AttemptFailure::Broken);
-        };
-        connection.write_from(&mut self.unsent).await.map_err(|_| AttemptFailure::Broken)?;
-        loop {
-            match &mut self.phase {
-                ReadPhase::Head { strays } => {
-                    let strays = *strays;
-                    let head = self.read_head().await?;
-                    self.begin_response(request, head, strays)?;
-                }
-                ReadPhase::Stray { .. } => self.discard_stray().await?,
-                ReadPhase::Stream { .. } => return self.read_stream(request).await,
-                ReadPhase::Buffered { .. } => return self.read_buffered(request).await,
-                ReadPhase::EndCheck { ended, whole } => {
-                    if ended.as_mut().await {
-                        return Err(self.broken(request, BreakReason::ProcessEnded));
-                    }
-                    return whole.take().ok_or(AttemptFailure::Broken);
-                }
-            }
-        }
-    }
-
-    fn connection(&mut self) -> Result<&mut HttpConnection, AttemptFailure> {
-        self.connection.as_mut().ok_or(AttemptFailure::Broken)
-    }
-
-    async fn read_head(&mut self) -> Result<ResponseHead, AttemptFailure> {
-        let read = self.connection()?.read_response().await;
-        read.map_err(|_| AttemptFailure::Broken)
-    }
-
-    /// Begins with the body of a response whose head has been read.
-    ///
-    /// A target may respond to a request twice, so that the second response arrives where that to
-    /// the next request is expected. Targets echo the request id; a response with another id is read
-    /// and discarded.
-    fn begin_response(
-        &mut self,
-        request: &RequestState,
-        head: ResponseHead,
-        strays: usize,
-    ) -> Result<(), AttemptFailure> {
-        let marks = self.shared.dialect.read_response_metadata(&head);
-        let framing = head.framing(&request.head.method);
-        let reader = BodyReader::new(framing);
-        if marks.request_id.as_deref().is_some_and(|id| id != request.terms.id) {
-            tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
-            if strays >= MAX_STRAY_RESPONSES {
-                return Err(AttemptFailure::Broken);
-            }
-            self.phase = ReadPhase::Stray { strays: strays + 1, reader, bytes: 0 };
-            return Ok(());
-        }
-        if let Some(timer) = self.timer.take() {
-            timer.stop();
-        }
-        let start = ResponseStart { head, marks, read_at: Instant::now(), framing };
-        self.record_marks(&start.marks);
-        if start.marks.not_executed {
-            return Err(self.reject(start, reader));
-        }
-        // A success without the target's signature is not the target's response to this request; it
-        // may be the remainder of a broken one. Forwarding it would give the caller a wrong response.
-        let is_success = start.head.status < 300;
-        if is_success && !start.marks.signed {
-            return Err(AttemptFailure::Broken);
-        }
-        if start.marks.rest == RequestedRest::Absent {
-            let targets = &mut self.shared.dispatch.borrow_mut().targets;
-            targets.record_accepted(&self.target, self.log.sent_at);
-        }
-        let is_stream = request.route.kind.is_stream() && is_success && !start.marks.plain;
-        self.start = Some(start);
-        self.phase = if is_stream {
-            ReadPhase::Stream { reader, buffer: EventBuffer::default() }
-        } else if request.response_started() {
-            // Its head would be written between two chunks of the caller's response.
-            return Err(AttemptFailure::NoContinuation);
-        } else {
-            ReadPhase::Buffered { reader, body: BytesMut::new() }
-        };
-        Ok(())
-    }
-
-    /// Records what the head of the response says of the target.
-    fn record_marks(&self, marks: &ResponseMetadata) {
-        let Some(slot) = &self.slot else { return };
-        limits::record_named(&self.shared, slot, marks, self.log.sent_at);
-        backpressure::record(&self.shared, slot, marks);
-        if let Some(busy) = marks.load {
-            let now = Instant::now();
-            self.shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
-        }
-    }
-
-    /// Ends the attempt with the target's statement that it did not run the request.
-    fn reject(&mut self, start: ResponseStart, reader: BodyReader) -> AttemptFailure {
-        if start.marks.wrong_target {
-            return AttemptFailure::OtherTarget;
-        }
-        if let Some(connection) = self.connection.take()
-            && start.is_reusable()
-        {
-            let keep_alive = start.marks.keep_alive;
-            rejection::drain(&self.shared, &self.target, connection, reader, keep_alive);
-        }
-        AttemptFailure::Full
-    }
-
-    async fn discard_stray(&mut self) -> Result<(), AttemptFailure> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Err(AttemptFailure::Broken);
-        };
-        let ReadPhase::Stray { strays, reader, bytes } = &mut self.phase else { return Ok(()) };
-        match reader.next(connection).await {
-            Ok(Some(data)) => {
-                *bytes += data.len();
-                if *bytes > MAX_STRAY_BODY_BYTES { Err(AttemptFailure::Broken) } else { Ok(()) }
-            }
-            Ok(None) => {
-                self.phase = ReadPhase::Head { strays: *strays };
-                Ok(())
-            }
-            Err(_) => Err(AttemptFailure::Broken),
-        }
-    }
-
-    async fn read_stream(
-        &mut self,
-        request: &RequestState,
-    ) -> Result<AttemptOutput, AttemptFailure> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Err(AttemptFailure::Broken);
-        };
-        let ReadPhase::Stream { reader, buffer } = &mut self.phase else {
-            return Err(AttemptFailure::Broken);
-        };
-        let chunk = match reader.next(connection).await {
-            Ok(Some(chunk)) => chunk,
-            Ok(None) => return self.end_stream(request),
-            Err(error) => return Err(self.broken(request, BreakReason::from(&error))),
-        };
-        let events = buffer.push(&chunk);
-        if buffer.exceeds_limit() {
-            return Err(self.broken(request, BreakReason::TooLarge));
-        }
-        let now = Instant::now();
-        self.record_bytes(now + MAX_STREAM_PAUSE);
-        if events.is_some() {
-            self.evidence.events_since.get_or_insert(now);
-        }
-        quarantine::record_progress(&self.shared, request, &mut self.evidence);
-        Ok(events.map_or(AttemptOutput::Progress, AttemptOutput::Events))
-    }
-
-    fn end_stream(&mut self, request: &RequestState) -> Result<AttemptOutput, AttemptFailure> {
-        let ReadPhase::Stream { buffer, .. } = &self.phase else {
-            return Err(AttemptFailure::Broken);
-        };
-        let content = BodyContent::Events {
-            has_events: request.response_started() || request.terms.resumes,
-            inside_event: buffer.is_inside_event(),
-        };
-        let comments = Bytes::copy_from_slice(buffer.remainder());
-        self.end_body(request, content, AttemptOutput::StreamEnd(comments))
-    }
-
-    async fn read_buffered(
-        &mut self,
-        request: &RequestState,
-    ) -> Result<AttemptOutput, AttemptFailure> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Err(AttemptFailure::Broken);
-        };
-        let ReadPhase::Buffered { reader, body } = &mut self.phase else {
-            return Err(AttemptFailure::Broken);
-        };
-        let data = match reader.next(connection).await {
-            Ok(data) => data,
-            Err(error) => return Err(self.broken(request, BreakReason::from(&error))),
-        };
-        body.extend_from_slice(data.as_deref().unwrap_or_default());
-        if body.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return Err(self.broken(request, BreakReason::TooLarge));
-        }
-        if data.is_none() || reader.is_done() {
-            let whole = AttemptOutput::Whole(std::mem::take(body).freeze());
-            return self.end_body(request, BodyContent::Plain, whole);
-        }
-        let limits = request.limits(self.shared.options.stream_idle_timeout);
-        self.record_bytes(limits.attempt_deadline(Instant::now()));
-        Ok(AttemptOutput::Progress)
-    }
-
-    /// Decides whether a body that was read without an error is whole.
-    fn end_body(
-        &mut self,
-        request: &RequestState,
-        content: BodyContent,
-        whole: AttemptOutput,
-    ) -> Result<AttemptOutput, AttemptFailure> {
-        let framing = self.start.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
-        let end = BodyEnd::of(framing);
-        if end == BodyEnd::Closed {
-            self.shared.metrics.responses_closed.inc();
-            tracing::info!(
-                request_id = %request.terms.id,
-                target_id = %self.target,
-                ?content,
-                events_passed = request.events_passed(),
-                "response ended with its connection"
-            );
-        }
-        match body_end::meaning(end, content) {
-            EndMeaning::Whole => Ok(whole),
-            EndMeaning::Broken(reason) => Err(self.broken(request, reason)),
-            EndMeaning::WholeIfAlive => {
-                self.phase = self.check_end(whole);
-                Ok(AttemptOutput::Progress)
-            }
-        }
-    }
-
-    fn check_end(&self, whole: AttemptOutput) -> ReadPhase {
-        let (shared, target, address) = (self.shared.clone(), self.target.clone(), self.address);
-        let ended = async move { quarantine::has_ended(&shared, &target, address).await };
-        ReadPhase::EndCheck { ended: Box::pin(ended), whole: Some(whole) }
-    }
-
-    /// Logs and counts a response that broke off.
-    fn broken(&self, request: &RequestState, reason: BreakReason) -> AttemptFailure {
-        self.shared.metrics.responses_broken.with_label_values(&[reason.slug()]).inc();
-        let framing = self.start.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
-        tracing::info!(
-            request_id = %request.terms.id,
-            target_id = %self.target,
-            reason = reason.slug(),
-            framing = framing_slug(framing),
-            events_passed = request.events_passed(),
-            "response broke off"
-        );
-        AttemptFailure::Broken
-    }
-
     fn finish(&mut self, outcome: AttemptOutcome) {
         if let Some(slot) = self.slot.take() {
             slot.finish(outcome);
--- /dev/null
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -0,0 +1,288 @@
+//! Reads the response of a running attempt step by step.
+
+use super::{AttemptOutput, ReadPhase, ResponseStart, RunningAttempt};
+use crate::{
+    attempt::AttemptFailure,
+    backpressure,
+    body_end::{self, BodyContent, BodyEnd, BreakReason, EndMeaning, framing_slug},
+    dialect::ResponseMetadata,
+    events::EventBuffer,
+    limits, quarantine, rejection,
+    request::RequestState,
+};
+use bytes::{Bytes, BytesMut};
+use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ResponseHead};
+use egretseam_serving::RequestedRest;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Largest body of a response that is not a stream. It is read completely before any of it is
+/// forwarded, so that the request can be retried or an error sent if the response breaks off.
+const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Largest body of a response to another request that is read and discarded.
+const MAX_STRAY_BODY_BYTES: usize = 16 * 1024;
+/// Most responses to other requests that are discarded before the connection is closed.
+const MAX_STRAY_RESPONSES: usize = 2;
+/// Pause within a stream after which another target is searched for. Longer than an engine pauses
+/// to switch weights, shorter than the two seconds after which callers disconnect.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
+
+impl RunningAttempt {
+    pub(super) async fn read(
+        &mut self,
+        request: &RequestState,
+    ) -> Result<AttemptOutput, AttemptFailure> {
+        let Some(connection) = self.connection.as_mut() else {
+            return Err(AttemptFailure::Broken);
+        };
+        connection.write_from(&mut self.unsent).await.map_err(|_| AttemptFailure::Broken)?;
+        loop {
+            match &mut self.phase {
+                ReadPhase::Head { strays } => {
+                    let strays = *strays;
+                    let head = self.read_head().await?;
+                    self.begin_response(request, head, strays)?;
+                }
+                ReadPhase::Stray { .. } => self.discard_stray().await?,
+                ReadPhase::Stream { .. } => return self.read_stream(request).await,
+                ReadPhase::Buffered { .. } => return self.read_buffered(request).await,
+                ReadPhase::EndCheck { ended, whole } => {
+                    if ended.as_mut().await {
+                        return Err(self.broken(request, BreakReason::ProcessEnded));
+                    }
+                    return whole.take().ok_or(AttemptFailure::Broken);
+                }
+            }
+        }
+    }
+
+    fn connection(&mut self) -> Result<&mut HttpConnection, AttemptFailure> {
+        self.connection.as_mut().ok_or(AttemptFailure::Broken)
+    }
+
+    async fn read_head(&mut self) -> Result<ResponseHead, AttemptFailure> {
+        let read = self.connection()?.read_response().await;
+        read.map_err(|_| AttemptFailure::Broken)
+    }
+
+    /// Begins with the body of a response whose head has been read.
+    ///
+    /// A target may respond to a request twice, so that the second response arrives where that to
+    /// the next request is expected. Targets echo the request id; a response with another id is read
+    /// and discarded.
+    fn begin_response(
+        &mut self,
+        request: &RequestState,
+        head: ResponseHead,
+        strays: usize,
+    ) -> Result<(), AttemptFailure> {
+        let marks = self.shared.dialect.read_response_metadata(&head);
+        let framing = head.framing(&request.head.method);
+        let reader = BodyReader::new(framing);
+        if marks.request_id.as_deref().is_some_and(|id| id != request.terms.id) {
+            tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
+            if strays >= MAX_STRAY_RESPONSES {
+                return Err(AttemptFailure::Broken);
+            }
+            self.phase = ReadPhase::Stray { strays: strays + 1, reader, bytes: 0 };
+            return Ok(());
+        }
+        if let Some(timer) = self.timer.take() {
+            timer.stop();
+        }
+        let start = ResponseStart { head, marks, read_at: Instant::now(), framing };
+        self.record_marks(&start.marks);
+        if start.marks.not_executed {
+            return Err(self.reject(start, reader));
+        }
+        // A success without the target's signature is not the target's response to this request; it
+        // may be the remainder of a broken one. Forwarding it would give the caller a wrong response.
+        let is_success = start.head.status < 300;
+        if is_success && !start.marks.signed {
+            return Err(AttemptFailure::Broken);
+        }
+        if start.marks.rest == RequestedRest::Absent {
+            let targets = &mut self.shared.dispatch.borrow_mut().targets;
+            targets.record_accepted(&self.target, self.log.sent_at);
+        }
+        let is_stream = request.route.kind.is_stream() && is_success && !start.marks.plain;
+        self.start = Some(start);
+        self.phase = if is_stream {
+            ReadPhase::Stream { reader, buffer: EventBuffer::default() }
+        } else if request.response_started() {
+            // Its head would be written between two chunks of the caller's response.
+            return Err(AttemptFailure::NoContinuation);
+        } else {
+            ReadPhase::Buffered { reader, body: BytesMut::new() }
+        };
+        Ok(())
+    }
+
+    /// Records what the head of the response says of the target.
+    fn record_marks(&self, marks: &ResponseMetadata) {
+        let Some(slot) = &self.slot else { return };
+        limits::record_named(&self.shared, slot, marks, self.log.sent_at);
+        backpressure::record(&self.shared, slot, marks);
+        if let Some(busy) = marks.load {
+            let now = Instant::now();
+            self.shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
+        }
+    }
+
+    /// Ends the attempt with the target's statement that it did not run the request.
+    fn reject(&mut self, start: ResponseStart, reader: BodyReader) -> AttemptFailure {
+        if start.marks.wrong_target {
+            return AttemptFailure::OtherTarget;
+        }
+        if let Some(connection) = self.connection.take()
+            && start.is_reusable()
+        {
+            let keep_alive = start.marks.keep_alive;
+            rejection::drain(&self.shared, &self.target, connection, reader, keep_alive);
+        }
+        AttemptFailure::Full
+    }
+
+    async fn discard_stray(&mut self) -> Result<(), AttemptFailure> {
+        let Some(connection) = self.connection.as_mut() else {
+            return Err(AttemptFailure::Broken);
+        };
+        let ReadPhase::Stray { strays, reader, bytes } = &mut self.phase else { return Ok(()) };
+        match reader.next(connection).await {
+            Ok(Some(data)) => {
+                *bytes += data.len();
+                if *bytes > MAX_STRAY_BODY_BYTES { Err(AttemptFailure::Broken) } else { Ok(()) }
+            }
+            Ok(None) => {
+                self.phase = ReadPhase::Head { strays: *strays };
+                Ok(())
+            }
+            Err(_) => Err(AttemptFailure::Broken),
+        }
+    }
+
+    async fn read_stream(
+        &mut self,
+        request: &RequestState,
+    ) -> Result<AttemptOutput, AttemptFailure> {
+        let Some(connection) = self.connection.as_mut() else {
+            return Err(AttemptFailure::Broken);
+        };
+        let ReadPhase::Stream { reader, buffer } = &mut self.phase else {
+            return Err(AttemptFailure::Broken);
+        };
+        let chunk = match reader.next(connection).await {
+            Ok(Some(chunk)) => chunk,
+            Ok(None) => return self.end_stream(request),
+            Err(error) => return Err(self.broken(request, BreakReason::from(&error))),
+        };
+        let events = buffer.push(&chunk);
+        if buffer.exceeds_limit() {
+            return Err(self.broken(request, BreakReason::TooLarge));
+        }
+        let now = Instant::now();
+        self.record_bytes(now + STREAM_SILENCE);
+        if events.is_some() {
+            self.evidence.events_since.get_or_insert(now);
+        }
+        quarantine::record_progress(&self.shared, request, &mut self.evidence);
+        Ok(events.map_or(AttemptOutput::Progress, AttemptOutput::Events))
+    }
+
+    fn end_stream(&mut self, request: &RequestState) -> Result<AttemptOutput, AttemptFailure> {
+        let ReadPhase::Stream { buffer, .. } = &self.phase else {
+            return Err(AttemptFailure::Broken);
+        };
+        let content = BodyContent::Events {
+            has_events: request.response_started() || request.terms.resumes,
+            inside_event: buffer.is_inside_event(),
+        };
+        let comments = Bytes::copy_from_slice(buffer.remainder());
+        self.end_body(request, content, AttemptOutput::StreamEnd(comments))
+    }
+
+    async fn read_buffered(
+        &mut self,
+        request: &RequestState,
+    ) -> Result<AttemptOutput, AttemptFailure> {
+        let Some(connection) = self.connection.as_mut() else {
+            return Err(AttemptFailure::Broken);
+        };
+        let ReadPhase::Buffered { reader, body } = &mut self.phase else {
+            return Err(AttemptFailure::Broken);
+        };
+        let data = match reader.next(connection).await {
+            Ok(data) => data,
+            Err(error) => return Err(self.broken(request, BreakReason::from(&error))),
+        };
+        body.extend_from_slice(data.as_deref().unwrap_or_default());
+        if body.len() > MAX_BUFFERED_RESPONSE_BYTES {
+            return Err(self.broken(request, BreakReason::TooLarge));
+        }
+        if data.is_none() || reader.is_done() {
+            let whole = AttemptOutput::Whole(std::mem::take(body).freeze());
+            return self.end_body(request, BodyContent::Plain, whole);
+        }
+        let limits = request.limits(self.shared.options.stream_idle_timeout);
+        self.record_bytes(limits.attempt_deadline(Instant::now()));
+        Ok(AttemptOutput::Progress)
+    }
+
+    /// Decides whether a body that was read without an error is whole.
+    fn end_body(
+        &mut self,
+        request: &RequestState,
+        content: BodyContent,
+        whole: AttemptOutput,
+    ) -> Result<AttemptOutput, AttemptFailure> {
+        let framing = self.start.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
+        let end = BodyEnd::of(framing);
+        if end == BodyEnd::Closed {
+            self.shared.metrics.responses_closed.inc();
+            tracing::info!(
+                request_id = %request.terms.id,
+                target_id = %self.target,
+                ?content,
+                events_passed = request.events_passed(),
+                "response ended with its connection"
+            );
+        }
+        match body_end::meaning(end, content) {
+            EndMeaning::Whole => Ok(whole),
+            EndMeaning::Broken(reason) => Err(self.broken(request, reason)),
+            EndMeaning::WholeIfAlive => {
+                self.phase = self.check_end(whole);
+                Ok(AttemptOutput::Progress)
+            }
+        }
+    }
+
+    fn check_end(&self, whole: AttemptOutput) -> ReadPhase {
+        let (shared, target, address) = (self.shared.clone(), self.target.clone(), self.address);
+        let ended = async move { quarantine::has_ended(&shared, &target, address).await };
+        ReadPhase::EndCheck { ended: Box::pin(ended), whole: Some(whole) }
+    }
+
+    /// Logs and counts a response that broke off.
+    fn broken(&self, request: &RequestState, reason: BreakReason) -> AttemptFailure {
+        self.shared.metrics.responses_broken.with_label_values(&[reason.slug()]).inc();
+        let framing = self.start.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
+        tracing::info!(
+            request_id = %request.terms.id,
+            target_id = %self.target,
+            reason = reason.slug(),
+            framing = framing_slug(framing),
+            events_passed = request.events_passed(),
+            "response broke off"
+        );
+        AttemptFailure::Broken
+    }
+
+    /// Records bytes of the response; its silence begins at `silent_at` now.
+    fn record_bytes(&mut self, silent_at: Instant) {
+        self.silent_at = silent_at;
+        if std::mem::replace(&mut self.is_silent, false) {
+            self.shared.metrics.silences.with_label_values(&["went-on"]).inc();
+        }
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,8 +3,8 @@
 use crate::{
     dialect::{CallerDialect, RequestMetadata},
     dispatch::DispatchState,
-    error_response::ErrorKind,
     limits::LimitOutbox,
+    metrics::GatewayMetrics,
     options::GatewayOptions,
     pool::ConnectionPool,
     quarantine::QuarantineState,
@@ -15,7 +15,6 @@
     CallerLimits, ConfigHolder, EntryRecord, EntryRoster, RetryDetector, RouteRecord, RouteTable,
 };
 use indexmap::IndexMap;
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -27,199 +26,6 @@
     time::Instant,
 };
 
-/// Metrics of an entry.
-pub(crate) struct GatewayMetrics {
-    pub(crate) errors: IndexMap<&'static str, IntCounter>,
-    pub(crate) retries: IndexMap<&'static str, IntCounter>,
-    pub(crate) requests: IntCounter,
-    pub(crate) responses_forwarded: IntCounter,
-    pub(crate) streams_resumed: IntCounter,
-    pub(crate) responses_broken: IntCounterVec,
-    pub(crate) responses_closed: IntCounter,
-    pub(crate) callers_disconnected: IntCounter,
-    pub(crate) requests_unanswered: IntCounterVec,
-    pub(crate) connections_discarding: IntCounter,
-    pub(crate) attempts_refused: IntCounterVec,
-    pub(crate) silences: IntCounterVec,
-    pub(crate) connections_opened: IntCounter,
-    pub(crate) config_version: IntGauge,
-    pub(crate) config_unusable: IntCounter,
-    pub(crate) targets_ended: IntCounter,
-    pub(crate) targets_limited: IntGauge,
-    pub(crate) limits_invalid: IntCounter,
-    pub(crate) rests_requested: IntCounter,
-    pub(crate) rests_invalid: IntCounter,
-    pub(crate) rests_rejected: IntCounter,
-    pub(crate) requests_withheld: IntCounterVec,
-    pub(crate) targets_leaving: IntCounter,
-    pub(crate) limited_requests: IntCounter,
-    pub(crate) limits_rejected: IntCounter,
-    pub(crate) end_checks: IntCounter,
-    pub(crate) suspects_found: IntCounter,
-    pub(crate) suspects_rejected: IntCounter,
-    pub(crate) suspects_cleared: IntCounter,
-    pub(crate) suspect_parts: IntCounterVec,
-    pub(crate) quarantined_requests: IntCounterVec,
-    pub(crate) careful_runs: IntCounter,
-    pub(crate) first_byte_seconds: Histogram,
-    pub(crate) wait_seconds: Histogram,
-}
-
-/// Reasons for retrying a request, each with its own counter.
-const RETRY_REASONS: [&str; 6] =
-    ["unreachable", "target-full", "other-target", "broken-answer", "no-continuation", "no-answer"];
-
-impl GatewayMetrics {
-    fn new(metrics: &DaemonMetrics) -> Self {
-        let error = |kind: ErrorKind| {
-            let name = format!("egretseam_gateway_refused_{}_total", kind.slug().replace('-', "_"));
-            (kind.slug(), metrics.counter(&name, "Requests refused or failed for this reason."))
-        };
-        let retry = |reason: &'static str| {
-            let name = format!("egretseam_gateway_retried_{}_total", reason.replace('-', "_"));
-            (reason, metrics.counter(&name, "Requests sent again for this reason."))
-        };
-        Self {
-            errors: ErrorKind::ALL.into_iter().map(error).collect(),
-            retries: RETRY_REASONS.into_iter().map(retry).collect(),
-            requests: metrics.counter("egretseam_gateway_requests_total", "Requests read."),
-            responses_forwarded: metrics
-                .counter("egretseam_gateway_answered_total", "Answers passed on."),
-            streams_resumed: metrics
-                .counter("egretseam_gateway_resumed_total", "Streams that went on elsewhere."),
-            responses_broken: metrics.counter_by(
-                "egretseam_gateway_responses_broken_total",
-                "Responses of targets that broke off.",
-                "reason",
-            ),
-            responses_closed: metrics.counter(
-                "egretseam_gateway_responses_closed_total",
-                "Responses of targets that ended with their connection, without a length or chunks.",
-            ),
-            callers_disconnected: metrics
-                .counter("egretseam_gateway_callers_left_total", "Callers that left unanswered."),
-            requests_unanswered: metrics.counter_by(
-                "egretseam_gateway_unanswered_total",
-                "Requests read whole that got neither a complete answer nor a rejection.",
-                "reason",
-            ),
-            connections_discarding: metrics.counter(
-                "egretseam_gateway_connections_discarding_total",
-                "Connections closed after a response with bytes of a further request unserved.",
-            ),
-            attempts_refused: metrics.counter_by(
-                "egretseam_gateway_attempts_refused_total",
-                "Further attempts that were not allowed.",
-                "reason",
-            ),
-            silences: metrics.counter_by(
-                "egretseam_gateway_silences_total",
-                "Silences of targets for which another one was searched for, by which delivered first.",
-                "outcome",
-            ),
-            connections_opened: metrics
-                .counter("egretseam_gateway_connections_total", "Connections opened to targets."),
-            config_version: metrics.gauge(
-                "egretseam_gateway_config_version",
-                "Version of the configuration in force.",
-            ),
-            config_unusable: metrics.counter(
-                "egretseam_gateway_config_unusable_total",
-                "Configurations that could not be restored from what this entry holds.",
-            ),
-            targets_ended: metrics.counter(
-                "egretseam_gateway_targets_ended_total",
-                "Targets whose process ended with requests of this entry.",
-            ),
-            targets_limited: metrics.gauge(
-                "egretseam_gateway_targets_limited",
-                "Targets that name a limit of requests.",
-            ),
-            limits_invalid: metrics.counter(
-                "egretseam_gateway_limits_invalid_total",
-                "Responses with a limit that cannot be read.",
-            ),
-            rests_requested: metrics.counter(
-                "egretseam_gateway_rests_requested_total",
-                "Rejections with a time for which their target wants no request.",
-            ),
-            rests_invalid: metrics.counter(
-                "egretseam_gateway_rests_invalid_total",
-                "Rejections with such a time that cannot be read.",
-            ),
-            rests_rejected: metrics.counter(
-                "egretseam_gateway_rests_rejected_total",
-                "Requests rejected because all targets have asked for rest.",
-            ),
-            requests_withheld: metrics.counter_by(
-                "egretseam_gateway_requests_withheld_total",
-                "Requests not sent to the target that they were placed at, by what it had asked for since.",
-                "reason",
-            ),
-            targets_leaving: metrics.counter(
-                "egretseam_gateway_targets_leaving_total",
-                "Targets that have said in a response that they leave.",
-            ),
-            limited_requests: metrics.counter(
-                "egretseam_gateway_limited_requests_total",
-                "Requests sent to targets that name a limit.",
-            ),
-            limits_rejected: metrics.counter(
-                "egretseam_gateway_limits_rejected_total",
-                "Requests rejected because the limits of all targets left no room in time.",
-            ),
-            end_checks: metrics.counter(
-                "egretseam_gateway_end_checks_total",
-                "Connections opened to find out whether a target's process has ended.",
-            ),
-            suspects_found: metrics.counter(
-                "egretseam_gateway_suspects_found_total",
-                "Requests under which several targets ended.",
-            ),
-            suspects_rejected: metrics.counter(
-                "egretseam_gateway_suspects_rejected_total",
-                "Requests that end the targets that run them, rejected from then on.",
-            ),
-            suspects_cleared: metrics.counter(
-                "egretseam_gateway_suspects_cleared_total",
-                "Such requests that were served whole later.",
-            ),
-            suspect_parts: metrics.counter_by(
-                "egretseam_gateway_suspect_parts_total",
-                "Parts of prompts under which several targets ended, by what was decided.",
-                "status",
-            ),
-            quarantined_requests: metrics.counter_by(
-                "egretseam_gateway_quarantined_requests_total",
-                "Requests rejected because targets ended under a feature, by its kind.",
-                "feature",
-            ),
-            careful_runs: metrics.counter(
-                "egretseam_gateway_careful_runs_total",
-                "Runs of such requests, one at a time and apart from each other.",
-            ),
-            first_byte_seconds: metrics
-                .seconds("egretseam_gateway_first_byte_seconds", "Time to an answer's first byte."),
-            wait_seconds: metrics.seconds(
-                "egretseam_gateway_wait_seconds",
-                "Time that requests waited for a place.",
-            ),
-        }
-    }
-
-    pub(crate) fn count_error(&self, kind: ErrorKind) {
-        if let Some(counter) = self.errors.get(kind.slug()) {
-            counter.inc();
-        }
-    }
-
-    pub(crate) fn count_retry(&self, reason: &str) {
-        if let Some(counter) = self.retries.get(reason) {
-            counter.inc();
-        }
-    }
-}
-
 /// Phase of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopPhase {
