--- a/crates/gateway/src/attempts/ending.rs
+++ b/crates/gateway/src/attempts/ending.rs
@@ -27,7 +27,7 @@
         self.may_have_run |= failure.may_have_run();
     }
 
-    /// Ends the request at its deadline.
+    /// Ends the request at its deadline, or when its caller may leave.
     pub(super) fn expire(&mut self) -> AttemptsEnd {
         self.search = None;
         let ids: Vec<AttemptId> = self.running.keys().copied().collect();
