Claims of runs that never begin are released

Cause: a request that is run with care claims its features at all entries. If no target ran it, for want of attempts or budget, or because the target had ended, the claim held for 1.5 s all the same, and so did those of the requests that had lost against it. Class: a lease that its holder does not give back.

Change: a claim by which no target may have run the request is released as soon as its holder gives up; a release may arrive before its claim. What a target may have run holds on as before. Control passes releases on like claims. The number of claims that are kept holds for a hundred entries.

The model's requests that have a claim and whose target is down end, as they do here.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,7 @@
     pub(crate) suspect_parts: IntCounterVec,
     pub(crate) quarantined_requests: IntCounterVec,
     pub(crate) careful_runs: IntCounter,
+    pub(crate) claims_released: IntCounter,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) wait_seconds: Histogram,
 }
@@ -176,6 +177,10 @@
                 "egretseam_gateway_careful_runs_total",
                 "Runs of such requests, one at a time and apart from each other.",
             ),
+            claims_released: metrics.counter(
+                "egretseam_gateway_claims_released_total",
+                "Claims of such runs that were released because no target ran the request.",
+            ),
             first_byte_seconds: metrics
                 .seconds("egretseam_gateway_first_byte_seconds", "Time to an answer's first byte."),
             wait_seconds: metrics.seconds(
--- a/crates/gateway/src/quarantine/permit.rs
+++ b/crates/gateway/src/quarantine/permit.rs
@@ -22,6 +22,8 @@
     features: Vec<FeatureDigest>,
     needs_claim: bool,
     claim: Cell<Option<RunClaim>>,
+    /// Whether a target has been sent the request and has not rejected it.
+    is_sent: Cell<bool>,
 }
 
 impl CarefulRun {
@@ -75,6 +77,20 @@
         self.has_turn()
     }
 
+    /// Gives up a claim by which no target may have run the request.
+    ///
+    /// Guards against claims of runs that never begin, one after the other: each keeps the requests
+    /// with its features waiting at all entries until it expires, and few are served meanwhile.
+    fn release_unused(&self) {
+        let Some(claim) = self.claim.get().filter(|_| !self.is_sent.get()) else { return };
+        self.shared.metrics.claims_released.inc();
+        tracing::debug!(features = ?self.features, "claim released: no target ran the request");
+        for feature in &self.features {
+            let fate = RequestFate::Released(claim);
+            super::record_fate(&self.shared, *feature, fate, Instant::now());
+        }
+    }
+
     /// Whether the run may begin by the claim made for it, which may have named a target that did
     /// not run the request.
     fn has_turn(&self) -> bool {
@@ -86,6 +102,7 @@
 
 impl Drop for CarefulRun {
     fn drop(&mut self) {
+        self.release_unused();
         let quarantine = &self.shared.quarantine;
         let mut runs = quarantine.careful_runs.borrow_mut();
         for feature in &self.features {
@@ -129,6 +146,13 @@
         if run.claim(request, target).await { RunTurn::Isolated } else { RunTurn::Lost }
     }
 
+    /// Records whether a target has been sent the request and has not rejected it.
+    pub(crate) fn set_sent(&self, is_sent: bool) {
+        if let Self::Careful(run) = self {
+            run.is_sent.set(is_sent);
+        }
+    }
+
     /// Whether the request is still treated as when this was given.
     pub(crate) fn is_valid(&self, shared: &GatewayShared, request: &RequestState) -> bool {
         match shared.quarantine.treatment(request) {
@@ -205,8 +229,13 @@
     }
     runs.extend(features.iter().map(|feature| (*feature, None)));
     shared.metrics.careful_runs.inc();
-    let shared = shared.clone();
-    Some(CarefulRun { shared, features, needs_claim, claim: Cell::new(None) })
+    Some(CarefulRun {
+        shared: shared.clone(),
+        features,
+        needs_claim,
+        claim: Cell::new(None),
+        is_sent: Cell::new(false),
+    })
 }
 
 fn log_rejected(shared: &GatewayShared, request: &RequestState, feature: &FeatureDigest) {
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -128,6 +128,7 @@
         log: AttemptLog,
     ) -> Self {
         let PermittedSlot { slot, permit, isolated } = placed;
+        permit.set_sent(true);
         Self {
             shared: shared.clone(),
             target: slot.target.clone(),
@@ -253,7 +254,9 @@
             quarantine::record_broken(&self.shared, &self.target, self.address, attempt);
             return None;
         }
-        (!failure.may_have_run()).then_some(permit)
+        let may_have_run = failure.may_have_run();
+        permit.set_sent(may_have_run);
+        (!may_have_run).then_some(permit)
     }
 
     /// Cancels the attempt because another one delivers.
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -42,6 +42,8 @@
     /// A target answered it whole; of a part of its prompt also: it has gone on answering for longer
     /// than a part that ends targets lets it.
     Served,
+    /// The entry that made the claim has not run it by that, and will not.
+    Released(RunClaim),
 }
 
 /// An entry's claim to be the only one that runs a request, and to have the only suspect at a
--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -25,7 +25,7 @@
 /// has to know which requests are rejected.
 const REPEATED_RETENTION: Duration = Duration::from_secs(4 * 3_600);
 const MIN_REPEATED_RECORDS: usize = 3;
-/// How long a claim is kept: longer than it holds.
+/// How long a claim and its release are kept: longer than a claim holds.
 const CLAIM_RETENTION: Duration = Duration::from_secs(5);
 /// Time between two clears of a feature without an end in between.
 const MIN_CLEAR_INTERVAL: Duration = Duration::from_secs(1);
@@ -38,6 +38,7 @@
     Ended(FeatureDigest, ProcessDigest, bool),
     Served(FeatureDigest),
     Claimed(FeatureDigest, u64),
+    Released(FeatureDigest, u64),
 }
 
 impl RecordKey {
@@ -48,6 +49,7 @@
             }
             RequestFate::Served => Self::Served(record.feature),
             RequestFate::Claimed(claim) => Self::Claimed(record.feature, claim.number),
+            RequestFate::Released(claim) => Self::Released(record.feature, claim.number),
         }
     }
 }
@@ -200,7 +202,8 @@
             .filter(|(_, row)| {
                 let count = self.counts.get(&row.record.feature).copied().unwrap_or_default();
                 let is_repeated = count >= MIN_REPEATED_RECORDS;
-                let is_claim = matches!(row.record.fate, RequestFate::Claimed(_));
+                let is_claim =
+                    matches!(row.record.fate, RequestFate::Claimed(_) | RequestFate::Released(_));
                 if is_claim && now.saturating_duration_since(row.at) > CLAIM_RETENTION {
                     return true;
                 }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -155,8 +155,15 @@
         if now.saturating_duration_since(at) > SUSPICION_TIME {
             return;
         }
-        if let RequestFate::Claimed(claim) = record.fate {
-            return self.apply_claim(ClaimRow { feature: record.feature, claim, at }, now);
+        let feature = record.feature;
+        match record.fate {
+            RequestFate::Claimed(claim) => {
+                return self.apply_claim(ClaimRow { feature, claim, at, released: false }, now);
+            }
+            RequestFate::Released(claim) => {
+                return self.apply_claim(ClaimRow { feature, claim, at, released: true }, now);
+            }
+            RequestFate::ProcessEnded { .. } | RequestFate::Served => {}
         }
         self.assess_at = Some(now);
         self.make_room(&record.feature);
@@ -169,7 +176,7 @@
                 row.cleared_at = row.cleared_at.max(Some(at));
                 row.ends.retain(|_, end| end.at > at);
             }
-            RequestFate::Claimed(_) => {}
+            RequestFate::Claimed(_) | RequestFate::Released(_) => {}
         }
     }
 
--- a/crates/quarantine/src/table/claims.rs
+++ b/crates/quarantine/src/table/claims.rs
@@ -18,8 +18,9 @@
 const CLAIM_HOLD: Duration = Duration::from_millis(1_500);
 /// Bits of a claim's number that are random.
 const RANDOM_BITS: u32 = 48;
-/// Most claims that are kept.
-const MAX_CLAIMS: usize = 256;
+/// Most claims that are kept: those that a hundred entries make, of two features each, while a claim
+/// holds.
+const MAX_CLAIMS: usize = 1_024;
 
 /// A claim, and when it was made.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +28,8 @@
     pub(super) feature: FeatureDigest,
     pub(super) claim: RunClaim,
     pub(super) at: Instant,
+    /// Whether the run will not begin, so that the claim keeps nobody from another one.
+    pub(super) released: bool,
 }
 
 impl CrashTable {
@@ -48,9 +51,13 @@
 
     pub(super) fn apply_claim(&mut self, row: ClaimRow, now: Instant) {
         self.claims.retain(|held| now.saturating_duration_since(held.at) < CLAIM_HOLD);
-        let is_same =
-            |held: &ClaimRow| held.claim.number == row.claim.number && held.feature == row.feature;
-        if !self.claims.iter().any(is_same) && self.claims.len() < MAX_CLAIMS {
+        let is_same = |held: &&mut ClaimRow| {
+            held.claim.number == row.claim.number && held.feature == row.feature
+        };
+        // A release may arrive before its claim.
+        if let Some(held) = self.claims.iter_mut().find(is_same) {
+            held.released |= row.released;
+        } else if self.claims.len() < MAX_CLAIMS {
             self.claims.push(row);
         }
     }
@@ -62,7 +69,7 @@
             let is_settled = suspect.is_none_or(|suspect| {
                 suspect.last_end_at().max(suspect.cleared_at).is_some_and(|at| at >= row.at)
             });
-            !is_settled && now.saturating_duration_since(row.at) < CLAIM_HOLD
+            !is_settled && !row.released && now.saturating_duration_since(row.at) < CLAIM_HOLD
         })
     }
 
--- a/tests/all/fleet/crashing/engine.rs
+++ b/tests/all/fleet/crashing/engine.rs
@@ -51,6 +51,9 @@
     lethal_ends: RefCell<Vec<(CrashCause, Instant)>>,
     /// Whether [`CRASHING_PARTS`] end no process yet.
     parts_are_sound: Cell<bool>,
+    /// Whether targets reject all requests without running them.
+    rejects_all: Cell<bool>,
+    rejections: RefCell<Vec<Instant>>,
     incarnations: Cell<u64>,
     /// Ends the processes that run now.
     ends: RefCell<Vec<Rc<watch::Sender<bool>>>>,
@@ -77,6 +80,16 @@
         self.parts_are_sound.set(sound);
     }
 
+    /// Sets whether targets reject all requests without running them.
+    pub(super) fn set_rejecting(&self, rejects: bool) {
+        self.rejects_all.set(rejects);
+    }
+
+    /// When targets rejected a request without running it.
+    pub(super) fn rejections(&self) -> Vec<Instant> {
+        self.rejections.borrow().clone()
+    }
+
     fn cause_of(&self, head: &RequestHead, body: &[u8]) -> Option<CrashCause> {
         if body == CRASHING_BODY.as_bytes() {
             return Some(CrashCause::Body);
@@ -164,6 +177,9 @@
         while let Ok(Some(head)) = connection.read_request(64 * 1024).await {
             let reader = BodyReader::new(head.framing);
             let Ok(body) = connection.read_body(reader, 1 << 20).await else { return };
+            if self.rejects_all.get() {
+                self.rejections.borrow_mut().push(Instant::now());
+            }
             if !stand_in::is_addressed_to(&head, &id) {
                 let mut rejection = stand_in::misdirected_response();
                 rejection.text("X-Instance-Id", &id);
@@ -173,6 +189,13 @@
                 }
                 continue;
             }
+            if self.rejects_all.get() {
+                let rejection = stand_in::rest_rejection(stand_in::request_id(&head), 0.0);
+                if connection.write(&rejection.finish_with(b"")).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let cause = self.cause_of(&head, &body);
             let mut moment = CrashMoment::AfterEvent;
             if let Some(cause) = cause {
--- a/tests/all/fleet/crashing/parts.rs
+++ b/tests/all/fleet/crashing/parts.rs
@@ -25,6 +25,10 @@
 const SOUND_PACE: Duration = Duration::from_millis(33);
 /// Sound requests below which a share of them says nothing.
 const MIN_COUNTED_CALLS: usize = 20;
+/// Time for which a claim keeps other requests waiting while nothing is heard of its run.
+const CLAIM_HOLD: Duration = Duration::from_millis(1_500);
+/// Callers of sound requests, each at [`SOUND_PACE`], of which some are at each target that ends.
+const SOUND_CALLERS: usize = 3;
 /// Part that all requests share.
 const COMMON_PART: &str = "5a";
 /// Delay after which a caller repeats a request that failed, once.
@@ -219,3 +223,28 @@
         check(&engine, part, &calls);
     }
 }
+
+/// Guards against claims of runs that never begin, each of which keeps all requests with its features
+/// waiting until it expires.
+#[actix_rt::test]
+async fn a_claim_of_a_run_that_never_began_holds_up_no_other_request() {
+    let (bed, engine) = start_bed().await;
+    let faults = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        engine.set_rejecting(true);
+        engine.kill_all();
+        bed.wait_until(|| !engine.rejections().is_empty()).await;
+        tokio::time::sleep(CLAIM_HOLD * 2).await;
+    };
+    let callers = join_all((0..SOUND_CALLERS).map(|_| call_sound(&bed)));
+    tokio::select! {
+        () = faults => {}
+        _ = callers => panic!("the callers end before the faults"),
+    }
+    let mut rejections = engine.rejections();
+    rejections.push(Instant::now());
+    let pauses = rejections.windows(2).map(|pair| pair[1] - pair[0]);
+    let longest = pauses.max().expect("a rejection");
+    println!("{} rejections, longest pause {longest:?}", rejections.len() - 1);
+    assert!(longest < CLAIM_HOLD, "no request was tried for {longest:?}");
+}
--- a/tests/all/quarantine/simulation.rs
+++ b/tests/all/quarantine/simulation.rs
@@ -502,14 +502,30 @@
             let treatment = table.treatment(&features, now);
             let is_up = self.targets[target].1 == incarnation;
             let is_careful = matches!(treatment, RequestTreatment::Careful { .. });
-            if is_careful && is_up && table.has_turn(&careful, &claim, now) {
+            let has_turn = is_careful && table.has_turn(&careful, &claim, now);
+            if has_turn && is_up {
                 self.begin_run(pending, target, Some(true));
+                continue;
+            }
+            for feature in careful {
+                self.report(pending.entry, feature, RequestFate::Released(claim));
+            }
+            if has_turn {
+                self.end_without_run(pending);
             } else {
                 self.pending.push(pending);
             }
         }
     }
 
+    /// Ends a request whose targets did not run it; its caller may come back.
+    fn end_without_run(&mut self, pending: Pending) {
+        if pending.caller_attempt == 1 {
+            let due = self.now + self.rng.random_range(20..400);
+            self.arrive(pending.request, 2, due);
+        }
+    }
+
     fn careful_features(&mut self, entry: usize, request: u64) -> Vec<FeatureDigest> {
         let (features, now) = (self.features(request), self.instant(self.now));
         self.tables[entry].careful_features(&features, now)
