A part that all requests share is not rejected for two rarer ones

Cause: until something is answered, the part that all requests share has the ends of both bad parts. With two or three ends under claimed runs, one of either, it was the strongest suspect and none of the others was at all of these ends, so it alone was found guilty. Class: the union of two causes taken for one cause.

The new unit test fails without the change.

--- a/crates/quarantine/src/table/part_assessment.rs
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -28,6 +28,10 @@
 const CERTAIN_WEIGHT: f64 = 4.5;
 /// Ends under claimed runs that show it of one of several parts that come together.
 const MIN_SHARED_ENDS: usize = 3;
+/// Rarer parts that together may have ended all processes under claimed runs of a common one.
+const MAX_JOINT_CAUSES: usize = 2;
+/// Ends under claimed runs of a common part from which others together do not explain them.
+const MAX_JOINT_ENDS: usize = 5;
 /// Most parts that are suspected at a time. Further ones are at mass ends, which no part explains.
 const MAX_SUSPECT_PARTS: usize = 32;
 
@@ -38,6 +42,8 @@
     weight: f64,
     /// How often the part occurs in requests that are answered.
     share: f64,
+    /// Whether most answered requests have the part, as far as is known.
+    is_common: bool,
 }
 
 impl PartCandidate {
@@ -91,7 +97,8 @@
         }
         let share = self.part_shares.share(part).min(1.0);
         let weight = weight_of(ends.values(), share);
-        let candidate = PartCandidate { part: *part, ends, weight, share };
+        let is_common = self.part_shares.is_common(part);
+        let candidate = PartCandidate { part: *part, ends, weight, share, is_common };
         (weight >= CAREFUL_WEIGHT).then_some(candidate)
     }
 
@@ -119,7 +126,7 @@
             let earlier = order[..index].iter().any(|(other, _)| is_rival(&other.part))
                 || self.repeated_contents().any(is_rival);
             let mut later = order[index + 1..].iter().filter(|(other, _)| is_rival(&other.part));
-            let needed = if earlier {
+            let needed = if earlier || (suspect.is_common && self.has_joint_causes(&open)) {
                 usize::MAX
             } else if later.any(|(other, _)| !suspect.comes_with(other)) {
                 MIN_SHARED_ENDS
@@ -141,6 +148,30 @@
         }
     }
 
+    /// Whether a few other parts, none of which was at all of the processes, were there together.
+    ///
+    /// Guards against the rejection of a part that all requests share, in place of two others which
+    /// end targets: until something is answered, it has the ends of both.
+    fn has_joint_causes(&self, processes: &[&ProcessDigest]) -> bool {
+        if processes.len() >= MAX_JOINT_ENDS {
+            return false;
+        }
+        let count = |part: &FeatureDigest, among: &[&ProcessDigest]| {
+            among.iter().filter(|process| self.was_at(part, process)).count()
+        };
+        let rows = processes.iter().filter_map(|process| self.processes.get(*process));
+        let parts = rows.flat_map(|row| &row.suspects).filter(|feature| feature.is_part());
+        let rarer = parts.filter(|part| count(part, processes) < processes.len());
+        let rarer: IndexSet<&FeatureDigest> = rarer.collect();
+        let mut rest: Vec<&ProcessDigest> = processes.to_vec();
+        for _ in 0..MAX_JOINT_CAUSES {
+            let strongest = rarer.iter().max_by_key(|part| count(part, &rest));
+            let Some(strongest) = strongest else { return false };
+            rest.retain(|process| !self.was_at(strongest, process));
+        }
+        rest.is_empty()
+    }
+
     /// Processes that ended under claimed runs, of whatever features.
     fn claimed_ends(&self) -> IndexSet<ProcessDigest> {
         let ends = self.suspects.values().flat_map(|row| &row.ends);
--- a/crates/quarantine/src/table/part_shares.rs
+++ b/crates/quarantine/src/table/part_shares.rs
@@ -10,6 +10,10 @@
 const DECAY_REQUESTS: f64 = 48.0;
 /// Answered requests without the part that are assumed before any is counted.
 const PRIOR_REQUESTS: f64 = 4.0;
+/// Share of the answered requests from which a part is common.
+const COMMON_SHARE: f64 = 0.5;
+/// Answered requests below which no share is known.
+const MIN_ANSWERED: u64 = 8;
 /// Most parts that are counted.
 const MAX_PARTS: usize = 2_048;
 
@@ -64,4 +68,8 @@
         let total = (1.0 - decay.powf(self.answered as f64)) / (1.0 - decay);
         row.count_at(self.answered) / (total + PRIOR_REQUESTS)
     }
+    /// Whether most answered requests have the part, or too few were answered to tell.
+    pub(super) fn is_common(&self, part: &FeatureDigest) -> bool {
+        self.answered < MIN_ANSWERED || self.share(part) >= COMMON_SHARE
+    }
 }
