Of the requests that wait at an entry the least suspect runs first

But which of an entry's own requests claims was decided by their wait. Those that end targets had waited longest at all three entries, so five claimed runs in a row were of bad requests (785, 1042, 1303 and 1560 are their ranks, a sound one has less), and the part that all share was found guilty by five ends. Class: a choice among all that is made among the first of each queue.

Change: a request with a lower rank that waits at the same entry, may run now and shares a suspect feature goes first. Claimed runs under which processes ended count for the rank before all other ends, so that after one bad run a request without its rare part is next.

The model's requests wait in the same order.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,6 +4,7 @@
 mod ended_targets;
 mod outbox;
 mod permit;
+mod waiting;
 
 pub(crate) use self::{
     ended_targets::{BrokenAttempt, await_check, has_ended, record_broken},
@@ -11,7 +12,7 @@
     permit::{RunPermit, RunTurn, await_permit},
 };
 
-use self::ended_targets::EndedTargets;
+use self::{ended_targets::EndedTargets, waiting::WaitingRuns};
 use crate::{request::RequestState, shared::GatewayShared};
 use egretseam_quarantine::{
     CrashTable, EvidenceRecord, FeatureDigest, ProcessDigest, RequestFate, RequestTreatment,
@@ -32,6 +33,7 @@
     /// Suspect features of the requests that run with care here, and the targets of these once they
     /// are chosen.
     careful_runs: RefCell<IndexMap<FeatureDigest, Option<TargetId>>>,
+    waiting_runs: WaitingRuns,
     ended_targets: RefCell<EndedTargets>,
     pub(crate) outbox: EvidenceOutbox,
     /// Wakes requests that wait until they may run with care.
@@ -43,6 +45,7 @@
         Self {
             table: RefCell::new(CrashTable::new(rand::random())),
             careful_runs: RefCell::default(),
+            waiting_runs: WaitingRuns::default(),
             ended_targets: RefCell::default(),
             outbox: EvidenceOutbox::default(),
             changed: Notify::new(),
--- a/crates/gateway/src/quarantine/permit.rs
+++ b/crates/gateway/src/quarantine/permit.rs
@@ -1,6 +1,6 @@
 //! Whether a request may be sent to a target now.
 
-use super::process_of;
+use super::{process_of, waiting::WaitingRun};
 use crate::{
     error_response::{ErrorKind, ErrorResponse},
     request::RequestState,
@@ -172,6 +172,7 @@
     shared: &Rc<GatewayShared>,
     request: &RequestState,
 ) -> Result<RunPermit, ErrorResponse> {
+    let mut waiting = None;
     loop {
         let changed = shared.quarantine.changed.notified();
         let retry_at = match shared.quarantine.treatment(request) {
@@ -189,7 +190,8 @@
             RequestTreatment::Careful { not_before, needs_claim }
                 if not_before <= Instant::now() =>
             {
-                if let Some(run) = begin_careful_run(shared, request, needs_claim) {
+                let is_next = !shared.quarantine.has_waiting_before(request);
+                if is_next && let Some(run) = begin_careful_run(shared, request, needs_claim) {
                     return Ok(RunPermit::Careful(run));
                 }
                 latest_start(request, needs_claim)
@@ -198,6 +200,7 @@
                 not_before.min(latest_start(request, needs_claim))
             }
         };
+        waiting.get_or_insert_with(|| WaitingRun::new(shared, request));
         tokio::select! {
             () = changed => {}
             () = tokio::time::sleep_until(retry_at) => {}
--- /dev/null
+++ b/crates/gateway/src/quarantine/waiting.rs
@@ -0,0 +1,68 @@
+//! Requests of this entry that wait until they may run with care, and which of them goes first.
+
+use super::QuarantineState;
+use crate::{request::RequestState, shared::GatewayShared};
+use egretseam_quarantine::{FeatureDigest, RequestTreatment};
+use indexmap::IndexMap;
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+use tokio::time::Instant;
+
+/// Features of the requests that wait, by a number of each.
+#[derive(Default)]
+pub(super) struct WaitingRuns {
+    rows: RefCell<IndexMap<u64, Vec<FeatureDigest>>>,
+    last_number: Cell<u64>,
+}
+
+/// A request that waits, until dropped.
+pub(super) struct WaitingRun {
+    shared: Rc<GatewayShared>,
+    number: u64,
+}
+
+impl WaitingRun {
+    pub(super) fn new(shared: &Rc<GatewayShared>, request: &RequestState) -> Self {
+        let waiting = &shared.quarantine.waiting_runs;
+        let number = waiting.last_number.get() + 1;
+        waiting.last_number.set(number);
+        waiting.rows.borrow_mut().insert(number, request.features().to_vec());
+        Self { shared: shared.clone(), number }
+    }
+}
+
+impl Drop for WaitingRun {
+    fn drop(&mut self) {
+        let quarantine = &self.shared.quarantine;
+        quarantine.waiting_runs.rows.borrow_mut().swap_remove(&self.number);
+        quarantine.changed.notify_waiters();
+    }
+}
+
+impl QuarantineState {
+    /// Whether another request waits that has a suspect feature in common with this one, may run now,
+    /// and has a lower rank.
+    ///
+    /// Guards against requests that end their targets and, having waited longest, are run one after
+    /// the other before any of those that would clear the part which all share.
+    pub(super) fn has_waiting_before(&self, request: &RequestState) -> bool {
+        let suspects = self.careful_features(request);
+        let rank = self.table.borrow().rank(request.features());
+        let rows = self.waiting_runs.rows.borrow();
+        let mut rivals = rows
+            .values()
+            .filter(|features| suspects.iter().any(|suspect| features.contains(suspect)));
+        rivals.any(|features| self.table.borrow().rank(features) < rank && self.may_begin(features))
+    }
+
+    /// Whether a request with these features that waits may run with care now.
+    fn may_begin(&self, features: &[FeatureDigest]) -> bool {
+        let now = Instant::now();
+        let runs = self.careful_runs.borrow();
+        let treatment = self.table.borrow_mut().treatment(features, now);
+        matches!(treatment, RequestTreatment::Careful { not_before, .. } if not_before <= now)
+            && !features.iter().any(|feature| runs.contains_key(feature))
+    }
+}
--- a/crates/quarantine/src/table/claims.rs
+++ b/crates/quarantine/src/table/claims.rs
@@ -1,6 +1,6 @@
 //! Claims, by which one request with a suspect feature runs at a time, at a process without another.
 
-use super::CrashTable;
+use super::{CrashTable, ProcessEnd};
 use crate::{
     digest::FeatureDigest,
     evidence::{ProcessDigest, RunClaim},
@@ -33,22 +33,31 @@
 }
 
 impl CrashTable {
-    /// A claim of a request with these features at a process. `random` tells it from others.
-    ///
-    /// Of requests that are all suspect for a part which they share, one under whose other features
-    /// fewer processes ended goes first: if it is answered, the shared part is cleared.
+    /// A claim of a request with these features at a process. `random` tells it from others; of two
+    /// claims, the one of the request with the lower rank goes first.
     pub fn claim(
         &self,
         features: &[FeatureDigest],
         process: ProcessDigest,
         random: u64,
     ) -> RunClaim {
-        let rows = features.iter().filter_map(|feature| self.suspects.get(feature));
-        let ends = rows.map(|row| row.ends.len()).sum::<usize>().min(usize::from(u16::MAX));
-        let number = (ends as u64) << RANDOM_BITS | random >> (u64::BITS - RANDOM_BITS);
+        let rank = u64::from(self.rank(features));
+        let number = rank << RANDOM_BITS | random >> (u64::BITS - RANDOM_BITS);
         RunClaim { process, number }
     }
 
+    /// The rank of a request with these features among those that are to be run with care.
+    ///
+    /// Of requests that are all suspect for a part which they share, one under whose other features
+    /// fewer processes ended, by claimed runs first of all, goes first: if it is answered, the shared
+    /// part is cleared.
+    pub fn rank(&self, features: &[FeatureDigest]) -> u16 {
+        let rows = features.iter().filter_map(|feature| self.suspects.get(feature));
+        let ends: Vec<&ProcessEnd> = rows.flat_map(|row| row.ends.values()).collect();
+        let isolated = ends.iter().filter(|end| end.isolated).count();
+        u16::from_be_bytes([saturating_byte(isolated), saturating_byte(ends.len())])
+    }
+
     pub(super) fn apply_claim(&mut self, row: ClaimRow, now: Instant) {
         self.claims.retain(|held| now.saturating_duration_since(held.at) < CLAIM_HOLD);
         let is_same = |held: &&mut ClaimRow| {
@@ -114,3 +123,7 @@
         !self.holding_claims(now).filter(is_rival).any(is_before)
     }
 }
+
+fn saturating_byte(count: usize) -> u8 {
+    u8::try_from(count).unwrap_or(u8::MAX)
+}
--- a/tests/all/quarantine/simulation.rs
+++ b/tests/all/quarantine/simulation.rs
@@ -428,7 +428,11 @@
         let (now, has_parts) = (self.now, self.scenario.parts.is_some());
         self.pending.retain(|pending| !has_parts || pending.sent_at + PATIENCE_MILLIS > now);
         let due = self.pending.extract_if(.., |pending| pending.due <= self.now);
-        let due: Vec<Pending> = due.collect();
+        let mut due: Vec<Pending> = due.collect();
+        due.sort_by_key(|pending| {
+            let features = self.features(pending.request);
+            (pending.entry, self.tables[pending.entry].rank(&features))
+        });
         for pending in due {
             self.place(pending);
         }
