A part that all requests share is not rejected for one claimed run

Cause: the ends of the first kill, of 13 targets, weigh enough that one end under a claimed run shows that a part is guilty. The second kill met the claimed run of a sound request, when nothing else ran, so that no other end spoke for a common cause. Of a part that all requests share the ends of a kill say nothing.

Change: one claimed end is enough of rare parts only.

--- a/crates/quarantine/src/table/part_assessment.rs
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -24,7 +24,8 @@
 /// Ends under claimed runs, with no other suspect at all of them, that show that a part ends its
 /// processes.
 const MIN_ISOLATED_ENDS: usize = 2;
-/// Weight of ends with which one such end shows it.
+/// Weight of ends with which one such end shows it of a rare part. Many ends at once say nothing of
+/// one that all requests share.
 const CERTAIN_WEIGHT: f64 = 4.5;
 /// Ends under claimed runs that show it of one of several parts that come together.
 const MIN_SHARED_ENDS: usize = 3;
@@ -130,7 +131,7 @@
                 usize::MAX
             } else if later.any(|(other, _)| !suspect.comes_with(other)) {
                 MIN_SHARED_ENDS
-            } else if own_weight(suspect, suspects) >= CERTAIN_WEIGHT {
+            } else if !suspect.is_common && own_weight(suspect, suspects) >= CERTAIN_WEIGHT {
                 1
             } else {
                 MIN_ISOLATED_ENDS
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -223,6 +223,23 @@
     assert!(rejected(status(&mut table, rare)) && rejected(status(&mut table, other)));
 }
 
+/// Guards against the rejection of all requests after kills, the second of which meets the claimed run
+/// of a sound one.
+#[test]
+fn a_common_part_is_not_rejected_for_one_claimed_run_that_meets_a_kill() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut table = table_of(&[], now);
+    for _ in 0..40 {
+        table.count_answered(&[part(1)]);
+    }
+    for number in 1..=13 {
+        table.apply(&part_ended(1, number, false, 5_000), now);
+    }
+    table.apply(&part_ended(1, 20, true, 1_000), now);
+    let treatment = table.treatment(&[part(1)], now);
+    assert!(matches!(treatment, RequestTreatment::Careful { .. }), "{treatment:?}");
+}
+
 /// Guards against a common part that ends all targets and is excused by the parts beside it.
 #[test]
 fn a_common_part_is_rejected_if_all_that_have_it_end_their_targets() {
