What makes a part of prompts guilty stands in a function of its own

`set_statuses` decided, ordered and recorded in sixty lines. What a claimed run of a suspect has shown is now one type, and the decision takes the suspects before and after it and those that are guilty.

--- a/crates/quarantine/src/table/part_assessment.rs
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// A suspect part, and what its claimed runs showed.
+struct TestedPart<'a> {
+    suspect: &'a PartCandidate,
+    /// Processes that ended under claimed runs of it.
+    isolated: IndexSet<ProcessDigest>,
+    /// Weight of the ends at which no stronger suspect was.
+    own_weight: f64,
+}
+
 impl CrashTable {
     /// Decides for all parts what the evidence says. Returns the processes whose ends suspicious or
     /// guilty parts explain.
@@ -110,37 +119,20 @@
     /// guilty unless they go on coming together.
     fn set_statuses(&mut self, suspects: &[PartCandidate], now: Instant) {
         let claimed = self.claimed_ends();
-        let mut order: Vec<(&PartCandidate, IndexSet<ProcessDigest>)> = suspects
-            .iter()
-            .map(|suspect| (suspect, self.isolated_ends(suspect, &claimed, now)))
-            .collect();
-        order.sort_by_key(|(_, isolated)| std::cmp::Reverse(isolated.len()));
-        let mut guilty: Vec<&PartCandidate> = Vec::new();
-        for (index, (suspect, isolated)) in order.iter().enumerate() {
-            let is_open = |process: &&ProcessDigest| {
-                let mut guilty = guilty.iter();
-                !self.had_guilty(process) && !guilty.any(|other| self.was_at(&other.part, process))
-            };
-            let open: Vec<&ProcessDigest> = isolated.iter().filter(is_open).collect();
-            let is_rival =
-                |other: &FeatureDigest| open.iter().all(|process| self.was_at(other, process));
-            let earlier = order[..index].iter().any(|(other, _)| is_rival(&other.part))
-                || self.repeated_contents().any(is_rival);
-            let mut later = order[index + 1..].iter().filter(|(other, _)| is_rival(&other.part));
-            let needed = if earlier || (suspect.is_common && self.has_joint_causes(&open)) {
-                usize::MAX
-            } else if later.any(|(other, _)| !suspect.comes_with(other)) {
-                MIN_SHARED_ENDS
-            } else if !suspect.is_common && own_weight(suspect, suspects) >= CERTAIN_WEIGHT {
-                1
-            } else {
-                MIN_ISOLATED_ENDS
-            };
-            if open.len() >= needed {
-                guilty.push(suspect);
+        let tested = |suspect| TestedPart {
+            suspect,
+            isolated: self.isolated_ends(suspect, &claimed, now),
+            own_weight: own_weight(suspect, suspects),
+        };
+        let mut order: Vec<TestedPart<'_>> = suspects.iter().map(tested).collect();
+        order.sort_by_key(|tested| std::cmp::Reverse(tested.isolated.len()));
+        let mut guilty: IndexSet<FeatureDigest> = IndexSet::new();
+        for (index, tested) in order.iter().enumerate() {
+            let (earlier, later) = (&order[..index], &order[index + 1..]);
+            if self.is_guilty_part(tested, earlier, later, &guilty) {
+                guilty.insert(tested.suspect.part);
             }
         }
-        let guilty: IndexSet<FeatureDigest> = guilty.iter().map(|suspect| suspect.part).collect();
         for suspect in suspects {
             let Some(row) = self.suspects.get_mut(&suspect.part) else { continue };
             let is_guilty = guilty.contains(&suspect.part);
@@ -149,6 +141,40 @@
         }
     }
 
+    /// Whether a suspect is guilty, given the suspects that come before and after it and those of the
+    /// former that are guilty.
+    fn is_guilty_part(
+        &self,
+        tested: &TestedPart<'_>,
+        earlier: &[TestedPart<'_>],
+        later: &[TestedPart<'_>],
+        guilty: &IndexSet<FeatureDigest>,
+    ) -> bool {
+        let is_open = |process: &&ProcessDigest| {
+            !self.had_guilty(process) && !guilty.iter().any(|other| self.was_at(other, process))
+        };
+        let open: Vec<&ProcessDigest> = tested.isolated.iter().filter(is_open).collect();
+        let is_rival = |other: &FeatureDigest| open.iter().all(|end| self.was_at(other, end));
+        if earlier.iter().any(|other| is_rival(&other.suspect.part))
+            || self.repeated_contents().any(is_rival)
+        {
+            return false;
+        }
+        let suspect = tested.suspect;
+        if suspect.is_common && self.has_joint_causes(&open) {
+            return false;
+        }
+        let mut rivals = later.iter().filter(|other| is_rival(&other.suspect.part));
+        let needed = if rivals.any(|other| !suspect.comes_with(other.suspect)) {
+            MIN_SHARED_ENDS
+        } else if !suspect.is_common && tested.own_weight >= CERTAIN_WEIGHT {
+            1
+        } else {
+            MIN_ISOLATED_ENDS
+        };
+        open.len() >= needed
+    }
+
     /// Whether a few other parts, none of which was at all of the processes, were there together.
     ///
     /// Guards against the rejection of a part that all requests share, in place of two others which
