Claims and releases neither fill the tables nor displace what ended

A released one makes room now. Claims go first now. - Whether two other parts explain the claimed ends of a common one was searched greedily and missed a pair beside a third part. All pairs are looked at. - A part that all requests of one of several services or kinds have was not common below half of an entry's answers, and could be rejected after a kill and one claimed run. A fifth is enough.

--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -39,6 +39,10 @@
     loop {
         let permit = match kept.take().filter(|permit| permit.is_valid(shared, request)) {
             Some(permit) => permit,
+            // The request is not repeated meanwhile, and it runs already.
+            None if need.is_beside && shared.quarantine.is_sent_once(request) => {
+                return Err(ErrorResponse::new(ErrorKind::Quarantined));
+            }
             None => quarantine::await_permit(shared, request).await?,
         };
         let slot = acquire_for(shared, request, need, &permit).await?;
--- a/crates/gateway/src/quarantine/permit.rs
+++ b/crates/gateway/src/quarantine/permit.rs
@@ -64,6 +64,7 @@
         if self.has_turn() {
             return true;
         }
+        self.release_unused();
         let claim = {
             let table = self.shared.quarantine.table.borrow();
             table.claim(request.features(), process_of(target), rand::random())
@@ -190,8 +191,7 @@
             RequestTreatment::Careful { not_before, needs_claim }
                 if not_before <= Instant::now() =>
             {
-                let is_next = !shared.quarantine.has_waiting_before(request);
-                if is_next && let Some(run) = begin_careful_run(shared, request, needs_claim) {
+                if let Some(run) = begin_careful_run(shared, request, needs_claim) {
                     return Ok(RunPermit::Careful(run));
                 }
                 latest_start(request, needs_claim)
@@ -225,11 +225,12 @@
     request: &RequestState,
     needs_claim: bool,
 ) -> Option<CarefulRun> {
-    let features = shared.quarantine.careful_features(request);
-    let mut runs = shared.quarantine.careful_runs.borrow_mut();
-    if features.iter().any(|feature| runs.contains_key(feature)) {
+    let quarantine = &shared.quarantine;
+    let features = quarantine.careful_features(request);
+    if quarantine.has_careful_run(&features) || quarantine.has_waiting_before(request, &features) {
         return None;
     }
+    let mut runs = quarantine.careful_runs.borrow_mut();
     runs.extend(features.iter().map(|feature| (*feature, None)));
     shared.metrics.careful_runs.inc();
     Some(CarefulRun {
--- a/crates/gateway/src/quarantine/waiting.rs
+++ b/crates/gateway/src/quarantine/waiting.rs
@@ -2,6 +2,7 @@
 
 use super::QuarantineState;
 use crate::{request::RequestState, shared::GatewayShared};
+use egretseam_proto::ServiceName;
 use egretseam_quarantine::{FeatureDigest, RequestTreatment};
 use indexmap::IndexMap;
 use std::{
@@ -10,10 +11,16 @@
 };
 use tokio::time::Instant;
 
-/// Features of the requests that wait, by a number of each.
+#[derive(Debug)]
+struct WaitingRow {
+    service: ServiceName,
+    features: Vec<FeatureDigest>,
+}
+
+/// Requests that wait, by a number of each.
 #[derive(Default)]
 pub(super) struct WaitingRuns {
-    rows: RefCell<IndexMap<u64, Vec<FeatureDigest>>>,
+    rows: RefCell<IndexMap<u64, WaitingRow>>,
     last_number: Cell<u64>,
 }
 
@@ -28,7 +35,9 @@
         let waiting = &shared.quarantine.waiting_runs;
         let number = waiting.last_number.get() + 1;
         waiting.last_number.set(number);
-        waiting.rows.borrow_mut().insert(number, request.features().to_vec());
+        let features = request.features().to_vec();
+        let row = WaitingRow { service: request.service.clone(), features };
+        waiting.rows.borrow_mut().insert(number, row);
         Self { shared: shared.clone(), number }
     }
 }
@@ -42,27 +51,40 @@
 }
 
 impl QuarantineState {
-    /// Whether another request waits that has a suspect feature in common with this one, may run now,
-    /// and has a lower rank.
+    /// Whether another request of the same service waits that has one of these suspect features, may
+    /// run now, and has a lower rank.
     ///
     /// Guards against requests that end their targets and, having waited longest, are run one after
     /// the other before any of those that would clear the part which all share.
-    pub(super) fn has_waiting_before(&self, request: &RequestState) -> bool {
-        let suspects = self.careful_features(request);
+    pub(super) fn has_waiting_before(
+        &self,
+        request: &RequestState,
+        suspects: &[FeatureDigest],
+    ) -> bool {
         let rank = self.table.borrow().rank(request.features());
         let rows = self.waiting_runs.rows.borrow();
-        let mut rivals = rows
-            .values()
-            .filter(|features| suspects.iter().any(|suspect| features.contains(suspect)));
-        rivals.any(|features| self.table.borrow().rank(features) < rank && self.may_begin(features))
+        let mut rivals = rows.values().filter(|row| {
+            row.service == request.service
+                && suspects.iter().any(|suspect| row.features.contains(suspect))
+        });
+        rivals.any(|rival| {
+            self.table.borrow().rank(&rival.features) < rank && self.may_begin(&rival.features)
+        })
     }
 
     /// Whether a request with these features that waits may run with care now.
     fn may_begin(&self, features: &[FeatureDigest]) -> bool {
+        if self.has_careful_run(features) {
+            return false;
+        }
         let now = Instant::now();
-        let runs = self.careful_runs.borrow();
         let treatment = self.table.borrow_mut().treatment(features, now);
         matches!(treatment, RequestTreatment::Careful { not_before, .. } if not_before <= now)
-            && !features.iter().any(|feature| runs.contains_key(feature))
+    }
+
+    /// Whether a request with one of these features runs with care at this entry.
+    pub(super) fn has_careful_run(&self, features: &[FeatureDigest]) -> bool {
+        let runs = self.careful_runs.borrow();
+        features.iter().any(|feature| runs.contains_key(feature))
     }
 }
--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -173,7 +173,11 @@
         let is_repeated = |row: &LogRow| {
             self.counts.get(&row.record.feature).is_some_and(|count| *count >= MIN_REPEATED_RECORDS)
         };
-        let oldest = self.rows.iter().find(|(_, row)| !is_repeated(row)).or(self.rows.first());
+        let is_claim =
+            |key: &RecordKey| matches!(key, RecordKey::Claimed(..) | RecordKey::Released(..));
+        let oldest = self.rows.iter().find(|(key, _)| is_claim(key));
+        let oldest = oldest.or_else(|| self.rows.iter().find(|(_, row)| !is_repeated(row)));
+        let oldest = oldest.or(self.rows.first());
         if let Some(key) = oldest.map(|(key, _)| *key) {
             self.remove(&key);
         }
--- a/crates/quarantine/src/table/claims.rs
+++ b/crates/quarantine/src/table/claims.rs
@@ -66,19 +66,29 @@
         // A release may arrive before its claim.
         if let Some(held) = self.claims.iter_mut().find(is_same) {
             held.released |= row.released;
-        } else if self.claims.len() < MAX_CLAIMS {
+            return;
+        }
+        if self.claims.len() >= MAX_CLAIMS
+            && let Some(released) = self.claims.iter().position(|held| held.released)
+        {
+            self.claims.remove(released);
+        }
+        if self.claims.len() < MAX_CLAIMS {
             self.claims.push(row);
         }
     }
 
     /// Claims that keep others from running the same feature or a suspect at the same process.
     fn holding_claims(&self, now: Instant) -> impl Iterator<Item = &ClaimRow> {
-        self.claims.iter().filter(move |row| {
+        let is_held = move |row: &&ClaimRow| {
+            !row.released && now.saturating_duration_since(row.at) < CLAIM_HOLD
+        };
+        self.claims.iter().filter(is_held).filter(move |row| {
             let suspect = self.suspects.get(&row.feature);
             let is_settled = suspect.is_none_or(|suspect| {
                 suspect.last_end_at().max(suspect.cleared_at).is_some_and(|at| at >= row.at)
             });
-            !is_settled && !row.released && now.saturating_duration_since(row.at) < CLAIM_HOLD
+            !is_settled
         })
     }
 
--- a/crates/quarantine/src/table/part_assessment.rs
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -29,8 +29,6 @@
 const CERTAIN_WEIGHT: f64 = 4.5;
 /// Ends under claimed runs that show it of one of several parts that come together.
 const MIN_SHARED_ENDS: usize = 3;
-/// Rarer parts that together may have ended all processes under claimed runs of a common one.
-const MAX_JOINT_CAUSES: usize = 2;
 /// Ends under claimed runs of a common part from which others together do not explain them.
 const MAX_JOINT_ENDS: usize = 5;
 /// Most parts that are suspected at a time. Further ones are at mass ends, which no part explains.
@@ -43,7 +41,7 @@
     weight: f64,
     /// How often the part occurs in requests that are answered.
     share: f64,
-    /// Whether most answered requests have the part, as far as is known.
+    /// Whether many answered requests have the part, as far as is known.
     is_common: bool,
 }
 
@@ -175,7 +173,7 @@
         open.len() >= needed
     }
 
-    /// Whether a few other parts, none of which was at all of the processes, were there together.
+    /// Whether two other parts, neither of which was at all of the processes, were there together.
     ///
     /// Guards against the rejection of a part that all requests share, in place of two others which
     /// end targets: until something is answered, it has the ends of both.
@@ -190,13 +188,11 @@
         let parts = rows.flat_map(|row| &row.suspects).filter(|feature| feature.is_part());
         let rarer = parts.filter(|part| count(part, processes) < processes.len());
         let rarer: IndexSet<&FeatureDigest> = rarer.collect();
-        let mut rest: Vec<&ProcessDigest> = processes.to_vec();
-        for _ in 0..MAX_JOINT_CAUSES {
-            let strongest = rarer.iter().max_by_key(|part| count(part, &rest));
-            let Some(strongest) = strongest else { return false };
-            rest.retain(|process| !self.was_at(strongest, process));
-        }
-        rest.is_empty()
+        rarer.iter().any(|one| {
+            let is_left = |process: &&&ProcessDigest| !self.was_at(one, process);
+            let rest: Vec<&ProcessDigest> = processes.iter().filter(is_left).copied().collect();
+            rarer.iter().any(|other| count(other, &rest) == rest.len())
+        })
     }
 
     /// Processes that ended under claimed runs, of whatever features.
--- a/crates/quarantine/src/table/part_shares.rs
+++ b/crates/quarantine/src/table/part_shares.rs
@@ -10,8 +10,9 @@
 const DECAY_REQUESTS: f64 = 48.0;
 /// Answered requests without the part that are assumed before any is counted.
 const PRIOR_REQUESTS: f64 = 4.0;
-/// Share of the answered requests from which a part is common.
-const COMMON_SHARE: f64 = 0.5;
+/// Share of the answered requests, of all services of an entry, from which a part is common: that of
+/// the part which all requests of one of several services or kinds have.
+const COMMON_SHARE: f64 = 0.2;
 /// Answered requests below which no share is known.
 const MIN_ANSWERED: u64 = 8;
 /// Most parts that are counted.
@@ -68,7 +69,7 @@
         let total = (1.0 - decay.powf(self.answered as f64)) / (1.0 - decay);
         row.count_at(self.answered) / (total + PRIOR_REQUESTS)
     }
-    /// Whether most answered requests have the part, or too few were answered to tell.
+    /// Whether many answered requests have the part, or too few were answered to tell.
     pub(super) fn is_common(&self, part: &FeatureDigest) -> bool {
         self.answered < MIN_ANSWERED || self.share(part) >= COMMON_SHARE
     }
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -1,5 +1,6 @@
 //! Which requests are rejected because they end the targets that run them.
 
+mod claims;
 mod parts;
 mod scenario;
 mod simulation;
@@ -180,27 +181,6 @@
     assert!(next - until > (until - now) * 3 / 2);
 }
 
-/// Guards against a claim that keeps all requests with its features waiting though its run will not
-/// begin, also if that is heard of before the claim.
-#[test]
-fn a_released_claim_keeps_no_request_waiting() {
-    let now = Instant::now() + Duration::from_secs(60);
-    let ends = [part_ended(1, 1, false, 3_000), part_ended(1, 2, false, 2_000)];
-    let claim = table_of(&ends, now).claim(&[part(1)], process(3), 7);
-    let record = |fate| EvidenceRecord { feature: part(1), fate, age_millis: 0 };
-    let claimed = record(RequestFate::Claimed(claim));
-    let released = record(RequestFate::Released(claim));
-    let may_run = |records: &[EvidenceRecord]| {
-        let mut table = table_of(&[&ends[..], records].concat(), now);
-        let treatment = table.treatment(&[part(1)], now);
-        matches!(treatment, RequestTreatment::Careful { not_before, .. } if not_before <= now)
-    };
-    assert!(may_run(&[]));
-    assert!(!may_run(&[claimed]));
-    assert!(may_run(&[claimed, released]));
-    assert!(may_run(&[released, claimed]));
-}
-
 /// Guards against evidence without a bound.
 #[test]
 fn a_thousand_suspects_do_not_displace_a_guilty_request() {
--- a/tests/all/quarantine/parts.rs
+++ b/tests/all/quarantine/parts.rs
@@ -61,3 +61,44 @@
     let treatment = table.treatment(&[part(1)], now);
     assert!(matches!(treatment, RequestTreatment::Rejected { .. }), "{treatment:?}");
 }
+
+/// Guards against the rejection of all requests of a service for the part that they share, where the
+/// entry serves another service too.
+#[test]
+fn a_part_that_one_of_two_services_shares_is_not_rejected_for_one_claimed_run_that_meets_a_kill() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut table = table_of(&[], now);
+    for _ in 0..40 {
+        table.count_answered(&[part(1)]);
+        table.count_answered(&[part(2)]);
+    }
+    for number in 1..=13 {
+        table.apply(&part_ended(1, number, false, 5_000), now);
+    }
+    table.apply(&part_ended(1, 20, true, 1_000), now);
+    let treatment = table.treatment(&[part(1)], now);
+    assert!(matches!(treatment, RequestTreatment::Careful { .. }), "{treatment:?}");
+}
+
+/// Guards against the rejection of all requests for the part that they share, where a third part was
+/// at as many ends as either of the two that end their targets.
+#[test]
+fn a_common_part_is_not_rejected_for_two_rare_ones_beside_a_third() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let (common, rare, other, third) = (1, 2, 3, 4);
+    let mut table = table_of(&[], now);
+    for _ in 0..40 {
+        table.count_answered(&[part(common)]);
+    }
+    let ends: [(u64, &[u64]); 4] =
+        [(1, &[rare]), (2, &[other]), (3, &[rare, third]), (4, &[other, third])];
+    for (number, with) in ends {
+        let age = 6_000 - 1_000 * number;
+        table.apply(&part_ended(common, number, true, age), now);
+        for part in with {
+            table.apply(&part_ended(*part, number, true, age), now);
+        }
+    }
+    let treatment = table.treatment(&[part(common)], now);
+    assert!(matches!(treatment, RequestTreatment::Careful { .. }), "{treatment:?}");
+}
