--- a/crates/quarantine/src/table/part_assessment.rs
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -41,7 +41,7 @@
     weight: f64,
     /// How often the part occurs in requests that are answered.
     share: f64,
-    /// Whether many answered requests have the part, as far as is known.
+    /// Whether many answered requests have the part.
     is_common: bool,
 }
 
