A stream whose target breaks off waits for another one

What callers saw: a stream is reset with time left. Its target is silent, the search for another one waits 0.6 s for a slot as one beside an attempt may, the target breaks off meanwhile, and the search ends without a slot. Also without a silence: a stream whose target breaks is cut at once if no slot comes free within 0.6 s or the retry budget is used up at that moment. Found by review.

Cause: a search that found no target ended a request of which no attempt runs, whatever time is left. Class: something that works is given up before it is certain that nothing else is possible.

--- a/tests/all/fleet/silence/costs.rs
+++ b/tests/all/fleet/silence/costs.rs
@@ -2,8 +2,8 @@
 
 use super::{
     super::bed::{
-        CallOutcome, FOREVER, OutcomeCounts, PausePlace, Script, ScriptedEnd, ScriptedFraming,
-        ScriptedPause, ScriptedResponse, count_outcomes, request, send_one,
+        CallOutcome, Caller, FOREVER, OutcomeCounts, PausePlace, Script, ScriptedEnd,
+        ScriptedFraming, ScriptedPause, ScriptedResponse, count_outcomes, request, send_one,
     },
     bed::{SilenceBed, print_counts},
 };
@@ -12,6 +12,19 @@
 
 const ID: &str = "r0";
 
+/// Callers that hold all slots of the only target with streams that pause, until dropped.
+async fn hold_slots(bed: &SilenceBed) -> Vec<Caller> {
+    const SLOTS: usize = 6;
+    let mut holders = Vec::new();
+    for number in 0..SLOTS {
+        let mut caller = bed.fleet.connect_caller().await;
+        caller.send(&request("/single/1", &format!("h{number}"), "", "hold")).await;
+        caller.first_event().await;
+        holders.push(caller);
+    }
+    holders
+}
+
 fn count(counts: &OutcomeCounts, outcome: CallOutcome) -> usize {
     counts.get(&outcome).copied().unwrap_or(0)
 }
@@ -84,7 +97,6 @@
 /// Guards against a request that waits for a dead target although another one has a slot again.
 #[actix_rt::test]
 async fn a_slot_that_comes_free_late_is_used() {
-    const SLOTS: usize = 6;
     /// Later than the time after which callers may leave.
     const FREE_AFTER: Duration = Duration::from_millis(2_600);
     let mut bed = SilenceBed::start(1).await;
@@ -92,13 +104,7 @@
         let length = if arrival.id == ID { Duration::ZERO } else { FOREVER };
         Script::Pause(ScriptedPause::new(PausePlace::AfterEvents(1), length))
     });
-    let mut holders = Vec::new();
-    for number in 0..SLOTS {
-        let mut caller = bed.fleet.connect_caller().await;
-        caller.send(&request("/single/1", &format!("h{number}"), "", "hold")).await;
-        caller.first_event().await;
-        holders.push(caller);
-    }
+    let holders = hold_slots(&bed).await;
     let dead = bed.fleet.start_target("i-dead").await;
     dead.always_pause(ScriptedPause::new(PausePlace::BeforeHead, FOREVER));
     let release = async {
@@ -109,6 +115,30 @@
     assert_eq!(outcome, CallOutcome::Whole);
 }
 
+/// Guards against a stream that is given up with time left: its silent target breaks off while the
+/// search for another one, which waits less beside an attempt, finds no slot.
+#[actix_rt::test]
+async fn a_stream_whose_silent_target_breaks_off_waits_for_a_slot() {
+    const BREAKS_AFTER: Duration = Duration::from_millis(1_700);
+    const FREE_AFTER: Duration = Duration::from_millis(3_200);
+    let mut bed = SilenceBed::start(1).await;
+    bed.targets[0].plan(|arrival| {
+        let length = if arrival.id == ID { Duration::ZERO } else { FOREVER };
+        Script::Pause(ScriptedPause::new(PausePlace::AfterEvents(1), length))
+    });
+    let holders = hold_slots(&bed).await;
+    let first = bed.fleet.start_target("i-first").await;
+    first.then(Script::HoldThenClose(1));
+    let faults = async {
+        tokio::time::sleep(BREAKS_AFTER).await;
+        first.release();
+        tokio::time::sleep(FREE_AFTER - BREAKS_AFTER).await;
+        drop(holders);
+    };
+    let ((), outcome) = tokio::join!(faults, send_one(&bed.fleet, "/stream/1", ID));
+    assert_eq!(outcome, CallOutcome::Whole);
+}
+
 /// Guards against dead targets that get request after request because the callers leave before the
 /// attempts end.
 #[actix_rt::test]
