Two parts of the fleet test fixture have files of their own

Change: the start of control and the calls of operators are in bed/control.rs, the listener that accepts nothing in bed/hanging.rs. They are moved as they were.

--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -1,6 +1,8 @@
 //! Test fixture: a fleet, scripted targets, and a caller that reads raw responses.
 
 mod caller;
+mod control;
+mod hanging;
 mod load;
 mod outcomes;
 mod pauses;
@@ -8,6 +10,8 @@
 
 pub(super) use self::{
     caller::{Caller, SeenAnswer, request},
+    control::call_control,
+    hanging::HangingListener,
     load::{Calls, call, call_all, entry_of},
     outcomes::{
         CallOutcome, OutcomeCounts, count_outcomes, lost, runs, send_one, send_paced, send_to,
@@ -17,6 +21,7 @@
     target::{EVENTS, Script, ScriptedEnd, ScriptedFraming, ScriptedResponse, ScriptedTarget},
 };
 
+use self::control::start_control;
 use bytes::Bytes;
 use egretseam_config::{FleetControl, FleetEntry, FleetSettings, PolicyOverrides};
 use egretseam_daemon::{FleetDialects, FleetRuntime};
@@ -24,7 +29,6 @@
 use egretseam_platform::{PlatformCallers, PlatformControl, PlatformEngine};
 use egretseam_proto::{InstanceName, ZoneName};
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     rc::Rc,
@@ -32,10 +36,7 @@
     time::Duration,
 };
 use tempfile::TempDir;
-use tokio::{
-    net::TcpStream,
-    task::{JoinHandle, LocalSet},
-};
+use tokio::{net::TcpStream, task::JoinHandle};
 
 /// Time limit of every wait, far above the time that any of them takes.
 pub(super) const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -347,15 +348,6 @@
     }
 }
 
-/// Starts control with a set of tasks of its own, which end, and close their sockets, when the
-/// handle is aborted.
-async fn start_control(settings: FleetSettings) -> (FleetRuntime, JoinHandle<()>) {
-    let tasks = LocalSet::new();
-    let start = async { FleetRuntime::start(settings, &dialects()).expect("control starts") };
-    let control = tasks.run_until(start).await;
-    (control, actix_rt::spawn(tasks))
-}
-
 async fn connect_caller(address: SocketAddr) -> Caller {
     let stream = TcpStream::connect(address).await;
     let options = ConnectionOptions::default();
@@ -363,60 +355,6 @@
     Caller { connection }
 }
 
-/// Calls control; retries after connection errors and status 503.
-pub(super) async fn call_control(
-    address: SocketAddr,
-    method: &str,
-    target: &str,
-    body: &[u8],
-) -> (u16, Bytes) {
-    let call = CallRequest {
-        method,
-        target,
-        content_type: "application/json",
-        body,
-        timeout: Duration::from_secs(5),
-        max_body: 1 << 20,
-    };
-    let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
-    loop {
-        let reply = exchange(address, &call).await;
-        match reply {
-            Ok(reply) if reply.status != 503 => return (reply.status, reply.body),
-            _ => assert!(tokio::time::Instant::now() < deadline, "no final response from {target}"),
-        }
-        tokio::time::sleep(POLL).await;
-    }
-}
-
-/// A listener that accepts nothing and whose queue is full, so that handshakes with it hang.
-pub(super) struct HangingListener {
-    pub(super) address: SocketAddr,
-    _sockets: Vec<Socket>,
-}
-
-impl HangingListener {
-    /// More connections than the queue takes.
-    const CONNECTIONS: usize = 4;
-
-    fn start(host: IpAddr) -> Self {
-        let open = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        let listener = open();
-        listener.bind(&SocketAddr::new(host, 0).into()).expect("a free port");
-        listener.listen(1).expect("listens");
-        let address = listener.local_addr().expect("bound").as_socket().expect("an address");
-        let mut sockets = vec![listener];
-        for _ in 0..Self::CONNECTIONS {
-            let socket = open();
-            socket.set_nonblocking(true).expect("the socket is usable");
-            // The handshake goes on, or hangs, after this returns.
-            socket.connect(&address.into()).ok();
-            sockets.push(socket);
-        }
-        Self { address, _sockets: sockets }
-    }
-}
-
 /// A configuration with a route of each kind to one service.
 pub(super) fn default_config(version: u64) -> Value {
     let route = |name: &str, kind: &str| {
