Listeners and settings of a further entry are written once

Cause: the fleet test fixture and the entry thread of the closing tests each wrote the listeners and settings of a further entry, and the fixture the listeners of the first one once more.

Change: `FleetBed::further_entry` returns address and settings; the listeners come from one function.

--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -79,6 +79,14 @@
     }
 }
 
+fn entry_listeners(host: IpAddr) -> FleetEntry {
+    FleetEntry {
+        caller_address: SocketAddr::new(host, 18_005),
+        health_address: SocketAddr::new(host, 18_002),
+        directory_address: SocketAddr::new(host, 18_009),
+    }
+}
+
 impl FleetBed {
     /// Starts control and an entry and applies the default configuration.
     pub(super) async fn start() -> Self {
@@ -122,11 +130,7 @@
         let entry_settings = FleetSettings {
             host: edge,
             control: None,
-            entry: Some(FleetEntry {
-                caller_address: at(edge, 18_005),
-                health_address: at(edge, 18_002),
-                directory_address: at(edge, 18_009),
-            }),
+            entry: Some(entry_listeners(edge)),
             ..settings
         };
         let entry =
@@ -211,13 +215,10 @@
         }
     }
 
-    async fn start_entry(&mut self, name: &str) {
+    /// Address for callers and settings of one more entry, on a host of its own.
+    pub(super) fn further_entry(&mut self, name: &str) -> (SocketAddr, FleetSettings) {
         let host = self.unused_host();
-        let listeners = FleetEntry {
-            caller_address: SocketAddr::new(host, 18_005),
-            health_address: SocketAddr::new(host, 18_002),
-            directory_address: SocketAddr::new(host, 18_009),
-        };
+        let listeners = entry_listeners(host);
         let address = listeners.caller_address;
         let settings = FleetSettings {
             instance: InstanceName::try_from(name).expect("a valid name"),
@@ -225,6 +226,11 @@
             entry: Some(listeners),
             ..self.settings.clone()
         };
+        (address, settings)
+    }
+
+    async fn start_entry(&mut self, name: &str) {
+        let (address, settings) = self.further_entry(name);
         let entry = FleetRuntime::start(settings, &dialects()).expect("the entry starts");
         let version = self.entry.config_version();
         self.wait_until(|| entry.config_version() >= version).await;
--- a/tests/all/fleet/closing/entry_thread.rs
+++ b/tests/all/fleet/closing/entry_thread.rs
@@ -4,9 +4,8 @@
     super::bed::{FleetBed, WAIT_TIMEOUT, dialects},
     callers::pause_up_to,
 };
-use egretseam_config::{FleetEntry, FleetSettings};
+use egretseam_config::FleetSettings;
 use egretseam_daemon::FleetRuntime;
-use egretseam_proto::InstanceName;
 use std::{
     net::SocketAddr,
     sync::{
@@ -31,19 +30,7 @@
     /// Starts an entry of `bed` that knows the target `target`. If it stalls, its thread is blocked
     /// now and then, as on a busy machine.
     pub(super) async fn start(bed: &mut FleetBed, target: &str, stalls: bool) -> Self {
-        let host = bed.unused_host();
-        let listeners = FleetEntry {
-            caller_address: SocketAddr::new(host, 18_005),
-            health_address: SocketAddr::new(host, 18_002),
-            directory_address: SocketAddr::new(host, 18_009),
-        };
-        let address = listeners.caller_address;
-        let settings = FleetSettings {
-            instance: InstanceName::try_from("entry-thread").expect("a valid name"),
-            host,
-            entry: Some(listeners),
-            ..bed.settings.clone()
-        };
+        let (address, settings) = bed.further_entry("entry-thread");
         let (version, stopping) = (Arc::<AtomicU64>::default(), Arc::<AtomicBool>::default());
         let started = Self {
             address,
