Bodies of both kinds are read by the same function

Cause: `read_stream` and `read_buffered` each took the connection and the reader and handled errors alike.

Change: `next_chunk` does that for both. What is done with the bytes, and with errors, is as before.

--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -161,21 +161,31 @@
         }
     }
 
+    /// Reads the next bytes of the body of the response; `None` once it is complete.
+    async fn next_chunk(
+        &mut self,
+        request: &RequestState,
+    ) -> Result<Option<Bytes>, AttemptFailure> {
+        let (ReadPhase::Stream { reader, .. } | ReadPhase::Buffered { reader, .. }) =
+            &mut self.phase
+        else {
+            return Err(AttemptFailure::Broken);
+        };
+        let connection = self.connection.as_mut().ok_or(AttemptFailure::Broken)?;
+        let chunk = reader.next(connection).await;
+        chunk.map_err(|error| self.broken(request, BreakReason::from(&error)))
+    }
+
     async fn read_stream(
         &mut self,
         request: &RequestState,
     ) -> Result<AttemptOutput, AttemptFailure> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Err(AttemptFailure::Broken);
+        let Some(chunk) = self.next_chunk(request).await? else {
+            return self.end_stream(request);
         };
-        let ReadPhase::Stream { reader, buffer } = &mut self.phase else {
+        let ReadPhase::Stream { buffer, .. } = &mut self.phase else {
             return Err(AttemptFailure::Broken);
         };
-        let chunk = match reader.next(connection).await {
-            Ok(Some(chunk)) => chunk,
-            Ok(None) => return self.end_stream(request),
-            Err(error) => return Err(self.broken(request, BreakReason::from(&error))),
-        };
         let events = buffer.push(&chunk);
         if buffer.exceeds_limit() {
             return Err(self.broken(request, BreakReason::TooLarge));
@@ -205,21 +215,15 @@
         &mut self,
         request: &RequestState,
     ) -> Result<AttemptOutput, AttemptFailure> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Err(AttemptFailure::Broken);
-        };
+        let chunk = self.next_chunk(request).await?;
         let ReadPhase::Buffered { reader, body } = &mut self.phase else {
             return Err(AttemptFailure::Broken);
         };
-        let data = match reader.next(connection).await {
-            Ok(data) => data,
-            Err(error) => return Err(self.broken(request, BreakReason::from(&error))),
-        };
-        body.extend_from_slice(data.as_deref().unwrap_or_default());
+        body.extend_from_slice(chunk.as_deref().unwrap_or_default());
         if body.len() > MAX_BUFFERED_RESPONSE_BYTES {
             return Err(self.broken(request, BreakReason::TooLarge));
         }
-        if data.is_none() || reader.is_done() {
+        if chunk.is_none() || reader.is_done() {
             let whole = AttemptOutput::Whole(std::mem::take(body).freeze());
             return self.end_body(request, BodyContent::Plain, whole);
         }
