Connections are returned to the pool in one place

Cause: the end of an attempt and the drain of a rejection each checked whether the target leaves before they returned a connection to the pool.

Change: `GatewayShared::keep_connection` checks that for both.

--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -4,7 +4,6 @@
 use egretseam_h1::{BodyReader, HttpConnection};
 use egretseam_serving::TargetId;
 use std::{rc::Rc, time::Duration};
-use tokio::time::Instant;
 
 /// Largest body of a rejection that is read and discarded so that its connection can be reused.
 const MAX_REJECTION_BODY_BYTES: usize = 16 * 1024;
@@ -25,10 +24,8 @@
     actix_rt::spawn(async move {
         let body = connection.read_body(reader, MAX_REJECTION_BODY_BYTES);
         let is_read = matches!(tokio::time::timeout(DRAIN_TIMEOUT, body).await, Ok(Ok(_)));
-        let is_leaving = shared.dispatch.borrow().targets.is_leaving(&target);
-        if is_read && !is_leaving {
-            let now = Instant::now();
-            shared.pool.borrow_mut().put(&target, connection, idle_timeout, now);
+        if is_read {
+            shared.keep_connection(&target, connection, idle_timeout);
         }
     });
 }
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -217,15 +217,11 @@
     /// Ends the attempt after its complete response: records `outcome` and returns its connection to
     /// the pool if it can carry another request.
     pub(crate) fn complete(mut self, outcome: AttemptOutcome) {
-        let is_leaving = self.shared.dispatch.borrow().targets.is_leaving(&self.target);
         let connection = self.connection.take();
         if let (Some(connection), Some(start)) = (connection, &self.start)
             && start.is_reusable()
-            && !is_leaving
         {
-            let idle_timeout = start.marks.keep_alive;
-            let pool = &mut self.shared.pool.borrow_mut();
-            pool.put(&self.target, connection, idle_timeout, Instant::now());
+            self.shared.keep_connection(&self.target, connection, start.marks.keep_alive);
         }
         self.finish(outcome);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,9 +10,11 @@
     quarantine::QuarantineState,
     retries::RetryBudgets,
 };
+use egretseam_h1::HttpConnection;
 use egretseam_http::DaemonMetrics;
 use egretseam_serving::{
     CallerLimits, ConfigHolder, EntryRecord, EntryRoster, RetryDetector, RouteRecord, RouteTable,
+    TargetId,
 };
 use indexmap::IndexMap;
 use std::{
@@ -126,6 +128,19 @@
         self.routes.borrow().clone()
     }
 
+    /// Keeps a connection whose last response has been read for further requests, unless its target
+    /// leaves. `idle_timeout` is the target's, if it states one.
+    pub(crate) fn keep_connection(
+        &self,
+        target: &TargetId,
+        connection: HttpConnection,
+        idle_timeout: Option<Duration>,
+    ) {
+        if !self.dispatch.borrow().targets.is_leaving(target) {
+            self.pool.borrow_mut().put(target, connection, idle_timeout, Instant::now());
+        }
+    }
+
     /// Version of the configuration in force; 0 for none.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.borrow().version()
