The begin of a response is split by what its body is

Change: the discard of a response to another request and the choice of how the body is read are functions of their own.

--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -80,12 +80,7 @@
         let framing = head.framing(&request.head.method);
         let reader = BodyReader::new(framing);
         if marks.request_id.as_deref().is_some_and(|id| id != request.terms.id) {
-            tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
-            if strays >= MAX_STRAY_RESPONSES {
-                return Err(AttemptFailure::Broken);
-            }
-            self.phase = ReadPhase::Stray { strays: strays + 1, reader, bytes: 0 };
-            return Ok(());
+            return self.begin_stray(request, reader, strays);
         }
         if let Some(timer) = self.timer.take() {
             timer.stop();
@@ -107,14 +102,22 @@
         }
         let is_stream = request.route.kind.is_stream() && is_success && !start.marks.plain;
         self.start = Some(start);
-        self.phase = if is_stream {
-            ReadPhase::Stream { reader, buffer: EventBuffer::default() }
-        } else if request.response_started() {
-            // Its head would be written between two chunks of the caller's response.
-            return Err(AttemptFailure::NoContinuation);
-        } else {
-            ReadPhase::Buffered { reader, body: BytesMut::new() }
-        };
+        self.phase = body_phase(request, reader, is_stream)?;
+        Ok(())
+    }
+
+    /// Begins to discard the response to another request.
+    fn begin_stray(
+        &mut self,
+        request: &RequestState,
+        reader: BodyReader,
+        strays: usize,
+    ) -> Result<(), AttemptFailure> {
+        tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
+        if strays >= MAX_STRAY_RESPONSES {
+            return Err(AttemptFailure::Broken);
+        }
+        self.phase = ReadPhase::Stray { strays: strays + 1, reader, bytes: 0 };
         Ok(())
     }
 
@@ -290,3 +293,19 @@
         }
     }
 }
+
+/// How the body of the response is read.
+fn body_phase(
+    request: &RequestState,
+    reader: BodyReader,
+    is_stream: bool,
+) -> Result<ReadPhase, AttemptFailure> {
+    if is_stream {
+        return Ok(ReadPhase::Stream { reader, buffer: EventBuffer::default() });
+    }
+    if request.response_started() {
+        // Its head would be written between two chunks of the caller's response.
+        return Err(AttemptFailure::NoContinuation);
+    }
+    Ok(ReadPhase::Buffered { reader, body: BytesMut::new() })
+}
