Names in the attempts of a request say what they hold

Cause: some names needed their comment or its callers to be understood: `marks` of type `ResponseMetadata`, `kept` for a permit that no target used, `broken` for a target that is to be checked, `log` for times that decide, `start` for both a response and the begin of a search, and `attempt` for a number.

Change: they are `metadata`, `unused_permit`, `unchecked_target`, `record` (`AttemptRecord`), `response`, `run_search` and `attempt_number`; the timer is `first_byte_timer`. Log fields and metrics keep their names.

--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -28,16 +28,16 @@
     pub(crate) is_beside: bool,
 }
 
-/// Waits until the request may be sent to a target and for a slot there. `kept` is the permit of an
-/// attempt that no target ran.
+/// Waits until the request may be sent to a target and for a slot there. `unused_permit` is that of
+/// an attempt that no target ran.
 pub(crate) async fn acquire_permitted_slot(
     shared: &Rc<GatewayShared>,
     request: &RequestState,
     need: &SlotNeed<'_>,
-    mut kept: Option<RunPermit>,
+    mut unused_permit: Option<RunPermit>,
 ) -> Result<PermittedSlot, ErrorResponse> {
     loop {
-        let permit = match kept.take().filter(|permit| permit.is_valid(shared, request)) {
+        let permit = match unused_permit.take().filter(|permit| permit.is_valid(shared, request)) {
             Some(permit) => permit,
             None => quarantine::await_permit(shared, request).await?,
         };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
     quarantine::RunPermit,
     request::RequestState,
     retries::{self, RetryPermit},
-    running_attempt::{AttemptLog, RunningAttempt},
+    running_attempt::{AttemptRecord, RunningAttempt},
     shared::GatewayShared,
 };
 use egretseam_h1::HttpConnection;
@@ -78,7 +78,7 @@
     /// Whether to open a new connection even if the pool has an idle one.
     pub(crate) new_connection: bool,
     /// Targets that the request was placed at, this one included.
-    pub(crate) attempt: usize,
+    pub(crate) attempt_number: usize,
     /// Whether another target may get the request after this one.
     pub(crate) may_follow: bool,
     /// What the retry budget granted for the attempt, if it needs that.
@@ -125,8 +125,8 @@
     let now = Instant::now();
     let message = encode_request(shared, request, &placed.slot);
     let (silent_at, cancel_at) = response_limits(shared, request, &target, options.may_follow);
-    let log = AttemptLog {
-        attempt: options.attempt,
+    let record = AttemptRecord {
+        attempt_number: options.attempt_number,
         reused: acquired.reused,
         connect_time: acquired.connect_time,
         bytes: message.len(),
@@ -134,7 +134,7 @@
         sent_at: now,
         link_delay: shared.dispatch.borrow().targets.link_delay(&target),
     };
-    let attempt = RunningAttempt::new(shared, placed, acquired.connection, message, log);
+    let attempt = RunningAttempt::new(shared, placed, acquired.connection, message, record);
     Ok(attempt.with_limits(silent_at, cancel_at))
 }
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -84,11 +84,11 @@
     /// Whether a target may have run the request.
     may_have_run: bool,
     last_failure: Option<AttemptFailure>,
-    /// The target at which an attempt broke since the last search.
-    broken: Option<TargetId>,
+    /// The target at which an attempt broke, until a search begins with the check whether it ended.
+    unchecked_target: Option<TargetId>,
     /// The permit of an attempt that no target ran. Without it, all entries would wait until the
     /// claim of a run that never began expires.
-    kept: Option<RunPermit>,
+    unused_permit: Option<RunPermit>,
     /// Why there was no further attempt so far.
     refusals: IndexSet<&'static str>,
 }
@@ -110,8 +110,8 @@
             unreachable: 0,
             may_have_run: false,
             last_failure: None,
-            broken: None,
-            kept: None,
+            unchecked_target: None,
+            unused_permit: None,
             refusals: IndexSet::new(),
         }
     }
--- a/crates/gateway/src/attempts/delivery.rs
+++ b/crates/gateway/src/attempts/delivery.rs
@@ -60,7 +60,7 @@
             return None;
         }
         self.deliver(id);
-        let start = self.running.get(&id).and_then(RunningAttempt::start)?;
+        let start = self.running.get(&id).and_then(RunningAttempt::response)?;
         let forwarded = relay::forward_whole(self.shared, caller, self.request, start, &body).await;
         Some(Ok(match forwarded {
             Ok(action) => self.complete(id, action),
@@ -69,7 +69,7 @@
     }
 
     fn status(&self, id: AttemptId) -> u16 {
-        let start = self.running.get(&id).and_then(RunningAttempt::start);
+        let start = self.running.get(&id).and_then(RunningAttempt::response);
         start.map_or(0, |start| start.head.status)
     }
 
@@ -93,7 +93,7 @@
             self.shared.metrics.streams_resumed.inc();
             return;
         }
-        let Some(start) = attempt.start() else { return };
+        let Some(start) = attempt.response() else { return };
         let first_byte = start.read_at.saturating_duration_since(self.request.received_at);
         let mut progress = self.request.progress.borrow_mut();
         progress.time_to_first_byte = first_byte;
@@ -117,7 +117,7 @@
         id: AttemptId,
         events: &Bytes,
     ) -> Result<(), CallerGone> {
-        let Some(start) = self.running.get(&id).and_then(RunningAttempt::start) else {
+        let Some(start) = self.running.get(&id).and_then(RunningAttempt::response) else {
             return Ok(());
         };
         relay::forward_events(self.shared, caller, self.request, start, events).await
@@ -132,7 +132,7 @@
         if !comments.is_empty() {
             self.forward_events(caller, id, comments).await?;
         }
-        let start = self.running.get(&id).and_then(RunningAttempt::start).ok_or(CallerGone)?;
+        let start = self.running.get(&id).and_then(RunningAttempt::response).ok_or(CallerGone)?;
         relay::finish_stream(self.shared, caller, self.request, start).await
     }
 
--- a/crates/gateway/src/attempts/ending.rs
+++ b/crates/gateway/src/attempts/ending.rs
@@ -16,9 +16,9 @@
         self.race.remove(id);
         log::failure(self.request, &attempt.target, self.tried.len(), failure);
         if failure == AttemptFailure::Broken {
-            self.broken = Some(attempt.target.clone());
+            self.unchecked_target = Some(attempt.target.clone());
         }
-        self.kept = attempt.fail(self.request, failure);
+        self.unused_permit = attempt.fail(self.request, failure);
         self.record_failure(failure);
     }
 
--- a/crates/gateway/src/attempts/search.rs
+++ b/crates/gateway/src/attempts/search.rs
@@ -31,7 +31,7 @@
 struct SearchOptions {
     /// Targets that the request was placed at before.
     tried: Vec<TargetId>,
-    kept: Option<RunPermit>,
+    unused_permit: Option<RunPermit>,
     retry: Option<RetryPermit>,
     /// Whether another target may get the request after this one.
     may_follow: bool,
@@ -43,10 +43,10 @@
     /// Starts the search for a target, if the request may have another one. Returns how the request
     /// ends if it may not, and no attempt runs.
     pub(super) fn begin_search(&mut self, now: Instant) -> Option<AttemptsEnd> {
-        if let Some(target) = self.broken.take() {
+        if let Some(target) = self.unchecked_target.take() {
             // The check may show that the request ends its targets, which forbids a further one.
             let (shared, request) = (self.shared, self.request);
-            self.start(async move {
+            self.run_search(async move {
                 quarantine::await_check(shared, request, &target).await;
                 SearchOutcome::Checked
             });
@@ -60,16 +60,16 @@
         let reached = self.race.reached() + 1;
         let options = SearchOptions {
             tried: self.tried.clone(),
-            kept: self.kept.take(),
+            unused_permit: self.unused_permit.take(),
             retry,
             may_follow: attempt::may_follow(self.shared, self.request, reached),
             is_beside: self.race.is_running(),
         };
-        self.start(search(self.shared, self.request, options));
+        self.run_search(search(self.shared, self.request, options));
         None
     }
 
-    fn start(&mut self, search: impl Future<Output = SearchOutcome> + 'a) {
+    fn run_search(&mut self, search: impl Future<Output = SearchOutcome> + 'a) {
         self.race.begin_search();
         self.search = Some(Box::pin(search));
     }
@@ -141,7 +141,7 @@
             SearchOutcome::Failed(FailedStart { target, failure, permit }) => {
                 self.tried.push(target);
                 self.unreachable += usize::from(failure == AttemptFailure::Unreachable);
-                self.kept = Some(permit);
+                self.unused_permit = Some(permit);
                 self.record_failure(failure);
                 self.race.restart_search();
                 None
@@ -171,10 +171,10 @@
     request: &RequestState,
     options: SearchOptions,
 ) -> SearchOutcome {
-    let SearchOptions { tried, kept, retry, may_follow, is_beside } = options;
+    let SearchOptions { tried, unused_permit, retry, may_follow, is_beside } = options;
     let wait_started_at = Instant::now();
     let need = SlotNeed { tried: &tried, is_beside };
-    let placed = acquire::acquire_permitted_slot(shared, request, &need, kept).await;
+    let placed = acquire::acquire_permitted_slot(shared, request, &need, unused_permit).await;
     if !is_beside {
         request.progress.borrow_mut().waited += wait_started_at.elapsed();
     }
@@ -188,7 +188,7 @@
     }
     let options = AttemptOptions {
         new_connection: needs_new_connection(request, &tried),
-        attempt: tried.len() + 1,
+        attempt_number: tried.len() + 1,
         may_follow,
         retry,
     };
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -7,11 +7,11 @@
 use tokio::time::Instant;
 
 /// Records what the head of a response says.
-pub(crate) fn record(shared: &GatewayShared, slot: &SlotGuard, marks: &ResponseMetadata) {
-    if !marks.is_of_target() {
+pub(crate) fn record(shared: &GatewayShared, slot: &SlotGuard, metadata: &ResponseMetadata) {
+    if !metadata.is_of_target() {
         return;
     }
-    match marks.rest {
+    match metadata.rest {
         RequestedRest::Absent => {}
         RequestedRest::Invalid => shared.metrics.rests_invalid.inc(),
         RequestedRest::For(rest) => {
@@ -22,7 +22,7 @@
             tracing::info!(target_id = %slot.target, rest_millis, "target asks for rest");
         }
     }
-    if marks.leaving {
+    if metadata.leaving {
         record_leaving(shared, slot);
     }
 }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -69,16 +69,16 @@
 pub(crate) fn record_named(
     shared: &GatewayShared,
     slot: &SlotGuard,
-    marks: &ResponseMetadata,
+    metadata: &ResponseMetadata,
     sent_at: Instant,
 ) {
     // Anything else may be another target's, or bytes that are no response.
-    if marks.wrong_target || !(marks.signed || marks.not_executed) {
+    if metadata.wrong_target || !(metadata.signed || metadata.not_executed) {
         return;
     }
-    let named = match marks.limit {
+    let named = match metadata.limit {
         // A rejection may come from a part of the target that does not know of the limit.
-        NamedLimit::Absent if !marks.signed => return,
+        NamedLimit::Absent if !metadata.signed => return,
         NamedLimit::Absent => None,
         NamedLimit::Rate(rate) => Some(rate),
         NamedLimit::Invalid => return shared.metrics.limits_invalid.inc(),
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -20,11 +20,11 @@
 use std::{net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
-/// How an attempt was opened and sent, for logs.
+/// How an attempt was opened and sent.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct AttemptLog {
+pub(crate) struct AttemptRecord {
     /// Targets that the request was placed at, this one included.
-    pub(crate) attempt: usize,
+    pub(crate) attempt_number: usize,
     /// Whether it was sent over an idle connection that was kept.
     pub(crate) reused: bool,
     pub(crate) connect_time: Duration,
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub(crate) struct ResponseStart {
     pub(crate) head: ResponseHead,
-    pub(crate) marks: ResponseMetadata,
+    pub(crate) metadata: ResponseMetadata,
     /// When the head was read.
     pub(crate) read_at: Instant,
     framing: BodyFraming,
@@ -99,10 +99,10 @@
     /// What remains to be sent.
     unsent: Bytes,
     phase: ReadPhase,
-    start: Option<ResponseStart>,
-    timer: Option<FirstByteTimer>,
+    response: Option<ResponseStart>,
+    first_byte_timer: Option<FirstByteTimer>,
     evidence: AttemptEvidence,
-    log: AttemptLog,
+    record: AttemptRecord,
     silent_at: Instant,
     /// Whether the silence that began then has been recorded.
     is_silent: bool,
@@ -125,7 +125,7 @@
         placed: PermittedSlot,
         connection: HttpConnection,
         message: Bytes,
-        log: AttemptLog,
+        record: AttemptRecord,
     ) -> Self {
         let PermittedSlot { slot, permit, isolated } = placed;
         permit.set_sent(true);
@@ -133,17 +133,17 @@
             shared: shared.clone(),
             target: slot.target.clone(),
             address: slot.address,
-            timer: Some(FirstByteTimer::start(shared, &slot.target, log.sent_at)),
+            first_byte_timer: Some(FirstByteTimer::start(shared, &slot.target, record.sent_at)),
             slot: Some(slot),
             permit,
             isolated,
             connection: Some(connection),
             unsent: message,
             phase: ReadPhase::Head { strays: 0 },
-            start: None,
+            response: None,
             evidence: AttemptEvidence::default(),
-            log,
-            silent_at: log.sent_at,
+            record,
+            silent_at: record.sent_at,
             is_silent: false,
             cancel_at: None,
             has_delivered: false,
@@ -158,7 +158,7 @@
     }
 
     pub(crate) fn sent_at(&self) -> Instant {
-        self.log.sent_at
+        self.record.sent_at
     }
 
     /// When its silence starts the search for another target.
@@ -179,19 +179,19 @@
         }
         self.is_silent = true;
         self.shared.metrics.silences.with_label_values(&["began"]).inc();
-        if let Some(timer) = self.timer.take() {
+        if let Some(timer) = self.first_byte_timer.take() {
             timer.stop();
         }
     }
 
     /// When it has to end unless a head has been read.
     pub(crate) fn cancel_at(&self) -> Option<Instant> {
-        self.cancel_at.filter(|_| self.start.is_none())
+        self.cancel_at.filter(|_| self.response.is_none())
     }
 
-    /// The start of the response, once its head has been read.
-    pub(crate) fn start(&self) -> Option<&ResponseStart> {
-        self.start.as_ref()
+    /// The response, once its head has been read.
+    pub(crate) fn response(&self) -> Option<&ResponseStart> {
+        self.response.as_ref()
     }
 
     /// What the attempt has shown of its request.
@@ -218,10 +218,10 @@
     /// the pool if it can carry another request.
     pub(crate) fn complete(mut self, outcome: AttemptOutcome) {
         let connection = self.connection.take();
-        if let (Some(connection), Some(start)) = (connection, &self.start)
+        if let (Some(connection), Some(start)) = (connection, &self.response)
             && start.is_reusable()
         {
-            self.shared.keep_connection(&self.target, connection, start.marks.keep_alive);
+            self.shared.keep_connection(&self.target, connection, start.metadata.keep_alive);
         }
         self.finish(outcome);
     }
@@ -233,7 +233,7 @@
         request: &RequestState,
         failure: AttemptFailure,
     ) -> Option<RunPermit> {
-        if let Some(timer) = self.timer.take() {
+        if let Some(timer) = self.first_byte_timer.take() {
             timer.stop();
         }
         if failure == AttemptFailure::OtherTarget {
@@ -245,7 +245,7 @@
         let permit = std::mem::replace(&mut self.permit, RunPermit::Normal);
         if failure == AttemptFailure::Broken {
             let features = request.suspect_features(self.evidence.parts_cleared).to_vec();
-            let (started_at, isolated) = (self.log.started_at, self.isolated);
+            let (started_at, isolated) = (self.record.started_at, self.isolated);
             let attempt = BrokenAttempt { features, started_at, isolated, permit };
             quarantine::record_broken(&self.shared, &self.target, self.address, attempt);
             return None;
@@ -260,9 +260,9 @@
         tracing::info!(
             request_id = %request.terms.id,
             target_id = %self.target,
-            attempt = self.log.attempt,
+            attempt = self.record.attempt_number,
             is_silent = self.is_silent,
-            sent_millis_ago = self.log.sent_at.elapsed().as_millis() as u64,
+            sent_millis_ago = self.record.sent_at.elapsed().as_millis() as u64,
             "attempt cancelled: another one delivers"
         );
         if self.is_silent {
@@ -273,7 +273,7 @@
 
     /// Cancels the attempt because the caller has disconnected.
     pub(crate) fn abandon(mut self, request: &RequestState) {
-        if self.start.is_none() {
+        if self.response.is_none() {
             self.log_caller_left(request);
         }
         self.finish_unanswered();
@@ -290,19 +290,19 @@
     /// request was sent, which it spent in flight or running at the target, how it was sent, and the
     /// delay of the target's link as known then and now.
     fn log_caller_left(&self, request: &RequestState) {
-        let log = &self.log;
+        let record = &self.record;
         let link_delay = self.shared.dispatch.borrow().targets.link_delay(&self.target);
         tracing::info!(
             request_id = %request.terms.id,
             target_id = %self.target,
-            attempt = log.attempt,
-            connection_reused = log.reused,
-            connect_millis = log.connect_time.as_millis() as u64,
-            bytes = log.bytes,
+            attempt = record.attempt_number,
+            connection_reused = record.reused,
+            connect_millis = record.connect_time.as_millis() as u64,
+            bytes = record.bytes,
             sent_after_millis =
-                log.sent_at.saturating_duration_since(request.received_at).as_millis() as u64,
-            awaited_millis = log.sent_at.elapsed().as_millis() as u64,
-            link_delay_when_sent_millis = log.link_delay.as_millis() as u64,
+                record.sent_at.saturating_duration_since(request.received_at).as_millis() as u64,
+            awaited_millis = record.sent_at.elapsed().as_millis() as u64,
+            link_delay_when_sent_millis = record.link_delay.as_millis() as u64,
             link_delay_millis = link_delay.as_millis() as u64,
             "caller disconnected before the target responded"
         );
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -76,32 +76,32 @@
         head: ResponseHead,
         strays: usize,
     ) -> Result<(), AttemptFailure> {
-        let marks = self.shared.dialect.read_response_metadata(&head);
+        let metadata = self.shared.dialect.read_response_metadata(&head);
         let framing = head.framing(&request.head.method);
         let reader = BodyReader::new(framing);
-        if marks.request_id.as_deref().is_some_and(|id| id != request.terms.id) {
+        if metadata.request_id.as_deref().is_some_and(|id| id != request.terms.id) {
             return self.begin_stray(request, reader, strays);
         }
-        if let Some(timer) = self.timer.take() {
+        if let Some(timer) = self.first_byte_timer.take() {
             timer.stop();
         }
-        let start = ResponseStart { head, marks, read_at: Instant::now(), framing };
-        self.record_marks(&start.marks);
-        if start.marks.not_executed {
+        let start = ResponseStart { head, metadata, read_at: Instant::now(), framing };
+        self.record_metadata(&start.metadata);
+        if start.metadata.not_executed {
             return Err(self.reject(start, reader));
         }
         // A success without the target's signature is not the target's response to this request; it
         // may be the remainder of a broken one. Forwarding it would give the caller a wrong response.
         let is_success = start.head.status < 300;
-        if is_success && !start.marks.signed {
+        if is_success && !start.metadata.signed {
             return Err(AttemptFailure::Broken);
         }
-        if start.marks.rest == RequestedRest::Absent {
+        if start.metadata.rest == RequestedRest::Absent {
             let targets = &mut self.shared.dispatch.borrow_mut().targets;
-            targets.record_accepted(&self.target, self.log.sent_at);
+            targets.record_accepted(&self.target, self.record.sent_at);
         }
-        let is_stream = request.route.kind.is_stream() && is_success && !start.marks.plain;
-        self.start = Some(start);
+        let is_stream = request.route.kind.is_stream() && is_success && !start.metadata.plain;
+        self.response = Some(start);
         self.phase = body_phase(request, reader, is_stream)?;
         Ok(())
     }
@@ -122,11 +122,11 @@
     }
 
     /// Records what the head of the response says of the target.
-    fn record_marks(&self, marks: &ResponseMetadata) {
+    fn record_metadata(&self, metadata: &ResponseMetadata) {
         let Some(slot) = &self.slot else { return };
-        limits::record_named(&self.shared, slot, marks, self.log.sent_at);
-        backpressure::record(&self.shared, slot, marks);
-        if let Some(busy) = marks.load {
+        limits::record_named(&self.shared, slot, metadata, self.record.sent_at);
+        backpressure::record(&self.shared, slot, metadata);
+        if let Some(busy) = metadata.load {
             let now = Instant::now();
             self.shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
         }
@@ -134,13 +134,13 @@
 
     /// Ends the attempt with the target's statement that it did not run the request.
     fn reject(&mut self, start: ResponseStart, reader: BodyReader) -> AttemptFailure {
-        if start.marks.wrong_target {
+        if start.metadata.wrong_target {
             return AttemptFailure::OtherTarget;
         }
         if let Some(connection) = self.connection.take()
             && start.is_reusable()
         {
-            let keep_alive = start.marks.keep_alive;
+            let keep_alive = start.metadata.keep_alive;
             rejection::drain(&self.shared, &self.target, connection, reader, keep_alive);
         }
         AttemptFailure::Full
@@ -242,7 +242,7 @@
         content: BodyContent,
         whole: AttemptOutput,
     ) -> Result<AttemptOutput, AttemptFailure> {
-        let framing = self.start.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
+        let framing = self.response.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
         let end = BodyEnd::of(framing);
         if end == BodyEnd::Closed {
             self.shared.metrics.responses_closed.inc();
@@ -273,7 +273,7 @@
     /// Logs and counts a response that broke off.
     fn broken(&self, request: &RequestState, reason: BreakReason) -> AttemptFailure {
         self.shared.metrics.responses_broken.with_label_values(&[reason.slug()]).inc();
-        let framing = self.start.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
+        let framing = self.response.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
         tracing::info!(
             request_id = %request.terms.id,
             target_id = %self.target,
