--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -76,54 +76,57 @@
         head: ResponseHead,
         strays: usize,
     ) -> Result<(), AttemptFailure> {
-        let marks = self.shared.dialect.read_response_metadata(&head);
+        let metadata = self.shared.dialect.read_response_metadata(&head);
         let framing = head.framing(&request.head.method);
         let reader = BodyReader::new(framing);
-        if marks.request_id.as_deref().is_some_and(|id| id != request.terms.id) {
-            tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
-            if strays >= MAX_STRAY_RESPONSES {
-                return Err(AttemptFailure::Broken);
-            }
-            self.phase = ReadPhase::Stray { strays: strays + 1, reader, bytes: 0 };
-            return Ok(());
+        if metadata.request_id.as_deref().is_some_and(|id| id != request.terms.id) {
+            return self.begin_stray(request, reader, strays);
         }
-        if let Some(timer) = self.timer.take() {
+        if let Some(timer) = self.first_byte_timer.take() {
             timer.stop();
         }
-        let start = ResponseStart { head, marks, read_at: Instant::now(), framing };
-        self.record_marks(&start.marks);
-        if start.marks.not_executed {
+        let start = ResponseStart { head, metadata, read_at: Instant::now(), framing };
+        self.record_metadata(&start.metadata);
+        if start.metadata.not_executed {
             return Err(self.reject(start, reader));
         }
         // A success without the target's signature is not the target's response to this request; it
         // may be the remainder of a broken one. Forwarding it would give the caller a wrong response.
         let is_success = start.head.status < 300;
-        if is_success && !start.marks.signed {
+        if is_success && !start.metadata.signed {
             return Err(AttemptFailure::Broken);
         }
-        if start.marks.rest == RequestedRest::Absent {
+        if start.metadata.rest == RequestedRest::Absent {
             let targets = &mut self.shared.dispatch.borrow_mut().targets;
-            targets.record_accepted(&self.target, self.log.sent_at);
+            targets.record_accepted(&self.target, self.record.sent_at);
         }
-        let is_stream = request.route.kind.is_stream() && is_success && !start.marks.plain;
-        self.start = Some(start);
-        self.phase = if is_stream {
-            ReadPhase::Stream { reader, buffer: EventBuffer::default() }
-        } else if request.response_started() {
-            // Its head would be written between two chunks of the caller's response.
-            return Err(AttemptFailure::NoContinuation);
-        } else {
-            ReadPhase::Buffered { reader, body: BytesMut::new() }
-        };
+        let is_stream = request.route.kind.is_stream() && is_success && !start.metadata.plain;
+        self.response = Some(start);
+        self.phase = body_phase(request, reader, is_stream)?;
+        Ok(())
+    }
+
+    /// Begins to discard the response to another request.
+    fn begin_stray(
+        &mut self,
+        request: &RequestState,
+        reader: BodyReader,
+        strays: usize,
+    ) -> Result<(), AttemptFailure> {
+        tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
+        if strays >= MAX_STRAY_RESPONSES {
+            return Err(AttemptFailure::Broken);
+        }
+        self.phase = ReadPhase::Stray { strays: strays + 1, reader, bytes: 0 };
         Ok(())
     }
 
     /// Records what the head of the response says of the target.
-    fn record_marks(&self, marks: &ResponseMetadata) {
+    fn record_metadata(&self, metadata: &ResponseMetadata) {
         let Some(slot) = &self.slot else { return };
-        limits::record_named(&self.shared, slot, marks, self.log.sent_at);
-        backpressure::record(&self.shared, slot, marks);
-        if let Some(busy) = marks.load {
+        limits::record_named(&self.shared, slot, metadata, self.record.sent_at);
+        backpressure::record(&self.shared, slot, metadata);
+        if let Some(busy) = metadata.load {
             let now = Instant::now();
             self.shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
         }
@@ -131,13 +134,13 @@
 
     /// Ends the attempt with the target's statement that it did not run the request.
     fn reject(&mut self, start: ResponseStart, reader: BodyReader) -> AttemptFailure {
-        if start.marks.wrong_target {
+        if start.metadata.wrong_target {
             return AttemptFailure::OtherTarget;
         }
         if let Some(connection) = self.connection.take()
             && start.is_reusable()
         {
-            let keep_alive = start.marks.keep_alive;
+            let keep_alive = start.metadata.keep_alive;
             rejection::drain(&self.shared, &self.target, connection, reader, keep_alive);
         }
         AttemptFailure::Full
@@ -161,21 +164,31 @@
         }
     }
 
+    /// Reads the next bytes of the body of the response; `None` once it is complete.
+    async fn next_chunk(
+        &mut self,
+        request: &RequestState,
+    ) -> Result<Option<Bytes>, AttemptFailure> {
+        let (ReadPhase::Stream { reader, .. } | ReadPhase::Buffered { reader, .. }) =
+            &mut self.phase
+        else {
+            return Err(AttemptFailure::Broken);
+        };
+        let connection = self.connection.as_mut().ok_or(AttemptFailure::Broken)?;
+        let chunk = reader.next(connection).await;
+        chunk.map_err(|error| self.broken(request, BreakReason::from(&error)))
+    }
+
     async fn read_stream(
         &mut self,
         request: &RequestState,
     ) -> Result<AttemptOutput, AttemptFailure> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Err(AttemptFailure::Broken);
+        let Some(chunk) = self.next_chunk(request).await? else {
+            return self.end_stream(request);
         };
-        let ReadPhase::Stream { reader, buffer } = &mut self.phase else {
+        let ReadPhase::Stream { buffer, .. } = &mut self.phase else {
             return Err(AttemptFailure::Broken);
         };
-        let chunk = match reader.next(connection).await {
-            Ok(Some(chunk)) => chunk,
-            Ok(None) => return self.end_stream(request),
-            Err(error) => return Err(self.broken(request, BreakReason::from(&error))),
-        };
         let events = buffer.push(&chunk);
         if buffer.exceeds_limit() {
             return Err(self.broken(request, BreakReason::TooLarge));
@@ -205,21 +218,15 @@
         &mut self,
         request: &RequestState,
     ) -> Result<AttemptOutput, AttemptFailure> {
-        let Some(connection) = self.connection.as_mut() else {
-            return Err(AttemptFailure::Broken);
-        };
+        let chunk = self.next_chunk(request).await?;
         let ReadPhase::Buffered { reader, body } = &mut self.phase else {
             return Err(AttemptFailure::Broken);
         };
-        let data = match reader.next(connection).await {
-            Ok(data) => data,
-            Err(error) => return Err(self.broken(request, BreakReason::from(&error))),
-        };
-        body.extend_from_slice(data.as_deref().unwrap_or_default());
+        body.extend_from_slice(chunk.as_deref().unwrap_or_default());
         if body.len() > MAX_BUFFERED_RESPONSE_BYTES {
             return Err(self.broken(request, BreakReason::TooLarge));
         }
-        if data.is_none() || reader.is_done() {
+        if chunk.is_none() || reader.is_done() {
             let whole = AttemptOutput::Whole(std::mem::take(body).freeze());
             return self.end_body(request, BodyContent::Plain, whole);
         }
@@ -235,7 +242,7 @@
         content: BodyContent,
         whole: AttemptOutput,
     ) -> Result<AttemptOutput, AttemptFailure> {
-        let framing = self.start.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
+        let framing = self.response.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
         let end = BodyEnd::of(framing);
         if end == BodyEnd::Closed {
             self.shared.metrics.responses_closed.inc();
@@ -266,7 +273,7 @@
     /// Logs and counts a response that broke off.
     fn broken(&self, request: &RequestState, reason: BreakReason) -> AttemptFailure {
         self.shared.metrics.responses_broken.with_label_values(&[reason.slug()]).inc();
-        let framing = self.start.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
+        let framing = self.response.as_ref().map_or(BodyFraming::Empty, |start| start.framing);
         tracing::info!(
             request_id = %request.terms.id,
             target_id = %self.target,
@@ -286,3 +293,19 @@
         }
     }
 }
+
+/// How the body of the response is read.
+fn body_phase(
+    request: &RequestState,
+    reader: BodyReader,
+    is_stream: bool,
+) -> Result<ReadPhase, AttemptFailure> {
+    if is_stream {
+        return Ok(ReadPhase::Stream { reader, buffer: EventBuffer::default() });
+    }
+    if request.response_started() {
+        // Its head would be written between two chunks of the caller's response.
+        return Err(AttemptFailure::NoContinuation);
+    }
+    Ok(ReadPhase::Buffered { reader, body: BytesMut::new() })
+}
