--- a/crates/gateway/src/attempts/search.rs
+++ b/crates/gateway/src/attempts/search.rs
@@ -91,10 +91,11 @@
     fn refuse_search(&mut self, reason: RefusalReason, now: Instant) -> Option<AttemptsEnd> {
         self.count_refused(reason.slug());
         let is_passing = reason == RefusalReason::Budget;
-        if !self.race.is_running() && !(is_passing && self.request.response_started()) {
+        let may_wait = is_passing && self.request.response_started();
+        if !self.race.is_running() && !may_wait {
             return Some(self.end_refused(reason));
         }
-        if reason == RefusalReason::Budget {
+        if is_passing {
             self.race.end_search(now);
         } else {
             self.race.close();
