--- a/crates/gateway/src/quarantine/outbox.rs
+++ b/crates/gateway/src/quarantine/outbox.rs
@@ -94,7 +94,7 @@
     at: Instant,
 ) {
     let outbox = &shared.quarantine.outbox;
-    if matches!(fate, RequestFate::Claimed(_) | RequestFate::Released(_)) {
+    if fate.is_of_claim() {
         return outbox.release(vec![OutboxRow { feature, fate, at }]);
     }
     let mut held_back = outbox.held_back.borrow_mut();
--- a/crates/gateway/src/quarantine/waiting.rs
+++ b/crates/gateway/src/quarantine/waiting.rs
@@ -11,6 +11,7 @@
 };
 use tokio::time::Instant;
 
+/// A request that waits: its service and all of its features.
 #[derive(Debug)]
 struct WaitingRow {
     service: ServiceName,
@@ -68,7 +69,8 @@
                 && suspects.iter().any(|suspect| row.features.contains(suspect))
         });
         rivals.any(|rival| {
-            self.table.borrow().rank(&rival.features) < rank && self.may_begin(&rival.features)
+            let rival_rank = self.table.borrow().rank(&rival.features);
+            rival_rank < rank && self.may_begin(&rival.features)
         })
     }
 
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -46,6 +46,13 @@
     Released(RunClaim),
 }
 
+impl RequestFate {
+    /// Whether it is a claim or its release, which matter for seconds only.
+    pub fn is_of_claim(&self) -> bool {
+        matches!(self, Self::Claimed(_) | Self::Released(_))
+    }
+}
+
 /// An entry's claim to be the only one that runs a request, and to have the only suspect at a
 /// process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -168,16 +168,16 @@
         }
     }
 
-    /// Removes the oldest record of a feature that has few, or the oldest of all.
+    /// Removes the oldest claim or release, else the oldest record of a feature that has few, else the
+    /// oldest of all.
     fn remove_oldest(&mut self) {
         let is_repeated = |row: &LogRow| {
             self.counts.get(&row.record.feature).is_some_and(|count| *count >= MIN_REPEATED_RECORDS)
         };
-        let is_claim =
-            |key: &RecordKey| matches!(key, RecordKey::Claimed(..) | RecordKey::Released(..));
-        let oldest = self.rows.iter().find(|(key, _)| is_claim(key));
-        let oldest = oldest.or_else(|| self.rows.iter().find(|(_, row)| !is_repeated(row)));
-        let oldest = oldest.or(self.rows.first());
+        let oldest_of_claim = self.rows.iter().find(|(_, row)| row.record.fate.is_of_claim());
+        let oldest = oldest_of_claim
+            .or_else(|| self.rows.iter().find(|(_, row)| !is_repeated(row)))
+            .or(self.rows.first());
         if let Some(key) = oldest.map(|(key, _)| *key) {
             self.remove(&key);
         }
@@ -206,9 +206,8 @@
             .filter(|(_, row)| {
                 let count = self.counts.get(&row.record.feature).copied().unwrap_or_default();
                 let is_repeated = count >= MIN_REPEATED_RECORDS;
-                let is_claim =
-                    matches!(row.record.fate, RequestFate::Claimed(_) | RequestFate::Released(_));
-                if is_claim && now.saturating_duration_since(row.at) > CLAIM_RETENTION {
+                let is_of_claim = row.record.fate.is_of_claim();
+                if is_of_claim && now.saturating_duration_since(row.at) > CLAIM_RETENTION {
                     return true;
                 }
                 let retention = if is_repeated { REPEATED_RETENTION } else { RECORD_RETENTION };
