--- a/crates/quarantine/src/table/part_assessment.rs
+++ b/crates/quarantine/src/table/part_assessment.rs
@@ -120,7 +120,7 @@
         let tested = |suspect| TestedPart {
             suspect,
             isolated: self.isolated_ends(suspect, &claimed, now),
-            own_weight: own_weight(suspect, suspects),
+            own_weight: self.own_weight(suspect, suspects),
         };
         let mut order: Vec<TestedPart<'_>> = suspects.iter().map(tested).collect();
         order.sort_by_key(|tested| std::cmp::Reverse(tested.isolated.len()));
@@ -195,6 +195,23 @@
         })
     }
 
+    /// Weight of the ends at which none of the stronger suspects was that come before it.
+    ///
+    /// Guards against the rejection of a part that all requests share by an entry that has just
+    /// started and does not know that they do: ends that came together do not count there.
+    fn own_weight(&self, suspect: &PartCandidate, suspects: &[PartCandidate]) -> f64 {
+        let stronger = suspects.iter().take_while(|other| other.part != suspect.part);
+        let stronger: Vec<&PartCandidate> = stronger.collect();
+        let is_own = |process: &ProcessDigest| {
+            !stronger.iter().any(|other| other.ends.contains_key(process))
+        };
+        let counts = |end: &ProcessEnd| {
+            self.part_shares.are_known() || self.ends_at(end.at) <= MIN_COMMON_CAUSE_ENDS
+        };
+        let own = suspect.ends.iter().filter(|(process, end)| is_own(process) && counts(end));
+        weight_of(own.map(|(_, end)| end), suspect.share)
+    }
+
     /// Processes that ended under claimed runs, of whatever features.
     fn claimed_ends(&self) -> IndexSet<ProcessDigest> {
         let ends = self.suspects.values().flat_map(|row| &row.ends);
@@ -257,16 +274,6 @@
     suspects.iter().flat_map(|suspect| suspect.ends.keys().copied()).collect()
 }
 
-/// Weight of the ends at which none of the stronger suspects was that come before it.
-fn own_weight(suspect: &PartCandidate, suspects: &[PartCandidate]) -> f64 {
-    let stronger = suspects.iter().take_while(|other| other.part != suspect.part);
-    let stronger: Vec<&PartCandidate> = stronger.collect();
-    let is_own =
-        |process: &ProcessDigest| !stronger.iter().any(|other| other.ends.contains_key(process));
-    let own = suspect.ends.iter().filter(|(process, _)| is_own(process));
-    weight_of(own.map(|(_, end)| end), suspect.share)
-}
-
 /// How much the ends say against a part with this share: each by the likelihood that an innocent
 /// part which is so frequent is not there.
 fn weight_of<'a>(ends: impl Iterator<Item = &'a ProcessEnd>, share: f64) -> f64 {
--- a/crates/quarantine/src/table/part_shares.rs
+++ b/crates/quarantine/src/table/part_shares.rs
@@ -13,6 +13,8 @@
 /// Share of the answered requests, of all services of an entry, from which a part is common: that of
 /// the part which all requests of one of several services or kinds have.
 const COMMON_SHARE: f64 = 0.2;
+/// Answered requests below which no share is known.
+const MIN_ANSWERED: u64 = 8;
 /// Most parts that are counted.
 const MAX_PARTS: usize = 2_048;
 
@@ -67,6 +69,11 @@
         let total = (1.0 - decay.powf(self.answered as f64)) / (1.0 - decay);
         row.count_at(self.answered) / (total + PRIOR_REQUESTS)
     }
+    /// Whether enough requests have been answered to tell how often a part occurs.
+    pub(super) fn are_known(&self) -> bool {
+        self.answered >= MIN_ANSWERED
+    }
+
     /// Whether many answered requests have the part. Nobody knows at an entry that has just started,
     /// which has to reject what the others have found guilty.
     pub(super) fn is_common(&self, part: &FeatureDigest) -> bool {
--- a/tests/all/quarantine/parts.rs
+++ b/tests/all/quarantine/parts.rs
@@ -102,3 +102,17 @@
     let treatment = table.treatment(&[part(common)], now);
     assert!(matches!(treatment, RequestTreatment::Careful { .. }), "{treatment:?}");
 }
+
+/// Guards against the rejection of all requests by an entry that has just started, after a kill whose
+/// processes all had the part that they share and one claimed run that meets another kill.
+#[test]
+fn an_entry_that_knows_no_shares_rejects_no_part_for_a_kill() {
+    let now = Instant::now() + Duration::from_secs(60);
+    let mut table = table_of(&[], now);
+    for number in 1..=13 {
+        table.apply(&part_ended(1, number, false, 5_000), now);
+    }
+    table.apply(&part_ended(1, 20, true, 1_000), now);
+    let treatment = table.treatment(&[part(1)], now);
+    assert!(matches!(treatment, RequestTreatment::Careful { .. }), "{treatment:?}");
+}
