Taken back: streams whose target breaks off search on until their deadline

Three of its four targets limit, rest or leave then; a stream that waits in vain keeps its place in the queue, and all other requests queue behind it. A search that is no longer than a look would not, but that is another design.

Back as it was: attempts/search.rs and attempt_race.rs, but for names.

--- a/crates/gateway/src/attempts/search.rs
+++ b/crates/gateway/src/attempts/search.rs
@@ -90,12 +90,10 @@
     /// Goes on without a further attempt: with those that run, or not at all.
     fn refuse_search(&mut self, reason: RefusalReason, now: Instant) -> Option<AttemptsEnd> {
         self.count_refused(reason.slug());
-        let is_passing = reason == RefusalReason::Budget;
-        let may_wait = is_passing && self.request.response_started();
-        if !self.race.is_running() && !may_wait {
+        if !self.race.is_running() {
             return Some(self.end_refused(reason));
         }
-        if is_passing {
+        if reason == RefusalReason::Budget {
             self.race.end_search(now);
         } else {
             self.race.close();
@@ -158,9 +156,6 @@
         if self.race.is_running() {
             return None;
         }
-        if self.request.response_started() && is_passing(error.kind) {
-            return None;
-        }
         if !self.may_have_run {
             return Some(Err(error));
         }
@@ -170,14 +165,6 @@
     }
 }
 
-/// Whether a search that ends so may find a target a little later.
-///
-/// Guards against streams that are cut off with time left because no other target has a slot at the
-/// moment at which theirs breaks.
-fn is_passing(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::Full | ErrorKind::NoTarget)
-}
-
 /// Searches for a target that takes the request, and opens an attempt there.
 async fn search(
     shared: &Rc<GatewayShared>,
--- a/crates/serving/src/attempt_race.rs
+++ b/crates/serving/src/attempt_race.rs
@@ -100,7 +100,7 @@
         }
         let may_search = self.reached < self.terms.max_targets && !self.is_closed;
         let Some(silent_at) = self.all_silent_at() else {
-            return if may_search { self.search_alone(now) } else { RaceStep::Exhausted };
+            return if may_search { RaceStep::Search } else { RaceStep::Exhausted };
         };
         if !may_search || !self.terms.may_repeat {
             return RaceStep::Wait(deadline);
@@ -112,14 +112,6 @@
         if search_at <= now { RaceStep::Search } else { RaceStep::Wait(search_at) }
     }
 
-    /// The search while no attempt runs: at once, or a little after one that found no target.
-    fn search_alone(&self, now: Instant) -> RaceStep {
-        match self.next_search_at {
-            Some(next) if next > now => RaceStep::Wait(next.min(self.terms.deadline)),
-            _ => RaceStep::Search,
-        }
-    }
-
     /// When all running attempts count as silent; `None` if none runs.
     fn all_silent_at(&self) -> Option<Instant> {
         self.running.iter().map(|attempt| attempt.silent_at).max()
@@ -130,7 +122,7 @@
         self.is_searching = true;
     }
 
-    /// Records that a search found no target. The next one waits a little.
+    /// Records that a search found no target. While an attempt runs, the next one waits a little.
     pub fn end_search(&mut self, now: Instant) {
         self.is_searching = false;
         self.next_search_at = Some(now + SEARCH_INTERVAL);
@@ -140,7 +132,6 @@
     /// be searched for at once.
     pub fn restart_search(&mut self) {
         self.is_searching = false;
-        self.next_search_at = None;
     }
 
     /// Records that the request was sent to the target that a search found. Its silence starts the
@@ -173,7 +164,6 @@
     /// Records that an attempt has ended without a complete answer.
     pub fn remove(&mut self, id: AttemptId) {
         self.running.retain(|attempt| attempt.id != id);
-        self.next_search_at = None;
     }
 
     /// Allows no further attempt.
