The origin sends the last chunks of a superseded version first

What callers saw: two versions are published three seconds apart and the origin is unreachable from 2.5 to 8.5 s after the first. Nothing began for 4.3 s, 1,793 callers were rejected after a wait. Cause: an eighth of the first version was missing everywhere and was never asked for again, since the origin's link was left to the newest version, which takes it 2.8 s. Change: a policy decides whose turn it is, from what each version lacks, the origin's measured pace and when each must be left: the superseded one goes first if its use bridges more than its chunks delay the newest. It is evaluated by each agent; a version whose turn it is not takes no seeder for stalled. Tests: the policy replays the times of that load; the fleet test fails before.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -26,6 +26,7 @@
 //! - [`EntryRoster`]: which entries callers may be sent to.
 //! - [`SwitchSchedule`]: when an instance may load new weights, so that not all do so at once.
 //! - [`OlderVersionPolicy`]: when an instance loads a superseded version.
+//! - [`OriginTurnPolicy`]: which of two published versions the next chunk of the origin serves.
 
 mod attempt_limits;
 mod attempt_race;
@@ -34,6 +35,7 @@
 mod config_holder;
 mod entries;
 mod health;
+mod origin_turn;
 mod peer_list;
 mod placement;
 mod raw;
@@ -61,6 +63,7 @@
     config_holder::{ConfigApplyError, ConfigHolder, ConfigRequest},
     entries::{EntryObservation, EntryRoster},
     health::{AttemptOutcome, TargetHealth},
+    origin_turn::{OriginBacklog, OriginTurn, OriginTurnPolicy},
     peer_list::{PeerList, PeerMap, PeerUpdate, SwarmPeer, apply_peer_updates},
     placement::{PlacementOutcome, PlacementPolicy, PlacementQuery},
     raw::{
--- a/crates/serving/src/switch_schedule.rs
+++ b/crates/serving/src/switch_schedule.rs
@@ -25,16 +25,16 @@
 const OLDER_SWITCH_SPREAD: Duration = Duration::from_millis(2_000);
 /// Time before the end of a version's staleness bound at which entries stop sending requests to it:
 /// requests in flight or queued in an engine must begin before the end.
-const LAST_REQUEST_MARGIN: Duration = Duration::from_millis(1_200);
+pub(crate) const LAST_REQUEST_MARGIN: Duration = Duration::from_millis(1_200);
 /// Time from the order to load a version until the first request runs on it.
-const LOAD_TIME: Duration = Duration::from_millis(500);
+pub(crate) const LOAD_TIME: Duration = Duration::from_millis(500);
 /// How long after the end of the version in use the newest must be expected for the older one to be
 /// worth a switch. With a shorter gap, engines that loaded one after the other within a second
 /// served less than those that waited.
-const MIN_GAP: Duration = Duration::from_millis(1_500);
+pub(crate) const MIN_GAP: Duration = Duration::from_millis(1_500);
 /// Shortest use of the older version that is worth a switch, which takes an engine out of service
 /// for about as long.
-const MIN_OLDER_USE: Duration = Duration::from_millis(800);
+pub(crate) const MIN_OLDER_USE: Duration = Duration::from_millis(800);
 
 /// What an agent knows when it decides on a superseded version whose chunks it has all.
 #[derive(Clone, Copy, Debug)]
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -24,6 +24,7 @@
 mod order_tracker;
 mod origin_cache;
 mod origin_entries;
+mod origin_share;
 mod previous_orders;
 mod probe;
 mod ranks;
--- a/crates/stager/src/older.rs
+++ b/crates/stager/src/older.rs
@@ -5,7 +5,8 @@
 //! unreachable: the chunks of the first are already spread over the agents, those of the second
 //! cannot be fetched, and once the first's staleness bound has passed no engine may serve. The
 //! agent keeps its chunks of the first and fetches the missing ones from other agents;
-//! [`OlderVersionPolicy`] decides when loading it is worth a switch.
+//! [`OlderVersionPolicy`] decides when loading it is worth a switch, and [`OriginTurnPolicy`] when the
+//! origin sends the chunks of it that no agent has before those of the newest.
 
 use crate::{
     chunks::VersionChunks,
@@ -15,7 +16,9 @@
     transfer::Transfer,
 };
 use egretseam_rpc::WeightsKey;
-use egretseam_serving::{OlderVersionPolicy, OlderVersionState};
+use egretseam_serving::{
+    OlderVersionPolicy, OlderVersionState, OriginBacklog, OriginTurn, OriginTurnPolicy,
+};
 use std::{
     rc::{Rc, Weak},
     time::Duration,
@@ -34,8 +37,8 @@
     pub(crate) published_at: Instant,
 }
 
-/// Keeps a superseded version, and fetches its missing chunks from other agents. The origin is left
-/// to the newest version.
+/// Keeps a superseded version, and fetches its missing chunks from other agents, or from the origin
+/// while [`OriginTurnPolicy`] leaves its link to that version.
 pub(crate) fn keep_superseded(shared: &Rc<StagerShared>, superseded: &ReceivedPlan) {
     let key = superseded.key();
     if !shared.options.finishes_older || switch::holds(shared, &key) {
@@ -50,16 +53,17 @@
     tracing::info!(version = key.version, missing, "keeping a superseded version");
     *shared.older.borrow_mut() =
         Some(OlderVersion { key: key.clone(), published_at: superseded.published_at });
+    shared.origin_share.set_backlog(OriginTurn::Newest, None);
     if missing > 0 {
-        actix_rt::spawn(complete_from_peers(shared.clone(), superseded.clone(), key));
+        actix_rt::spawn(complete(shared.clone(), superseded.clone(), key));
     }
 }
 
-async fn complete_from_peers(shared: Rc<StagerShared>, superseded: ReceivedPlan, key: WeightsKey) {
+async fn complete(shared: Rc<StagerShared>, superseded: ReceivedPlan, key: WeightsKey) {
     let transfer = {
         let chunks = shared.chunks.borrow();
         let Some(weights) = chunks.get(&key) else { return };
-        Transfer::without_origin(&shared, &superseded.plan, weights)
+        Transfer::new(&shared, &superseded.plan, weights, OriginTurn::Superseded)
     };
     transfer.set_peers(&superseded.peers);
     // The newest version has priority on the links for as long as its chunks keep arriving.
@@ -75,10 +79,12 @@
         is_complete = transfer.run() => is_complete,
         () = no_longer_kept => false,
     };
+    shared.origin_share.set_backlog(OriginTurn::Superseded, None);
     tracing::info!(
         version = key.version,
         whole = is_complete,
-        "ended the fetch of a superseded version from other agents"
+        from_origin = transfer.origin_chunks(),
+        "ended the fetch of a superseded version"
     );
 }
 
@@ -105,6 +111,7 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         let Some(shared) = shared.upgrade() else { return };
         shared.set_stalled(is_stalled(&shared));
+        shared.origin_share.set_turn(origin_turn(&shared));
         let Some(older) = shared.older.borrow().clone() else { continue };
         let Some(plan) = shared.plan.borrow().clone() else { continue };
         if is_obsolete(&shared, &older, &plan) {
@@ -133,6 +140,34 @@
     }
 }
 
+/// The version that may use the origin's link.
+fn origin_turn(shared: &StagerShared) -> OriginTurn {
+    let turn = origin_backlog(shared).map(|backlog| {
+        let policy = OriginTurnPolicy::new(shared.options.switch_timing);
+        policy.next(&backlog)
+    });
+    turn.unwrap_or_default()
+}
+
+/// What the origin still has to send of both versions; `None` if nothing of the superseded one, or
+/// if its pace is not known.
+fn origin_backlog(shared: &StagerShared) -> Option<OriginBacklog> {
+    let older = shared.older.borrow().clone()?;
+    let plan = shared.plan.borrow().clone()?;
+    let share = &shared.origin_share;
+    let superseded_chunks = share.backlog(OriginTurn::Superseded).filter(|chunks| *chunks > 0)?;
+    let chunks = shared.chunks.borrow();
+    let all_chunks = chunks.get(&older.key)?.digests.count();
+    let now = Instant::now();
+    Some(OriginBacklog {
+        since_published: now.saturating_duration_since(older.published_at),
+        since_newest_published: now.saturating_duration_since(plan.published_at),
+        superseded_chunks,
+        newest_chunks: share.backlog(OriginTurn::Newest).unwrap_or(all_chunks),
+        chunk_time: share.chunk_time()?,
+    })
+}
+
 /// Whether the superseded version is of no more use: the newest is complete, the plan names another
 /// model, or the engine holds the version.
 fn is_obsolete(shared: &StagerShared, older: &OlderVersion, plan: &ReceivedPlan) -> bool {
--- a/crates/stager/src/reconcile.rs
+++ b/crates/stager/src/reconcile.rs
@@ -9,7 +9,7 @@
     transfer::Transfer,
 };
 use egretseam_rpc::WeightsKey;
-use egretseam_serving::SwitchSchedule;
+use egretseam_serving::{OriginTurn, SwitchSchedule};
 use std::{
     rc::{Rc, Weak},
     time::Duration,
@@ -113,7 +113,7 @@
     let transfer = {
         let chunks = shared.chunks.borrow();
         let Some(weights) = chunks.get(key) else { return };
-        Transfer::new(shared, &wanted.plan, weights)
+        Transfer::new(shared, &wanted.plan, weights, OriginTurn::Newest)
     };
     let mut plan = shared.plan.subscribe();
     // Peers may have changed while the digests were searched.
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -9,6 +9,7 @@
     order_fence::OrderFence,
     order_tracker::OrderTracker,
     origin_entries::OriginEntries,
+    origin_share::OriginShare,
     uploads::PartUploads,
 };
 use egretseam_h1::{CallRequest, CallResponse, ExchangeError, PersistentClient};
@@ -152,6 +153,8 @@
     delay_report: RefCell<LinkDelayReport>,
     /// Whether the origin did not reply when this agent last fetched a chunk from it.
     pub(crate) origin_unreachable: Cell<bool>,
+    /// Which of two versions may use the origin's link.
+    pub(crate) origin_share: OriginShare,
     /// Entries through which chunks of the origin are downloaded.
     pub(crate) origin_entries: OriginEntries,
     /// When the chunk that the origin is asked for was requested; `None` if there is none.
@@ -196,6 +199,7 @@
             path: RefCell::default(),
             delay_report: RefCell::default(),
             origin_unreachable: Cell::new(false),
+            origin_share: OriginShare::default(),
             origin_entries: OriginEntries::default(),
             origin_request_at: Cell::new(None),
             downloads: PartDownloads::new(options.upload_bytes_per_second),
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -11,9 +11,9 @@
 use egretseam_h1::PersistentClient;
 use egretseam_proto::{InstanceName, ZoneName};
 use egretseam_rpc::{ChunkLink, LinkOptions, OriginChunkCall, WeightsKey, WeightsPlan};
-use egretseam_serving::SwarmPeer;
+use egretseam_serving::{OriginTurn, SwarmPeer};
 use egretseam_swarm::{
-    ChunkSet, FetchFailure, FetchOrder, PlannerPeer, PlannerPolicy, SourceChoice, SwarmPlanner,
+    ChunkSet, FetchFailure, FetchOrder, PlannerPeer, SourceChoice, SwarmPlanner,
 };
 use indexmap::IndexMap;
 use std::{
@@ -48,6 +48,10 @@
 pub(crate) struct Transfer {
     shared: Rc<StagerShared>,
     key: WeightsKey,
+    /// When the transfer may use the origin's link.
+    turn: OriginTurn,
+    /// Whether the origin has the version no more.
+    is_gone_at_origin: Cell<bool>,
     digests: Rc<WeightDigests>,
     planner: RefCell<SwarmPlanner>,
     links: RefCell<IndexMap<InstanceName, Rc<ChunkLink>>>,
@@ -71,41 +75,30 @@
 type FetchResult = (FetchOrder, Result<Bytes, FetchFailure>);
 
 impl Transfer {
-    /// A transfer that fetches the chunks not held yet.
+    /// A transfer that fetches the chunks not held yet, and uses the origin's link when it is the
+    /// version's turn.
     pub(crate) fn new(
         shared: &Rc<StagerShared>,
         plan: &WeightsPlan,
         weights: &VersionChunks,
-    ) -> Rc<Self> {
-        Self::with_policy(shared, plan, weights, shared.options.planner)
-    }
-
-    /// The same, but it fetches from peers only.
-    pub(crate) fn without_origin(
-        shared: &Rc<StagerShared>,
-        plan: &WeightsPlan,
-        weights: &VersionChunks,
-    ) -> Rc<Self> {
-        let policy = PlannerPolicy { max_seeders: 0, ..shared.options.planner };
-        Self::with_policy(shared, plan, weights, policy)
-    }
-
-    fn with_policy(
-        shared: &Rc<StagerShared>,
-        plan: &WeightsPlan,
-        weights: &VersionChunks,
-        policy: PlannerPolicy,
+        turn: OriginTurn,
     ) -> Rc<Self> {
         let own = PlannerPeer {
             name: peer_name(shared.options.target),
             zone: shared.options.zone.clone(),
         };
-        let mut planner =
-            SwarmPlanner::new(own, policy, weights.chunk_set().clone(), Duration::ZERO);
+        let mut planner = SwarmPlanner::new(
+            own,
+            shared.options.planner,
+            weights.chunk_set().clone(),
+            Duration::ZERO,
+        );
         planner.set_origin_zone(plan.origin_zone.clone());
         Rc::new(Self {
             shared: shared.clone(),
             key: weights.key.clone(),
+            turn,
+            is_gone_at_origin: Cell::new(false),
             digests: weights.digests.clone(),
             planner: RefCell::new(planner),
             links: RefCell::default(),
@@ -174,6 +167,7 @@
         while !self.planner.borrow().have().is_full() {
             let max_chunks = self.shared.downloads.max_concurrent_chunks();
             self.planner.borrow_mut().set_max_peer_fetches(max_chunks);
+            self.share_origin();
             let orders = self.planner.borrow_mut().plan(self.now());
             for order in orders {
                 let (transfer, results) = (self.clone(), results.clone());
@@ -199,6 +193,20 @@
         true
     }
 
+    /// Reports what the origin still has to send of this version, and heeds whose turn it is.
+    fn share_origin(&self) {
+        let share = &self.shared.origin_share;
+        let mut planner = self.planner.borrow_mut();
+        let backlog = (!self.is_gone_at_origin.get()).then(|| planner.unseen_chunks());
+        share.set_backlog(self.turn, backlog);
+        if self.turn == OriginTurn::Newest
+            && let Some(chunk_time) = planner.origin_chunk_time()
+        {
+            share.record_chunk_time(chunk_time);
+        }
+        planner.set_may_use_upstream(share.turn() == self.turn && !self.is_gone_at_origin.get());
+    }
+
     async fn finish_fetch(&self, order: &FetchOrder, result: Result<Bytes, FetchFailure>) {
         let bytes = match result {
             Ok(bytes) if self.digests.matches(order.chunk, &bytes) => bytes,
@@ -221,6 +229,13 @@
                     ?failure,
                     "a chunk could not be fetched"
                 );
+                let is_superseded = self.turn == OriginTurn::Superseded;
+                if is_superseded
+                    && failure == FetchFailure::Absent
+                    && order.source == SourceChoice::Upstream
+                {
+                    self.is_gone_at_origin.set(true);
+                }
                 let now = self.now();
                 self.planner.borrow_mut().record_failed(order, failure, now);
                 return;
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -132,7 +132,7 @@
     active_fetches: Vec<ActiveFetch>,
     /// Number of neighbours that have it.
     holders: u32,
-    /// When a neighbour first reported it.
+    /// When it was first here or a neighbour first reported it.
     seen_at: Option<Duration>,
 }
 
@@ -166,6 +166,8 @@
     stalled: IndexMap<InstanceName, Duration>,
     active_upstream_fetches: usize,
     upstream_backoff_until: Duration,
+    /// Whether the origin's link may be used, or is left to another version.
+    may_use_upstream: bool,
     /// When this instance last fetched an assigned chunk from the origin, or failed to reach the
     /// origin. A chunk is assigned to the seeder that ranks first for it.
     assigned_fetch_at: Duration,
@@ -197,6 +199,7 @@
             stalled: IndexMap::new(),
             active_upstream_fetches: 0,
             upstream_backoff_until: Duration::ZERO,
+            may_use_upstream: true,
             assigned_fetch_at: now,
             assigned_fetches: 0,
             started_at: now,
@@ -294,6 +297,31 @@
         state.have = have;
     }
 
+    /// Sets whether chunks may be fetched from the origin, whose link may be left to another version.
+    pub fn set_may_use_upstream(&mut self, may_use: bool) {
+        self.may_use_upstream = may_use;
+    }
+
+    /// Number of chunks that neither this instance nor a neighbour has.
+    pub fn unseen_chunks(&self) -> u32 {
+        let is_unseen = |chunk: &&ChunkState| !chunk.present && chunk.holders == 0;
+        self.chunks.iter().filter(is_unseen).count() as u32
+    }
+
+    /// Mean time in which the origin sends one more chunk to the swarm, by when this instance or a
+    /// neighbour first had each; `None` after too few. Pauses of the origin do not count.
+    pub fn origin_chunk_time(&self) -> Option<Duration> {
+        let mut seen_at: Vec<Duration> =
+            self.chunks.iter().filter_map(|chunk| chunk.seen_at).collect();
+        if seen_at.len() < MIN_SEEN_FOR_PACE {
+            return None;
+        }
+        seen_at.sort_unstable();
+        let gaps = seen_at.windows(2).map(|pair| pair[1] - pair[0]);
+        let span: Duration = gaps.filter(|gap| *gap <= MAX_ORIGIN_PAUSE).sum();
+        Some(span / (seen_at.len() as u32 - 1))
+    }
+
     /// Records how long a chunk waited for the neighbour's link.
     pub fn record_queue_delay(&mut self, name: &InstanceName, queue_delay: Duration) {
         if let Some(state) = self.neighbours.get_mut(name) {
@@ -328,7 +356,9 @@
                 self.cross_zone_chunks += 1;
             }
         }
-        self.chunks[order.chunk as usize].present = true;
+        let chunk = &mut self.chunks[order.chunk as usize];
+        chunk.present = true;
+        chunk.seen_at.get_or_insert(now);
         self.have.insert(order.chunk)
     }
 
@@ -411,6 +441,10 @@
     }
 }
 
+/// Fewest chunks seen from which the pace of the origin is computed.
+const MIN_SEEN_FOR_PACE: usize = 8;
+/// Longest time between two chunks that the origin's pace includes.
+const MAX_ORIGIN_PAUSE: Duration = Duration::from_millis(700);
 /// First backoff after a peer could not be reached or made no progress; doubles each time.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_secs(1);
 /// Most times that [`UNREACHABLE_BACKOFF`] doubles.
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -43,6 +43,11 @@
 impl SwarmPlanner {
     /// Returns fetches for all free slots. The caller must record the end of each one.
     pub fn plan(&mut self, now: Duration) -> Vec<FetchOrder> {
+        if !self.may_use_upstream {
+            // Neither a seeder that is stalled nor chunks that are overdue.
+            self.last_progress = now;
+            self.assigned_fetch_at = now;
+        }
         self.skip_stalled_seeders(now);
         let mut orders = Vec::new();
         while let Some(order) = self.next_upstream_fetch(now).or_else(|| self.next_peer_fetch(now))
@@ -70,7 +75,8 @@
     /// the fewest neighbours have, so that the fetched chunk is new to the swarm; otherwise an
     /// overdue one that is assigned to another seeder.
     fn next_upstream_fetch(&self, now: Duration) -> Option<FetchOrder> {
-        if self.active_upstream_fetches >= self.max_upstream_fetches()
+        if !self.may_use_upstream
+            || self.active_upstream_fetches >= self.max_upstream_fetches()
             || now < self.upstream_backoff_until
         {
             return None;
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -60,6 +60,11 @@
     pub(super) chunks_to_corrupt: Cell<u32>,
     /// First version for which all requests fail with status 503.
     pub(super) unreachable_from: Cell<Option<u64>>,
+    /// Time in which the origin's link carries a chunk.
+    pub(super) chunk_time: Cell<Duration>,
+    /// Chunks that can be sent before all requests for chunks fail with status 503.
+    pub(super) chunks_until_outage: Cell<Option<u32>>,
+    link: tokio::sync::Mutex<()>,
     /// Delay of each digest list.
     pub(super) digest_list_delay: Cell<Duration>,
     /// Digest lists sent.
@@ -111,6 +116,14 @@
             return (200, Bytes::from(list.to_string()));
         }
         let Some(index) = number(head, "num") else { return (404, Bytes::new()) };
+        match self.chunks_until_outage.get() {
+            Some(0) => return (503, Bytes::new()),
+            Some(left) => self.chunks_until_outage.set(Some(left - 1)),
+            None => {}
+        }
+        let link = self.link.lock().await;
+        tokio::time::sleep(self.chunk_time.get()).await;
+        drop(link);
         self.chunks_sent.set(self.chunks_sent.get() + 1);
         if decrement(&self.chunks_to_corrupt) {
             return (200, Bytes::from("spoilt"));
--- a/tests/all/fleet/weights.rs
+++ b/tests/all/fleet/weights.rs
@@ -84,6 +84,30 @@
     fixture.wait_until_loaded(3).await;
 }
 
+/// Guards against seconds without service while the origin sends the newest version from its start,
+/// although the few chunks that are missing of the superseded one would take it a tenth of the time.
+#[actix_rt::test]
+async fn the_origin_sends_the_last_chunks_of_a_superseded_version_first() {
+    let mut fixture = WeightsFixture::start(0, true).await;
+    fixture.fleet.settings.staleness_bound = Duration::from_secs(8);
+    for _ in 0..3 {
+        fixture.add().await;
+    }
+    fixture.wait_until_loaded(1).await;
+    fixture.origin.chunk_time.set(Duration::from_millis(250));
+    fixture.origin.unreachable_from.set(Some(3));
+    fixture.origin.chunks_until_outage.set(Some(CHUNKS - 2));
+    let before = fixture.origin.chunks_sent.get();
+    fixture.publish(2).await;
+    let has_sent = || fixture.origin.chunks_sent.get() >= before + CHUNKS - 2;
+    fixture.fleet.wait_until(has_sent).await;
+    fixture.publish(3).await;
+    fixture.origin.chunks_until_outage.set(None);
+    fixture.wait_until_loaded(2).await;
+    fixture.origin.unreachable_from.set(None);
+    fixture.wait_until_loaded(3).await;
+}
+
 /// Guards against truncated answers. An engine may be ordered to cut off its running requests only
 /// if all of them can be resumed elsewhere.
 #[actix_rt::test]
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod narrow_links;
 mod order_fence;
 mod order_tracker;
+mod origin_turn;
 mod path_probe;
 mod peer_lists;
 mod plan_following;
--- a/tests/all/seeders.rs
+++ b/tests/all/seeders.rs
@@ -313,3 +313,39 @@
     assert_eq!(chunks, (0..CHUNKS).collect::<Vec<u32>>());
     assert!(fetched.iter().all(|(number, _)| seeders.contains(number)));
 }
+
+/// Guards against a version that fetches from the origin, or takes seeders for stalled, while the
+/// origin's link serves another version.
+#[test]
+fn a_version_whose_turn_it_is_not_leaves_the_origin_alone() {
+    let mut planners = planners(30);
+    planners.iter_mut().for_each(|planner| planner.set_may_use_upstream(false));
+    for seconds in 0..20 {
+        let now = Duration::from_secs(seconds);
+        assert!(fetch_all_from_origin(&mut planners, None, now).is_empty());
+    }
+    planners.iter_mut().for_each(|planner| planner.set_may_use_upstream(true));
+    let fetched = fetch_all_from_origin(&mut planners, None, Duration::from_secs(20));
+    assert_eq!(fetched.len(), CHUNKS as usize, "each chunk is fetched once");
+}
+
+#[test]
+fn the_origins_pace_follows_from_when_chunks_are_first_seen() {
+    let mut planners = planners(2);
+    let planner = &mut planners[0];
+    let millis = Duration::from_millis;
+    let fetch = |planner: &mut SwarmPlanner, chunk, now| {
+        planner.record_fetched(&FetchOrder { chunk, source: SourceChoice::Upstream }, now);
+    };
+    for chunk in 0..7 {
+        fetch(planner, chunk, millis(u64::from(chunk) * 50));
+    }
+    assert_eq!(planner.origin_chunk_time(), None, "too few chunks");
+    // The origin is unreachable for some seconds.
+    for chunk in 7..14 {
+        fetch(planner, chunk, millis(5_000 + u64::from(chunk) * 50));
+    }
+    let chunk_time = planner.origin_chunk_time().expect("enough chunks");
+    assert!(chunk_time > millis(40) && chunk_time <= millis(50), "{chunk_time:?}");
+    assert_eq!(planner.unseen_chunks(), CHUNKS - 14);
+}
