An entry of each zone keeps chunks of agents for the others of the zone

What callers saw: a version named while the service is full takes 5 to 7 s to the first engine and longer to half of them; with little of its bound left, nearly all engines switch at once and answers are late for six seconds. Cause: an agent's link carries both directions. Agents passed all chunks on among themselves, so each sent as much as it received: twice 2.1 MB over 0.95 MB/s is 4.4 s, which is what the logs show (3.9 to 4.6 s, the origin's link idle from 3.1 s). Entries have fifty times that bandwidth, and used it for the origin's chunks only. Change: an agent that wants a chunk which another has asks the entry of its own zone that ranks first for the chunk; the entry fetches it once, keeps it for some seconds and hands it out in parts, in the same windows as before. If the entry fails, the agent fetches from the peer; across zones only by the old rule. Chunks that did not match their digest never come through an entry. A new call on the wire; processes of an earlier release answer it with an error, and their peers are asked instead. Tests: four agents of a zone take one copy from the agent that has it (four before); hanging entries and sources that are gone. The test bed of slow links counts what agents exchange directly, so its entry now offers only chunks of the origin there, as a failed one does; a further test counts the queue with all chunks from the entry.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -321,7 +321,8 @@
         }
         let listener = self.bind(self.peer_address(CHUNK_PORT_OFFSET))?;
         let secret = PeerSecret::derive(PEER_TOKEN);
-        let runtime = OriginCacheRuntime::start(listener, secret, dialect, self.metrics);
+        let link = (self.settings.link_mbps * 125_000.0) as u64;
+        let runtime = OriginCacheRuntime::start(listener, secret, dialect, link, self.metrics);
         runtime.map(Some).context("start the cache of the origin's chunks")
     }
 
--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -14,8 +14,8 @@
 
 /// Longest wait for a change that a reader may ask for.
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(10);
-/// Most entries that an agent is told of: enough to share the chunks of the origin among them.
-const MAX_READY_ENTRIES: usize = 8;
+/// Most entries that an agent is told of: enough to share the chunks of a version among them.
+const MAX_READY_ENTRIES: usize = 16;
 
 /// How long records are collected before they are passed on: most of a target's requests fail within
 /// milliseconds of each other.
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -249,7 +249,23 @@
     pub wait_millis: u64,
 }
 
-/// Answers an [`OriginChunkCall`].
+/// Requests that an entry fetch a chunk from another agent and keep it for a while, so that the agents
+/// of its availability zone can download it in parts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerChunkCall {
+    /// Address at which the other agent serves chunks.
+    pub source: SocketAddr,
+    /// Whether the other agent is in the entry's availability zone.
+    pub is_same_zone: bool,
+    /// The weights.
+    pub key: WeightsKey,
+    /// Index of the chunk.
+    pub chunk: u32,
+    /// Milliseconds that the reply may wait for the chunk.
+    pub wait_millis: u64,
+}
+
+/// Answers an [`OriginChunkCall`] or a [`PeerChunkCall`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginChunkReply {
     /// Parts of the chunk can be requested.
@@ -259,13 +275,13 @@
     },
     /// The chunk has not arrived within the wait; the call may be repeated.
     Pending,
-    /// The origin does not have the chunk.
+    /// The source does not have the chunk.
     Absent,
     /// The origin rejected the request for now.
     Busy,
-    /// The origin did not answer.
+    /// The source did not answer.
     Unreachable,
-    /// The process fetches nothing from the origin for others.
+    /// The process fetches nothing for others.
     Unsupported,
 }
 
@@ -287,7 +303,7 @@
     pub digests: Vec<[u8; 32]>,
 }
 
-/// Calls of agents to another agent, or to an entry that fetches chunks from the origin for them.
+/// Calls of agents to another agent, or to an entry that fetches chunks for them.
 #[tarpc::service]
 pub trait ChunkService {
     /// The chunks that the agent has, once there are more than `known` or `wait_millis` have
@@ -308,4 +324,6 @@
     async fn echo();
     /// Fetches a chunk from the origin unless it is kept here already.
     async fn cache_origin_chunk(call: OriginChunkCall) -> OriginChunkReply;
+    /// Fetches a chunk from another agent unless it is kept here already.
+    async fn cache_peer_chunk(call: PeerChunkCall) -> OriginChunkReply;
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -27,8 +27,8 @@
     feed::{
         AgentCall, AgentReply, ChunkService, ChunkServiceClient, EvidenceCall, EvidenceReply,
         FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, FeedServiceClient, HeldReply,
-        OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply, VersionDigests,
-        WeightsKey, WeightsPlan,
+        OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply, PeerChunkCall,
+        VersionDigests, WeightsKey, WeightsPlan,
     },
     limits::{LimitDatagram, LimitNews, MAX_LIMITS},
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -4,7 +4,7 @@
     feed::{
         AgentCall, AgentReply, ChunkServiceClient, EvidenceCall, EvidenceReply, FeedCall,
         FeedReply, FeedServiceClient, HeldReply, OriginChunkCall, OriginChunkReply, PartCall,
-        PartReceipt, PartReply, VersionDigests, WeightsKey,
+        PartReceipt, PartReply, PeerChunkCall, VersionDigests, WeightsKey,
     },
     preface::PeerSecret,
     server::codec,
@@ -331,6 +331,20 @@
         self.drop_on_error(reply)
     }
 
+    /// See [`crate::ChunkService::cache_peer_chunk`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn cache_peer_chunk(
+        &self,
+        call: PeerChunkCall,
+    ) -> Result<OriginChunkReply, CallError> {
+        let client = self.client().await?;
+        let wait = Duration::from_millis(call.wait_millis);
+        let reply = client.cache_peer_chunk(self.context(wait), call).await;
+        self.drop_on_error(reply)
+    }
+
     /// See [`crate::ChunkService::part`].
     ///
     /// # Errors
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -5,7 +5,7 @@
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
     ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
-    VersionDigests, WeightsKey,
+    PeerChunkCall, VersionDigests, WeightsKey,
 };
 use egretseam_swarm::{ChunkPace, ChunkSet};
 use std::{collections::VecDeque, rc::Rc, time::Duration};
@@ -280,4 +280,8 @@
     async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
         OriginChunkReply::Unsupported
     }
+
+    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> OriginChunkReply {
+        OriginChunkReply::Unsupported
+    }
 }
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -25,6 +25,7 @@
 mod origin_cache;
 mod origin_entries;
 mod origin_share;
+mod peer_sources;
 mod previous_orders;
 mod probe;
 mod ranks;
--- a/crates/stager/src/origin_cache.rs
+++ b/crates/stager/src/origin_cache.rs
@@ -1,18 +1,26 @@
-//! An entry's service that fetches chunks from the origin for agents.
+//! An entry's service that fetches chunks from the origin and from other agents for the agents of its
+//! availability zone.
 //!
 //! The origin sends chunks only whole. A whole chunk that arrives over the low-bandwidth link of an
 //! agent's instance queues ahead of live requests for most of a second when that link slows down,
 //! and they arrive after their callers have left. So entries, whose links carry a chunk in
 //! milliseconds, fetch the chunks, and agents download them in parts.
+//!
+//! An agent's link carries both directions. If agents passed all chunks on among themselves, each
+//! would send as much as it receives, and a version would take them twice the time of one copy over
+//! their links. So an entry fetches a chunk from one agent that has it and keeps it for the others of
+//! the zone.
 
-use crate::{dialect::EngineDialect, shared::request, transfer::origin_client};
+use crate::{
+    dialect::EngineDialect, peer_sources::PeerSources, shared::request, transfer::origin_client,
+};
 use bytes::Bytes;
 use egretseam_h1::PersistentClient;
 use egretseam_http::DaemonMetrics;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
     ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
-    PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, serve_chunks,
+    PeerChunkCall, PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, serve_chunks,
 };
 use indexmap::IndexMap;
 use prometheus::IntCounter;
@@ -77,6 +85,7 @@
 /// Counters of the cache.
 struct CacheMetrics {
     fetched: IntCounter,
+    fetched_from_peers: IntCounter,
     failed: IntCounter,
 }
 
@@ -100,22 +109,31 @@
     chunks: RefCell<IndexMap<ChunkId, Rc<CachedChunk>>>,
     /// Connection to the origin that the last call named.
     origin: RefCell<Option<OriginClient>>,
+    peers: PeerSources,
 }
 
 impl OriginCache {
-    fn new(dialect: Rc<dyn EngineDialect>, metrics: &DaemonMetrics) -> Rc<Self> {
+    fn new(
+        dialect: Rc<dyn EngineDialect>,
+        peers: PeerSources,
+        metrics: &DaemonMetrics,
+    ) -> Rc<Self> {
         let metrics = CacheMetrics {
             fetched: metrics.counter(
                 "egretseam_origin_cache_fetched_total",
                 "Chunks fetched from the origin for agents.",
             ),
+            fetched_from_peers: metrics.counter(
+                "egretseam_origin_cache_fetched_from_peers_total",
+                "Chunks fetched from agents for other agents.",
+            ),
             failed: metrics.counter(
                 "egretseam_origin_cache_failed_total",
-                "Chunks that could not be fetched from the origin for agents.",
+                "Chunks that could not be fetched for agents.",
             ),
         };
         let (chunks, origin) = (RefCell::default(), RefCell::default());
-        Rc::new(Self { dialect, metrics, chunks, origin })
+        Rc::new(Self { dialect, metrics, chunks, origin, peers })
     }
 
     /// The chunk that a call requests; its fetch starts unless it is kept or being fetched already.
@@ -124,14 +142,36 @@
         if call.discards_kept {
             self.discard_kept(&id);
         }
-        let known = self.chunks.borrow().get(&id).cloned();
-        if let Some(chunk) = known {
-            chunk.used_at.set(Instant::now());
-            return chunk;
-        }
+        self.find_known(&id).unwrap_or_else(|| {
+            let chunk = self.add_fetching(id.clone());
+            actix_rt::spawn(self.clone().fetch(id, chunk.clone(), call.origin));
+            chunk
+        })
+    }
+
+    /// The same for a chunk that another agent has.
+    fn find_or_fetch_from_peer(self: &Rc<Self>, call: PeerChunkCall) -> Rc<CachedChunk> {
+        let id = ChunkId { key: call.key.clone(), chunk: call.chunk };
+        self.find_known(&id).unwrap_or_else(|| {
+            let chunk = self.add_fetching(id.clone());
+            let (cache, fetching) = (self.clone(), chunk.clone());
+            actix_rt::spawn(async move {
+                let fetched = cache.peers.fetch(&call).await;
+                cache.finish(&id, &fetching, fetched, &cache.metrics.fetched_from_peers);
+            });
+            chunk
+        })
+    }
+
+    fn find_known(&self, id: &ChunkId) -> Option<Rc<CachedChunk>> {
+        let known = self.chunks.borrow().get(id).cloned()?;
+        known.used_at.set(Instant::now());
+        Some(known)
+    }
+
+    fn add_fetching(&self, id: ChunkId) -> Rc<CachedChunk> {
         let chunk = CachedChunk::new();
-        self.chunks.borrow_mut().insert(id.clone(), chunk.clone());
-        actix_rt::spawn(self.clone().fetch(id, chunk.clone(), call.origin));
+        self.chunks.borrow_mut().insert(id, chunk.clone());
         chunk
     }
 
@@ -146,27 +186,43 @@
         let client = self.client(origin);
         let call = self.dialect.origin_chunk_request(&id.key.model, id.key.version, id.chunk);
         let reply = client.lock().await.call(&request(&call, ORIGIN_TIMEOUT)).await;
-        let failure = match reply {
-            Ok(reply) if reply.status == 200 => {
-                self.metrics.fetched.inc();
-                chunk.state.send_replace(FetchState::Fetched(reply.body));
-                return self.evict();
-            }
-            Ok(reply) if matches!(reply.status, 404 | 410) => OriginChunkReply::Absent,
-            Ok(_) => OriginChunkReply::Busy,
+        let fetched = match reply {
+            Ok(reply) if reply.status == 200 => Ok(reply.body),
+            Ok(reply) if matches!(reply.status, 404 | 410) => Err(OriginChunkReply::Absent),
+            Ok(_) => Err(OriginChunkReply::Busy),
             Err(error) => {
                 tracing::info!(
                     version = id.key.version, chunk = id.chunk, %error,
                     "a chunk could not be fetched from the origin for agents"
                 );
-                OriginChunkReply::Unreachable
+                Err(OriginChunkReply::Unreachable)
             }
         };
-        self.metrics.failed.inc();
-        chunk.state.send_replace(FetchState::Failed(failure));
-        let mut chunks = self.chunks.borrow_mut();
-        if chunks.get(&id).is_some_and(|held| Rc::ptr_eq(held, &chunk)) {
-            chunks.shift_remove(&id);
+        self.finish(&id, &chunk, fetched, &self.metrics.fetched);
+    }
+
+    /// Ends the fetch of a chunk, and forgets one that failed.
+    fn finish(
+        &self,
+        id: &ChunkId,
+        chunk: &Rc<CachedChunk>,
+        fetched: Result<Bytes, OriginChunkReply>,
+        counter: &IntCounter,
+    ) {
+        match fetched {
+            Ok(bytes) => {
+                counter.inc();
+                chunk.state.send_replace(FetchState::Fetched(bytes));
+                self.evict();
+            }
+            Err(failure) => {
+                self.metrics.failed.inc();
+                chunk.state.send_replace(FetchState::Failed(failure));
+                let mut chunks = self.chunks.borrow_mut();
+                if chunks.get(id).is_some_and(|held| Rc::ptr_eq(held, chunk)) {
+                    chunks.shift_remove(id);
+                }
+            }
         }
     }
 
@@ -227,7 +283,7 @@
 }
 
 impl OriginCacheRuntime {
-    /// Starts on the current thread.
+    /// Starts on the current thread of an instance whose link carries `link_bytes_per_second`.
     ///
     /// # Errors
     /// Fails if the listener cannot be used.
@@ -235,9 +291,11 @@
         listener: TcpListener,
         secret: PeerSecret,
         dialect: Rc<dyn EngineDialect>,
+        link_bytes_per_second: u64,
         metrics: &DaemonMetrics,
     ) -> io::Result<Self> {
-        let cache = OriginCache::new(dialect, metrics);
+        let peers = PeerSources::new(secret, link_bytes_per_second);
+        let cache = OriginCache::new(dialect, peers, metrics);
         let handler = CacheHandler { cache: cache.clone() };
         let chunks = serve_chunks(listener, secret, RpcOptions::default(), handler)?;
         actix_rt::spawn(expire_unused(Rc::downgrade(&cache)));
@@ -245,6 +303,23 @@
     }
 }
 
+/// Waits for the end of a chunk's fetch, for at most `wait_millis`.
+async fn reply_when_fetched(chunk: &CachedChunk, wait_millis: u64) -> OriginChunkReply {
+    let mut state = chunk.state.subscribe();
+    let wait = Duration::from_millis(wait_millis).min(MAX_WAIT);
+    let ended = state.wait_for(|state| !matches!(state, FetchState::Fetching));
+    match tokio::time::timeout(wait, ended).await {
+        Ok(Ok(state)) => match &*state {
+            FetchState::Fetching => OriginChunkReply::Pending,
+            FetchState::Fetched(bytes) => {
+                OriginChunkReply::Ready { chunk_bytes: bytes.len() as u64 }
+            }
+            FetchState::Failed(reply) => *reply,
+        },
+        Ok(Err(_)) | Err(_) => OriginChunkReply::Pending,
+    }
+}
+
 #[derive(Clone)]
 struct CacheHandler {
     cache: Rc<OriginCache>,
@@ -253,19 +328,13 @@
 impl ChunkService for CacheHandler {
     async fn cache_origin_chunk(self, _: Context, call: OriginChunkCall) -> OriginChunkReply {
         let chunk = self.cache.find_or_fetch(&call);
-        let mut state = chunk.state.subscribe();
-        let wait = Duration::from_millis(call.wait_millis).min(MAX_WAIT);
-        let ended = state.wait_for(|state| !matches!(state, FetchState::Fetching));
-        match tokio::time::timeout(wait, ended).await {
-            Ok(Ok(state)) => match &*state {
-                FetchState::Fetching => OriginChunkReply::Pending,
-                FetchState::Fetched(bytes) => {
-                    OriginChunkReply::Ready { chunk_bytes: bytes.len() as u64 }
-                }
-                FetchState::Failed(reply) => *reply,
-            },
-            Ok(Err(_)) | Err(_) => OriginChunkReply::Pending,
-        }
+        reply_when_fetched(&chunk, call.wait_millis).await
+    }
+
+    async fn cache_peer_chunk(self, _: Context, call: PeerChunkCall) -> OriginChunkReply {
+        let wait_millis = call.wait_millis;
+        let chunk = self.cache.find_or_fetch_from_peer(call);
+        reply_when_fetched(&chunk, wait_millis).await
     }
 
     async fn part(self, _: Context, call: PartCall) -> Option<PartReply> {
--- a/crates/stager/src/origin_entries.rs
+++ b/crates/stager/src/origin_entries.rs
@@ -1,13 +1,16 @@
-//! Downloads chunks of the origin in parts, through entries that fetch them whole.
+//! Downloads chunks in parts through entries that fetch them whole: from the origin, or from another
+//! agent for all agents of an availability zone.
 
 use crate::{
     contents::member_link,
-    downloads::{ChunkSource, PartError, PartWindow},
+    downloads::{ChunkSource, PartError, PartWindow, PeerChunk},
     shared::StagerShared,
 };
 use bytes::Bytes;
 use egretseam_proto::ZoneName;
-use egretseam_rpc::{CallError, ChunkLink, LinkOptions, OriginChunkCall, OriginChunkReply};
+use egretseam_rpc::{
+    CallError, ChunkLink, LinkOptions, OriginChunkCall, OriginChunkReply, PeerChunkCall,
+};
 use egretseam_serving::EntryRecord;
 use egretseam_swarm::rendezvous_score;
 use std::{
@@ -31,14 +34,16 @@
 /// How long an entry may hold a call until it has the chunk. An entry that does not answer within
 /// this and [`CALL_TIMEOUT`] hangs; one that answers that the chunk is pending is asked again.
 const PENDING_WAIT: Duration = Duration::from_millis(500);
-/// Longest time until an entry has fetched a chunk.
+/// Longest time until an entry has fetched a chunk of the origin.
 const MAX_PENDING: Duration = Duration::from_millis(2_500);
+/// The same for a chunk of another agent, which can also be asked directly.
+const MAX_PEER_PENDING: Duration = Duration::from_millis(600);
 /// How long an entry that failed is not used.
 const FAILED_FOR: Duration = Duration::from_secs(4);
 /// Entries that are tried for one chunk before the chunk is fetched whole from the origin.
 const MAX_ENTRIES_TRIED: usize = 2;
 
-/// An entry that fetches chunks from the origin.
+/// An entry that fetches chunks.
 struct OriginEntry {
     record: EntryRecord,
     link: Rc<ChunkLink>,
@@ -61,7 +66,23 @@
         self.failed_until.get().is_some_and(|until| now < until)
     }
 
-    /// Has the entry fetch a chunk; returns the chunk's size once the entry has it.
+    /// Has the entry fetch a chunk from another agent.
+    async fn cache_from_peer(&self, call: &PeerChunkCall) -> Result<(), OriginChunkError> {
+        let give_up_at = Instant::now() + MAX_PEER_PENDING;
+        loop {
+            match self.link.cache_peer_chunk(call.clone()).await? {
+                OriginChunkReply::Ready { .. } => return Ok(()),
+                OriginChunkReply::Pending if Instant::now() < give_up_at => {}
+                OriginChunkReply::Unsupported => return Err(OriginChunkError::Entry),
+                OriginChunkReply::Absent
+                | OriginChunkReply::Pending
+                | OriginChunkReply::Busy
+                | OriginChunkReply::Unreachable => return Err(OriginChunkError::Absent),
+            }
+        }
+    }
+
+    /// Has the entry fetch a chunk of the origin; returns the chunk's size once the entry has it.
     async fn cache(&self, call: &OriginChunkCall) -> Result<u64, OriginChunkError> {
         let give_up_at = Instant::now() + MAX_PENDING;
         loop {
@@ -82,7 +103,7 @@
 /// Why a chunk could not be downloaded through an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OriginChunkError {
-    /// The origin does not have the chunk.
+    /// The source does not have the chunk, or did not send it in time.
     Absent,
     /// The origin rejected the request for now.
     OriginBusy,
@@ -101,7 +122,7 @@
     }
 }
 
-/// The entries through which this agent downloads chunks of the origin.
+/// The entries of one availability zone through which this agent downloads chunks.
 #[derive(Default)]
 pub(crate) struct OriginEntries {
     entries: RefCell<Vec<Rc<OriginEntry>>>,
@@ -145,8 +166,38 @@
         shared.is_link_slow().then_some(Err(OriginChunkError::LinkSlow))
     }
 
+    /// Whether an entry can be used, as far as is known.
+    pub(crate) fn are_usable(&self) -> bool {
+        let now = Instant::now();
+        self.entries.borrow().iter().any(|entry| !entry.has_failed(now))
+    }
+
+    /// Downloads a chunk of another agent in parts from the entry of this agent's zone that ranks
+    /// first for it, which fetches the chunk once for the zone; `None` if that fails.
+    pub(crate) async fn download_from_peer(
+        &self,
+        shared: &StagerShared,
+        call: PeerChunkCall,
+    ) -> Option<PeerChunk> {
+        self.update(shared, &shared.options.zone).await;
+        let entry = self.ranked(call.chunk).into_iter().next()?;
+        let call = PeerChunkCall { wait_millis: MAX_PEER_PENDING.as_millis() as u64, ..call };
+        let downloaded = match entry.cache_from_peer(&call).await {
+            Ok(()) => download_kept(shared, &entry, &call).await,
+            Err(error) => Err(error),
+        };
+        if downloaded.as_ref().err() == Some(&OriginChunkError::Entry) && !shared.is_link_slow() {
+            tracing::info!(
+                entry = %entry.record.name, chunk = call.chunk,
+                "an entry did not provide a chunk of another agent"
+            );
+            entry.failed_until.set(Some(Instant::now() + FAILED_FOR));
+        }
+        downloaded.ok()
+    }
+
     /// Requests the entries from control if they are unknown or may have changed.
-    async fn update(&self, shared: &StagerShared, origin_zone: &ZoneName) {
+    async fn update(&self, shared: &StagerShared, zone: &ZoneName) {
         let now = Instant::now();
         let is_recent = |at| now.saturating_duration_since(at) < MAX_ENTRIES_AGE;
         let mut requested_at = self.requested_at.lock().await;
@@ -154,7 +205,7 @@
             return;
         }
         let Some(member) = member_link(shared) else { return };
-        match member.ready_entries(origin_zone.clone()).await {
+        match member.ready_entries(zone.clone()).await {
             // A control member that has just started knows no entries yet.
             Ok(records) if records.is_empty() && !self.entries.borrow().is_empty() => {}
             Ok(records) => {
@@ -192,6 +243,25 @@
     }
 }
 
+/// Downloads a chunk that an entry keeps.
+async fn download_kept(
+    shared: &StagerShared,
+    entry: &OriginEntry,
+    call: &PeerChunkCall,
+) -> Result<PeerChunk, OriginChunkError> {
+    let source = ChunkSource {
+        link: &entry.link,
+        window: PartWindow::SameZone,
+        key: &call.key,
+        chunk: call.chunk,
+    };
+    match shared.downloads.download_chunk(&source).await {
+        Ok(chunk) => Ok(chunk),
+        Err(PartError::Absent) => Err(OriginChunkError::Absent),
+        Err(PartError::Call(error)) => Err(error.into()),
+    }
+}
+
 async fn download_through(
     shared: &StagerShared,
     entry: &OriginEntry,
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -157,6 +157,8 @@
     pub(crate) origin_share: OriginShare,
     /// Entries through which chunks of the origin are downloaded.
     pub(crate) origin_entries: OriginEntries,
+    /// Entries of this agent's zone, through which chunks of other agents are downloaded.
+    pub(crate) zone_entries: OriginEntries,
     /// When the chunk that the origin is asked for was requested; `None` if there is none.
     pub(crate) origin_request_at: Cell<Option<Instant>>,
     /// Limits the parts in flight from other agents, so that live requests are not delayed.
@@ -201,6 +203,7 @@
             origin_unreachable: Cell::new(false),
             origin_share: OriginShare::default(),
             origin_entries: OriginEntries::default(),
+            zone_entries: OriginEntries::default(),
             origin_request_at: Cell::new(None),
             downloads: PartDownloads::new(options.upload_bytes_per_second),
             uploads: PartUploads::new(options.upload_bytes_per_second),
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use egretseam_h1::PersistentClient;
 use egretseam_proto::{InstanceName, ZoneName};
-use egretseam_rpc::{ChunkLink, LinkOptions, OriginChunkCall, WeightsKey, WeightsPlan};
+use egretseam_rpc::{
+    ChunkLink, LinkOptions, OriginChunkCall, PeerChunkCall, WeightsKey, WeightsPlan,
+};
 use egretseam_serving::{OriginTurn, SwarmPeer};
 use egretseam_swarm::{
     ChunkSet, FetchFailure, FetchOrder, PlannerPeer, SourceChoice, SwarmPlanner,
@@ -40,6 +42,8 @@
 const HELD_INTERVAL: Duration = Duration::from_millis(60);
 /// Pause after a peer did not reply or does not know the version yet.
 const HELD_RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before the next request to a peer of another zone whose chunk no entry could fetch.
+const ZONE_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time between two runs of the planner, whose rules also depend on time.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -167,7 +171,7 @@
         while !self.planner.borrow().have().is_full() {
             let max_chunks = self.shared.downloads.max_concurrent_chunks();
             self.planner.borrow_mut().set_max_peer_fetches(max_chunks);
-            self.share_origin();
+            self.update_sources();
             let orders = self.planner.borrow_mut().plan(self.now());
             for order in orders {
                 let (transfer, results) = (self.clone(), results.clone());
@@ -193,8 +197,9 @@
         true
     }
 
-    /// Reports what the origin still has to send of this version, and heeds whose turn it is.
-    fn share_origin(&self) {
+    /// Reports what the origin still has to send of this version, and heeds whose turn it is and
+    /// whether entries keep chunks for this zone.
+    fn update_sources(&self) {
         let share = &self.shared.origin_share;
         let mut planner = self.planner.borrow_mut();
         let backlog = (!self.is_gone_at_origin.get()).then(|| planner.unseen_chunks());
@@ -204,6 +209,7 @@
         {
             share.record_chunk_time(chunk_time);
         }
+        planner.set_zone_cached(self.shared.zone_entries.are_usable());
         planner.set_may_use_upstream(share.turn() == self.turn && !self.is_gone_at_origin.get());
     }
 
@@ -261,27 +267,63 @@
     async fn fetch(&self, order: &FetchOrder) -> Result<Bytes, FetchFailure> {
         match &order.source {
             SourceChoice::Upstream => self.fetch_from_origin(order.chunk).await,
-            SourceChoice::Peer(name) => {
-                let link = self.links.borrow().get(name).cloned();
-                let link = link.ok_or(FetchFailure::Absent)?;
-                let window = PartWindow::of_peer(self.planner.borrow().is_same_zone(name));
-                let (key, chunk) = (&self.key, order.chunk);
-                let source = ChunkSource { link: &link, window, key, chunk };
-                let result = self.shared.downloads.download_chunk(&source).await;
-                self.shared.adapt_to_link();
-                match result {
-                    Ok(chunk) => {
-                        self.planner.borrow_mut().record_queue_delay(name, chunk.queued);
-                        Ok(chunk.bytes)
-                    }
-                    Err(PartError::Absent) => Err(FetchFailure::Absent),
-                    Err(PartError::Call(error)) => {
-                        tracing::debug!(%error, "a chunk could not be downloaded from a peer");
-                        Err(FetchFailure::Unreachable)
-                    }
-                }
+            SourceChoice::Peer(name) => self.fetch_from_peer(name, order.chunk).await,
+        }
+    }
+
+    /// Fetches a chunk that a peer has: through an entry of this zone, which fetches it once for all
+    /// agents here, or else from the peer itself.
+    async fn fetch_from_peer(
+        &self,
+        name: &InstanceName,
+        chunk: u32,
+    ) -> Result<Bytes, FetchFailure> {
+        let link = self.links.borrow().get(name).cloned();
+        let link = link.ok_or(FetchFailure::Absent)?;
+        if let Some(bytes) = self.fetch_through_zone(name, &link, chunk).await {
+            self.shared.adapt_to_link();
+            return Ok(bytes);
+        }
+        let is_same_zone = self.planner.borrow().is_same_zone(name);
+        if !is_same_zone && !self.planner.borrow().may_cross_zones_alone(chunk, self.now()) {
+            return Err(FetchFailure::Busy(ZONE_RETRY_PAUSE));
+        }
+        let window = PartWindow::of_peer(is_same_zone);
+        let source = ChunkSource { link: &link, window, key: &self.key, chunk };
+        let result = self.shared.downloads.download_chunk(&source).await;
+        self.shared.adapt_to_link();
+        match result {
+            Ok(chunk) => {
+                self.planner.borrow_mut().record_queue_delay(name, chunk.queued);
+                Ok(chunk.bytes)
             }
+            Err(PartError::Absent) => Err(FetchFailure::Absent),
+            Err(PartError::Call(error)) => {
+                tracing::debug!(%error, "a chunk could not be downloaded from a peer");
+                Err(FetchFailure::Unreachable)
+            }
+        }
+    }
+
+    async fn fetch_through_zone(
+        &self,
+        name: &InstanceName,
+        link: &ChunkLink,
+        chunk: u32,
+    ) -> Option<Bytes> {
+        // What the entry keeps may be corrupted.
+        if self.digest_mismatches.borrow().contains_key(&chunk) {
+            return None;
         }
+        let call = PeerChunkCall {
+            source: link.address().parse().ok()?,
+            is_same_zone: self.planner.borrow().is_same_zone(name),
+            key: self.key.clone(),
+            chunk,
+            wait_millis: 0,
+        };
+        let downloaded = self.shared.zone_entries.download_from_peer(&self.shared, call).await?;
+        Some(downloaded.bytes)
     }
 
     /// Records whether the origin replied; logs when it becomes unreachable and reachable again.
--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -168,6 +168,8 @@
     upstream_backoff_until: Duration,
     /// Whether the origin's link may be used, or is left to another version.
     may_use_upstream: bool,
+    /// Whether chunks of peers come through a cache of the own availability zone.
+    is_zone_cached: bool,
     /// When this instance last fetched an assigned chunk from the origin, or failed to reach the
     /// origin. A chunk is assigned to the seeder that ranks first for it.
     assigned_fetch_at: Duration,
@@ -200,6 +202,7 @@
             active_upstream_fetches: 0,
             upstream_backoff_until: Duration::ZERO,
             may_use_upstream: true,
+            is_zone_cached: false,
             assigned_fetch_at: now,
             assigned_fetches: 0,
             started_at: now,
@@ -302,6 +305,13 @@
         self.may_use_upstream = may_use;
     }
 
+    /// Sets whether chunks of peers come through a cache of the own availability zone, which fetches
+    /// each chunk once. Any instance of the zone may then fetch from other zones, and several chunks
+    /// from one peer at a time.
+    pub fn set_zone_cached(&mut self, is_cached: bool) {
+        self.is_zone_cached = is_cached;
+    }
+
     /// Number of chunks that neither this instance nor a neighbour has.
     pub fn unseen_chunks(&self) -> u32 {
         let is_unseen = |chunk: &&ChunkState| !chunk.present && chunk.holders == 0;
--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -37,6 +37,8 @@
 /// Queue delays are compared in steps of this length, about the time of one chunk over the
 /// low-bandwidth links of instances.
 const QUEUE_STEP: Duration = Duration::from_millis(30);
+/// Most chunks fetched at a time that one peer has, while a cache of the zone fetches them.
+const CACHED_FETCHES_PER_PEER: usize = 3;
 /// Most concurrent fetches of one chunk.
 const MAX_FETCHES_PER_CHUNK: usize = 2;
 
@@ -305,7 +307,8 @@
     }
 
     fn is_available(&self, state: &PeerState, now: Duration) -> bool {
-        state.active_fetches < self.policy.max_fetches_per_peer
+        let cached_fetches = if self.is_zone_cached { CACHED_FETCHES_PER_PEER } else { 0 };
+        state.active_fetches < self.policy.max_fetches_per_peer.max(cached_fetches)
             && now >= state.backoff_until
             && !state.have.is_empty()
     }
@@ -362,7 +365,7 @@
         free: &[(&'a InstanceName, &PeerState)],
         now: Duration,
     ) -> Option<&'a InstanceName> {
-        let may_cross = self.may_cross_zones(chunk, now);
+        let may_cross = self.is_zone_cached || self.may_cross_zones_alone(chunk, now);
         free.iter()
             .filter(|(_, state)| state.have.contains(chunk))
             .filter(|(_, state)| may_cross || state.zone == self.own.zone)
@@ -378,10 +381,10 @@
             .map(|(name, _)| *name)
     }
 
-    /// Whether this instance may fetch a chunk from another availability zone. Each chunk enters a
+    /// Whether this instance may fetch a chunk from another availability zone by itself. Each chunk enters a
     /// zone about once, through the zone's first-ranked instance; the others first wait
     /// `cross_zone_delay` for it to appear in their zone.
-    fn may_cross_zones(&self, chunk: ChunkIndex, now: Duration) -> bool {
+    pub fn may_cross_zones_alone(&self, chunk: ChunkIndex, now: Duration) -> bool {
         let tree = self.policy.scheme == DistributionScheme::Tree;
         if tree || self.policy.origin_copies > 1 {
             return true;
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -24,3 +24,4 @@
 mod silence;
 mod weights;
 mod weights_bed;
+mod zone_cache;
--- a/tests/all/fleet/link_queue.rs
+++ b/tests/all/fleet/link_queue.rs
@@ -105,6 +105,15 @@
     bed.run_slow_period().await.check("a chunk and parts");
 }
 
+/// Guards against live requests that queue behind what an entry provides of other agents' chunks.
+#[actix_rt::test]
+async fn few_bytes_queue_while_an_entry_provides_all_chunks() {
+    let bed = LinkBed::start_behind_entry(8, &SEEDER_FIRST, 12).await;
+    let link = bed.own_link();
+    wait_until(|| link.entered(&[TrafficKind::OriginPart]) >= 8 * CHUNK_BYTES).await;
+    bed.run_slow_period().await.check("parts from an entry");
+}
+
 /// Guards against a chunk that passes a slow link whole because calls to entries time out on that
 /// link: a burst of live requests fills it as it becomes slow.
 #[actix_rt::test]
--- a/tests/all/fleet/link_queue/bed.rs
+++ b/tests/all/fleet/link_queue/bed.rs
@@ -19,12 +19,31 @@
 }
 
 impl LinkBed {
-    /// Starts agents in `zones`, on addresses of their own by `subnet`.
+    /// Starts agents in `zones`, on addresses of their own by `subnet`. They fetch from each other.
     pub(super) async fn start(
         subnet: u8,
         zones: &[&'static str],
         max_seeders: usize,
         refuses: bool,
+    ) -> Self {
+        Self::start_with(subnet, zones, max_seeders, refuses, false).await
+    }
+
+    /// The same, but all chunks of other agents come through the entry.
+    pub(super) async fn start_behind_entry(
+        subnet: u8,
+        zones: &[&'static str],
+        max_seeders: usize,
+    ) -> Self {
+        Self::start_with(subnet, zones, max_seeders, false, true).await
+    }
+
+    async fn start_with(
+        subnet: u8,
+        zones: &[&'static str],
+        max_seeders: usize,
+        refuses: bool,
+        keeps_peer_chunks: bool,
     ) -> Self {
         let (origin, origin_address) = LargeOrigin::start(host(subnet, ORIGIN_HOST)).await;
         origin.refuses.set(refuses);
@@ -41,6 +60,7 @@
             origin_link: SimulatedLink::new(ORIGIN_RATE),
             origin: origin_address,
             max_seeders,
+            keeps_peer_chunks,
         };
         for (viewer, relays) in relays.into_iter().enumerate() {
             for (peer, listener) in
--- a/tests/all/fleet/link_queue/origin.rs
+++ b/tests/all/fleet/link_queue/origin.rs
@@ -5,7 +5,7 @@
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
     ChunkLink, ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt,
-    PartReply, VersionDigests, WeightsKey,
+    PartReply, PeerChunkCall, VersionDigests, WeightsKey,
 };
 use serde_json::json;
 use sha2::{Digest, Sha256};
@@ -25,6 +25,9 @@
 pub(super) struct RelayedEntry {
     pub(super) cache: Rc<ChunkLink>,
     pub(super) origin: SocketAddr,
+    /// Whether it provides the chunks of other agents too. It has them from the origin, so that they
+    /// pass no agent's link on the way.
+    pub(super) keeps_peer_chunks: bool,
 }
 
 impl ChunkService for RelayedEntry {
@@ -33,6 +36,20 @@
         self.cache.cache_origin_chunk(call).await.unwrap_or(OriginChunkReply::Unreachable)
     }
 
+    async fn cache_peer_chunk(self, _: Context, call: PeerChunkCall) -> OriginChunkReply {
+        if !self.keeps_peer_chunks {
+            return OriginChunkReply::Unsupported;
+        }
+        let call = OriginChunkCall {
+            origin: self.origin,
+            key: call.key,
+            chunk: call.chunk,
+            discards_kept: false,
+            wait_millis: call.wait_millis,
+        };
+        self.cache.cache_origin_chunk(call).await.unwrap_or(OriginChunkReply::Unreachable)
+    }
+
     async fn part(self, _: Context, call: PartCall) -> Option<PartReply> {
         self.cache.part(call).await.ok().flatten()
     }
--- a/tests/all/fleet/link_queue/plan.rs
+++ b/tests/all/fleet/link_queue/plan.rs
@@ -47,6 +47,8 @@
     pub(super) origin_link: Rc<SimulatedLink>,
     pub(super) origin: SocketAddr,
     pub(super) max_seeders: usize,
+    /// Whether the entry provides chunks of agents too.
+    pub(super) keeps_peer_chunks: bool,
 }
 
 impl BedPlan {
@@ -94,10 +96,20 @@
         start_relay(origin, self.origin, requests, chunks);
         let cache_address = caching.local_addr().expect("bound").to_string();
         let metrics = DaemonMetrics::new();
-        let cache = OriginCacheRuntime::start(caching, secret, Rc::new(PlatformEngine), &metrics)
-            .expect("the cache starts");
+        let cache = OriginCacheRuntime::start(
+            caching,
+            secret,
+            Rc::new(PlatformEngine),
+            5_000_000,
+            &metrics,
+        )
+        .expect("the cache starts");
         let link = Rc::new(ChunkLink::new(&cache_address, secret, LinkOptions::default()));
-        let entry = RelayedEntry { cache: link, origin: origin_address };
+        let entry = RelayedEntry {
+            cache: link,
+            origin: origin_address,
+            keeps_peer_chunks: self.keeps_peer_chunks,
+        };
         let entry_address = serving.local_addr().expect("bound");
         let server = serve_chunks(serving, secret, RpcOptions::default(), entry);
         for (agent, port) in self.ports.iter().enumerate() {
--- a/tests/all/fleet/narrow_link.rs
+++ b/tests/all/fleet/narrow_link.rs
@@ -8,8 +8,8 @@
 use egretseam_rpc::{
     AgentCall, AgentReply, ChunkService, EvidenceCall, EvidenceReply, FeedCall, FeedReply,
     FeedService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
-    PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, WeightsPlan, serve_chunks,
-    serve_feed,
+    PeerChunkCall, PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, WeightsPlan,
+    serve_chunks, serve_feed,
 };
 use egretseam_serving::{EntryRecord, PeerUpdate, SwarmPeer, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
@@ -78,6 +78,10 @@
         OriginChunkReply::Unsupported
     }
 
+    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> OriginChunkReply {
+        OriginChunkReply::Unsupported
+    }
+
     async fn echo(self, _: Context) {
         tokio::time::sleep(self.delay.get()).await;
     }
--- a/tests/all/fleet/origin_cache.rs
+++ b/tests/all/fleet/origin_cache.rs
@@ -32,7 +32,8 @@
 
 fn start_cache(listener: TcpListener, metrics: &DaemonMetrics) -> OriginCacheRuntime {
     let dialect = Rc::new(PlatformEngine);
-    OriginCacheRuntime::start(listener, secret(), dialect, metrics).expect("the cache starts")
+    OriginCacheRuntime::start(listener, secret(), dialect, 5_000_000, metrics)
+        .expect("the cache starts")
 }
 
 impl CacheBed {
--- a/tests/all/fleet/receipts.rs
+++ b/tests/all/fleet/receipts.rs
@@ -5,7 +5,7 @@
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
     ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
-    PeerSecret, RpcOptions, VersionDigests, WeightsKey, serve_chunks,
+    PeerChunkCall, PeerSecret, RpcOptions, VersionDigests, WeightsKey, serve_chunks,
 };
 use egretseam_swarm::{ChunkSet, PlannerPolicy};
 use sha2::{Digest, Sha256};
@@ -90,6 +90,10 @@
     async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
         OriginChunkReply::Unsupported
     }
+
+    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> OriginChunkReply {
+        OriginChunkReply::Unsupported
+    }
 }
 
 /// Guards against a deadlock of agents: each waits for room in its window before it sends a
