An entry verifies a kept chunk by the digest that its caller expects

Change: the call carries the digest. A kept copy that does not match is dropped and fetched from the agent that the call names. After a single mismatch a seeder asks the same entry again, so that the zone finds the chunk where it looks for it. Test: a_corrupted_chunk_that_an_entry_keeps_is_fetched_from_an_agent.

--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -261,6 +261,8 @@
     pub key: WeightsKey,
     /// Index of the chunk.
     pub chunk: u32,
+    /// Digest of the chunk, which a kept copy must match.
+    pub digest: [u8; 32],
     /// Milliseconds that the reply may wait for the chunk.
     pub wait_millis: u64,
 }
--- a/crates/stager/src/origin_cache.rs
+++ b/crates/stager/src/origin_cache.rs
@@ -12,7 +12,8 @@
 //! the zone.
 
 use crate::{
-    dialect::EngineDialect, peer_sources::PeerSources, shared::request, transfer::origin_client,
+    dialect::EngineDialect, digests::chunk_digest, peer_sources::PeerSources, shared::request,
+    transfer::origin_client,
 };
 use bytes::Bytes;
 use egretseam_h1::PersistentClient;
@@ -69,12 +70,23 @@
 struct CachedChunk {
     state: watch::Sender<FetchState>,
     used_at: Cell<Instant>,
+    /// The digest that the content is known to match.
+    verified: Cell<Option<[u8; 32]>>,
 }
 
 impl CachedChunk {
     fn new() -> Rc<Self> {
         let state = watch::Sender::new(FetchState::Fetching);
-        Rc::new(Self { state, used_at: Cell::new(Instant::now()) })
+        Rc::new(Self { state, used_at: Cell::new(Instant::now()), verified: Cell::new(None) })
+    }
+
+    /// Whether the chunk has been fetched and has other content than the digest says.
+    fn is_corrupted(&self, digest: &[u8; 32]) -> bool {
+        let FetchState::Fetched(bytes) = &*self.state.borrow() else { return false };
+        if self.verified.get().as_ref() != Some(digest) && chunk_digest(bytes) == *digest {
+            self.verified.set(Some(*digest));
+        }
+        self.verified.get().as_ref() != Some(digest)
     }
 
     fn kept_bytes(&self) -> usize {
@@ -150,8 +162,15 @@
     }
 
     /// The same for a chunk that another agent has.
+    ///
+    /// Failure guarded: the origin or an agent sends a corrupted chunk, and every agent of the zone
+    /// gets it for as long as it is kept here.
     fn find_or_fetch_from_peer(self: &Rc<Self>, call: PeerChunkCall) -> Rc<CachedChunk> {
         let id = ChunkId { key: call.key.clone(), chunk: call.chunk };
+        let known = self.find_known(&id);
+        if known.as_ref().is_some_and(|chunk| chunk.is_corrupted(&call.digest)) {
+            self.discard_kept(&id);
+        }
         self.find_known(&id).unwrap_or_else(|| {
             let chunk = self.add_fetching(id.clone());
             let (cache, fetching) = (self.clone(), chunk.clone());
@@ -332,9 +351,10 @@
     }
 
     async fn cache_peer_chunk(self, _: Context, call: PeerChunkCall) -> OriginChunkReply {
-        let wait_millis = call.wait_millis;
+        let (digest, wait_millis) = (call.digest, call.wait_millis);
         let chunk = self.cache.find_or_fetch_from_peer(call);
-        reply_when_fetched(&chunk, wait_millis).await
+        let reply = reply_when_fetched(&chunk, wait_millis).await;
+        if chunk.is_corrupted(&digest) { OriginChunkReply::Absent } else { reply }
     }
 
     async fn part(self, _: Context, call: PartCall) -> Option<PartReply> {
--- a/crates/stager/src/origin_entries.rs
+++ b/crates/stager/src/origin_entries.rs
@@ -132,18 +132,21 @@
 }
 
 impl OriginEntries {
-    /// Downloads a chunk in parts; `None` if no entry can be used.
+    /// Downloads a chunk in parts; `None` if no entry can be used. `mismatches` is how often the chunk
+    /// did not match its digest.
     pub(crate) async fn download(
         &self,
         shared: &StagerShared,
         origin_zone: &ZoneName,
         call: OriginChunkCall,
+        mismatches: u32,
     ) -> Option<Result<Bytes, OriginChunkError>> {
         self.update(shared, origin_zone).await;
         let call = OriginChunkCall { wait_millis: PENDING_WAIT.as_millis() as u64, ..call };
         let mut entries = self.ranked(call.chunk);
-        // The entry that passed on a corrupted chunk may be what corrupts it.
-        if call.discards_kept && entries.len() > 1 {
+        // The entry that passed on corrupted chunks may be what corrupts them. After a single one it
+        // is asked again, so that the agents of its zone find the chunk where they look for it.
+        if mismatches > 1 && entries.len() > 1 {
             entries.remove(0);
         }
         for entry in entries {
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -311,15 +311,12 @@
         link: &ChunkLink,
         chunk: u32,
     ) -> Option<Bytes> {
-        // What the entry keeps may be corrupted.
-        if self.digest_mismatches.borrow().contains_key(&chunk) {
-            return None;
-        }
         let call = PeerChunkCall {
             source: link.address().parse().ok()?,
             is_same_zone: self.planner.borrow().is_same_zone(name),
             key: self.key.clone(),
             chunk,
+            digest: *self.digests.chunks.get(chunk as usize)?,
             wait_millis: 0,
         };
         let downloaded = self.shared.zone_entries.download_from_peer(&self.shared, call).await?;
@@ -347,7 +344,10 @@
             wait_millis: 0,
         };
         let shared = &self.shared;
-        match shared.origin_entries.download(shared, &self.origin_zone, call).await {
+        let mismatches = self.digest_mismatches.borrow().get(&chunk).copied().unwrap_or(0);
+        let downloaded =
+            shared.origin_entries.download(shared, &self.origin_zone, call, mismatches);
+        match downloaded.await {
             None => self.fetch_whole_from_origin(chunk).await,
             Some(result) => {
                 self.record_origin_reply(
--- a/tests/all/fleet/zone_cache.rs
+++ b/tests/all/fleet/zone_cache.rs
@@ -1,7 +1,7 @@
 //! Chunks of agents that entries keep for the agents of their availability zone.
 
 use super::{
-    engines::{CHUNKS, ScriptedEngine, chunk},
+    engines::{CHUNKS, ScriptedEngine, ScriptedOrigin, chunk},
     narrow_link::{FakeControlMember, free_port, host, peer, start_agent, wait_until, zone},
 };
 use egretseam_http::DaemonMetrics;
@@ -180,7 +180,49 @@
         is_same_zone: true,
         key: WeightsKey { model: crate::serving_tables::model(), version: 1 },
         chunk: 0,
+        digest: [0; 32],
         wait_millis: Duration::from_secs(2).as_millis() as u64,
     };
     assert_eq!(link.cache_peer_chunk(call).await.expect("a reply"), OriginChunkReply::Unreachable);
 }
+
+/// Guards against a corrupted chunk of the origin that every agent of the zone gets from the entry.
+#[actix_rt::test]
+async fn a_corrupted_chunk_that_an_entry_keeps_is_fetched_from_an_agent() {
+    let (origin, origin_address) = ScriptedOrigin::start(host(92)).await;
+    let port = free_port(host(93));
+    let whole_peer = WholePeer::default();
+    let _peer = whole_peer.start(93, port);
+    let listener = TcpListener::bind((host(94), 0)).expect("a free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let metrics = DaemonMetrics::new();
+    let dialect = Rc::new(PlatformEngine);
+    let _cache = OriginCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
+    let link = ChunkLink::new(&address, secret(), LinkOptions::default());
+    let key = WeightsKey { model: crate::serving_tables::model(), version: 1 };
+    origin.chunks_to_corrupt.set(1);
+    let from_origin = OriginChunkCall {
+        origin: origin_address,
+        key: key.clone(),
+        chunk: 0,
+        discards_kept: false,
+        wait_millis: 2_000,
+    };
+    link.cache_origin_chunk(from_origin).await.expect("a reply");
+    let from_peer = PeerChunkCall {
+        source: SocketAddr::new(host(93), port),
+        is_same_zone: true,
+        key: key.clone(),
+        chunk: 0,
+        digest: Sha256::digest(chunk(1, 0)).into(),
+        wait_millis: 2_000,
+    };
+    for _ in 0..2 {
+        let reply = link.cache_peer_chunk(from_peer.clone()).await.expect("a reply");
+        assert_eq!(reply, OriginChunkReply::Ready { chunk_bytes: chunk(1, 0).len() as u64 });
+    }
+    assert_eq!(whole_peer.chunks_sent.get(), 1, "the correct copy is kept");
+    // A copy of another content than the caller expects is not offered.
+    let other = PeerChunkCall { digest: [0; 32], ..from_peer };
+    assert_eq!(link.cache_peer_chunk(other).await.expect("a reply"), OriginChunkReply::Absent);
+}
