The cache of chunks and its readers are named for all chunks

The service beside an entry keeps chunks of agents too, so OriginCache, OriginEntries and their replies are ChunkCache, CachingEntries and CachedChunkReply now; the part that answers calls has a file of its own. Names of metrics are unchanged. No change of behaviour.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -13,7 +13,7 @@
     DEFAULT_STREAM_IDLE_TIMEOUT, PlacementPolicy, RetryPolicy, SwitchTiming, WaitPolicy,
 };
 use egretseam_stager::{
-    EngineDialect, OriginCacheRuntime, StagerListeners, StagerOptions, StagerRuntime,
+    ChunkCacheRuntime, EngineDialect, StagerListeners, StagerOptions, StagerRuntime,
 };
 use egretseam_swarm::PlannerPolicy;
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
@@ -81,7 +81,7 @@
 /// Running roles of a fleet process.
 pub struct FleetRuntime {
     entry: Option<GatewayRuntime>,
-    _origin_cache: Option<OriginCacheRuntime>,
+    _chunk_cache: Option<ChunkCacheRuntime>,
     control: Option<RegistrarRuntime>,
     _agent: Option<StagerRuntime>,
     seeds: FleetSeeds,
@@ -127,9 +127,9 @@
             .transpose()?;
         let agent = settings.agent.as_ref();
         let agent = agent.map(|agent| starter.agent(agent, dialects.engine.clone())).transpose()?;
-        let origin_cache = starter.origin_cache(dialects.engine.clone())?;
+        let chunk_cache = starter.chunk_cache(dialects.engine.clone())?;
         starter.metrics()?;
-        Ok(Self { entry, _origin_cache: origin_cache, control, _agent: agent, seeds, settings })
+        Ok(Self { entry, _chunk_cache: chunk_cache, control, _agent: agent, seeds, settings })
     }
 
     /// Version of the configuration in force at the entry; 0 for none.
@@ -310,20 +310,19 @@
         runtime.context("start the agent")
     }
 
-    /// Starts the cache of the origin's chunks beside an entry, at the port at which agents serve
-    /// chunks.
-    fn origin_cache(
+    /// Starts the cache of chunks beside an entry, at the port at which agents serve chunks.
+    fn chunk_cache(
         &self,
         dialect: Rc<dyn EngineDialect>,
-    ) -> anyhow::Result<Option<OriginCacheRuntime>> {
+    ) -> anyhow::Result<Option<ChunkCacheRuntime>> {
         if self.settings.entry.is_none() || self.settings.agent.is_some() {
             return Ok(None);
         }
         let listener = self.bind(self.peer_address(CHUNK_PORT_OFFSET))?;
         let secret = PeerSecret::derive(PEER_TOKEN);
         let link = (self.settings.link_mbps * 125_000.0) as u64;
-        let runtime = OriginCacheRuntime::start(listener, secret, dialect, link, self.metrics);
-        runtime.map(Some).context("start the cache of the origin's chunks")
+        let runtime = ChunkCacheRuntime::start(listener, secret, dialect, link, self.metrics);
+        runtime.map(Some).context("start the cache of chunks")
     }
 
     /// Serves the metrics over HTTP, without authentication.
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -269,7 +269,7 @@
 
 /// Answers an [`OriginChunkCall`] or a [`PeerChunkCall`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OriginChunkReply {
+pub enum CachedChunkReply {
     /// Parts of the chunk can be requested.
     Ready {
         /// Size of the chunk in bytes.
@@ -325,7 +325,7 @@
     /// Replies immediately, so that the caller can measure the round-trip time.
     async fn echo();
     /// Fetches a chunk from the origin unless it is kept here already.
-    async fn cache_origin_chunk(call: OriginChunkCall) -> OriginChunkReply;
+    async fn cache_origin_chunk(call: OriginChunkCall) -> CachedChunkReply;
     /// Fetches a chunk from another agent unless it is kept here already.
-    async fn cache_peer_chunk(call: PeerChunkCall) -> OriginChunkReply;
+    async fn cache_peer_chunk(call: PeerChunkCall) -> CachedChunkReply;
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -25,9 +25,9 @@
 pub use crate::{
     control_client::{ControlClient, SubmitError},
     feed::{
-        AgentCall, AgentReply, ChunkService, ChunkServiceClient, EvidenceCall, EvidenceReply,
-        FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, FeedServiceClient, HeldReply,
-        OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply, PeerChunkCall,
+        AgentCall, AgentReply, CachedChunkReply, ChunkService, ChunkServiceClient, EvidenceCall,
+        EvidenceReply, FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, FeedServiceClient,
+        HeldReply, OriginChunkCall, PartCall, PartReceipt, PartReply, PeerChunkCall,
         VersionDigests, WeightsKey, WeightsPlan,
     },
     limits::{LimitDatagram, LimitNews, MAX_LIMITS},
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     feed::{
-        AgentCall, AgentReply, ChunkServiceClient, EvidenceCall, EvidenceReply, FeedCall,
-        FeedReply, FeedServiceClient, HeldReply, OriginChunkCall, OriginChunkReply, PartCall,
-        PartReceipt, PartReply, PeerChunkCall, VersionDigests, WeightsKey,
+        AgentCall, AgentReply, CachedChunkReply, ChunkServiceClient, EvidenceCall, EvidenceReply,
+        FeedCall, FeedReply, FeedServiceClient, HeldReply, OriginChunkCall, PartCall, PartReceipt,
+        PartReply, PeerChunkCall, VersionDigests, WeightsKey,
     },
     preface::PeerSecret,
     server::codec,
@@ -324,7 +324,7 @@
     pub async fn cache_origin_chunk(
         &self,
         call: OriginChunkCall,
-    ) -> Result<OriginChunkReply, CallError> {
+    ) -> Result<CachedChunkReply, CallError> {
         let client = self.client().await?;
         let wait = Duration::from_millis(call.wait_millis);
         let reply = client.cache_origin_chunk(self.context(wait), call).await;
@@ -338,7 +338,7 @@
     pub async fn cache_peer_chunk(
         &self,
         call: PeerChunkCall,
-    ) -> Result<OriginChunkReply, CallError> {
+    ) -> Result<CachedChunkReply, CallError> {
         let client = self.client().await?;
         let wait = Duration::from_millis(call.wait_millis);
         let reply = client.cache_peer_chunk(self.context(wait), call).await;
--- a/crates/stager/src/origin_entries.rs
+++ b/crates/stager/src/caching_entries.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use egretseam_proto::ZoneName;
 use egretseam_rpc::{
-    CallError, ChunkLink, LinkOptions, OriginChunkCall, OriginChunkReply, PeerChunkCall,
+    CachedChunkReply, CallError, ChunkLink, LinkOptions, OriginChunkCall, PeerChunkCall,
 };
 use egretseam_serving::EntryRecord;
 use egretseam_swarm::rendezvous_score;
@@ -44,13 +44,13 @@
 const MAX_ENTRIES_TRIED: usize = 2;
 
 /// An entry that fetches chunks.
-struct OriginEntry {
+struct CachingEntry {
     record: EntryRecord,
     link: Rc<ChunkLink>,
     failed_until: Cell<Option<Instant>>,
 }
 
-impl OriginEntry {
+impl CachingEntry {
     fn new(shared: &StagerShared, record: EntryRecord) -> Rc<Self> {
         let address = SocketAddr::new(record.address.ip(), shared.options.chunk_port);
         let options = LinkOptions {
@@ -67,34 +67,34 @@
     }
 
     /// Has the entry fetch a chunk from another agent.
-    async fn cache_from_peer(&self, call: &PeerChunkCall) -> Result<(), OriginChunkError> {
+    async fn cache_from_peer(&self, call: &PeerChunkCall) -> Result<(), EntryChunkError> {
         let give_up_at = Instant::now() + MAX_PEER_PENDING;
         loop {
             match self.link.cache_peer_chunk(call.clone()).await? {
-                OriginChunkReply::Ready { .. } => return Ok(()),
-                OriginChunkReply::Pending if Instant::now() < give_up_at => {}
-                OriginChunkReply::Unsupported => return Err(OriginChunkError::Entry),
-                OriginChunkReply::Absent
-                | OriginChunkReply::Pending
-                | OriginChunkReply::Busy
-                | OriginChunkReply::Unreachable => return Err(OriginChunkError::Absent),
+                CachedChunkReply::Ready { .. } => return Ok(()),
+                CachedChunkReply::Pending if Instant::now() < give_up_at => {}
+                CachedChunkReply::Unsupported => return Err(EntryChunkError::Entry),
+                CachedChunkReply::Absent
+                | CachedChunkReply::Pending
+                | CachedChunkReply::Busy
+                | CachedChunkReply::Unreachable => return Err(EntryChunkError::Absent),
             }
         }
     }
 
     /// Has the entry fetch a chunk of the origin; returns the chunk's size once the entry has it.
-    async fn cache(&self, call: &OriginChunkCall) -> Result<u64, OriginChunkError> {
+    async fn cache(&self, call: &OriginChunkCall) -> Result<u64, EntryChunkError> {
         let give_up_at = Instant::now() + MAX_PENDING;
         loop {
             match self.link.cache_origin_chunk(call.clone()).await? {
-                OriginChunkReply::Ready { chunk_bytes } => return Ok(chunk_bytes),
-                OriginChunkReply::Pending if Instant::now() < give_up_at => {}
-                OriginChunkReply::Unreachable => return Err(OriginChunkError::OriginUnreachable),
-                OriginChunkReply::Absent => return Err(OriginChunkError::Absent),
-                OriginChunkReply::Pending | OriginChunkReply::Busy => {
-                    return Err(OriginChunkError::OriginBusy);
+                CachedChunkReply::Ready { chunk_bytes } => return Ok(chunk_bytes),
+                CachedChunkReply::Pending if Instant::now() < give_up_at => {}
+                CachedChunkReply::Unreachable => return Err(EntryChunkError::OriginUnreachable),
+                CachedChunkReply::Absent => return Err(EntryChunkError::Absent),
+                CachedChunkReply::Pending | CachedChunkReply::Busy => {
+                    return Err(EntryChunkError::OriginBusy);
                 }
-                OriginChunkReply::Unsupported => return Err(OriginChunkError::Entry),
+                CachedChunkReply::Unsupported => return Err(EntryChunkError::Entry),
             }
         }
     }
@@ -102,7 +102,7 @@
 
 /// Why a chunk could not be downloaded through an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum OriginChunkError {
+pub(crate) enum EntryChunkError {
     /// The source does not have the chunk, or did not send it in time.
     Absent,
     /// The origin rejected the request for now.
@@ -115,7 +115,7 @@
     LinkSlow,
 }
 
-impl From<CallError> for OriginChunkError {
+impl From<CallError> for EntryChunkError {
     fn from(error: CallError) -> Self {
         tracing::debug!(%error, "a call to an entry for a chunk of the origin failed");
         Self::Entry
@@ -124,14 +124,14 @@
 
 /// The entries of one availability zone through which this agent downloads chunks.
 #[derive(Default)]
-pub(crate) struct OriginEntries {
-    entries: RefCell<Vec<Rc<OriginEntry>>>,
+pub(crate) struct CachingEntries {
+    entries: RefCell<Vec<Rc<CachingEntry>>>,
     /// When the entries were last requested. Locked meanwhile, so that no chunk is fetched whole
     /// because the entries are not known yet; fetches wait for a third of a second at most.
     requested_at: Mutex<Option<Instant>>,
 }
 
-impl OriginEntries {
+impl CachingEntries {
     /// Downloads a chunk in parts; `None` if no entry can be used. `mismatches` is how often the chunk
     /// did not match its digest.
     pub(crate) async fn download(
@@ -140,7 +140,7 @@
         origin_zone: &ZoneName,
         call: OriginChunkCall,
         mismatches: u32,
-    ) -> Option<Result<Bytes, OriginChunkError>> {
+    ) -> Option<Result<Bytes, EntryChunkError>> {
         self.update(shared, origin_zone).await;
         let call = OriginChunkCall { wait_millis: PENDING_WAIT.as_millis() as u64, ..call };
         let mut entries = self.ranked(call.chunk);
@@ -153,10 +153,10 @@
             match download_through(shared, &entry, &call).await {
                 // Calls also fail because they queue at a slow link of this instance. If the chunk
                 // were then fetched whole, it would hold live requests up on just that link.
-                Err(OriginChunkError::Entry) if shared.is_link_slow() => {
-                    return Some(Err(OriginChunkError::LinkSlow));
+                Err(EntryChunkError::Entry) if shared.is_link_slow() => {
+                    return Some(Err(EntryChunkError::LinkSlow));
                 }
-                Err(OriginChunkError::Entry) => {
+                Err(EntryChunkError::Entry) => {
                     tracing::info!(
                         entry = %entry.record.name, chunk = call.chunk,
                         "an entry did not provide a chunk of the origin"
@@ -166,7 +166,7 @@
                 result => return Some(result),
             }
         }
-        shared.is_link_slow().then_some(Err(OriginChunkError::LinkSlow))
+        shared.is_link_slow().then_some(Err(EntryChunkError::LinkSlow))
     }
 
     /// Whether an entry can be used, as far as is known.
@@ -189,7 +189,7 @@
             Ok(()) => download_kept(shared, &entry, &call).await,
             Err(error) => Err(error),
         };
-        if downloaded.as_ref().err() == Some(&OriginChunkError::Entry) && !shared.is_link_slow() {
+        if downloaded.as_ref().err() == Some(&EntryChunkError::Entry) && !shared.is_link_slow() {
             tracing::info!(
                 entry = %entry.record.name, chunk = call.chunk,
                 "an entry did not provide a chunk of another agent"
@@ -228,17 +228,17 @@
             .into_iter()
             .map(|record| {
                 let same = known.iter().find(|entry| entry.record == record).cloned();
-                same.unwrap_or_else(|| OriginEntry::new(shared, record))
+                same.unwrap_or_else(|| CachingEntry::new(shared, record))
             })
             .collect();
     }
 
     /// Entries for a chunk that have not failed recently, the first-ranked one first. All agents
     /// rank them alike, so that the origin sends each chunk to one entry.
-    fn ranked(&self, chunk: u32) -> Vec<Rc<OriginEntry>> {
+    fn ranked(&self, chunk: u32) -> Vec<Rc<CachingEntry>> {
         let now = Instant::now();
         let entries = self.entries.borrow();
-        let mut usable: Vec<Rc<OriginEntry>> =
+        let mut usable: Vec<Rc<CachingEntry>> =
             entries.iter().filter(|entry| !entry.has_failed(now)).cloned().collect();
         usable.sort_by_key(|entry| std::cmp::Reverse(rendezvous_score(&entry.record.name, chunk)));
         usable.truncate(MAX_ENTRIES_TRIED);
@@ -249,9 +249,9 @@
 /// Downloads a chunk that an entry keeps.
 async fn download_kept(
     shared: &StagerShared,
-    entry: &OriginEntry,
+    entry: &CachingEntry,
     call: &PeerChunkCall,
-) -> Result<PeerChunk, OriginChunkError> {
+) -> Result<PeerChunk, EntryChunkError> {
     let source = ChunkSource {
         link: &entry.link,
         window: PartWindow::SameZone,
@@ -260,16 +260,16 @@
     };
     match shared.downloads.download_chunk(&source).await {
         Ok(chunk) => Ok(chunk),
-        Err(PartError::Absent) => Err(OriginChunkError::Absent),
+        Err(PartError::Absent) => Err(EntryChunkError::Absent),
         Err(PartError::Call(error)) => Err(error.into()),
     }
 }
 
 async fn download_through(
     shared: &StagerShared,
-    entry: &OriginEntry,
+    entry: &CachingEntry,
     call: &OriginChunkCall,
-) -> Result<Bytes, OriginChunkError> {
+) -> Result<Bytes, EntryChunkError> {
     let chunk_bytes = entry.cache(call).await?;
     let source = ChunkSource {
         link: &entry.link,
@@ -279,7 +279,7 @@
     };
     match shared.downloads.download_origin_chunk(&source, chunk_bytes).await {
         Ok(bytes) => Ok(bytes),
-        Err(PartError::Absent) => Err(OriginChunkError::Entry),
+        Err(PartError::Absent) => Err(EntryChunkError::Entry),
         Err(PartError::Call(error)) => Err(error.into()),
     }
 }
--- a/crates/stager/src/origin_cache.rs
+++ b/crates/stager/src/chunk_cache.rs
@@ -11,6 +11,10 @@
 //! their links. So an entry fetches a chunk from one agent that has it and keeps it for the others of
 //! the zone.
 
+mod service;
+
+pub use service::ChunkCacheRuntime;
+
 use crate::{
     dialect::EngineDialect, digests::chunk_digest, peer_sources::PeerSources, shared::request,
     transfer::origin_client,
@@ -18,21 +22,15 @@
 use bytes::Bytes;
 use egretseam_h1::PersistentClient;
 use egretseam_http::DaemonMetrics;
-use egretseam_proto::ModelName;
-use egretseam_rpc::{
-    ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
-    PeerChunkCall, PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, serve_chunks,
-};
+use egretseam_rpc::{CachedChunkReply, OriginChunkCall, PeerChunkCall, WeightsKey};
 use indexmap::IndexMap;
 use prometheus::IntCounter;
 use std::{
     cell::{Cell, RefCell},
-    io,
-    net::{SocketAddr, TcpListener},
-    rc::{Rc, Weak},
+    net::SocketAddr,
+    rc::Rc,
     time::Duration,
 };
-use tarpc::context::Context;
 use tokio::{
     sync::{Mutex, watch},
     time::Instant,
@@ -40,17 +38,13 @@
 
 /// Timeout of a request to the origin.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Longest wait for a chunk that a caller may ask for.
-const MAX_WAIT: Duration = Duration::from_secs(2);
 /// How long a chunk is kept after its last use: agents request the next part within milliseconds,
 /// and other agents the same chunk within a few seconds.
 const KEEP_FOR: Duration = Duration::from_secs(5);
-/// How often chunks that are no longer used are dropped.
-const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Most bytes of chunks that are kept. The least recently used ones are dropped first.
 const MAX_KEPT_BYTES: usize = 8 * 1024 * 1024;
 
-/// Identifies a chunk of the origin.
+/// Identifies a chunk.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct ChunkId {
     key: WeightsKey,
@@ -62,7 +56,7 @@
 enum FetchState {
     Fetching,
     Fetched(Bytes),
-    Failed(OriginChunkReply),
+    Failed(CachedChunkReply),
 }
 
 /// A chunk that is fetched or kept.
@@ -114,8 +108,8 @@
     }
 }
 
-/// Chunks of the origin that agents download from here.
-struct OriginCache {
+/// Chunks that agents download from here.
+struct ChunkCache {
     dialect: Rc<dyn EngineDialect>,
     metrics: CacheMetrics,
     chunks: RefCell<IndexMap<ChunkId, Rc<CachedChunk>>>,
@@ -124,7 +118,7 @@
     peers: PeerSources,
 }
 
-impl OriginCache {
+impl ChunkCache {
     fn new(
         dialect: Rc<dyn EngineDialect>,
         peers: PeerSources,
@@ -207,14 +201,14 @@
         let reply = client.lock().await.call(&request(&call, ORIGIN_TIMEOUT)).await;
         let fetched = match reply {
             Ok(reply) if reply.status == 200 => Ok(reply.body),
-            Ok(reply) if matches!(reply.status, 404 | 410) => Err(OriginChunkReply::Absent),
-            Ok(_) => Err(OriginChunkReply::Busy),
+            Ok(reply) if matches!(reply.status, 404 | 410) => Err(CachedChunkReply::Absent),
+            Ok(_) => Err(CachedChunkReply::Busy),
             Err(error) => {
                 tracing::info!(
                     version = id.key.version, chunk = id.chunk, %error,
                     "a chunk could not be fetched from the origin for agents"
                 );
-                Err(OriginChunkReply::Unreachable)
+                Err(CachedChunkReply::Unreachable)
             }
         };
         self.finish(&id, &chunk, fetched, &self.metrics.fetched);
@@ -225,7 +219,7 @@
         &self,
         id: &ChunkId,
         chunk: &Rc<CachedChunk>,
-        fetched: Result<Bytes, OriginChunkReply>,
+        fetched: Result<Bytes, CachedChunkReply>,
         counter: &IntCounter,
     ) {
         match fetched {
@@ -286,105 +280,3 @@
         Some(bytes.clone())
     }
 }
-
-async fn expire_unused(cache: Weak<OriginCache>) {
-    loop {
-        tokio::time::sleep(EXPIRE_INTERVAL).await;
-        let Some(cache) = cache.upgrade() else { return };
-        cache.expire();
-    }
-}
-
-/// A running cache of the origin's chunks. Dropping it stops it.
-pub struct OriginCacheRuntime {
-    _cache: Rc<OriginCache>,
-    _chunks: RpcServer,
-}
-
-impl OriginCacheRuntime {
-    /// Starts on the current thread of an instance whose link carries `link_bytes_per_second`.
-    ///
-    /// # Errors
-    /// Fails if the listener cannot be used.
-    pub fn start(
-        listener: TcpListener,
-        secret: PeerSecret,
-        dialect: Rc<dyn EngineDialect>,
-        link_bytes_per_second: u64,
-        metrics: &DaemonMetrics,
-    ) -> io::Result<Self> {
-        let peers = PeerSources::new(secret, link_bytes_per_second);
-        let cache = OriginCache::new(dialect, peers, metrics);
-        let handler = CacheHandler { cache: cache.clone() };
-        let chunks = serve_chunks(listener, secret, RpcOptions::default(), handler)?;
-        actix_rt::spawn(expire_unused(Rc::downgrade(&cache)));
-        Ok(Self { _cache: cache, _chunks: chunks })
-    }
-}
-
-/// Waits for the end of a chunk's fetch, for at most `wait_millis`.
-async fn reply_when_fetched(chunk: &CachedChunk, wait_millis: u64) -> OriginChunkReply {
-    let mut state = chunk.state.subscribe();
-    let wait = Duration::from_millis(wait_millis).min(MAX_WAIT);
-    let ended = state.wait_for(|state| !matches!(state, FetchState::Fetching));
-    match tokio::time::timeout(wait, ended).await {
-        Ok(Ok(state)) => match &*state {
-            FetchState::Fetching => OriginChunkReply::Pending,
-            FetchState::Fetched(bytes) => {
-                OriginChunkReply::Ready { chunk_bytes: bytes.len() as u64 }
-            }
-            FetchState::Failed(reply) => *reply,
-        },
-        Ok(Err(_)) | Err(_) => OriginChunkReply::Pending,
-    }
-}
-
-#[derive(Clone)]
-struct CacheHandler {
-    cache: Rc<OriginCache>,
-}
-
-impl ChunkService for CacheHandler {
-    async fn cache_origin_chunk(self, _: Context, call: OriginChunkCall) -> OriginChunkReply {
-        let chunk = self.cache.find_or_fetch(&call);
-        reply_when_fetched(&chunk, call.wait_millis).await
-    }
-
-    async fn cache_peer_chunk(self, _: Context, call: PeerChunkCall) -> OriginChunkReply {
-        let (digest, wait_millis) = (call.digest, call.wait_millis);
-        let chunk = self.cache.find_or_fetch_from_peer(call);
-        let reply = reply_when_fetched(&chunk, wait_millis).await;
-        if chunk.is_corrupted(&digest) { OriginChunkReply::Absent } else { reply }
-    }
-
-    async fn part(self, _: Context, call: PartCall) -> Option<PartReply> {
-        let chunk = self.cache.kept(&ChunkId { key: call.key.clone(), chunk: call.chunk })?;
-        Some(PartReply {
-            bytes: call.slice_of(&chunk)?,
-            chunk_bytes: chunk.len() as u64,
-            queued_millis: 0,
-            receipt: PartReceipt { is_same_zone: call.is_same_zone, number: 0 },
-        })
-    }
-
-    async fn held(self, _: Context, _: WeightsKey, _: u32, _: u64) -> Option<HeldReply> {
-        None
-    }
-
-    async fn digests(self, _: Context, _: WeightsKey, _: bool, _: u64) -> Option<Vec<[u8; 32]>> {
-        None
-    }
-
-    async fn versions_like(
-        self,
-        _: Context,
-        _: ModelName,
-        _: Vec<[u8; 32]>,
-    ) -> Vec<VersionDigests> {
-        Vec::new()
-    }
-
-    async fn received(self, _: Context, _: PartReceipt) {}
-
-    async fn echo(self, _: Context) {}
-}
--- a/crates/stager/src/chunks.rs
+++ b/crates/stager/src/chunks.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
-    ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
+    CachedChunkReply, ChunkService, HeldReply, OriginChunkCall, PartCall, PartReceipt, PartReply,
     PeerChunkCall, VersionDigests, WeightsKey,
 };
 use egretseam_swarm::{ChunkPace, ChunkSet};
@@ -277,11 +277,11 @@
         self.shared.uploads.record_receipt(receipt);
     }
 
-    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
-        OriginChunkReply::Unsupported
+    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> CachedChunkReply {
+        CachedChunkReply::Unsupported
     }
 
-    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> OriginChunkReply {
-        OriginChunkReply::Unsupported
+    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> CachedChunkReply {
+        CachedChunkReply::Unsupported
     }
 }
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -8,6 +8,8 @@
 //! `switch`. `chunks` serves chunks to other agents; `downloads` and `uploads` bound what is in
 //! flight from and to them. [`EngineDialect`] hides the formats of the engine and the origin.
 
+mod caching_entries;
+mod chunk_cache;
 mod chunks;
 mod contents;
 mod dialect;
@@ -22,8 +24,6 @@
 mod options;
 mod order_fence;
 mod order_tracker;
-mod origin_cache;
-mod origin_entries;
 mod origin_share;
 mod peer_sources;
 mod previous_orders;
@@ -38,12 +38,12 @@
 mod uploads;
 
 pub use crate::{
+    chunk_cache::ChunkCacheRuntime,
     dialect::{EngineDialect, EngineReport, EngineRequest, LoadOrder, OrderOutcome},
     digest_search::OriginSchedule,
     digests::WeightDigests,
     options::{StagerListeners, StagerOptions},
     order_fence::OrderFence,
     order_tracker::{CompleteWeights, OrderTracker},
-    origin_cache::OriginCacheRuntime,
     runtime::{StagerRuntime, StartError},
 };
--- a/crates/stager/src/peer_sources.rs
+++ b/crates/stager/src/peer_sources.rs
@@ -2,7 +2,7 @@
 
 use crate::downloads::{ChunkSource, PartDownloads, PartError, PartWindow};
 use bytes::Bytes;
-use egretseam_rpc::{ChunkLink, LinkOptions, OriginChunkReply, PeerChunkCall, PeerSecret};
+use egretseam_rpc::{CachedChunkReply, ChunkLink, LinkOptions, PeerChunkCall, PeerSecret};
 use indexmap::IndexMap;
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -30,7 +30,7 @@
     }
 
     /// Fetches a chunk from the agent that the call names.
-    pub(crate) async fn fetch(&self, call: &PeerChunkCall) -> Result<Bytes, OriginChunkReply> {
+    pub(crate) async fn fetch(&self, call: &PeerChunkCall) -> Result<Bytes, CachedChunkReply> {
         let link = self.link(call.source);
         let source = ChunkSource {
             link: &link,
@@ -41,12 +41,12 @@
         let download = self.downloads.download_chunk(&source);
         match tokio::time::timeout(CHUNK_TIMEOUT, download).await {
             Ok(Ok(chunk)) => Ok(chunk.bytes),
-            Ok(Err(PartError::Absent)) => Err(OriginChunkReply::Absent),
+            Ok(Err(PartError::Absent)) => Err(CachedChunkReply::Absent),
             Ok(Err(PartError::Call(error))) => {
                 tracing::debug!(source = %call.source, %error, "an agent sent no chunk");
-                Err(OriginChunkReply::Unreachable)
+                Err(CachedChunkReply::Unreachable)
             }
-            Err(_) => Err(OriginChunkReply::Unreachable),
+            Err(_) => Err(CachedChunkReply::Unreachable),
         }
     }
 
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of one agent, all of which run on one thread.
 
 use crate::{
+    caching_entries::CachingEntries,
     chunks::ChunkStore,
     dialect::{EngineDialect, EngineReport, EngineRequest},
     downloads::PartDownloads,
@@ -8,7 +9,6 @@
     options::StagerOptions,
     order_fence::OrderFence,
     order_tracker::OrderTracker,
-    origin_entries::OriginEntries,
     origin_share::OriginShare,
     uploads::PartUploads,
 };
@@ -156,9 +156,9 @@
     /// Which of two versions may use the origin's link.
     pub(crate) origin_share: OriginShare,
     /// Entries through which chunks of the origin are downloaded.
-    pub(crate) origin_entries: OriginEntries,
+    pub(crate) origin_entries: CachingEntries,
     /// Entries of this agent's zone, through which chunks of other agents are downloaded.
-    pub(crate) zone_entries: OriginEntries,
+    pub(crate) zone_entries: CachingEntries,
     /// When the chunk that the origin is asked for was requested; `None` if there is none.
     pub(crate) origin_request_at: Cell<Option<Instant>>,
     /// Limits the parts in flight from other agents, so that live requests are not delayed.
@@ -202,8 +202,8 @@
             delay_report: RefCell::default(),
             origin_unreachable: Cell::new(false),
             origin_share: OriginShare::default(),
-            origin_entries: OriginEntries::default(),
-            zone_entries: OriginEntries::default(),
+            origin_entries: CachingEntries::default(),
+            zone_entries: CachingEntries::default(),
             origin_request_at: Cell::new(None),
             downloads: PartDownloads::new(options.upload_bytes_per_second),
             uploads: PartUploads::new(options.upload_bytes_per_second),
--- a/crates/stager/src/transfer.rs
+++ b/crates/stager/src/transfer.rs
@@ -1,10 +1,10 @@
 //! Executes the planner's fetch orders for one version.
 
 use crate::{
+    caching_entries::EntryChunkError,
     chunks::VersionChunks,
     digests::WeightDigests,
     downloads::{ChunkSource, PartError, PartWindow},
-    origin_entries::OriginChunkError,
     shared::{StagerShared, request},
 };
 use bytes::Bytes;
@@ -351,7 +351,7 @@
             None => self.fetch_whole_from_origin(chunk).await,
             Some(result) => {
                 self.record_origin_reply(
-                    result.as_ref().err() != Some(&OriginChunkError::OriginUnreachable),
+                    result.as_ref().err() != Some(&EntryChunkError::OriginUnreachable),
                 );
                 result.map_err(FetchFailure::from)
             }
@@ -379,14 +379,14 @@
 /// Pause before the next request to an origin that rejected one.
 const ORIGIN_BUSY_BACKOFF: Duration = Duration::from_millis(100);
 
-impl From<OriginChunkError> for FetchFailure {
-    fn from(error: OriginChunkError) -> Self {
+impl From<EntryChunkError> for FetchFailure {
+    fn from(error: EntryChunkError) -> Self {
         match error {
-            OriginChunkError::Absent => Self::Absent,
-            OriginChunkError::OriginBusy | OriginChunkError::LinkSlow => {
+            EntryChunkError::Absent => Self::Absent,
+            EntryChunkError::OriginBusy | EntryChunkError::LinkSlow => {
                 Self::Busy(ORIGIN_BUSY_BACKOFF)
             }
-            OriginChunkError::OriginUnreachable | OriginChunkError::Entry => Self::Unreachable,
+            EntryChunkError::OriginUnreachable | EntryChunkError::Entry => Self::Unreachable,
         }
     }
 }
--- a/tests/all/fleet/link_queue/origin.rs
+++ b/tests/all/fleet/link_queue/origin.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
-    ChunkLink, ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt,
+    CachedChunkReply, ChunkLink, ChunkService, HeldReply, OriginChunkCall, PartCall, PartReceipt,
     PartReply, PeerChunkCall, VersionDigests, WeightsKey,
 };
 use serde_json::json;
@@ -31,14 +31,14 @@
 }
 
 impl ChunkService for RelayedEntry {
-    async fn cache_origin_chunk(self, _: Context, call: OriginChunkCall) -> OriginChunkReply {
+    async fn cache_origin_chunk(self, _: Context, call: OriginChunkCall) -> CachedChunkReply {
         let call = OriginChunkCall { origin: self.origin, ..call };
-        self.cache.cache_origin_chunk(call).await.unwrap_or(OriginChunkReply::Unreachable)
+        self.cache.cache_origin_chunk(call).await.unwrap_or(CachedChunkReply::Unreachable)
     }
 
-    async fn cache_peer_chunk(self, _: Context, call: PeerChunkCall) -> OriginChunkReply {
+    async fn cache_peer_chunk(self, _: Context, call: PeerChunkCall) -> CachedChunkReply {
         if !self.keeps_peer_chunks {
-            return OriginChunkReply::Unsupported;
+            return CachedChunkReply::Unsupported;
         }
         let call = OriginChunkCall {
             origin: self.origin,
@@ -47,7 +47,7 @@
             discards_kept: false,
             wait_millis: call.wait_millis,
         };
-        self.cache.cache_origin_chunk(call).await.unwrap_or(OriginChunkReply::Unreachable)
+        self.cache.cache_origin_chunk(call).await.unwrap_or(CachedChunkReply::Unreachable)
     }
 
     async fn part(self, _: Context, call: PartCall) -> Option<PartReply> {
--- a/tests/all/fleet/link_queue/plan.rs
+++ b/tests/all/fleet/link_queue/plan.rs
@@ -16,7 +16,7 @@
 use egretseam_proto::ZoneName;
 use egretseam_rpc::{ChunkLink, LinkOptions, PeerSecret, RpcOptions, serve_chunks};
 use egretseam_serving::{EntryRecord, SwarmPeer, SwitchTiming};
-use egretseam_stager::{OriginCacheRuntime, StagerListeners, StagerOptions, StagerRuntime};
+use egretseam_stager::{ChunkCacheRuntime, StagerListeners, StagerOptions, StagerRuntime};
 use egretseam_swarm::PlannerPolicy;
 use std::{
     cell::{Cell, RefCell},
@@ -96,14 +96,9 @@
         start_relay(origin, self.origin, requests, chunks);
         let cache_address = caching.local_addr().expect("bound").to_string();
         let metrics = DaemonMetrics::new();
-        let cache = OriginCacheRuntime::start(
-            caching,
-            secret,
-            Rc::new(PlatformEngine),
-            5_000_000,
-            &metrics,
-        )
-        .expect("the cache starts");
+        let cache =
+            ChunkCacheRuntime::start(caching, secret, Rc::new(PlatformEngine), 5_000_000, &metrics)
+                .expect("the cache starts");
         let link = Rc::new(ChunkLink::new(&cache_address, secret, LinkOptions::default()));
         let entry = RelayedEntry {
             cache: link,
--- a/tests/all/fleet/narrow_link.rs
+++ b/tests/all/fleet/narrow_link.rs
@@ -6,8 +6,8 @@
 use egretseam_platform::PlatformEngine;
 use egretseam_proto::{ContentDigest, ModelName, ZoneName};
 use egretseam_rpc::{
-    AgentCall, AgentReply, ChunkService, EvidenceCall, EvidenceReply, FeedCall, FeedReply,
-    FeedService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
+    AgentCall, AgentReply, CachedChunkReply, ChunkService, EvidenceCall, EvidenceReply, FeedCall,
+    FeedReply, FeedService, HeldReply, OriginChunkCall, PartCall, PartReceipt, PartReply,
     PeerChunkCall, PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, WeightsPlan,
     serve_chunks, serve_feed,
 };
@@ -74,12 +74,12 @@
 
     async fn received(self, _: Context, _: PartReceipt) {}
 
-    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
-        OriginChunkReply::Unsupported
+    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> CachedChunkReply {
+        CachedChunkReply::Unsupported
     }
 
-    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> OriginChunkReply {
-        OriginChunkReply::Unsupported
+    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> CachedChunkReply {
+        CachedChunkReply::Unsupported
     }
 
     async fn echo(self, _: Context) {
--- a/tests/all/fleet/origin_cache.rs
+++ b/tests/all/fleet/origin_cache.rs
@@ -8,10 +8,10 @@
 use egretseam_http::DaemonMetrics;
 use egretseam_platform::PlatformEngine;
 use egretseam_rpc::{
-    ChunkLink, LinkOptions, OriginChunkCall, OriginChunkReply, PartCall, PeerSecret, WeightsKey,
+    CachedChunkReply, ChunkLink, LinkOptions, OriginChunkCall, PartCall, PeerSecret, WeightsKey,
 };
 use egretseam_serving::EntryRecord;
-use egretseam_stager::OriginCacheRuntime;
+use egretseam_stager::ChunkCacheRuntime;
 use egretseam_swarm::PlannerPolicy;
 use std::{
     net::{SocketAddr, TcpListener},
@@ -23,16 +23,16 @@
     origin: Rc<ScriptedOrigin>,
     origin_address: SocketAddr,
     link: ChunkLink,
-    _cache: OriginCacheRuntime,
+    _cache: ChunkCacheRuntime,
 }
 
 fn secret() -> PeerSecret {
     PeerSecret::derive("a token of the test")
 }
 
-fn start_cache(listener: TcpListener, metrics: &DaemonMetrics) -> OriginCacheRuntime {
+fn start_cache(listener: TcpListener, metrics: &DaemonMetrics) -> ChunkCacheRuntime {
     let dialect = Rc::new(PlatformEngine);
-    OriginCacheRuntime::start(listener, secret(), dialect, 5_000_000, metrics)
+    ChunkCacheRuntime::start(listener, secret(), dialect, 5_000_000, metrics)
         .expect("the cache starts")
 }
 
@@ -50,7 +50,7 @@
         WeightsKey { model: crate::serving_tables::model(), version: 1 }
     }
 
-    async fn cache(&self, discards_kept: bool) -> OriginChunkReply {
+    async fn cache(&self, discards_kept: bool) -> CachedChunkReply {
         let call = OriginChunkCall {
             origin: self.origin_address,
             key: Self::key(),
@@ -79,7 +79,7 @@
 async fn a_chunk_that_several_agents_request_is_fetched_once() {
     let bed = CacheBed::start(51).await;
     let expected = chunk(1, 0);
-    let ready = OriginChunkReply::Ready { chunk_bytes: expected.len() as u64 };
+    let ready = CachedChunkReply::Ready { chunk_bytes: expected.len() as u64 };
     let replies = tokio::join!(bed.cache(false), bed.cache(false), bed.cache(false));
     assert_eq!(replies, (ready, ready, ready));
     assert_eq!(bed.cache(false).await, ready);
@@ -106,10 +106,10 @@
 async fn a_rejected_chunk_is_fetched_again() {
     let bed = CacheBed::start(53).await;
     bed.origin.unreachable_from.set(Some(1));
-    assert_eq!(bed.cache(false).await, OriginChunkReply::Busy);
+    assert_eq!(bed.cache(false).await, CachedChunkReply::Busy);
     assert_eq!(bed.part(0, u64::MAX).await, None);
     bed.origin.unreachable_from.set(None);
-    assert!(matches!(bed.cache(false).await, OriginChunkReply::Ready { .. }));
+    assert!(matches!(bed.cache(false).await, CachedChunkReply::Ready { .. }));
 }
 
 /// Guards against versions that never arrive because the entries hang or are gone: one accepts
--- a/tests/all/fleet/receipts.rs
+++ b/tests/all/fleet/receipts.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
-    ChunkService, HeldReply, OriginChunkCall, OriginChunkReply, PartCall, PartReceipt, PartReply,
+    CachedChunkReply, ChunkService, HeldReply, OriginChunkCall, PartCall, PartReceipt, PartReply,
     PeerChunkCall, PeerSecret, RpcOptions, VersionDigests, WeightsKey, serve_chunks,
 };
 use egretseam_swarm::{ChunkSet, PlannerPolicy};
@@ -87,12 +87,12 @@
 
     async fn echo(self, _: Context) {}
 
-    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
-        OriginChunkReply::Unsupported
+    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> CachedChunkReply {
+        CachedChunkReply::Unsupported
     }
 
-    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> OriginChunkReply {
-        OriginChunkReply::Unsupported
+    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> CachedChunkReply {
+        CachedChunkReply::Unsupported
     }
 }
 
--- a/tests/all/fleet/zone_cache.rs
+++ b/tests/all/fleet/zone_cache.rs
@@ -8,12 +8,12 @@
 use egretseam_platform::PlatformEngine;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
-    ChunkLink, ChunkService, HeldReply, LinkOptions, OriginChunkCall, OriginChunkReply, PartCall,
+    CachedChunkReply, ChunkLink, ChunkService, HeldReply, LinkOptions, OriginChunkCall, PartCall,
     PartReceipt, PartReply, PeerChunkCall, PeerSecret, RpcOptions, RpcServer, VersionDigests,
     WeightsKey, serve_chunks,
 };
 use egretseam_serving::EntryRecord;
-use egretseam_stager::{OriginCacheRuntime, StagerRuntime};
+use egretseam_stager::{ChunkCacheRuntime, StagerRuntime};
 use egretseam_swarm::{ChunkSet, PlannerPolicy};
 use sha2::{Digest, Sha256};
 use std::{
@@ -83,12 +83,12 @@
 
     async fn echo(self, _: Context) {}
 
-    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> OriginChunkReply {
-        OriginChunkReply::Unsupported
+    async fn cache_origin_chunk(self, _: Context, _: OriginChunkCall) -> CachedChunkReply {
+        CachedChunkReply::Unsupported
     }
 
-    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> OriginChunkReply {
-        OriginChunkReply::Unsupported
+    async fn cache_peer_chunk(self, _: Context, _: PeerChunkCall) -> CachedChunkReply {
+        CachedChunkReply::Unsupported
     }
 }
 
@@ -145,7 +145,7 @@
     let mut cache = None;
     let bed = ZoneBed::start(70, |listener| {
         let dialect = Rc::new(PlatformEngine);
-        let started = OriginCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
+        let started = ChunkCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
         cache = Some(started.expect("the cache starts"));
     })
     .await;
@@ -172,7 +172,7 @@
     let address = listener.local_addr().expect("bound");
     let metrics = DaemonMetrics::new();
     let dialect = Rc::new(PlatformEngine);
-    let _cache = OriginCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
+    let _cache = ChunkCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
     let options = LinkOptions::default();
     let link = ChunkLink::new(&address.to_string(), secret(), options);
     let call = PeerChunkCall {
@@ -183,7 +183,7 @@
         digest: [0; 32],
         wait_millis: Duration::from_secs(2).as_millis() as u64,
     };
-    assert_eq!(link.cache_peer_chunk(call).await.expect("a reply"), OriginChunkReply::Unreachable);
+    assert_eq!(link.cache_peer_chunk(call).await.expect("a reply"), CachedChunkReply::Unreachable);
 }
 
 /// Guards against a corrupted chunk of the origin that every agent of the zone gets from the entry.
@@ -197,7 +197,7 @@
     let address = listener.local_addr().expect("bound").to_string();
     let metrics = DaemonMetrics::new();
     let dialect = Rc::new(PlatformEngine);
-    let _cache = OriginCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
+    let _cache = ChunkCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
     let link = ChunkLink::new(&address, secret(), LinkOptions::default());
     let key = WeightsKey { model: crate::serving_tables::model(), version: 1 };
     origin.chunks_to_corrupt.set(1);
@@ -219,10 +219,10 @@
     };
     for _ in 0..2 {
         let reply = link.cache_peer_chunk(from_peer.clone()).await.expect("a reply");
-        assert_eq!(reply, OriginChunkReply::Ready { chunk_bytes: chunk(1, 0).len() as u64 });
+        assert_eq!(reply, CachedChunkReply::Ready { chunk_bytes: chunk(1, 0).len() as u64 });
     }
     assert_eq!(whole_peer.chunks_sent.get(), 1, "the correct copy is kept");
     // A copy of another content than the caller expects is not offered.
     let other = PeerChunkCall { digest: [0; 32], ..from_peer };
-    assert_eq!(link.cache_peer_chunk(other).await.expect("a reply"), OriginChunkReply::Absent);
+    assert_eq!(link.cache_peer_chunk(other).await.expect("a reply"), CachedChunkReply::Absent);
 }
