Seeders soon take overdue chunks of others through the cache

What callers saw: the newest version was at the first engine 6.6 s after it was named though the origin had sent all but one chunk after 3.1 s; all agents waited for that chunk of a seeder whose link was slow, until they took it for stalled. Cause: chunks of a seeder that is not one's neighbour never counted as overdue, and those of neighbours late, so that the origin does not send a chunk twice. An entry fetches a chunk once, whoever asks.

--- a/crates/swarm/src/planner/choose.rs
+++ b/crates/swarm/src/planner/choose.rs
@@ -89,7 +89,7 @@
             .filter(|chunk| self.needs_upstream_fetch(*chunk, now))
             .map(|chunk| (self.rank(chunk, &seeders), chunk))
             .filter(|(rank, chunk)| {
-                *rank < allowed && (*rank == 0 || self.knows_first_ranked(*chunk, &seeders))
+                *rank < allowed && (*rank == 0 || self.may_be_overdue(*chunk, &seeders))
             })
             .min_by_key(|(rank, chunk)| {
                 let holders = self.chunks[*chunk as usize].holders;
@@ -116,10 +116,21 @@
         steps.min(u128::from(MAX_RANK)) as u32
     }
 
-    /// Time after which one more rank counts as overdue. Seeders have unequal numbers of assigned
+    /// Whether a chunk that is assigned to another seeder can be known to be overdue. What seeders that
+    /// are no neighbours have fetched is not known here; but a cache fetches each chunk from the origin
+    /// once, whichever seeders ask for it.
+    fn may_be_overdue(&self, chunk: ChunkIndex, seeders: &[&PlannerPeer]) -> bool {
+        self.is_zone_cached || self.knows_first_ranked(chunk, seeders)
+    }
+
+    /// Time after which one more rank counts as overdue; short where a fetch too many costs the origin
+    /// nothing. Seeders have unequal numbers of assigned
     /// chunks, so they finish some chunks apart; a chunk counts with this instance's mean time for
     /// one.
     fn overdue_step(&self) -> Duration {
+        if self.is_zone_cached {
+            return MIN_OVERDUE_STEP;
+        }
         let fetching = self.assigned_fetch_at.saturating_sub(self.started_at);
         (fetching * OVERDUE_CHUNKS / self.assigned_fetches.max(1)).max(MIN_OVERDUE_STEP)
     }
@@ -140,8 +151,7 @@
         }
     }
 
-    /// Whether the seeder that ranks first for a chunk is a neighbour. What other seeders have
-    /// fetched is not known here, so their chunks never count as overdue.
+    /// Whether the seeder that ranks first for a chunk is a neighbour.
     fn knows_first_ranked(&self, chunk: ChunkIndex, seeders: &[&PlannerPeer]) -> bool {
         first_ranked(seeders, chunk).is_some_and(|first| self.neighbours.contains_key(&first.name))
     }
--- a/tests/all/seeders.rs
+++ b/tests/all/seeders.rs
@@ -349,3 +349,26 @@
     assert!(chunk_time > millis(40) && chunk_time <= millis(50), "{chunk_time:?}");
     assert_eq!(planner.unseen_chunks(), CHUNKS - 14);
 }
+
+/// Guards against a version of which all agents wait for the few chunks of one seeder whose link is
+/// slow and that is nobody's neighbour: seconds later it counts as stalled.
+#[test]
+fn other_seeders_soon_fetch_the_chunks_of_a_slow_one_through_the_cache() {
+    for slow in seeders_of(&mut planners(90)) {
+        let mut planners = planners(90);
+        planners.iter_mut().for_each(|planner| planner.set_zone_cached(true));
+        let mut chunks = IndexSet::new();
+        for step in 0..4 {
+            let now = Duration::from_millis(300 * step);
+            let fetched = fetch_all_from_origin(&mut planners, Some(slow), now);
+            chunks.extend(fetched.into_iter().map(|(_, chunk)| chunk));
+        }
+        assert_eq!(chunks.len(), CHUNKS as usize, "without seeder {slow}");
+    }
+}
+
+/// Numbers of the planners that fetch from the origin.
+fn seeders_of(planners: &mut [SwarmPlanner]) -> IndexSet<usize> {
+    let fetched = fetch_all_from_origin(planners, None, Duration::ZERO);
+    fetched.into_iter().map(|(number, _)| number).collect()
+}
