--- a/crates/swarm/src/planner.rs
+++ b/crates/swarm/src/planner.rs
@@ -14,6 +14,7 @@
 //!   each instance, so that neighbours soon have different chunks to exchange.
 
 mod choose;
+mod seeding;
 
 pub use choose::rendezvous_score;
 
