--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -6,6 +6,9 @@
 //! that what all entries send until the next load sample spreads as the free slots do. Between
 //! samples the estimate of the other entries' load at a target decays to the mean of the service.
 
+mod service_view;
+
+use self::service_view::{FAST_FIRST_BYTE, ServiceView, median_first_byte, slowness};
 use crate::{
     backpressure::SendRoom,
     status::{TargetId, TargetState},
@@ -164,38 +167,55 @@
             return PlacementOutcome::Full;
         }
         let view = ServiceView::of(&eligible, resting.len(), query, now);
-        let untried = eligible.iter().filter(|(id, _)| !query.tried.contains(*id));
-        let mut weighted: Vec<(f64, &TargetId)> = Vec::new();
-        let mut trials: Vec<(f64, &TargetId)> = Vec::new();
-        let mut last_resorts: Vec<(f64, &TargetId)> = Vec::new();
+        let drawn = self.candidates(&eligible, query, &view, now).draw();
+        drawn.map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()))
+    }
+
+    /// The targets with room for the request that it was not sent to before.
+    fn candidates<'a>(
+        &self,
+        eligible: &[(&'a TargetId, &TargetRow)],
+        query: &PlacementQuery<'_>,
+        view: &ServiceView,
+        now: Instant,
+    ) -> PlacementCandidates<'a> {
+        let mut candidates = PlacementCandidates::default();
         let all_leave = eligible.iter().all(|(id, _)| self.is_leaving(id));
+        let untried = eligible.iter().filter(|(id, _)| !query.tried.contains(*id));
         for (id, row) in untried {
-            let ignores_failures = view.ignores_failures || !self.policy.ejects;
-            let is_hung = self.policy.skips_hung && view.is_hung(row, now);
-            if is_hung
-                || view.has_slow_link(row)
-                || !query.answers_in_time(row, now)
-                || !row.has_limit_room(now)
-                || !row.health.admits(row.own_in_flight, ignores_failures, now)
-            {
+            if !self.may_get(row, query, view, now) {
                 continue;
             }
-            let Some(cost) = self.cost(row, query, &view, now) else { continue };
+            let Some(cost) = self.cost(row, query, view, now) else { continue };
             let free = (1.0 - cost).max(MIN_FREE_SHARE);
             let weight = free.powi(self.policy.free_share_exponent);
             match self.backpressure.room(id, now) {
-                SendRoom::Open => weighted.push((weight, id)),
+                SendRoom::Open => candidates.usual.push((weight, id)),
                 // A request that was rejected once must not be rejected for a trial.
-                SendRoom::Trial if !query.tried.is_empty() => trials.push((weight, id)),
-                SendRoom::Trial => weighted.push((weight, id)),
-                SendRoom::LastResort if all_leave => last_resorts.push((weight, id)),
+                SendRoom::Trial if !query.tried.is_empty() => candidates.trials.push((weight, id)),
+                SendRoom::Trial => candidates.usual.push((weight, id)),
+                SendRoom::LastResort if all_leave => candidates.last_resorts.push((weight, id)),
                 SendRoom::LastResort | SendRoom::Closed => {}
             }
         }
-        draw_weighted(&weighted)
-            .or_else(|| draw_weighted(&trials))
-            .or_else(|| draw_weighted(&last_resorts))
-            .map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()))
+        candidates
+    }
+
+    /// Whether a target answers, as far as is known, and its limit leaves room.
+    fn may_get(
+        &self,
+        row: &TargetRow,
+        query: &PlacementQuery<'_>,
+        view: &ServiceView,
+        now: Instant,
+    ) -> bool {
+        let ignores_failures = view.ignores_failures || !self.policy.ejects;
+        let is_hung = self.policy.skips_hung && view.is_hung(row, now);
+        !is_hung
+            && !view.has_slow_link(row)
+            && query.answers_in_time(row, now)
+            && row.has_limit_room(now)
+            && row.health.admits(row.own_in_flight, ignores_failures, now)
     }
 
     /// Whether as many first bytes are pending at this entry as its share of late prefills allows.
@@ -210,10 +230,7 @@
     /// does not know all targets yet.
     ///
     /// While the origin of the weights is unreachable, the end of the outage cannot be predicted,
-    /// and a queued request would wait for 1.5 s without a result; its caller could have retried in
-    /// that time. Over a day with such an outage of four seconds, 0.787 of the value of all
-    /// requests was earned with waiting and 0.794 without (means of two and three plays of 48 s at
-    /// usual load).
+    /// and a queued request would wait without a result; its caller could have retried in that time.
     pub fn expects_capacity(&self, service: &ServiceName, now: Instant) -> bool {
         if now.saturating_duration_since(self.started_at) < DISCOVERY_PERIOD {
             return true;
@@ -316,96 +333,21 @@
     }
 }
 
-/// Time to the first byte up to which no target counts as slow.
-const FAST_FIRST_BYTE: Duration = Duration::from_millis(100);
-/// Multiple of the median after which a target with a pending first byte seems to hang: in a full
-/// service 99 in 100 first bytes come within 3.2 times the median.
-const HUNG_FACTOR: u32 = 4;
-/// Upper bound of [`slowness`].
-const MAX_SLOWNESS: f64 = 3.0;
-
-/// Median of the targets' mean times to the first byte, or [`FAST_FIRST_BYTE`] if none is known.
-fn median_first_byte(eligible: &[(&TargetId, &TargetRow)], now: Instant) -> Duration {
-    let mut times: Vec<Duration> =
-        eligible.iter().filter_map(|(_, row)| row.mean_first_byte(now)).collect();
-    if times.is_empty() {
-        return FAST_FIRST_BYTE;
-    }
-    let middle = times.len() / 2;
-    *times.select_nth_unstable(middle).1
-}
-
-/// By how many medians a target's mean first byte exceeds one and a half times the median.
-fn slowness(row: &TargetRow, median: Duration, now: Instant) -> f64 {
-    let Some(own) = row.mean_first_byte(now) else { return 0.0 };
-    let ratio = own.as_secs_f64() / median.max(FAST_FIRST_BYTE).as_secs_f64();
-    (ratio - 1.5).clamp(0.0, MAX_SLOWNESS)
+/// Targets that a request may be sent to, with their weights.
+#[derive(Default)]
+struct PlacementCandidates<'a> {
+    usual: Vec<(f64, &'a TargetId)>,
+    /// Targets that have just returned from a rest, for a request that was sent before.
+    trials: Vec<(f64, &'a TargetId)>,
+    /// Targets that leave, where all do.
+    last_resorts: Vec<(f64, &'a TargetId)>,
 }
 
-/// What the placement of a request compares its targets with.
-struct ServiceView {
-    /// Mean number of other entries' requests per target.
-    mean_other_load: f64,
-    /// Median time to the first byte.
-    median_first_byte: Duration,
-    /// Newest version of the requested model that an eligible target holds.
-    newest_version: Option<u64>,
-    /// Whether ejections and hangs are ignored.
-    ///
-    /// When most targets fail, for example because something that they all depend on is down,
-    /// ejecting them all would turn a service that answers some requests into one that answers
-    /// none. Ejections and hangs are therefore ignored once more than half of the targets are
-    /// excluded or at rest.
-    ignores_failures: bool,
-    /// Whether the links of all targets that the request was not sent to before are slow.
-    all_links_slow: bool,
-}
-
-impl ServiceView {
-    /// Whether a target seems to hang: a first byte has been pending several times as long as the
-    /// median.
-    ///
-    /// Guards against a target that freezes while every entry goes on sending to it until its first
-    /// request times out, 1.6 s with an objective of 0.4 s, which costs dozens of late answers per
-    /// target. A penalty would not keep requests away while all targets are full.
-    fn is_hung(&self, row: &TargetRow, now: Instant) -> bool {
-        let limit = self.median_first_byte.max(FAST_FIRST_BYTE) * HUNG_FACTOR;
-        !self.ignores_failures
-            && row.longest_pending_first_byte(now).is_some_and(|pending| pending > limit)
-    }
-
-    /// Whether a target's link is slow while another's is not.
-    ///
-    /// Guards against requests that queue in front of a slow link, arrive after their callers have
-    /// left and are run for no one. A request that was sent cannot be recalled, so it is not sent,
-    /// even when all other targets are full: most callers of streams leave before an event arrives
-    /// over such a link.
-    fn has_slow_link(&self, row: &TargetRow) -> bool {
-        !self.all_links_slow && !row.link_delay.is_zero()
-    }
-
-    /// The view of the targets that could take the request, beside `resting` ones that have asked
-    /// for rest.
-    fn of(
-        eligible: &[(&TargetId, &TargetRow)],
-        resting: usize,
-        query: &PlacementQuery<'_>,
-        now: Instant,
-    ) -> Self {
-        let mut untried = eligible.iter().filter(|(id, _)| !query.tried.contains(*id));
-        let mut view = Self {
-            mean_other_load: mean_other_load(eligible, now),
-            median_first_byte: median_first_byte(eligible, now),
-            newest_version: query.model.and_then(|model| newest_version(eligible, model)),
-            ignores_failures: false,
-            all_links_slow: untried.all(|(_, row)| !row.link_delay.is_zero()),
-        };
-        let excluded = |row: &TargetRow| {
-            row.health.is_ejected(now) || view.is_hung(row, now) || view.has_slow_link(row)
-        };
-        let count = resting + eligible.iter().filter(|(_, row)| excluded(row)).count();
-        view.ignores_failures = count * 2 > resting + eligible.len();
-        view
+impl<'a> PlacementCandidates<'a> {
+    fn draw(&self) -> Option<&'a TargetId> {
+        draw_weighted(&self.usual)
+            .or_else(|| draw_weighted(&self.trials))
+            .or_else(|| draw_weighted(&self.last_resorts))
     }
 }
 
@@ -419,20 +361,3 @@
     });
     drawn.or(weighted.last()).map(|(_, id)| *id)
 }
-
-/// The newest version of a model that any of the targets holds.
-fn newest_version(eligible: &[(&TargetId, &TargetRow)], model: &ModelName) -> Option<u64> {
-    eligible.iter().filter_map(|(_, row)| row.held_version(model)).max()
-}
-
-/// Mean number of other entries' requests per target, over load samples less than a second old.
-fn mean_other_load(eligible: &[(&TargetId, &TargetRow)], now: Instant) -> f64 {
-    const MAX_AGE: Duration = Duration::from_secs(1);
-    let fresh = eligible
-        .iter()
-        .filter_map(|(_, row)| row.load)
-        .filter(|sample| now.saturating_duration_since(sample.at) < MAX_AGE)
-        .map(|sample| f64::from(sample.busy.saturating_sub(sample.own)));
-    let (count, sum) = fresh.fold((0_u32, 0.0), |(count, sum), others| (count + 1, sum + others));
-    if count == 0 { 0.0 } else { sum / f64::from(count) }
-}
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -76,9 +76,8 @@
     /// The last incarnation under a name that was removed, and when this entry learned of it.
     tombstones: IndexMap<String, (Incarnation, Instant)>,
     engine_statuses: IndexMap<SocketAddr, (EngineStatus, Instant)>,
-    /// Targets by their address, which load samples and reports on engines name: two thousand
-    /// samples a second at 184 targets. Recording one takes 0.13 us at 1,000 targets, and 1.07 us
-    /// if all rows are searched (`egretseam-bench slopes`).
+    /// Targets by their address, which load samples and reports on engines name, thousands a second
+    /// at hundreds of targets.
     by_address: IndexMap<SocketAddr, Vec<TargetId>>,
     version_floors: IndexMap<ModelName, Vec<VersionFloor>>,
     /// Entries that send to the same targets, this one among them.
@@ -111,9 +110,8 @@
     /// Sets how many entries send to the same targets, this one among them.
     ///
     /// When a service is full, all entries learn at the same moment that a slot is free, all have
-    /// requests waiting, and each would send one. With nine entries engines then held 20 requests
-    /// in 16 slots on average, and the median time to the first byte was 490 ms instead of 270 ms.
-    /// Each entry therefore takes its share of the free slots, and keeps those that it has.
+    /// requests waiting, and each would send one, so that engines hold more requests than slots. Each
+    /// entry therefore takes its share of the free slots, and keeps those that it has.
     pub fn set_entry_count(&mut self, entries: usize) {
         self.entry_count = entries.max(1);
     }
