--- a/tests/all/fleet/origin_cache.rs
+++ b/tests/all/fleet/origin_cache.rs
@@ -26,11 +26,11 @@
     _cache: ChunkCacheRuntime,
 }
 
-fn secret() -> PeerSecret {
+pub(super) fn secret() -> PeerSecret {
     PeerSecret::derive("a token of the test")
 }
 
-fn start_cache(listener: TcpListener, metrics: &DaemonMetrics) -> ChunkCacheRuntime {
+pub(super) fn start_cache(listener: TcpListener, metrics: &DaemonMetrics) -> ChunkCacheRuntime {
     let dialect = Rc::new(PlatformEngine);
     ChunkCacheRuntime::start(listener, secret(), dialect, 5_000_000, metrics)
         .expect("the cache starts")
@@ -148,7 +148,7 @@
     assert!(metrics.render().contains(&fetched), "{}", metrics.render());
 }
 
-fn entry(number: u8) -> EntryRecord {
+pub(super) fn entry(number: u8) -> EntryRecord {
     EntryRecord {
         name: format!("entry-{number}"),
         run: 1,
--- a/tests/all/fleet/zone_cache.rs
+++ b/tests/all/fleet/zone_cache.rs
@@ -2,18 +2,17 @@
 
 use super::{
     engines::{CHUNKS, ScriptedEngine, ScriptedOrigin, chunk},
-    narrow_link::{FakeControlMember, free_port, host, peer, start_agent, wait_until, zone},
+    narrow_link::{FakeControlMember, free_port, host, peer, start_agent, wait_until},
+    origin_cache::{entry, secret, start_cache},
 };
 use egretseam_http::DaemonMetrics;
-use egretseam_platform::PlatformEngine;
 use egretseam_proto::ModelName;
 use egretseam_rpc::{
     CachedChunkReply, ChunkLink, ChunkService, HeldReply, LinkOptions, OriginChunkCall, PartCall,
-    PartReceipt, PartReply, PeerChunkCall, PeerSecret, RpcOptions, RpcServer, VersionDigests,
-    WeightsKey, serve_chunks,
+    PartReceipt, PartReply, PeerChunkCall, RpcOptions, RpcServer, VersionDigests, WeightsKey,
+    serve_chunks,
 };
-use egretseam_serving::EntryRecord;
-use egretseam_stager::{ChunkCacheRuntime, StagerRuntime};
+use egretseam_stager::StagerRuntime;
 use egretseam_swarm::{ChunkSet, PlannerPolicy};
 use sha2::{Digest, Sha256};
 use std::{
@@ -27,10 +26,6 @@
 /// Agents that fetch a version at the same time.
 const AGENTS: u8 = 4;
 
-fn secret() -> PeerSecret {
-    PeerSecret::derive("a token of the test")
-}
-
 /// An agent that has a whole version and counts the chunks that it uploads.
 #[derive(Clone, Default)]
 struct WholePeer {
@@ -127,16 +122,6 @@
     }
 }
 
-fn entry(number: u8) -> EntryRecord {
-    EntryRecord {
-        name: format!("entry-{number}"),
-        run: 1,
-        zone: zone(),
-        address: SocketAddr::new(host(number), 1),
-        ready: true,
-    }
-}
-
 /// Guards against versions that take twice the time of one copy over an agent's link, since agents
 /// pass on as much as they receive.
 #[actix_rt::test]
@@ -144,9 +129,7 @@
     let metrics = DaemonMetrics::new();
     let mut cache = None;
     let bed = ZoneBed::start(70, |listener| {
-        let dialect = Rc::new(PlatformEngine);
-        let started = ChunkCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
-        cache = Some(started.expect("the cache starts"));
+        cache = Some(start_cache(listener, &metrics));
     })
     .await;
     bed.wait_until_loaded().await;
@@ -171,8 +154,7 @@
     let listener = TcpListener::bind((host(90), 0)).expect("a free port");
     let address = listener.local_addr().expect("bound");
     let metrics = DaemonMetrics::new();
-    let dialect = Rc::new(PlatformEngine);
-    let _cache = ChunkCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
+    let _cache = start_cache(listener, &metrics);
     let options = LinkOptions::default();
     let link = ChunkLink::new(&address.to_string(), secret(), options);
     let call = PeerChunkCall {
@@ -196,8 +178,7 @@
     let listener = TcpListener::bind((host(94), 0)).expect("a free port");
     let address = listener.local_addr().expect("bound").to_string();
     let metrics = DaemonMetrics::new();
-    let dialect = Rc::new(PlatformEngine);
-    let _cache = ChunkCacheRuntime::start(listener, secret(), dialect, 5_000_000, &metrics);
+    let _cache = start_cache(listener, &metrics);
     let link = ChunkLink::new(&address, secret(), LinkOptions::default());
     let key = WeightsKey { model: crate::serving_tables::model(), version: 1 };
     origin.chunks_to_corrupt.set(1);
