--- a/crates/stager/src/origin_share.rs
+++ b/crates/stager/src/origin_share.rs
@@ -24,7 +24,7 @@
         }
     }
 
-    /// Time in which the origin sends a chunk, as last measured.
+    /// Time in which the origin sends a chunk; `None` until enough chunks were seen.
     pub(crate) fn chunk_time(&self) -> Option<Duration> {
         self.chunk_time.get()
     }
