--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -7,7 +7,7 @@
     AgentCall, AgentReply, EvidenceCall, EvidenceReply, FeedCall, FeedReader, FeedReply,
     FeedRoster, FeedService, WeightsKey, WeightsPlan,
 };
-use egretseam_serving::{ConfigRequest, EntryRecord, PublishedVersion};
+use egretseam_serving::{ConfigRequest, EntryRecord};
 use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
 use tokio::time::Instant;
@@ -152,9 +152,9 @@
     let mut plan = plan.clone();
     let versions = shared.versions.borrow();
     if let Some(published) = &mut plan.version
-        && let Some((_, learned_at)) = versions.get(&published.model)
+        && let Some(record) = versions.newest(&published.model)
     {
-        published.age_millis = learned_at.elapsed().as_millis() as u64;
+        published.age_millis = record.published_at.elapsed().as_millis() as u64;
     }
     plan
 }
@@ -205,16 +205,10 @@
 
 fn roster(shared: &RegistrarShared, number: u64, now: Instant) -> FeedRoster {
     let entries = shared.entries.borrow();
-    let versions = shared.versions.borrow();
-    let published = versions.iter().map(|(model, (version, learned_at))| PublishedVersion {
-        model: model.clone(),
-        version: *version,
-        age_millis: now.saturating_duration_since(*learned_at).as_millis() as u64,
-    });
     FeedRoster {
         number,
         entries: entries.iter().map(|entry| entry.record.clone()).collect(),
         members: shared.members.borrow().clone(),
-        versions: published.collect(),
+        versions: shared.versions.borrow().published(now),
     }
 }
--- a/crates/registrar/src/mirror.rs
+++ b/crates/registrar/src/mirror.rs
@@ -1,14 +1,16 @@
-//! The targets that announce themselves to the other control members. An agent follows one member
-//! only, so each member has to know the peers that announce themselves elsewhere.
+//! The targets that announce themselves to the other control members, and the ages of published
+//! versions. An agent follows one member only, so each member has to know the peers that announce
+//! themselves elsewhere.
 
-use crate::shared::RegistrarShared;
+use crate::{plans, shared::RegistrarShared};
 use egretseam_rpc::{FeedCall, FeedLink, FeedReader, FeedReply, LinkOptions};
-use egretseam_serving::{ConfigRequest, TargetId, TargetRecord, TargetStatus};
+use egretseam_serving::{ConfigRequest, PublishedVersion, TargetId, TargetRecord, TargetStatus};
 use indexmap::IndexMap;
 use std::{
     rc::{Rc, Weak},
     time::Duration,
 };
+use tokio::time::Instant;
 
 /// How long another member may hold a feed call until something changes.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(1_000);
@@ -84,17 +86,38 @@
     }
 }
 
+/// Applies the versions that another member knows, once after this member has started.
+///
+/// Failure guarded: a member that has restarted learns of all versions from its log as if they were
+/// published at that moment, and of superseded ones not at all. Entries and agents that start then
+/// would allow requests on older weights for too long.
+fn apply_versions(shared: &RegistrarShared, published: &[PublishedVersion]) {
+    let now = Instant::now();
+    let mut has_new = false;
+    for record in published {
+        let age = Duration::from_millis(record.age_millis);
+        let published_at = now.checked_sub(age).unwrap_or(now);
+        let mut versions = shared.versions.borrow_mut();
+        has_new |= versions.record(&record.model, record.version, published_at);
+    }
+    if has_new {
+        plans::refresh_plans(shared);
+        shared.publish_roster();
+    }
+}
+
 async fn mirror(shared: Weak<RegistrarShared>, address: String) {
     let Some(state) = shared.upgrade() else { return };
     let link = FeedLink::new(&address, state.options.control.secret, LinkOptions::default());
     drop(state);
     let (mut member_incarnation, mut targets_seen) = (0, 0);
+    let mut has_versions = false;
     loop {
         let call = FeedCall {
             reader: FeedReader::Member,
             run: member_incarnation,
             targets_seen,
-            roster_seen: u64::MAX,
+            roster_seen: if has_versions { u64::MAX } else { 0 },
             config_held: u64::MAX,
             config_wish: ConfigRequest::Number,
             wait_millis: LONG_POLL_WAIT.as_millis() as u64,
@@ -110,6 +133,10 @@
                 );
                 member_incarnation = reply.run;
                 targets_seen = reply.targets_seen;
+                if let Some(roster) = &reply.roster {
+                    has_versions = true;
+                    apply_versions(&shared, &roster.versions);
+                }
                 if !reply.targets.is_empty() || !reply.gone.is_empty() {
                     shared.publish();
                 }
--- a/crates/registrar/src/plans.rs
+++ b/crates/registrar/src/plans.rs
@@ -109,9 +109,9 @@
     let model = engine.models.first()?.clone();
     let origin = config.origin()?;
     let versions = shared.versions.borrow();
-    let version = versions.get(&model).map(|(version, _)| PublishedVersion {
+    let version = versions.newest(&model).map(|record| PublishedVersion {
         model: model.clone(),
-        version: *version,
+        version: record.version,
         age_millis: 0,
     });
     Some(WeightsPlan {
--- a/crates/registrar/src/publish.rs
+++ b/crates/registrar/src/publish.rs
@@ -71,9 +71,7 @@
         let state = shared.control.state();
         let mut versions = shared.versions.borrow_mut();
         for (model, version) in state.published_versions() {
-            let known = versions.get(model).map(|(version, _)| *version);
-            if known != Some(*version) {
-                versions.insert(model.clone(), (*version, now));
+            if versions.record(model, *version, now) {
                 tracing::info!(%model, version, "applied a published version");
                 changed = true;
             }
--- a/crates/registrar/src/shared.rs
+++ b/crates/registrar/src/shared.rs
@@ -9,11 +9,11 @@
 use egretseam_control::ControlHandler;
 use egretseam_delta::DocumentHistory;
 use egretseam_http::DaemonMetrics;
-use egretseam_proto::ModelName;
 use egretseam_quarantine::{EvidenceLog, EvidenceRecord};
 use egretseam_rpc::{ControlClient, LinkOptions};
-use egretseam_serving::{EntryRoster, RosterBatcher, ServingConfig, TargetRegistry};
-use indexmap::IndexMap;
+use egretseam_serving::{
+    EntryRoster, RosterBatcher, ServingConfig, TargetRegistry, VersionHistory,
+};
 use prometheus::{IntCounter, IntGauge};
 use std::{
     cell::{Cell, RefCell},
@@ -121,8 +121,8 @@
     pub(crate) plans: RefCell<PlanTable>,
     /// Whether targets may have changed since the peer lists were computed.
     pub(crate) peers_outdated: Cell<bool>,
-    /// The published version of each model, and when this member learned of it.
-    pub(crate) versions: RefCell<IndexMap<ModelName, (u64, Instant)>>,
+    /// The published versions of each model, with the time at which the first member learned of it.
+    pub(crate) versions: RefCell<VersionHistory>,
     /// Held while the content digest of a version is committed to the log.
     pub(crate) content_lock: Mutex<()>,
     /// `host:port` of the feeds of all known members.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -54,6 +54,7 @@
 
 pub use crate::{
     attempt_limits::{AttemptLimits, DEFAULT_STREAM_IDLE_TIMEOUT},
+mod version_history;
     attempt_race::{AttemptId, AttemptRace, RaceStep, RaceTerms},
     backpressure::WithholdReason,
     config::{
@@ -86,3 +87,4 @@
     target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
     wait_queue::{WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
 };
+    version_history::{VersionHistory, VersionRecord},
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -17,6 +17,7 @@
     request_pacer::EntryGroup,
     status::{EngineStatus, Incarnation, PublishedVersion, TargetId, TargetState, TargetStatus},
 };
+    version_history::{VersionHistory, VersionRecord},
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
 use indexmap::IndexMap;
 use std::{net::SocketAddr, time::Duration};
@@ -43,13 +44,6 @@
 /// time.
 const UNREACHABLE_FIRST_BYTE: Duration = Duration::from_secs(1);
 
-/// A version such that from `enforced_at` on no request may start on an older one.
-#[derive(Clone, Copy, Debug)]
-struct VersionFloor {
-    version: u64,
-    enforced_at: Instant,
-}
-
 /// Whether an incarnation of a target still accepts requests, as far as control knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetLifetime {
@@ -79,7 +73,9 @@
     /// Targets by their address, which load samples and reports on engines name, thousands a second
     /// at hundreds of targets.
     by_address: IndexMap<SocketAddr, Vec<TargetId>>,
-    version_floors: IndexMap<ModelName, Vec<VersionFloor>>,
+    published_versions: VersionHistory,
+    /// Time from publishing a version until no request may start on an older one.
+    staleness_bound: Duration,
     /// Entries that send to the same targets, this one among them.
     entry_count: usize,
     /// The entries among which the limits of targets are shared.
@@ -100,7 +96,8 @@
             tombstones: IndexMap::new(),
             engine_statuses: IndexMap::new(),
             by_address: IndexMap::new(),
-            version_floors: IndexMap::new(),
+            published_versions: VersionHistory::default(),
+            staleness_bound: Duration::ZERO,
             entry_count: 1,
             entry_group: EntryGroup::default(),
             backpressure: BackpressureTable::default(),
@@ -291,30 +288,30 @@
         staleness_bound: Duration,
         now: Instant,
     ) {
-        let floors = self.version_floors.entry(published.model.clone()).or_default();
-        if floors.iter().any(|floor| floor.version == published.version) {
-            return;
-        }
-        let enforced_at = instant_at_age(published.age_millis, now) + staleness_bound;
-        floors.push(VersionFloor { version: published.version, enforced_at });
-        if floors.len() > 8 {
-            floors.remove(0);
-        }
+        self.staleness_bound = staleness_bound;
+        let published_at = instant_at_age(published.age_millis, now);
+        self.published_versions.record(&published.model, published.version, published_at);
+    }
+
+    /// When requests may no longer start on versions before a published one.
+    fn enforced_at(&self, published: &VersionRecord) -> Instant {
+        published.published_at + self.staleness_bound
     }
 
     /// The oldest version on which a request may start at `moment`.
     fn min_allowed_version(&self, model: &ModelName, moment: Instant) -> u64 {
-        let floors = self.version_floors.get(model).into_iter().flatten();
-        let enforced = floors.filter(|floor| floor.enforced_at <= moment);
-        enforced.map(|floor| floor.version).max().unwrap_or(0)
+        let published = self.published_versions.versions(model).iter();
+        let mut enforced = published.rev().filter(|record| self.enforced_at(record) <= moment);
+        enforced.next().map_or(0, |record| record.version)
     }
 
     /// When requests must have started at a target, because its weights may not be used after that;
     /// `None` if no newer version was published.
     pub fn start_deadline(&self, id: &TargetId, model: &ModelName) -> Option<Instant> {
         let held = self.rows.get(id)?.held_version(model)?;
-        let newer = self.version_floors.get(model)?.iter().filter(|floor| floor.version > held);
-        newer.map(|floor| floor.enforced_at).min()
+        let published = self.published_versions.versions(model).iter();
+        let newer = published.filter(|record| record.version > held);
+        newer.map(|record| self.enforced_at(record)).min()
     }
 
     /// Whether a request sent to a target now starts there on a version that is still allowed.
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -17,6 +17,7 @@
 mod order_storm;
 mod origin_cache;
 mod placing;
+mod published_versions;
 mod receipts;
 mod reports;
 mod rests;
