--- a/crates/bench/src/slopes/configurations.rs
+++ b/crates/bench/src/slopes/configurations.rs
@@ -4,7 +4,7 @@
 use egretseam_delta::{DocumentHistory, PackedDocument};
 use egretseam_platform::PlatformControl;
 use egretseam_registrar::ControlDialect;
-use egretseam_serving::{ConfigHolder, RouteTable, ServingConfig};
+use egretseam_serving::{ConfigHolder, RouteTable, ServingConfig, encode_config};
 use serde_json::json;
 use std::time::Instant;
 
@@ -37,7 +37,7 @@
 fn encoded(version: u64, routes: usize, changed: usize) -> anyhow::Result<Vec<u8>> {
     let raw = PlatformControl.parse_config(&text(version, routes, changed));
     let config = ServingConfig::try_from(raw.map_err(anyhow::Error::msg)?)?;
-    Ok(postcard::to_stdvec(&config)?)
+    Ok(encode_config(&config))
 }
 
 /// Bytes of a whole configuration in the log, by routes.
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -5,7 +5,8 @@
     policy::{self, PolicyOverrides},
     reader::{AddressText, SectionReader, SettingsError},
 };
-use egretseam_proto::{InstanceName, ServiceName, ZoneName};
+use egretseam_proto::{InstanceName, RegionName, ServiceName, ZoneName};
+use indexmap::IndexMap;
 use serde_json::Value;
 use std::{
     net::{IpAddr, SocketAddr},
@@ -15,6 +16,8 @@
 
 /// Upper bound of settings in seconds.
 const MAX_SECONDS: f64 = 86_400.0;
+/// Upper bound of [`FleetSettings::cold_overage`].
+const MAX_COLD_OVERAGE: f64 = 1_000.0;
 
 /// Settings of an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,6 +76,16 @@
     /// How long a target still serves after it has said in a response that it leaves; zero if that
     /// is not known.
     pub drain_time: Duration,
+    /// Region of each availability zone; empty if the platform has no regions.
+    pub regions: IndexMap<ZoneName, RegionName>,
+    /// Time from the acknowledgement of an evacuation until no request may reach a target in the
+    /// zone; `None` where zones are never evacuated.
+    pub evacuation_limit: Option<Duration>,
+    /// Factor by which the requests to a cold target in any one second may exceed the rate that its
+    /// service's configuration states; at least 1.
+    pub cold_overage: f64,
+    /// Requests that a cold target may get in any one second beyond that.
+    pub cold_tolerance: u64,
     /// Retries allowed per request, over all entries.
     pub retry_ratio: f64,
     /// Length of the window in which retries are counted.
@@ -133,6 +146,14 @@
     let stop_timeout = seconds(reader, "stop_limit_seconds");
     let staleness_bound = seconds(reader, "version_limit_seconds");
     let drain_time = optional_seconds(reader, "drain_limit_seconds");
+    let regions = reader.optional::<RegionMap>("regions").map(|map| map.0);
+    let evacuation_limit = optional_seconds(reader, "evacuation_limit_seconds");
+    let cold_overage = reader.optional("cold_overage").unwrap_or(1.0);
+    if !(1.0..=MAX_COLD_OVERAGE).contains(&cold_overage) {
+        let message = format!("{cold_overage} is not between 1 and {MAX_COLD_OVERAGE}");
+        reader.add_error("cold_overage", message);
+    }
+    let cold_tolerance = reader.number("cold_tolerance", 0, 0, 1_000_000);
     let retry_ratio = reader.required("retry_ratio");
     let retry_window = seconds(reader, "retry_window_seconds");
     let retry_minimum = reader.number("retry_minimum", 0, 0, 1_000_000);
@@ -173,6 +194,10 @@
         stop_timeout: stop_timeout?,
         staleness_bound: staleness_bound?,
         drain_time: drain_time.unwrap_or_default(),
+        regions: regions.unwrap_or_default(),
+        evacuation_limit,
+        cold_overage,
+        cold_tolerance,
         retry_ratio: retry_ratio?,
         retry_window: retry_window?,
         retry_minimum,
@@ -201,6 +226,20 @@
     Some(Duration::from_secs_f64(value))
 }
 
+/// An object with the region of each availability zone.
+struct RegionMap(IndexMap<ZoneName, RegionName>);
+
+impl crate::reader::SettingValue for RegionMap {
+    fn parse(value: &Value) -> Result<Self, String> {
+        let fields = value.as_object().ok_or_else(|| "expected an object".to_owned())?;
+        let parse = |(zone, region): (&String, &Value)| {
+            let zone = ZoneName::try_from(zone.as_str()).map_err(|error| error.to_string())?;
+            Ok((zone, RegionName::parse(region)?))
+        };
+        Ok(Self(fields.iter().map(parse).collect::<Result<_, String>>()?))
+    }
+}
+
 /// A list of addresses; it may be empty, since a single control member knows no other.
 struct SeedList(Vec<SocketAddr>);
 
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -1,6 +1,6 @@
 //! Parses a JSON object field by field and collects every error.
 
-use egretseam_proto::{GroupName, InstanceName, ServiceName, ZoneName};
+use egretseam_proto::{GroupName, InstanceName, RegionName, ServiceName, ZoneName};
 use serde_json::{Map, Value};
 use std::{
     fmt,
@@ -99,7 +99,7 @@
     )*};
 }
 
-name_value!(InstanceName, ZoneName, GroupName, ServiceName);
+name_value!(InstanceName, ZoneName, RegionName, GroupName, ServiceName);
 
 /// A valid IP address and port, as they were written.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,7 +10,8 @@
 use egretseam_registrar::{ControlDialect, RegistrarListeners, RegistrarOptions, RegistrarRuntime};
 use egretseam_rpc::PeerSecret;
 use egretseam_serving::{
-    DEFAULT_STREAM_IDLE_TIMEOUT, PlacementPolicy, RetryPolicy, SwitchTiming, WaitPolicy,
+    ColdTolerance, DEFAULT_STREAM_IDLE_TIMEOUT, PlacementPolicy, RetryPolicy, SwitchTiming,
+    WaitPolicy, ZoneRegions,
 };
 use egretseam_stager::{
     ChunkCacheRuntime, EngineDialect, StagerListeners, StagerOptions, StagerRuntime,
@@ -186,6 +187,11 @@
         bind_listener(address).with_context(|| format!("listen on {address}"))
     }
 
+    fn regions(&self) -> ZoneRegions {
+        let regions = self.settings.regions.iter();
+        regions.map(|(zone, region)| (zone.clone(), region.clone())).collect()
+    }
+
     fn bind_datagrams(&self, offset: u16) -> anyhow::Result<std::net::UdpSocket> {
         let address = self.peer_address(offset);
         std::net::UdpSocket::bind(address)
@@ -208,6 +214,12 @@
         let options = GatewayOptions {
             name: settings.instance.to_string(),
             zone: settings.zone.clone(),
+            regions: self.regions(),
+            evacuation_limit: settings.evacuation_limit,
+            cold_tolerance: ColdTolerance {
+                overage: settings.cold_overage,
+                requests: settings.cold_tolerance as f64,
+            },
             caller_address: entry.caller_address,
             secret: PeerSecret::derive(PEER_TOKEN),
             seeds: self.seeds.feeds.clone(),
@@ -269,6 +281,7 @@
             feed_seeds: self.seeds.feeds.clone(),
             feed_port: feed_address.port(),
             load_port: self.settings.first_peer_port + LOAD_PORT_OFFSET,
+            regions: self.regions(),
             announce_interval: settings.announce_interval,
         };
         let runtime = RegistrarRuntime::start(options, dialect, listeners, self.metrics);
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -2,7 +2,7 @@
 
 use egretseam_proto::ZoneName;
 use egretseam_rpc::PeerSecret;
-use egretseam_serving::{PlacementPolicy, RetryPolicy, WaitPolicy};
+use egretseam_serving::{ColdTolerance, PlacementPolicy, RetryPolicy, WaitPolicy, ZoneRegions};
 use std::{
     cell::RefCell,
     net::{SocketAddr, TcpListener, UdpSocket},
@@ -30,6 +30,13 @@
     pub name: String,
     /// Availability zone.
     pub zone: ZoneName,
+    /// Region of each availability zone.
+    pub regions: ZoneRegions,
+    /// Time from the acknowledgement of an evacuation until no request may reach a target in the
+    /// zone; `None` where zones are never evacuated.
+    pub evacuation_limit: Option<Duration>,
+    /// How far the requests to a cold target may exceed its rate.
+    pub cold_tolerance: ColdTolerance,
     /// Address for callers' requests, as given to callers.
     pub caller_address: SocketAddr,
     /// Shared secret of the fleet's processes.
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -15,8 +15,8 @@
 pub use crate::{
     digest::{ChunkDigest, ContentDigest, DigestError, ManifestId},
     name::{
-        GroupName, InstanceName, ModelName, NameError, OrganisationName, ProfileName, RequestKey,
-        ServiceName, VersionName, ZoneName,
+        GroupName, InstanceName, ModelName, NameError, OrganisationName, ProfileName, RegionName,
+        RequestKey, ServiceName, VersionName, ZoneName,
     },
     number::{FencingNumber, Incarnation, OperationId, Revision},
     part::{PartId, PartIdError},
--- a/crates/proto/src/name.rs
+++ b/crates/proto/src/name.rs
@@ -113,6 +113,10 @@
     /// An availability zone.
     ZoneName, "availability zone", MAX_NAME_BYTES, "a-z A-Z 0-9 . _ -", is_plain
 }
+name! {
+    /// A region: one or more availability zones in one jurisdiction.
+    RegionName, "region", MAX_NAME_BYTES, "a-z A-Z 0-9 . _ -", is_plain
+}
 name! {
     /// A customer, identified by its API keys.
     OrganisationName, "organisation", MAX_NAME_BYTES, "a-z A-Z 0-9 . _ -", is_plain
--- a/crates/registrar/src/options.rs
+++ b/crates/registrar/src/options.rs
@@ -1,6 +1,7 @@
 //! Settings of a registrar.
 
 use egretseam_control::ControlOptions;
+use egretseam_serving::ZoneRegions;
 use std::{
     cell::RefCell,
     net::{TcpListener, UdpSocket},
@@ -34,6 +35,8 @@
     pub feed_port: u16,
     /// UDP port at which every entry receives load datagrams.
     pub load_port: u16,
+    /// Region of each availability zone; empty if the platform has no regions.
+    pub regions: ZoneRegions,
     /// Interval between two announcements of a target.
     pub announce_interval: Duration,
 }
--- a/crates/registrar/src/publish.rs
+++ b/crates/registrar/src/publish.rs
@@ -2,7 +2,7 @@
 
 use crate::{plans, shared::RegistrarShared};
 use bytes::Bytes;
-use egretseam_serving::ServingConfig;
+use egretseam_serving::{ServingConfig, encode_config};
 use std::{
     rc::{Rc, Weak},
     time::Duration,
@@ -55,7 +55,7 @@
             return;
         }
     };
-    let encoded = postcard::to_stdvec(&config).expect("in-memory encoding does not fail");
+    let encoded = encode_config(&config);
     tracing::info!(version = config.version, bytes = encoded.len(), "configuration applied");
     shared.metrics.config_version.set(config.version as i64);
     shared.documents.borrow_mut().push(config.version, Bytes::from(encoded));
--- a/crates/serving/src/config.rs
+++ b/crates/serving/src/config.rs
@@ -1,5 +1,6 @@
 //! The validated serving configuration.
 
+use crate::{cold_limit::ColdLimit, engine_times::EngineTimes, regions::AllowedRegions};
 use egretseam_proto::{ModelName, OrganisationName, ServiceName, ZoneName};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -64,6 +65,9 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without a key.
     pub public: bool,
+    /// Regions that may handle the requests; `None` for all.
+    #[serde(skip)]
+    pub regions: Option<AllowedRegions>,
 }
 
 impl RouteRecord {
@@ -81,7 +85,7 @@
 }
 
 /// The model engines of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineRecord {
     /// Requests that one engine runs concurrently.
     pub slots: u32,
@@ -91,6 +95,9 @@
     pub chunks: u32,
     /// Size of one chunk in bytes.
     pub chunk_bytes: u32,
+    /// How long an engine takes for its work, if it is described.
+    #[serde(skip)]
+    pub times: Option<EngineTimes>,
 }
 
 /// The origin of weights.
@@ -103,7 +110,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRecord {
     /// Path of the health check.
     pub health_path: String,
@@ -113,6 +120,9 @@
     pub engine: Option<EngineRecord>,
     /// The origin of weights, if this service is one.
     pub origin: Option<OriginRecord>,
+    /// What targets take while they are cold, if that is limited.
+    #[serde(skip)]
+    pub cold_limit: Option<ColdLimit>,
 }
 
 /// Limits on the size and time of callers' requests.
@@ -147,10 +157,14 @@
     pub keys: Vec<String>,
     /// Priority of its requests, which overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions that may handle its requests; `None` for all.
+    #[serde(skip)]
+    pub regions: Option<AllowedRegions>,
 }
 
-/// A validated configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// A validated configuration. [`crate::encode_config`] encodes it with the fields that serde skips,
+/// which earlier releases do not know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServingConfig {
     /// Version; the highest is in force.
     pub version: u64,
--- a/crates/serving/src/config_holder.rs
+++ b/crates/serving/src/config_holder.rs
@@ -1,6 +1,6 @@
 //! The configuration in force at an entry, and what the entry requests from control.
 
-use crate::config::ServingConfig;
+use crate::{config::ServingConfig, config_codec::decode_config};
 use egretseam_delta::{PackedDocument, UnpackError};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -88,7 +88,7 @@
         packed: &PackedDocument,
     ) -> Result<(Vec<u8>, ServingConfig), ConfigApplyError> {
         let document = packed.unpack(self.document.as_deref())?;
-        let config = postcard::from_bytes(&document)?;
+        let config = decode_config(&document)?;
         Ok((document, config))
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -31,14 +31,18 @@
 mod attempt_limits;
 mod attempt_race;
 mod backpressure;
+mod cold_limit;
 mod config;
+mod config_codec;
 mod config_holder;
+mod engine_times;
 mod entries;
 mod health;
 mod origin_turn;
 mod peer_list;
 mod placement;
 mod raw;
+mod regions;
 mod registry;
 mod request_pacer;
 mod request_rate;
@@ -50,19 +54,22 @@
 mod status;
 mod switch_schedule;
 mod target_table;
+mod version_history;
 mod wait_queue;
 
 pub use crate::{
     attempt_limits::{AttemptLimits, DEFAULT_STREAM_IDLE_TIMEOUT},
-mod version_history;
     attempt_race::{AttemptId, AttemptRace, RaceStep, RaceTerms},
     backpressure::WithholdReason,
+    cold_limit::{ColdLimit, ColdLimitError, ColdTolerance, RawColdLimit},
     config::{
         CallerLimits, Destination, EngineRecord, OrganisationRecord, OriginRecord, RouteKind,
         RouteRecord, ServiceRecord, ServingConfig,
     },
+    config_codec::{decode_config, encode_config},
     config_holder::{ConfigApplyError, ConfigHolder, ConfigRequest},
-    entries::{EntryObservation, EntryRoster},
+    engine_times::{EngineTimes, RawEngineTimes},
+    entries::{AddressQuery, EntryObservation, EntryRoster},
     health::{AttemptOutcome, TargetHealth},
     origin_turn::{OriginBacklog, OriginTurn, OriginTurnPolicy},
     peer_list::{PeerList, PeerMap, PeerUpdate, SwarmPeer, apply_peer_updates},
@@ -71,6 +78,7 @@
         ConfigError, RawDestination, RawEngine, RawLimits, RawOrganisation, RawOrigin, RawRoute,
         RawService, RawServing,
     },
+    regions::{AllowedRegions, RegionFilter, ZoneRegions},
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
     request_pacer::PacedRoom,
     request_rate::{HeardLimit, NamedLimit, RateError, RequestRate},
@@ -85,6 +93,6 @@
     },
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
     target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
+    version_history::{VersionHistory, VersionRecord},
     wait_queue::{WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
 };
-    version_history::{VersionHistory, VersionRecord},
--- a/crates/serving/src/raw.rs
+++ b/crates/serving/src/raw.rs
@@ -1,8 +1,13 @@
 //! A configuration as an operator sends it, and its validation.
 
-use crate::config::{
-    CallerLimits, Destination, EngineRecord, OrganisationRecord, OriginRecord, RouteKind,
-    RouteRecord, ServiceRecord, ServingConfig,
+use crate::{
+    cold_limit::{ColdLimit, ColdLimitError, RawColdLimit},
+    config::{
+        CallerLimits, Destination, EngineRecord, OrganisationRecord, OriginRecord, RouteKind,
+        RouteRecord, ServiceRecord, ServingConfig,
+    },
+    engine_times::{EngineTimes, RawEngineTimes},
+    regions::AllowedRegions,
 };
 use egretseam_proto::{ModelName, NameError, OrganisationName, ServiceName, ZoneName};
 use indexmap::{IndexMap, IndexSet};
@@ -13,7 +18,7 @@
 const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
 
 /// Why a configuration is invalid.
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Error, PartialEq)]
 pub enum ConfigError {
     /// A route names a service that the configuration does not define.
     #[error("route {route}: no service {service}")]
@@ -41,6 +46,14 @@
     /// Two organisations or two services have the same name.
     #[error("{0} stands there twice")]
     DuplicateName(String),
+    /// A service's cold limit is invalid.
+    #[error("service {service}: {error}")]
+    ColdLimit {
+        /// Name of the service.
+        service: ServiceName,
+        /// What is wrong with it.
+        error: ColdLimitError,
+    },
     /// A name is invalid.
     #[error(transparent)]
     Name(#[from] NameError),
@@ -69,6 +82,8 @@
     pub max_attempts: Option<u32>,
     /// Whether requests are accepted without a key.
     pub public: bool,
+    /// Regions that may handle the requests; empty for all.
+    pub regions: Vec<String>,
 }
 
 /// A destination, not validated.
@@ -91,6 +106,8 @@
     pub chunks: u32,
     /// Size of one chunk in bytes.
     pub chunk_bytes: u32,
+    /// How long an engine takes for its work.
+    pub times: RawEngineTimes,
 }
 
 /// An origin of weights, not validated.
@@ -115,6 +132,8 @@
     pub engine: Option<RawEngine>,
     /// Origin.
     pub origin: Option<RawOrigin>,
+    /// What targets take while they are cold.
+    pub cold_limit: RawColdLimit,
 }
 
 /// Limits for callers; absent ones keep the defaults of [`CallerLimits`].
@@ -139,6 +158,8 @@
     pub keys: Vec<String>,
     /// Priority, which overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions that may handle its requests; empty for all.
+    pub regions: Vec<String>,
 }
 
 /// A configuration, not validated.
@@ -185,11 +206,14 @@
     let mut services = IndexMap::new();
     for service in raw {
         let name = ServiceName::try_from(service.name)?;
+        let cold_limit = ColdLimit::check(service.cold_limit)
+            .map_err(|error| ConfigError::ColdLimit { service: name.clone(), error })?;
         let record = ServiceRecord {
             health_path: service.health_path,
             max_connections: service.max_connections,
             engine: service.engine.map(check_engine).transpose()?,
             origin: service.origin.map(check_origin).transpose()?,
+            cold_limit,
         };
         if services.contains_key(&name) {
             return Err(ConfigError::DuplicateName(name.to_string()));
@@ -202,7 +226,8 @@
 fn check_engine(raw: RawEngine) -> Result<EngineRecord, ConfigError> {
     let models: Result<Vec<_>, _> = raw.models.into_iter().map(ModelName::try_from).collect();
     let (slots, chunks, chunk_bytes) = (raw.slots, raw.chunks, raw.chunk_bytes);
-    Ok(EngineRecord { slots, models: models?, chunks, chunk_bytes })
+    let times = EngineTimes::check(&raw.times);
+    Ok(EngineRecord { slots, models: models?, chunks, chunk_bytes, times })
 }
 
 fn check_origin(raw: RawOrigin) -> Result<OriginRecord, ConfigError> {
@@ -248,6 +273,7 @@
         destinations,
         max_attempts: raw.max_attempts.unwrap_or(1).max(1),
         public: raw.public,
+        regions: AllowedRegions::check(raw.regions)?,
     })
 }
 
@@ -288,6 +314,7 @@
         let record = OrganisationRecord {
             keys: keys.into_iter().collect(),
             priority: organisation.priority,
+            regions: AllowedRegions::check(organisation.regions)?,
         };
         if organisations.contains_key(&name) {
             return Err(ConfigError::DuplicateName(name.to_string()));
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -28,6 +28,7 @@
 use egretseam_h1::{CallRequest, ConnectionOptions, HttpConnection, ReadError, exchange};
 use egretseam_platform::{PlatformCallers, PlatformControl, PlatformEngine};
 use egretseam_proto::{InstanceName, ZoneName};
+use indexmap::IndexMap;
 use serde_json::{Value, json};
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -114,6 +115,10 @@
             // Engines do not wait for their turn to load a version, so that tests are fast.
             staleness_bound: Duration::ZERO,
             drain_time: Duration::from_secs(2),
+            regions: IndexMap::new(),
+            evacuation_limit: None,
+            cold_overage: 1.0,
+            cold_tolerance: 0,
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_minimum: 100,
