--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -84,10 +84,15 @@
         tried: excluded,
         urgency: request.urgency(),
         first_byte_deadline: first_byte_deadline(shared, request, need),
+        regions: request.regions.as_ref(),
         wait_deadline: wait_deadline(shared, request, need),
         is_beside: need.is_beside,
     };
-    match dispatch::acquire_slot(shared, &slot_request).await {
+    let reply = dispatch::acquire_slot(shared, &slot_request).await;
+    if request.regions.is_some() && !matches!(reply, SlotReply::Acquired(_)) {
+        shared.metrics.regions_rejected.inc();
+    }
+    match reply {
         SlotReply::Acquired(guard) => Ok(guard),
         SlotReply::Full(_) if Instant::now() >= request.deadline => {
             Err(ErrorResponse::new(ErrorKind::ExpiredUnsent))
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -78,8 +78,12 @@
 /// A caller's lookup of entry addresses.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LookupQuery {
+    /// The host that the caller wants to send requests to.
+    pub host: Option<String>,
     /// The caller's availability zone.
     pub zone: Option<String>,
+    /// The caller's region.
+    pub region: Option<String>,
 }
 
 /// Reads and writes the messages of callers and targets.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,8 +1,9 @@
 //! Replies to callers' lookups of entry addresses and to the platform's readiness checks.
 
-use crate::{connections, shared::GatewayShared};
+use crate::{connections, dialect::LookupQuery, shared::GatewayShared};
 use bytes::Bytes;
 use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection, RequestHead};
+use egretseam_serving::{AddressQuery, RegionFilter};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{net::TcpStream, time::Instant};
 
@@ -20,7 +21,7 @@
     serve(&shared, stream, |head| match shared.dialect.read_lookup(head) {
         Some(query) => {
             let cross_zone = is_cross_zone(&shared, query.zone.as_deref());
-            let addresses = addresses(&shared, query.zone.as_deref(), cross_zone);
+            let addresses = addresses(&shared, &query, cross_zone);
             if addresses.is_empty() {
                 return response(503, "Service Unavailable", b"no entry is known");
             }
@@ -52,17 +53,29 @@
     head.finish_with(body)
 }
 
-fn addresses(shared: &GatewayShared, zone: Option<&str>, cross_zone: bool) -> Vec<SocketAddr> {
+fn addresses(shared: &GatewayShared, query: &LookupQuery, cross_zone: bool) -> Vec<SocketAddr> {
+    let routes = shared.routes();
+    let host_regions = routes.as_ref().zip(query.host.as_deref());
+    let allowed = host_regions.and_then(|(routes, host)| routes.host_regions(host));
+    let address_query = AddressQuery {
+        zone: query.zone.as_deref(),
+        regions: allowed.map(|allowed| RegionFilter {
+            zone_regions: &shared.options.regions,
+            allowed,
+            caller_region: query.region.as_deref(),
+        }),
+        max: MAX_ADDRESSES,
+    };
     let mut roster = shared.roster.borrow_mut();
     // The roster from control may be outdated about this entry.
     roster.apply(shared.record(), Instant::now());
     if cross_zone {
-        let outside_zone = roster.addresses_outside_zone(zone, MAX_ADDRESSES);
+        let outside_zone = roster.addresses_outside_zone(&address_query);
         if !outside_zone.is_empty() {
             return outside_zone;
         }
     }
-    roster.addresses(zone, MAX_ADDRESSES)
+    roster.addresses(&address_query)
 }
 
 /// Whether the lookup comes from another availability zone. Callers query the nearest entries
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,9 +2,9 @@
 //! that requests occupy.
 
 use crate::shared::GatewayShared;
-use egretseam_proto::{ModelName, ServiceName, ZoneName};
+use egretseam_proto::{ModelName, ServiceName};
 use egretseam_serving::{
-    AttemptOutcome, PlacementOutcome, PlacementPolicy, PlacementQuery, TargetId, TargetTable,
+    AllowedRegions, AttemptOutcome, PlacementOutcome, PlacementQuery, TargetId, TargetTable,
     WaitPolicy, WaitQueue, WaitTicket, WaitUrgency,
 };
 use indexmap::IndexMap;
@@ -21,6 +21,7 @@
     tried: Vec<TargetId>,
     late: bool,
     first_byte_deadline: Option<Instant>,
+    regions: Option<AllowedRegions>,
     sender: oneshot::Sender<SlotGuard>,
 }
 
@@ -32,8 +33,8 @@
 }
 
 impl DispatchState {
-    pub(crate) fn new(placement: PlacementPolicy, zone: ZoneName, waiting: WaitPolicy) -> Self {
-        Self { targets: TargetTable::new(placement, zone), queues: IndexMap::new(), waiting }
+    pub(crate) fn new(targets: TargetTable, waiting: WaitPolicy) -> Self {
+        Self { targets, queues: IndexMap::new(), waiting }
     }
 
     fn queue(&mut self, service: &ServiceName) -> &mut WaitQueue<WaitingRequest> {
@@ -91,6 +92,8 @@
     pub(crate) urgency: WaitUrgency,
     /// See [`PlacementQuery::first_byte_deadline`].
     pub(crate) first_byte_deadline: Option<Instant>,
+    /// Regions whose targets may get the request; `None` for all.
+    pub(crate) regions: Option<&'a AllowedRegions>,
     /// When waiting ends at the latest.
     pub(crate) wait_deadline: Instant,
     /// Whether an attempt of the request runs. Its search counts for no prediction, and waits only
@@ -163,11 +166,12 @@
         tried: request.tried,
         late: request.urgency.is_late(),
         first_byte_deadline: request.first_byte_deadline,
+        regions: request.regions,
     };
     let choice = dispatch.targets.choose(&query, now);
     let queue_is_empty = dispatch.queue(request.service).is_empty();
     match &choice {
-        PlacementOutcome::NoTarget if !dispatch.targets.expects_capacity(request.service, now) => {
+        PlacementOutcome::NoTarget if !dispatch.targets.expects_capacity(&query, now) => {
             let after = dispatch.queue(request.service).retry_after(rand::random());
             return Ok(SlotReply::NoTarget(after));
         }
@@ -180,7 +184,7 @@
         }
         _ => {}
     }
-    if request.is_beside && !dispatch.targets.has_other(request.service, request.tried) {
+    if request.is_beside && !dispatch.targets.has_other(&query) {
         let after = dispatch.queue(request.service).retry_after(rand::random());
         return Ok(SlotReply::NoTarget(after));
     }
@@ -230,6 +234,7 @@
         tried: request.tried.to_vec(),
         late: urgency.is_late(),
         first_byte_deadline: request.first_byte_deadline,
+        regions: request.regions.cloned(),
         sender,
     };
     let queued = if in_outage {
@@ -316,11 +321,12 @@
             tried: &request.tried,
             late: request.late,
             first_byte_deadline: request.first_byte_deadline,
+            regions: request.regions.as_ref(),
         };
         match dispatch.targets.choose(&query, now) {
             PlacementOutcome::Target(target) => return Some((ticket, target)),
-            // This request excludes the targets that it has tried; others may still find a slot.
-            _ if !request.tried.is_empty() => {}
+            // This request excludes targets that others may still find a slot at.
+            _ if !request.tried.is_empty() || request.regions.is_some() => {}
             _ => return None,
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,7 +10,7 @@
 };
 use bytes::Bytes;
 use egretseam_h1::{HttpConnection, RequestHead};
-use egretseam_serving::{AccessError, RouteRecord, RouteTable};
+use egretseam_serving::{AccessError, AllowedRegions, RouteRecord, RouteTable};
 use std::{
     cell::{OnceCell, RefCell},
     rc::Rc,
@@ -136,6 +136,11 @@
         Err(AccessError::UnknownKey) => return Err(ErrorResponse::new(ErrorKind::UnknownKey)),
     };
     let service = route.destination(rand::random()).clone();
+    let key_regions = holder.as_ref().and_then(|holder| holder.regions.as_ref());
+    let regions = AllowedRegions::combine(route.regions.as_ref(), key_regions);
+    if regions.is_some() {
+        shared.metrics.requests_restricted.inc();
+    }
     shared.retry_budgets.record_request(&service);
     let tried_before = shared.time_spent_retrying(&route, &terms);
     let limit = terms.time_left.map_or(route.timeout, |left| left.min(route.timeout));
@@ -146,6 +151,7 @@
         route,
         holder,
         service,
+        regions,
         received_at,
         deadline: received_at + limit,
         tried_before,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) targets_leaving: IntCounter,
     pub(crate) limited_requests: IntCounter,
     pub(crate) limits_rejected: IntCounter,
+    pub(crate) requests_restricted: IntCounter,
+    pub(crate) regions_rejected: IntCounter,
     pub(crate) end_checks: IntCounter,
     pub(crate) suspects_found: IntCounter,
     pub(crate) suspects_rejected: IntCounter,
@@ -147,6 +149,14 @@
                 "egretseam_gateway_limits_rejected_total",
                 "Requests rejected because the limits of all targets left no room in time.",
             ),
+            requests_restricted: metrics.counter(
+                "egretseam_gateway_requests_restricted_total",
+                "Requests that may be handled in some regions only.",
+            ),
+            regions_rejected: metrics.counter(
+                "egretseam_gateway_regions_rejected_total",
+                "Such requests for which no target in these regions had room in time.",
+            ),
             end_checks: metrics.counter(
                 "egretseam_gateway_end_checks_total",
                 "Connections opened to find out whether a target's process has ended.",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,7 +5,7 @@
 use egretseam_h1::RequestHead;
 use egretseam_proto::{OrganisationName, PartId, ServiceName};
 use egretseam_quarantine::{FeatureDigest, RequestContent};
-use egretseam_serving::{AttemptLimits, KeyHolder, RouteRecord, WaitUrgency};
+use egretseam_serving::{AllowedRegions, AttemptLimits, KeyHolder, RouteRecord, WaitUrgency};
 use std::{
     cell::{OnceCell, RefCell},
     rc::Rc,
@@ -21,6 +21,8 @@
     pub(crate) route: Rc<RouteRecord>,
     pub(crate) holder: Option<KeyHolder>,
     pub(crate) service: ServiceName,
+    /// Regions that may handle the request, by its route and its organisation; `None` for all.
+    pub(crate) regions: Option<AllowedRegions>,
     pub(crate) received_at: Instant,
     pub(crate) deadline: Instant,
     /// How long the caller had been trying when this request arrived; zero for a first attempt.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,7 +14,7 @@
 use egretseam_http::DaemonMetrics;
 use egretseam_serving::{
     CallerLimits, ConfigHolder, EntryRecord, EntryRoster, RetryDetector, RouteRecord, RouteTable,
-    TargetId,
+    TargetId, TargetTable,
 };
 use indexmap::IndexMap;
 use std::{
@@ -81,7 +81,9 @@
         dialect: Rc<dyn CallerDialect>,
         metrics: &DaemonMetrics,
     ) -> Self {
-        let dispatch = DispatchState::new(options.placement, options.zone.clone(), options.waiting);
+        let targets = TargetTable::new(options.placement, options.zone.clone())
+            .with_regions(options.regions.clone());
+        let dispatch = DispatchState::new(targets, options.waiting);
         Self {
             dialect,
             metrics: GatewayMetrics::new(metrics),
--- a/crates/serving/src/entries.rs
+++ b/crates/serving/src/entries.rs
@@ -1,7 +1,7 @@
 //! The roster of entries, built from what entries report to control members, and the addresses
 //! that callers are given.
 
-use crate::status::EntryRecord;
+use crate::{regions::RegionFilter, status::EntryRecord};
 use egretseam_proto::ZoneName;
 use indexmap::IndexMap;
 use std::{net::SocketAddr, time::Duration};
@@ -11,6 +11,23 @@
 /// With a single one, its loss would leave the caller without an address.
 const MIN_ENTRIES_IN_ZONE: usize = 2;
 
+/// Which entries a caller may be sent to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AddressQuery<'a> {
+    /// The caller's availability zone, as it states it.
+    pub zone: Option<&'a str>,
+    /// Where the caller's requests may be handled, if that is restricted.
+    pub regions: Option<RegionFilter<'a>>,
+    /// Most addresses.
+    pub max: usize,
+}
+
+impl AddressQuery<'_> {
+    fn is_own_zone(&self, zone: &ZoneName) -> bool {
+        self.zone == Some(zone.as_str())
+    }
+}
+
 /// The latest record of an entry.
 #[derive(Clone, Debug)]
 pub struct EntryObservation {
@@ -113,26 +130,37 @@
         self.rows.values().filter(|row| row.record.ready).count()
     }
 
-    /// At most `max` addresses of ready entries outside `zone`, for a caller whom the entries of
-    /// its own zone do not answer.
-    pub fn addresses_outside_zone(&self, zone: Option<&str>, max: usize) -> Vec<SocketAddr> {
-        let ready = self.rows.values().map(|row| &row.record).filter(|record| record.ready);
-        let outside = ready.filter(|record| zone != Some(record.zone.as_str()));
-        outside.map(|record| record.address).take(max).collect()
+    /// Addresses of ready entries outside the caller's zone, for a caller whom the entries of its
+    /// own zone do not answer.
+    pub fn addresses_outside_zone(&self, query: &AddressQuery<'_>) -> Vec<SocketAddr> {
+        let records = self.admitted(query).filter(|record| !query.is_own_zone(&record.zone));
+        records.map(|record| record.address).take(query.max).collect()
     }
 
-    /// At most `max` addresses of ready entries for a caller in `zone`: those of its zone if there
-    /// are at least two, else those of all zones.
-    pub fn addresses(&self, zone: Option<&str>, max: usize) -> Vec<SocketAddr> {
-        let ready = || self.rows.values().map(|row| &row.record).filter(|record| record.ready);
-        let is_same_zone = |own: &ZoneName| zone == Some(own.as_str());
-        let same_zone: Vec<SocketAddr> = ready()
-            .filter(|record| is_same_zone(&record.zone))
-            .map(|record| record.address)
-            .collect();
+    /// Addresses of ready entries for a caller: those of its zone if there are at least two, else
+    /// those of all zones that it may use, and those of all others if there is none.
+    pub fn addresses(&self, query: &AddressQuery<'_>) -> Vec<SocketAddr> {
+        let own_zone = self.ready().filter(|record| query.is_own_zone(&record.zone));
+        let same_zone: Vec<SocketAddr> =
+            own_zone.map(|record| record.address).take(query.max).collect();
         if same_zone.len() >= MIN_ENTRIES_IN_ZONE {
-            return same_zone.into_iter().take(max).collect();
+            return same_zone;
         }
-        ready().map(|record| record.address).take(max).collect()
+        let admitted: Vec<SocketAddr> =
+            self.admitted(query).map(|record| record.address).take(query.max).collect();
+        if !admitted.is_empty() {
+            return admitted;
+        }
+        self.ready().map(|record| record.address).take(query.max).collect()
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &EntryRecord> {
+        self.rows.values().map(|row| &row.record).filter(|record| record.ready)
+    }
+
+    /// Ready entries in zones that the caller may use.
+    fn admitted<'a>(&'a self, query: &AddressQuery<'a>) -> impl Iterator<Item = &'a EntryRecord> {
+        let filter = query.regions;
+        self.ready().filter(move |record| filter.is_none_or(|filter| filter.admits(&record.zone)))
     }
 }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -11,6 +11,7 @@
 use self::service_view::{FAST_FIRST_BYTE, ServiceView, median_first_byte, slowness};
 use crate::{
     backpressure::SendRoom,
+    regions::AllowedRegions,
     status::{TargetId, TargetState},
     target_table::{TargetRow, TargetTable},
 };
@@ -114,6 +115,8 @@
     pub late: bool,
     /// When the caller leaves unless the answer has begun; set only for a further attempt.
     pub first_byte_deadline: Option<Instant>,
+    /// Regions whose targets may get the request; `None` for all.
+    pub regions: Option<&'a AllowedRegions>,
 }
 
 impl PlacementQuery<'_> {
@@ -225,20 +228,24 @@
         pending as f64 >= limit.max(1.0)
     }
 
-    /// Whether a service whose targets take no requests now is expected to take some soon: a target
-    /// announces itself as ready and its weights are arriving, or this entry started recently and
+    /// Whether a service whose targets take no requests now is expected to take the request soon: a
+    /// target announces itself as ready and its weights are arriving, or this entry started recently and
     /// does not know all targets yet.
     ///
     /// While the origin of the weights is unreachable, the end of the outage cannot be predicted,
     /// and a queued request would wait without a result; its caller could have retried in that time.
-    pub fn expects_capacity(&self, service: &ServiceName, now: Instant) -> bool {
+    pub fn expects_capacity(&self, query: &PlacementQuery<'_>, now: Instant) -> bool {
+        if query.regions.is_some_and(AllowedRegions::is_empty) {
+            return false;
+        }
         if now.saturating_duration_since(self.started_at) < DISCOVERY_PERIOD {
             return true;
         }
-        let ids = self.services.get(service).into_iter().flatten();
+        let ids = self.services.get(query.service).into_iter().flatten();
         let staying = ids.filter(|id| !self.is_leaving(id));
-        let mut rows = staying.filter_map(|id| self.rows.get(id));
-        rows.any(|row| {
+        let rows = staying.filter_map(|id| self.rows.get(id));
+        let mut allowed = rows.filter(|row| self.is_in_allowed_region(row, query));
+        allowed.any(|row| {
             row.record.state == TargetState::Ready && !row.stalled && !row.is_silent(now)
         })
     }
@@ -269,13 +276,18 @@
         median_first_byte: Duration,
         now: Instant,
     ) -> bool {
-        if !row.takes_requests(now) {
+        if !row.takes_requests(now) || !self.is_in_allowed_region(row, query) {
             return false;
         }
         let allowed = |model| self.starts_on_allowed_version(row, model, median_first_byte, now);
         query.model.is_none_or(allowed)
     }
 
+    /// Whether a target is in a region that may handle the request.
+    pub(crate) fn is_in_allowed_region(&self, row: &TargetRow, query: &PlacementQuery<'_>) -> bool {
+        self.regions.allows(&row.record.zone, query.regions)
+    }
+
     /// The taken share of a target's slots plus its penalties; `None` if it is full for this
     /// request.
     fn cost(
--- a/crates/serving/src/route_table.rs
+++ b/crates/serving/src/route_table.rs
@@ -1,6 +1,9 @@
 //! Lookup of a request's route and of the organisation that sent it.
 
-use crate::config::{RouteRecord, ServingConfig};
+use crate::{
+    config::{RouteRecord, ServingConfig},
+    regions::AllowedRegions,
+};
 use egretseam_proto::OrganisationName;
 use indexmap::IndexMap;
 use std::rc::Rc;
@@ -12,6 +15,8 @@
     pub organisation: OrganisationName,
     /// Priority of its requests, if it overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions that may handle its requests; `None` for all.
+    pub regions: Option<AllowedRegions>,
 }
 
 /// Why a request may not use a route.
@@ -31,6 +36,8 @@
     /// grows with the depth of the path and not with the number of routes.
     routes_by_host: IndexMap<String, IndexMap<String, Rc<RouteRecord>>>,
     holders_by_key: IndexMap<String, KeyHolder>,
+    /// Regions that may handle all requests to a host, for hosts with restricted routes.
+    regions_by_host: IndexMap<String, AllowedRegions>,
 }
 
 impl RouteTable {
@@ -38,17 +45,28 @@
     pub fn new(config: ServingConfig) -> Self {
         let mut routes_by_host: IndexMap<String, IndexMap<String, Rc<RouteRecord>>> =
             IndexMap::new();
+        let mut regions_by_host: IndexMap<String, AllowedRegions> = IndexMap::new();
         for route in &config.routes {
+            if let Some(regions) = &route.regions {
+                let host_regions = regions_by_host.get(&route.host);
+                let common =
+                    host_regions.map_or_else(|| regions.clone(), |r| r.intersection(regions));
+                regions_by_host.insert(route.host.clone(), common);
+            }
             let prefixes = routes_by_host.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Rc::new(route.clone()));
         }
         let mut holders_by_key = IndexMap::new();
         for (name, record) in config.organisations.iter().flatten() {
-            let holder = KeyHolder { organisation: name.clone(), priority: record.priority };
+            let holder = KeyHolder {
+                organisation: name.clone(),
+                priority: record.priority,
+                regions: record.regions.clone(),
+            };
             let keys = record.keys.iter().cloned();
             holders_by_key.extend(keys.map(|key| (key, holder.clone())));
         }
-        Self { config, routes_by_host, holders_by_key }
+        Self { config, routes_by_host, holders_by_key, regions_by_host }
     }
 
     /// The configuration.
@@ -58,12 +76,18 @@
 
     /// The route with the longest prefix of `path`. A port after the host is ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<RouteRecord>> {
-        let name = host.split_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let name = host_name(host);
         let prefixes = self.routes_by_host.get(&name)?;
         let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/');
         slashes.into_iter().find_map(|(at, _)| prefixes.get(&path[..=at]))
     }
 
+    /// Regions that may handle the requests of all restricted routes of a host; `None` if it has no
+    /// such route. A port after the host is ignored.
+    pub fn host_regions(&self, host: &str) -> Option<&AllowedRegions> {
+        self.regions_by_host.get(&host_name(host))
+    }
+
     /// Checks whether a caller's key allows it to use a route. Returns the key's organisation, for
     /// a known key also on a public route.
     ///
@@ -84,3 +108,8 @@
         }
     }
 }
+
+/// The host without its port, in lower case.
+fn host_name(host: &str) -> String {
+    host.split_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase()
+}
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -13,11 +13,12 @@
 use crate::{
     backpressure::BackpressureTable,
     health::AttemptOutcome,
-    placement::PlacementPolicy,
+    placement::{PlacementPolicy, PlacementQuery},
+    regions::ZoneRegions,
     request_pacer::EntryGroup,
     status::{EngineStatus, Incarnation, PublishedVersion, TargetId, TargetState, TargetStatus},
-};
     version_history::{VersionHistory, VersionRecord},
+};
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
 use indexmap::IndexMap;
 use std::{net::SocketAddr, time::Duration};
@@ -62,6 +63,7 @@
 pub struct TargetTable {
     pub(crate) policy: PlacementPolicy,
     pub(crate) zone: ZoneName,
+    pub(crate) regions: ZoneRegions,
     pub(crate) started_at: Instant,
     pub(crate) rows: IndexMap<TargetId, TargetRow>,
     pub(crate) services: IndexMap<ServiceName, Vec<TargetId>>,
@@ -89,6 +91,7 @@
         Self {
             policy,
             zone,
+            regions: ZoneRegions::default(),
             started_at: Instant::now(),
             rows: IndexMap::new(),
             services: IndexMap::new(),
@@ -104,6 +107,11 @@
         }
     }
 
+    /// The table with the region of each availability zone.
+    pub fn with_regions(self, regions: ZoneRegions) -> Self {
+        Self { regions, ..self }
+    }
+
     /// Sets how many entries send to the same targets, this one among them.
     ///
     /// When a service is full, all entries learn at the same moment that a slot is free, all have
@@ -437,9 +445,11 @@
         }
     }
 
-    /// Whether a service has a target beside those in `tried`.
-    pub fn has_other(&self, service: &ServiceName, tried: &[TargetId]) -> bool {
-        self.ids(service).any(|id| !tried.contains(id))
+    /// Whether a service has a target for the request that it was not sent to before.
+    pub fn has_other(&self, query: &PlacementQuery<'_>) -> bool {
+        let untried = self.ids(query.service).filter(|id| !query.tried.contains(id));
+        let mut rows = untried.filter_map(|id| self.rows.get(id));
+        rows.any(|row| self.is_in_allowed_region(row, query))
     }
 
     /// The targets of a service.
--- a/crates/serving/src/target_table/limits.rs
+++ b/crates/serving/src/target_table/limits.rs
@@ -157,7 +157,10 @@
         let (mut compared, mut usable) = (0_usize, 0_usize);
         for id in self.sample(ids) {
             compared += 1;
-            let row = self.rows.get(id).filter(|row| row.takes_requests(now));
+            let row = self
+                .rows
+                .get(id)
+                .filter(|row| row.takes_requests(now) && self.is_in_allowed_region(row, query));
             let is_open = !query.tried.contains(id) && self.withheld(id, now).is_none();
             let Some(row) = row.filter(|_| is_open) else { continue };
             let pacer = &row.limit.as_ref()?.pacer;
--- a/crates/testkit/src/service_load.rs
+++ b/crates/testkit/src/service_load.rs
@@ -315,6 +315,7 @@
             tried: &[],
             late,
             first_byte_deadline: None,
+            regions: None,
         };
         let PlacementOutcome::Target(target) = self.entries[entry].table.choose(&query, now) else {
             return false;
--- a/tests/all/backpressure.rs
+++ b/tests/all/backpressure.rs
@@ -335,7 +335,14 @@
 }
 
 fn query(service: &ServiceName) -> PlacementQuery<'_> {
-    PlacementQuery { service, model: None, tried: &[], late: false, first_byte_deadline: None }
+    PlacementQuery {
+        service,
+        model: None,
+        tried: &[],
+        late: false,
+        first_byte_deadline: None,
+        regions: None,
+    }
 }
 
 fn choose(table: &TargetTable, now: Instant) -> PlacementOutcome {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -31,6 +31,7 @@
 mod plan_following;
 mod processes;
 mod quarantine;
+mod regions;
 mod retry_budget;
 mod scenarios;
 mod seeders;
--- a/tests/all/named_limits.rs
+++ b/tests/all/named_limits.rs
@@ -159,6 +159,7 @@
                     tried: &[],
                     late: false,
                     first_byte_deadline: None,
+                    regions: None,
                 };
                 let PlacementOutcome::Target(id) = entry.table.choose(&query, now) else {
                     continue;
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -2,9 +2,9 @@
 
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
 use egretseam_serving::{
-    AnnounceOutcome, AttemptOutcome, EngineStatus, EntryRecord, EntryRoster, HeldModel,
-    Incarnation, PlacementOutcome, PlacementPolicy, PlacementQuery, RosterBatcher, TargetId,
-    TargetRecord, TargetRegistry, TargetState, TargetStatus, TargetTable,
+    AddressQuery, AnnounceOutcome, AttemptOutcome, EngineStatus, EntryRecord, EntryRoster,
+    HeldModel, Incarnation, PlacementOutcome, PlacementPolicy, PlacementQuery, RosterBatcher,
+    TargetId, TargetRecord, TargetRegistry, TargetState, TargetStatus, TargetTable,
 };
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::Instant;
@@ -71,12 +71,19 @@
 }
 
 /// The query of a request that is not late and whose caller stays.
-fn query<'a>(
+pub(crate) fn query<'a>(
     service: &'a ServiceName,
     model: &'a ModelName,
     tried: &'a [TargetId],
 ) -> PlacementQuery<'a> {
-    PlacementQuery { service, model: Some(model), tried, late: false, first_byte_deadline: None }
+    PlacementQuery {
+        service,
+        model: Some(model),
+        tried,
+        late: false,
+        first_byte_deadline: None,
+        regions: None,
+    }
 }
 
 pub(crate) fn choose(table: &TargetTable, tried: &[TargetId], now: Instant) -> PlacementOutcome {
@@ -84,6 +91,11 @@
     table.choose(&query(&service, &model, tried), now)
 }
 
+/// The query of a caller in the first zone.
+fn of_zone(max: usize) -> AddressQuery<'static> {
+    AddressQuery { zone: Some("z1"), regions: None, max }
+}
+
 pub(crate) fn id(host: u8) -> TargetId {
     TargetId::unstated(format!("i-{host}"))
 }
@@ -215,9 +227,9 @@
     };
     let listed = vec![entry(1, "z1"), entry(2, "z1"), entry(3, "z2"), entry(4, "z3")];
     let roster = EntryRoster::merged([&listed].into_iter(), Instant::now());
-    assert_eq!(roster.addresses(Some("z1"), 64), [address(1), address(2)]);
-    assert_eq!(roster.addresses_outside_zone(Some("z1"), 64), [address(3), address(4)]);
-    assert_eq!(roster.addresses_outside_zone(Some("z1"), 1), [address(3)]);
+    assert_eq!(roster.addresses(&of_zone(64)), [address(1), address(2)]);
+    assert_eq!(roster.addresses_outside_zone(&of_zone(64)), [address(3), address(4)]);
+    assert_eq!(roster.addresses_outside_zone(&of_zone(1)), [address(3)]);
 }
 
 /// Guards against requests to full targets from all entries of a zone because the entry that relays
@@ -294,7 +306,7 @@
     for rosters in [[&behind, &ahead], [&ahead, &behind]] {
         let merged = EntryRoster::merged(rosters.into_iter(), now);
         // A single entry in the zone is not enough, so the other zone's entries are listed too.
-        let mut listed = merged.addresses(Some("z1"), 64);
+        let mut listed = merged.addresses(&of_zone(64));
         listed.sort();
         assert_eq!(listed, [address(2), address(3)]);
         assert_eq!(merged.ready_count(), 2);
--- a/tests/all/versions.rs
+++ b/tests/all/versions.rs
@@ -1,9 +1,11 @@
 //! Which weights requests may begin on, and when engines load new ones.
 
-use crate::serving_tables::{address, choose, held, id, model, record, service, status, table};
+use crate::serving_tables::{
+    address, choose, held, id, model, query, record, service, status, table,
+};
 use egretseam_serving::{
     AttemptOutcome, EngineStatus, Incarnation, OlderVersionPolicy, OlderVersionState,
-    PlacementOutcome, PublishedVersion, SwitchSchedule, SwitchTiming, TargetState,
+    PlacementOutcome, PublishedVersion, SwitchSchedule, SwitchTiming, TargetState, TargetTable,
 };
 use egretseam_swarm::ChunkPace;
 use std::time::Duration;
@@ -232,6 +234,11 @@
     assert!(!rule.should_switch(&early_state));
 }
 
+fn expects_capacity(table: &TargetTable, now: Instant) -> bool {
+    let (service, model) = (service(), model());
+    table.expects_capacity(&query(&service, &model, &[]), now)
+}
+
 /// Guards against requests that wait in vain. All targets lack the published weights. Requests may
 /// wait while chunks of them arrive, but not while all agents report that none do.
 #[actix_rt::test]
@@ -239,7 +246,7 @@
     let now = Instant::now();
     let later = now + Duration::from_secs(4);
     let mut table = table(&[1, 2], now);
-    assert!(table.expects_capacity(&service(), now), "the entry has just started");
+    assert!(expects_capacity(&table, now), "the entry has just started");
     let lacking = |host, stalled| EngineStatus {
         address: address(host),
         incarnation: Incarnation::UNSTATED,
@@ -252,9 +259,9 @@
     table.apply_engine(&lacking(1, true), later);
     table.apply_engine(&lacking(2, false), later);
     assert_eq!(choose(&table, &[], later), PlacementOutcome::NoTarget);
-    assert!(table.expects_capacity(&service(), later));
+    assert!(expects_capacity(&table, later));
     table.apply_engine(&lacking(2, true), later);
-    assert!(!table.expects_capacity(&service(), later));
+    assert!(!expects_capacity(&table, later));
 }
 
 /// Guards against engines that load a superseded version, and so are out of service twice, although
