--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -7,7 +7,7 @@
     request::RequestState,
     shared::GatewayShared,
 };
-use egretseam_serving::TargetId;
+use egretseam_serving::{TargetId, WaitUrgency};
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -78,11 +78,12 @@
     need: &SlotNeed<'_>,
     excluded: &[TargetId],
 ) -> Result<SlotGuard, ErrorResponse> {
+    let urgency = urgency(shared, request);
     let slot_request = SlotRequest {
         service: &request.service,
         model: request.terms.model.as_ref(),
         tried: excluded,
-        urgency: request.urgency(),
+        urgency,
         first_byte_deadline: first_byte_deadline(shared, request, need),
         regions: request.regions.as_ref(),
         wait_deadline: wait_deadline(shared, request, need),
@@ -93,7 +94,10 @@
         shared.metrics.regions_rejected.inc();
     }
     match reply {
-        SlotReply::Acquired(guard) => Ok(guard),
+        SlotReply::Acquired(guard) => {
+            record_placed(shared, request, need);
+            Ok(guard)
+        }
         SlotReply::Full(_) if Instant::now() >= request.deadline => {
             Err(ErrorResponse::new(ErrorKind::ExpiredUnsent))
         }
@@ -104,6 +108,20 @@
     }
 }
 
+/// Urgency of the request, with its position among the priorities in use at its service.
+pub(crate) fn urgency(shared: &GatewayShared, request: &RequestState) -> WaitUrgency {
+    let priority = request.route.priority;
+    let admission = shared.dispatch.borrow().admission(&request.service, priority);
+    request.urgency().at_position(admission)
+}
+
+fn record_placed(shared: &GatewayShared, request: &RequestState, need: &SlotNeed<'_>) {
+    if need.tried.is_empty() && !need.is_beside {
+        let mut dispatch = shared.dispatch.borrow_mut();
+        dispatch.record_first_placed(&request.service, request.route.priority, Instant::now());
+    }
+}
+
 /// When the caller of a further attempt may leave; `None` if there is no such moment, or it has
 /// passed and the caller is still there.
 fn leave_deadline(
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Opens one attempt: connects to the target that a request was placed at and prepares what is sent.
 
 use crate::{
-    acquire::PermittedSlot,
+    acquire::{self, PermittedSlot},
     backpressure,
     dialect::TargetRequest,
     dispatch::SlotGuard,
@@ -165,7 +165,7 @@
         target: &slot.target,
         organisation: request.organisation(),
         time_left: request.deadline.saturating_duration_since(Instant::now()),
-        urgent: progress.response_started,
+        engine_priority: acquire::urgency(shared, request).engine_priority(),
         last_event_id: progress.last_event_id.as_deref(),
         body: &request.body,
     };
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -32,9 +32,8 @@
     pub organisation: Option<&'a OrganisationName>,
     /// Time until the caller's deadline.
     pub time_left: Duration,
-    /// Whether the request resumes an interrupted response, so that engines should run it before
-    /// others.
-    pub urgent: bool,
+    /// Priority of the request in an engine, 0 (first) to 9; `None` for the engine's default.
+    pub engine_priority: Option<u8>,
     /// Id of the last event that the caller received, if a stream is resumed; `None` forwards the
     /// caller's own `Last-Event-Id` header.
     pub last_event_id: Option<&'a str>,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,8 +4,8 @@
 use crate::shared::GatewayShared;
 use egretseam_proto::{ModelName, ServiceName};
 use egretseam_serving::{
-    AllowedRegions, AttemptOutcome, PlacementOutcome, PlacementQuery, TargetId, TargetTable,
-    WaitPolicy, WaitQueue, WaitTicket, WaitUrgency,
+    AdmissionPosition, AdmissionShares, AllowedRegions, AttemptOutcome, PlacementOutcome,
+    PlacementQuery, TargetId, TargetTable, WaitPolicy, WaitQueue, WaitTicket, WaitUrgency,
 };
 use indexmap::IndexMap;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -19,7 +19,7 @@
 struct WaitingRequest {
     model: Option<ModelName>,
     tried: Vec<TargetId>,
-    late: bool,
+    urgency: WaitUrgency,
     first_byte_deadline: Option<Instant>,
     regions: Option<AllowedRegions>,
     sender: oneshot::Sender<SlotGuard>,
@@ -29,12 +29,14 @@
 pub(crate) struct DispatchState {
     pub(crate) targets: TargetTable,
     queues: IndexMap<ServiceName, WaitQueue<WaitingRequest>>,
+    /// Recent requests of services with engines, by priority.
+    admissions: IndexMap<ServiceName, AdmissionShares>,
     waiting: WaitPolicy,
 }
 
 impl DispatchState {
     pub(crate) fn new(targets: TargetTable, waiting: WaitPolicy) -> Self {
-        Self { targets, queues: IndexMap::new(), waiting }
+        Self { targets, queues: IndexMap::new(), admissions: IndexMap::new(), waiting }
     }
 
     fn queue(&mut self, service: &ServiceName) -> &mut WaitQueue<WaitingRequest> {
@@ -42,6 +44,37 @@
         self.queues.entry(service.clone()).or_insert_with(|| WaitQueue::new(waiting))
     }
 
+    /// Counts a caller's request for a service with engines.
+    pub(crate) fn record_arrived(&mut self, service: &ServiceName, priority: u8, now: Instant) {
+        if let Some(shares) = self.admissions.get_mut(service) {
+            return shares.record_arrived(priority, now);
+        }
+        let mut shares = AdmissionShares::new(now);
+        shares.record_arrived(priority, now);
+        self.admissions.insert(service.clone(), shares);
+    }
+
+    /// Counts a request that was placed at a target for the first time.
+    pub(crate) fn record_first_placed(
+        &mut self,
+        service: &ServiceName,
+        priority: u8,
+        now: Instant,
+    ) {
+        if let Some(shares) = self.admissions.get_mut(service) {
+            shares.record_placed(priority, now);
+        }
+    }
+
+    /// Position of requests of a priority at a service; `None` if no other priorities are in use.
+    pub(crate) fn admission(
+        &self,
+        service: &ServiceName,
+        priority: u8,
+    ) -> Option<AdmissionPosition> {
+        self.admissions.get(service)?.position(priority)
+    }
+
     /// Whether any request waits for a slot.
     pub(crate) fn has_waiters(&self) -> bool {
         self.queues.values().any(|queue| !queue.is_empty())
@@ -165,18 +198,21 @@
         model: request.model,
         tried: request.tried,
         late: request.urgency.is_late(),
+        reserved_share: request.urgency.reserved_share(),
         first_byte_deadline: request.first_byte_deadline,
         regions: request.regions,
     };
     let choice = dispatch.targets.choose(&query, now);
-    let queue_is_empty = dispatch.queue(request.service).is_empty();
+    let queue = dispatch.queue(request.service);
+    let goes_first = queue.is_empty()
+        || (request.urgency.reserved_share().is_some() && queue.ahead(&request.urgency) == 0);
     match &choice {
         PlacementOutcome::NoTarget if !dispatch.targets.expects_capacity(&query, now) => {
             let after = dispatch.queue(request.service).retry_after(rand::random());
             return Ok(SlotReply::NoTarget(after));
         }
-        PlacementOutcome::Target(target) if queue_is_empty => {
-            record_placed(dispatch.queue(request.service), request.urgency.is_late(), now);
+        PlacementOutcome::Target(target) if goes_first => {
+            dispatch.queue(request.service).record_placed(&request.urgency, now);
             if let Some(guard) = occupy_slot(shared, &mut dispatch, request.service, target.clone())
             {
                 return Ok(SlotReply::Acquired(guard));
@@ -232,7 +268,7 @@
     let waiting_request = WaitingRequest {
         model: request.model.cloned(),
         tried: request.tried.to_vec(),
-        late: urgency.is_late(),
+        urgency,
         first_byte_deadline: request.first_byte_deadline,
         regions: request.regions.cloned(),
         sender,
@@ -251,10 +287,6 @@
     Err(PendingSlot { receiver, give_up_at, queue_guard })
 }
 
-fn record_placed(queue: &mut WaitQueue<WaitingRequest>, is_late: bool, now: Instant) {
-    if is_late { queue.record_late_placed(now) } else { queue.record_placed(now) }
-}
-
 fn reject_full(shared: &GatewayShared, request: &SlotRequest<'_>) -> SlotReply {
     let mut dispatch = shared.dispatch.borrow_mut();
     let queue = dispatch.queue(request.service);
@@ -284,7 +316,7 @@
         let mut dispatch = shared.dispatch.borrow_mut();
         while let Some((ticket, target)) = next_dispatch(&mut dispatch, service, now) {
             let Some(request) = dispatch.queue(service).remove(ticket) else { break };
-            record_placed(dispatch.queue(service), ticket.is_late(), now);
+            dispatch.queue(service).record_placed(&request.urgency, now);
             if let Some(guard) = occupy_slot(shared, &mut dispatch, service, target) {
                 dispatched.push((request.sender, guard));
             }
@@ -319,7 +351,8 @@
             service,
             model: request.model.as_ref(),
             tried: &request.tried,
-            late: request.late,
+            late: request.urgency.is_late(),
+            reserved_share: request.urgency.reserved_share(),
             first_byte_deadline: request.first_byte_deadline,
             regions: request.regions.as_ref(),
         };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,7 +7,7 @@
 use crate::{dispatch, evidence, shared::GatewayShared};
 use egretseam_delta::PackedDocument;
 use egretseam_rpc::{FeedCall, FeedLink, FeedReader, FeedReply, FeedRoster, LinkOptions};
-use egretseam_serving::RouteTable;
+use egretseam_serving::{RouteTable, ServingConfig};
 use indexmap::IndexMap;
 use std::{
     cell::RefCell,
@@ -282,6 +282,12 @@
     );
 }
 
+/// Number of organisations whose priority overrides those of routes.
+fn prioritised_organisations(config: &ServingConfig) -> usize {
+    let organisations = config.organisations.iter().flatten();
+    organisations.filter(|(_, record)| record.priority.is_some()).count()
+}
+
 /// Applies a configuration if it is newer than the one in force.
 fn apply_config(shared: &GatewayShared, base: u64, version: u64, packed: &PackedDocument) {
     let applied = shared.config.borrow_mut().apply(base, version, packed);
@@ -302,6 +308,8 @@
     tracing::info!(
         version,
         routes = config.routes.len(),
+        restricted_routes = config.routes.iter().filter(|route| route.regions.is_some()).count(),
+        prioritised_organisations = prioritised_organisations(&config),
         bytes = packed.size(),
         whole = packed.is_full(),
         "configuration applied"
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -142,6 +142,11 @@
         shared.metrics.requests_restricted.inc();
     }
     shared.retry_budgets.record_request(&service);
+    // Services without engines answer within some ten milliseconds and hold no requests back.
+    if terms.model.is_some() {
+        let mut dispatch = shared.dispatch.borrow_mut();
+        dispatch.record_arrived(&service, route.priority, Instant::now());
+    }
     let tried_before = shared.time_spent_retrying(&route, &terms);
     let limit = terms.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     Ok(RequestState {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,7 +5,9 @@
 use egretseam_h1::RequestHead;
 use egretseam_proto::{OrganisationName, PartId, ServiceName};
 use egretseam_quarantine::{FeatureDigest, RequestContent};
-use egretseam_serving::{AllowedRegions, AttemptLimits, KeyHolder, RouteRecord, WaitUrgency};
+use egretseam_serving::{
+    AllowedRegions, AttemptLimits, KeyHolder, RequestPriority, RouteRecord, WaitUrgency,
+};
 use std::{
     cell::{OnceCell, RefCell},
     rc::Rc,
@@ -110,8 +112,9 @@
             return WaitUrgency::resumed();
         }
         let key_priority = self.holder.as_ref().and_then(|holder| holder.priority);
+        let priority = RequestPriority::new(key_priority, self.route.priority);
         let trying_for = self.tried_before + self.received_at.elapsed();
         let objective = self.route.objective;
-        WaitUrgency::new(key_priority.unwrap_or(self.route.priority), objective, trying_for)
+        WaitUrgency::new(priority, objective, trying_for)
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 //!   readers fetch only what they have not seen.
 //! - [`TargetTable`]: at an entry, the merged updates of all control members and the outcomes of
 //!   the entry's own requests; [`TargetTable::choose`] places a request.
+//! - [`AdmissionShares`]: how far requests of lower priority stand back for others under overload.
 //! - [`WaitQueue`]: requests that wait for a slot, and when they are rejected instead.
 //! - [`PeerList`]: at control, the agents that exchange chunks, with numbered changes.
 //! - [`RetryDetector`]: how long a caller has been trying.
@@ -28,6 +29,7 @@
 //! - [`OlderVersionPolicy`]: when an instance loads a superseded version.
 //! - [`OriginTurnPolicy`]: which of two published versions the next chunk of the origin serves.
 
+mod admission_shares;
 mod attempt_limits;
 mod attempt_race;
 mod backpressure;
@@ -58,6 +60,7 @@
 mod wait_queue;
 
 pub use crate::{
+    admission_shares::{AdmissionPosition, AdmissionShares},
     attempt_limits::{AttemptLimits, DEFAULT_STREAM_IDLE_TIMEOUT},
     attempt_race::{AttemptId, AttemptRace, RaceStep, RaceTerms},
     backpressure::WithholdReason,
@@ -94,5 +97,5 @@
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
     target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
     version_history::{VersionHistory, VersionRecord},
-    wait_queue::{WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
+    wait_queue::{RequestPriority, WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
 };
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -113,6 +113,9 @@
     /// Whether the request has missed its latency objective, so that it leaves the last slots to
     /// others.
     pub late: bool,
+    /// Share of a target's slots that the request leaves to more urgent ones; `None` if no other
+    /// priorities are in use at the service.
+    pub reserved_share: Option<f64>,
     /// When the caller leaves unless the answer has begun; set only for a further attempt.
     pub first_byte_deadline: Option<Instant>,
     /// Regions whose targets may get the request; `None` for all.
@@ -299,7 +302,11 @@
     ) -> Option<f64> {
         let slots = f64::from(row.record.slots.max(1));
         let load = self.estimated_load(row, view.mean_other_load, now);
-        let fill = if query.late { self.policy.late_max_fill } else { self.policy.max_fill };
+        let fill = match query.reserved_share {
+            Some(reserved) => self.policy.max_fill - reserved,
+            None if query.late => self.policy.late_max_fill,
+            None => self.policy.max_fill,
+        };
         if load >= slots * fill || self.at_entry_share(row, query, now) {
             return None;
         }
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -13,9 +13,10 @@
 
 mod urgency;
 
-pub use urgency::WaitUrgency;
+pub use urgency::{RequestPriority, WaitUrgency};
 
 use self::urgency::WaitRank;
+use indexmap::IndexMap;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
@@ -97,10 +98,11 @@
 impl WaitTicket {
     /// Whether the request was queued as a late one.
     pub fn is_late(&self) -> bool {
-        matches!(self.rank, WaitRank::Late(_))
+        self.rank.is_late()
     }
 }
 
+#[derive(Debug)]
 struct Waiter<T> {
     deadline: Instant,
     payload: T,
@@ -117,14 +119,22 @@
 }
 
 /// Outcomes of requests within one window.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct WindowCounts {
     placed: u32,
-    /// Requests among `placed` that were late.
-    placed_late: u32,
+    /// Requests among `placed` by rank, of the ranks that stand back for others.
+    placed_back: IndexMap<WaitRank, u32>,
     rejected: u32,
 }
 
+impl WindowCounts {
+    /// Placed requests that waited for the same slots as those of `rank`.
+    fn placed_beside(&self, rank: WaitRank) -> u32 {
+        let beside = self.placed_back.iter().filter(|(other, _)| other.is_beside(rank));
+        beside.map(|(_, count)| count).sum()
+    }
+}
+
 impl<T> WaitQueue<T> {
     /// An empty queue.
     pub fn new(policy: WaitPolicy) -> Self {
@@ -151,11 +161,13 @@
     /// How long a request may wait, given the median time from sending a request on to the first
     /// byte of its answer.
     pub fn wait_limit(&self, urgency: &WaitUrgency, median_first_byte: Duration) -> Duration {
-        let limit = match urgency.rank {
-            WaitRank::Resumed => return self.policy.resumed_limit,
-            WaitRank::Late(_) => return self.policy.late_limit,
-            WaitRank::InTime(_) => self.in_time_limit(urgency.objective_left, median_first_byte),
-        };
+        if urgency.rank.is_resumed() {
+            return self.policy.resumed_limit;
+        }
+        if urgency.is_late() {
+            return self.policy.late_limit;
+        }
+        let limit = self.in_time_limit(urgency.objective_left, median_first_byte);
         // While requests outnumber slots for seconds, a longer wait changes which requests get a
         // slot but not how many, and the others are rejected later.
         let overload_limit = urgency.objective.mul_f64(self.policy.overload_objective_share);
@@ -180,15 +192,12 @@
     }
 
     /// Counts a request that got a slot, for the predicted wait.
-    pub fn record_placed(&mut self, now: Instant) {
+    pub fn record_placed(&mut self, urgency: &WaitUrgency, now: Instant) {
         self.rotate_windows(now);
         self.current_window.placed += 1;
-    }
-
-    /// Counts a late request that got a slot, for the predicted wait.
-    pub fn record_late_placed(&mut self, now: Instant) {
-        self.record_placed(now);
-        self.current_window.placed_late += 1;
+        if urgency.rank.stands_back(urgency.admission) {
+            *self.current_window.placed_back.entry(urgency.rank).or_default() += 1;
+        }
     }
 
     /// Counts a request that was rejected, on arrival or when its wait reached the limit.
@@ -212,19 +221,18 @@
             return;
         }
         let contiguous = elapsed < RATE_WINDOW * 2;
-        self.previous_window =
-            if contiguous { self.current_window } else { WindowCounts::default() };
-        self.current_window = WindowCounts::default();
+        let ended_window = std::mem::take(&mut self.current_window);
+        self.previous_window = if contiguous { ended_window } else { WindowCounts::default() };
         self.window_start = Some(now);
     }
 
     /// The wait that a request of this rank must expect, by the number of requests ahead of it and
     /// the slots granted in the last second; `None` while too little is known.
     ///
-    /// Guards against late requests that queue for 1.5 s while all slots go to requests that can
-    /// still be in time, and are rejected with too little time left to be served elsewhere. The
-    /// wait among late requests is therefore predicted from the number of late requests placed
-    /// recently, not from the rate at which slots come free.
+    /// Guards against late and less urgent requests that queue for 1.5 s while all slots go to
+    /// others, and are rejected with too little time left to be served elsewhere. Their wait is
+    /// therefore predicted from the number of requests of the same rank placed recently, not from
+    /// the rate at which slots come free.
     pub fn predicted_wait(&mut self, urgency: &WaitUrgency, now: Instant) -> Option<Duration> {
         self.rotate_windows(now);
         let start = self.window_start.unwrap_or(now);
@@ -232,21 +240,22 @@
         let placed = self.previous_window.placed + self.current_window.placed;
         let ahead = self.ahead(urgency);
         let tickets = self.waiters.keys().filter(|ticket| ticket.rank <= urgency.rank);
-        let late_ahead = tickets.filter(|ticket| ticket.is_late()).count();
+        let beside_ahead = tickets.filter(|ticket| ticket.rank.is_beside(urgency.rank)).count();
         // Slots are counted when requests take them, so an idle service looks slow. The rate at
         // which slots come free shows only in a busy service with requests already waiting.
         if placed < MIN_PLACED_FOR_RATE || ahead == 0 {
             return None;
         }
-        if !urgency.is_late() {
+        if !urgency.rank.stands_back(urgency.admission) {
             return Some(span.mul_f64((ahead + 1) as f64 / f64::from(placed)));
         }
-        // Counting one more than were placed gives a finite prediction before any late request was
-        // placed.
-        let placed_late = self.previous_window.placed_late + self.current_window.placed_late + 1;
-        let behind_in_time = (ahead - late_ahead) as f64 / f64::from(placed);
-        let among_late = (late_ahead + 1) as f64 / f64::from(placed_late);
-        Some(span.mul_f64(behind_in_time + among_late))
+        // Counting one more than were placed gives a finite prediction before any was placed.
+        let windows = [&self.previous_window, &self.current_window];
+        let placed_beside: u32 =
+            windows.iter().map(|window| window.placed_beside(urgency.rank)).sum();
+        let behind_others = (ahead - beside_ahead) as f64 / f64::from(placed);
+        let among_equals = (beside_ahead + 1) as f64 / f64::from(placed_beside + 1);
+        Some(span.mul_f64(behind_others + among_equals))
     }
 
     /// Adds a request that may wait until `deadline`, or returns it if the wait predicted is
--- a/crates/testkit/src/service_load.rs
+++ b/crates/testkit/src/service_load.rs
@@ -5,8 +5,8 @@
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
 use egretseam_serving::{
     AttemptOutcome, EngineStatus, HeldModel, Incarnation, PlacementOutcome, PlacementPolicy,
-    PlacementQuery, TargetId, TargetRecord, TargetState, TargetStatus, TargetTable, WaitPolicy,
-    WaitQueue, WaitUrgency,
+    PlacementQuery, RequestPriority, TargetId, TargetRecord, TargetState, TargetStatus,
+    TargetTable, WaitPolicy, WaitQueue, WaitUrgency,
 };
 use indexmap::{IndexMap, IndexSet};
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
@@ -245,7 +245,11 @@
             self.arrivals.get(&id).map_or(Duration::ZERO, |arrived_at| now - *arrived_at);
         let counted_wait =
             if self.script.late_requests_last { time_since_arrival } else { Duration::ZERO };
-        let urgency = WaitUrgency::new(1, self.script.latency_objective, counted_wait);
+        let urgency = WaitUrgency::new(
+            RequestPriority::new(None, 1),
+            self.script.latency_objective,
+            counted_wait,
+        );
         let queue = &mut self.entries[entry].queue;
         let deadline = now + queue.wait_limit(&urgency, median_first_byte);
         if queue.push(&urgency, deadline, id, now).is_err() {
@@ -254,8 +258,12 @@
     }
 
     fn queue_for_outage_end(&mut self, entry: usize, id: u64, now: Instant) {
-        let urgency =
-            WaitUrgency::new(1, self.script.latency_objective, Duration::ZERO).for_outage();
+        let urgency = WaitUrgency::new(
+            RequestPriority::new(None, 1),
+            self.script.latency_objective,
+            Duration::ZERO,
+        )
+        .for_outage();
         let queue = &mut self.entries[entry].queue;
         let deadline = now + queue.outage_limit();
         if !self.script.queues_during_outage
@@ -314,6 +322,7 @@
             model: Some(&self.model),
             tried: &[],
             late,
+            reserved_share: None,
             first_byte_deadline: None,
             regions: None,
         };
@@ -323,11 +332,10 @@
         self.entries[entry].table.start_attempt(&target, now);
         self.entries[entry].table.record_sent(&target, now);
         let queue = &mut self.entries[entry].queue;
-        if late {
-            queue.record_late_placed(now)
-        } else {
-            queue.record_placed(now)
-        }
+        let trying_for = if late { self.script.latency_objective } else { Duration::ZERO };
+        let priority = RequestPriority::new(None, 1);
+        let urgency = WaitUrgency::new(priority, self.script.latency_objective, trying_for);
+        queue.record_placed(&urgency, now);
         let number: usize = target.name.parse().expect("a target's name is its number");
         self.engines[number].enqueue(id, now);
         let arrived_at = self.arrivals.swap_remove(&id).unwrap_or(now);
--- a/tests/all/backpressure.rs
+++ b/tests/all/backpressure.rs
@@ -340,6 +340,7 @@
         model: None,
         tried: &[],
         late: false,
+        reserved_share: None,
         first_byte_deadline: None,
         regions: None,
     }
--- a/tests/all/named_limits.rs
+++ b/tests/all/named_limits.rs
@@ -158,6 +158,7 @@
                     model: None,
                     tried: &[],
                     late: false,
+                    reserved_share: None,
                     first_byte_deadline: None,
                     regions: None,
                 };
--- a/tests/all/serving_tables.rs
+++ b/tests/all/serving_tables.rs
@@ -81,6 +81,7 @@
         model: Some(model),
         tried,
         late: false,
+        reserved_share: None,
         first_byte_deadline: None,
         regions: None,
     }
--- a/tests/all/waiting.rs
+++ b/tests/all/waiting.rs
@@ -2,7 +2,8 @@
 //! budget, under replayed load.
 
 use egretseam_serving::{
-    PlacementPolicy, RetryBudget, RetryDetector, RetryPolicy, WaitPolicy, WaitQueue, WaitUrgency,
+    PlacementPolicy, RequestPriority, RetryBudget, RetryDetector, RetryPolicy, WaitPolicy,
+    WaitQueue, WaitUrgency,
 };
 use egretseam_testkit::{EngineParams, LoadResult, LoadScript, simulate_load};
 use proptest::prelude::*;
@@ -12,7 +13,7 @@
 const OBJECTIVE: Duration = Duration::from_millis(400);
 
 fn claim(priority: u8) -> WaitUrgency {
-    WaitUrgency::new(priority, OBJECTIVE, Duration::ZERO)
+    WaitUrgency::new(RequestPriority::new(None, priority), OBJECTIVE, Duration::ZERO)
 }
 
 #[actix_rt::test]
@@ -37,7 +38,7 @@
     let step = Duration::from_millis(10);
     let mut now = start;
     for _ in 0..100 {
-        queue.record_placed(now);
+        queue.record_placed(&claim(1), now);
         now += step;
     }
     let limit = queue.wait_limit(&claim(1), Duration::from_millis(100));
@@ -52,7 +53,7 @@
     for ticket in queued {
         expired += usize::from(!queue.remove_expired(now).is_empty());
         queue.remove(ticket);
-        queue.record_placed(now);
+        queue.record_placed(&claim(1), now);
         now += step;
     }
     assert!(expired <= 5, "{expired} waits reached their limit");
@@ -64,15 +65,15 @@
 #[actix_rt::test]
 async fn late_requests_are_rejected_while_none_of_them_gets_a_slot() {
     let step = Duration::from_millis(10);
-    let late = WaitUrgency::new(1, OBJECTIVE, Duration::from_secs(2));
+    let late = WaitUrgency::new(RequestPriority::new(None, 1), OBJECTIVE, Duration::from_secs(2));
     let queued = |places_late: bool| {
         let mut now = Instant::now();
         let mut queue = WaitQueue::new(WaitPolicy::default());
         for number in 0..100 {
             if places_late && number % 4 == 0 {
-                queue.record_late_placed(now);
+                queue.record_placed(&late, now);
             } else {
-                queue.record_placed(now);
+                queue.record_placed(&claim(1), now);
             }
             now += step;
         }
@@ -96,7 +97,7 @@
     let mut now = Instant::now();
     let mut queue = WaitQueue::new(WaitPolicy::default());
     for _ in 0..20 {
-        queue.record_placed(now);
+        queue.record_placed(&claim(1), now);
         now += Duration::from_millis(50);
     }
     let deadline = now + Duration::from_millis(240);
@@ -277,7 +278,7 @@
     let mut now = Instant::now();
     let mut queue = WaitQueue::new(WaitPolicy::default());
     for _ in 0..10 {
-        queue.record_placed(now);
+        queue.record_placed(&claim(1), now);
         now += Duration::from_millis(60);
     }
     let deadline = now + queue.outage_limit();
