--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use egretseam_h1::{RequestHead, ResponseHead};
 use egretseam_proto::{ModelName, OrganisationName, PartId};
-use egretseam_serving::{NamedLimit, RequestedRest, TargetId};
+use egretseam_serving::{NamedLimit, PaceFactor, RequestedRest, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
 /// Headers of a caller's request other than those for routing and framing.
@@ -56,6 +56,8 @@
     pub wrong_target: bool,
     /// Number of requests that are running or queued at the target.
     pub load: Option<u32>,
+    /// How long work takes at the target at the moment.
+    pub pace: Option<PaceFactor>,
     /// Rate of requests that the target takes from all entries together.
     pub limit: NamedLimit,
     /// Time for which the target wants no request of this entry; only of rejections.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod loads;
 mod metrics;
 mod options;
+mod paces;
 mod pool;
 mod quarantine;
 mod rejection;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,7 @@
     pub(crate) targets_leaving: IntCounter,
     pub(crate) limited_requests: IntCounter,
     pub(crate) limits_rejected: IntCounter,
+    pub(crate) paces_changed: IntCounter,
     pub(crate) requests_restricted: IntCounter,
     pub(crate) regions_rejected: IntCounter,
     pub(crate) end_checks: IntCounter,
@@ -149,6 +150,10 @@
                 "egretseam_gateway_limits_rejected_total",
                 "Requests rejected because the limits of all targets left no room in time.",
             ),
+            paces_changed: metrics.counter(
+                "egretseam_gateway_paces_changed_total",
+                "Changes of the pace of targets that this entry was the first to hear.",
+            ),
             requests_restricted: metrics.counter(
                 "egretseam_gateway_requests_restricted_total",
                 "Requests that may be handled in some regions only.",
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -7,7 +7,7 @@
     body_end::{self, BodyContent, BodyEnd, BreakReason, EndMeaning, framing_slug},
     dialect::ResponseMetadata,
     events::EventBuffer,
-    limits, quarantine, rejection,
+    limits, paces, quarantine, rejection,
     request::RequestState,
 };
 use bytes::{Bytes, BytesMut};
@@ -130,6 +130,9 @@
             let now = Instant::now();
             self.shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
         }
+        if let Some(pace) = metadata.pace {
+            paces::record_stated(&self.shared, slot, pace);
+        }
     }
 
     /// Ends the attempt with the target's statement that it did not run the request.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
     limits::LimitOutbox,
     metrics::GatewayMetrics,
     options::GatewayOptions,
+    paces::PaceOutbox,
     pool::ConnectionPool,
     quarantine::QuarantineState,
     retries::RetryBudgets,
@@ -57,6 +58,7 @@
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) quarantine: QuarantineState,
     pub(crate) limit_outbox: LimitOutbox,
+    pub(crate) pace_outbox: PaceOutbox,
     /// Port at which every entry receives datagrams.
     pub(crate) datagram_port: Cell<u16>,
     pub(crate) retry_detector: RefCell<RetryDetector>,
@@ -95,6 +97,7 @@
             pool: RefCell::default(),
             quarantine: QuarantineState::new(),
             limit_outbox: LimitOutbox::default(),
+            pace_outbox: PaceOutbox::default(),
             datagram_port: Cell::new(0),
             retry_detector: RefCell::new(RetryDetector::new(options.waiting.min_retry_after)),
             retry_budgets: RetryBudgets::new(options.retries, metrics),
--- a/crates/registrar/src/loads.rs
+++ b/crates/registrar/src/loads.rs
@@ -21,7 +21,7 @@
 
 /// Forwards samples until the registrar is dropped.
 pub(crate) async fn forward(shared: Weak<RegistrarShared>, socket: UdpSocket) {
-    let mut collected: IndexMap<SocketAddr, u16> = IndexMap::new();
+    let mut collected: IndexMap<SocketAddr, TargetLoad> = IndexMap::new();
     let mut next_send_at = Instant::now() + BATCH_INTERVAL;
     // A random start lets members send to different entries of a zone.
     let mut round: usize = rand::random_range(0..INITIAL_ROUNDS);
@@ -47,11 +47,11 @@
 fn collect_samples(
     shared: &RegistrarShared,
     bytes: &[u8],
-    collected: &mut IndexMap<SocketAddr, u16>,
+    collected: &mut IndexMap<SocketAddr, TargetLoad>,
 ) {
     match LoadDatagram::decode(&shared.options.control.secret, bytes) {
         Some(datagram) => {
-            collected.extend(datagram.samples.iter().map(|sample| (sample.address, sample.busy)));
+            collected.extend(datagram.samples.iter().map(|sample| (sample.address, *sample)));
         }
         None => tracing::debug!("dropped a load datagram that is malformed or has a wrong tag"),
     }
@@ -60,11 +60,10 @@
 async fn send(
     shared: &Rc<RegistrarShared>,
     socket: &UdpSocket,
-    collected: &mut IndexMap<SocketAddr, u16>,
+    collected: &mut IndexMap<SocketAddr, TargetLoad>,
     round: usize,
 ) {
-    let samples: Vec<TargetLoad> =
-        collected.drain(..).map(|(address, busy)| TargetLoad { address, busy }).collect();
+    let samples: Vec<TargetLoad> = collected.drain(..).map(|(_, sample)| sample).collect();
     let entries: Vec<SocketAddr> = {
         let entries = shared.entries.borrow();
         let port = shared.options.load_port;
--- a/crates/rpc/src/loads.rs
+++ b/crates/rpc/src/loads.rs
@@ -17,6 +17,9 @@
     pub address: SocketAddr,
     /// Requests running or waiting at the target.
     pub busy: u16,
+    /// How long work takes there, in percent of the usual time; 0 if the target does not say.
+    #[serde(skip)]
+    pub pace_percent: u16,
 }
 
 /// A datagram with the loads of some targets.
@@ -31,17 +34,40 @@
     pub samples: Vec<TargetLoad>,
 }
 
+/// What follows a [`LoadDatagram`]: releases that do not know it stop reading before it.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct DatagramExtension {
+    /// [`TargetLoad::pace_percent`] of each sample.
+    pace_percents: Vec<u16>,
+}
+
 impl LoadDatagram {
     /// Encodes a datagram with these samples, for one process alone or, with `for_zone`, for all
     /// entries of its availability zone.
     pub fn encode(secret: &PeerSecret, for_zone: bool, samples: &[TargetLoad]) -> Vec<u8> {
         let datagram = Self { tag: secret.datagram_tag(), for_zone, samples: samples.to_vec() };
-        postcard::to_stdvec(&datagram).expect("in-memory encoding does not fail")
+        let mut bytes = encode(&datagram);
+        let pace_percents: Vec<u16> = samples.iter().map(|sample| sample.pace_percent).collect();
+        if pace_percents.iter().any(|percent| *percent > 0) {
+            bytes.extend(encode(&DatagramExtension { pace_percents }));
+        }
+        bytes
     }
 
     /// Decodes a datagram; `None` if it is malformed or carries another tag.
     pub fn decode(secret: &PeerSecret, bytes: &[u8]) -> Option<Self> {
-        let datagram: Self = postcard::from_bytes(bytes).ok()?;
-        (datagram.tag == secret.datagram_tag()).then_some(datagram)
+        let (mut datagram, rest): (Self, _) = postcard::take_from_bytes(bytes).ok()?;
+        if datagram.tag != secret.datagram_tag() {
+            return None;
+        }
+        let extension: DatagramExtension = postcard::from_bytes(rest).unwrap_or_default();
+        for (sample, percent) in datagram.samples.iter_mut().zip(extension.pace_percents) {
+            sample.pace_percent = percent;
+        }
+        Some(datagram)
     }
 }
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("in-memory encoding does not fail")
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -55,6 +55,7 @@
 mod route_table;
 mod status;
 mod switch_schedule;
+mod target_pace;
 mod target_table;
 mod version_history;
 mod wait_queue;
@@ -95,6 +96,7 @@
         TargetRecord, TargetState, TargetStatus,
     },
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
+    target_pace::PaceFactor,
     target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
     version_history::{VersionHistory, VersionRecord},
     wait_queue::{RequestPriority, WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -68,6 +68,9 @@
     /// Load added per median first byte by which a target's mean first byte exceeds one and a half
     /// times the median of its service: its process is slow, or others have filled its link.
     pub slowness_penalty: f64,
+    /// Load added for a target that says that it works slowly, per multiple of the usual time by which
+    /// its work takes longer.
+    pub pace_penalty: f64,
     /// Load added for a target that started recently.
     pub cold_start_penalty: f64,
     /// How long a target that says that it leaves still serves.
@@ -92,6 +95,7 @@
             entry_share_max_age: Duration::from_millis(1_100),
             old_version_penalty: 0.1,
             slowness_penalty: 0.25,
+            pace_penalty: 0.25,
             cold_start_penalty: 0.3,
             drain_time: Duration::ZERO,
             limits_entry_share: true,
@@ -322,6 +326,7 @@
             let factor = if query.tried.is_empty() { 1.0 } else { RETRY_PENALTY_FACTOR };
             cost += self.policy.old_version_penalty * factor;
         }
+        cost += self.policy.pace_penalty * row.pace.excess(now);
         cost += self.policy.slowness_penalty * slowness(row, view.median_first_byte, now);
         cost += row.health.failure_rate();
         Some(cost)
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -17,6 +17,7 @@
     regions::ZoneRegions,
     request_pacer::EntryGroup,
     status::{EngineStatus, Incarnation, PublishedVersion, TargetId, TargetState, TargetStatus},
+    target_pace::PaceFactor,
     version_history::{VersionHistory, VersionRecord},
 };
 use egretseam_proto::{ModelName, ServiceName, ZoneName};
@@ -373,6 +374,25 @@
         }
     }
 
+    /// Records how fast a target says that it works now. Returns whether it is news.
+    pub fn record_pace(&mut self, id: &TargetId, factor: PaceFactor, now: Instant) -> bool {
+        self.rows.get_mut(id).is_some_and(|row| row.pace.record(factor, now))
+    }
+
+    /// Records how fast the target at an address worked at an earlier moment.
+    pub fn record_pace_at(
+        &mut self,
+        address: SocketAddr,
+        factor: PaceFactor,
+        measured_at: Instant,
+    ) {
+        for id in self.by_address.get(&address).into_iter().flatten() {
+            if let Some(row) = self.rows.get_mut(id) {
+                row.pace.record(factor, measured_at);
+            }
+        }
+    }
+
     /// Counts a request that is placed at a target.
     pub fn start_attempt(&mut self, id: &TargetId, now: Instant) {
         self.backpressure.record_placed(id, now);
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -4,6 +4,7 @@
 use crate::{
     health::TargetHealth,
     status::{EngineStatus, HeldModel, Incarnation, TargetRecord, TargetState, TargetStatus},
+    target_pace::TargetPace,
 };
 use egretseam_proto::ModelName;
 use indexmap::IndexMap;
@@ -98,6 +99,8 @@
     /// This entry's requests there over the last second, for load samples that arrive late.
     pub(super) own_history: VecDeque<(Instant, u32)>,
     pub(crate) load: Option<LoadSample>,
+    /// How fast the target works, as it says itself.
+    pub(crate) pace: TargetPace,
     /// The limit that the target names, if it does.
     pub(super) limit: Option<TargetLimit>,
     /// When the target last said whether it has a limit.
@@ -129,6 +132,7 @@
             own_in_flight: 0,
             own_history: VecDeque::new(),
             load: None,
+            pace: TargetPace::default(),
             limit: None,
             limit_heard_at: None,
             health: TargetHealth::default(),
--- a/crates/stager/src/dialect.rs
+++ b/crates/stager/src/dialect.rs
@@ -4,7 +4,7 @@
 use crate::digests::WeightDigests;
 use bytes::Bytes;
 use egretseam_proto::ModelName;
-use egretseam_serving::{HeldModel, Incarnation};
+use egretseam_serving::{HeldModel, Incarnation, PaceFactor};
 
 /// An HTTP request to the engine or to the origin of weights.
 #[derive(Clone, Debug)]
@@ -30,6 +30,8 @@
     pub busy: bool,
     /// Orders that this incarnation has begun; 0 if the engine does not count them.
     pub orders_begun: u64,
+    /// How long work takes at the moment, if the engine says so.
+    pub pace: Option<PaceFactor>,
     /// Requests that the engine runs.
     pub running_requests: u32,
     /// Requests that wait in the engine's queue.
--- a/crates/stager/src/loads.rs
+++ b/crates/stager/src/loads.rs
@@ -7,6 +7,9 @@
 
 /// Interval at which the last report is sampled.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Differences in percent of the usual time that entries are told of, so that a pace which varies a
+/// little does not cost a datagram each time.
+const PACE_STEP: u16 = 25;
 /// Longest time between datagrams while the load stays the same: as a sample ages, entries weigh
 /// the service's mean more.
 const RESEND_INTERVAL: Duration = Duration::from_millis(700);
@@ -23,31 +26,33 @@
             return;
         }
     };
-    let mut last: Option<(u16, Instant)> = None;
+    let mut last: Option<(TargetLoad, Instant)> = None;
     loop {
         tokio::time::sleep(SAMPLE_INTERVAL).await;
         let Some(shared) = shared.upgrade() else { return };
-        let Some((member, busy)) = sample(&shared) else { continue };
-        let is_due = last.is_none_or(|(sent, at)| sent != busy || at.elapsed() >= RESEND_INTERVAL);
+        let Some((member, sample)) = sample(&shared) else { continue };
+        let is_due =
+            last.is_none_or(|(sent, at)| sent != sample || at.elapsed() >= RESEND_INTERVAL);
         if !is_due {
             continue;
         }
-        let sample = TargetLoad { address: shared.options.target, busy };
         let bytes = LoadDatagram::encode(&shared.options.secret, false, &[sample]);
         match socket.send_to(&bytes, member).await {
-            Ok(_) => last = Some((busy, Instant::now())),
+            Ok(_) => last = Some((sample, Instant::now())),
             Err(error) => tracing::debug!(%error, "failed to send a load datagram"),
         }
     }
 }
 
-/// The control member to send to, and how many requests run or wait in the engine, if both are
-/// known.
-fn sample(shared: &StagerShared) -> Option<(SocketAddr, u16)> {
+/// The control member to send to, and how many requests run or wait in the engine at which pace, if
+/// both are known.
+fn sample(shared: &StagerShared) -> Option<(SocketAddr, TargetLoad)> {
     let member = shared.control_member.get()?;
     let report = shared.report.borrow();
     let report = report.as_ref()?;
     let busy =
         report.running_requests.saturating_add(report.queued_requests).min(u32::from(u16::MAX));
-    Some((member, busy as u16))
+    let address = shared.options.target;
+    let pace_percent = report.pace.map_or(0, |pace| pace.percent().next_multiple_of(PACE_STEP));
+    Some((member, TargetLoad { address, busy: busy as u16, pace_percent }))
 }
