--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,7 +3,7 @@
 //! Free of I/O; the current time is passed in as an argument. The main types:
 //!
 //! - [`ServingConfig`]: the configuration, which operators replace as a whole and which
-//!   [`ServingConfig::try_from`] validates once; [`RouteTable`] looks up the route and the
+//!   [`ServingConfig::try_from`] validates once ([`ServingConfig::validate`] returns every error); [`RouteTable`] looks up the route and the
 //!   organisation of a request.
 //! - [`ConfigHolder`]: the configuration in force at an entry, and what the entry requests from
 //!   control.
@@ -35,6 +35,7 @@
 mod config;
 mod config_codec;
 mod config_holder;
+mod config_path;
 mod engine_times;
 mod entries;
 mod health;
@@ -54,6 +55,7 @@
 mod status;
 mod switch_schedule;
 mod target_table;
+mod validation;
 mod version_history;
 mod wait_queue;
 
@@ -68,6 +70,7 @@
     },
     config_codec::{decode_config, encode_config},
     config_holder::{ConfigApplyError, ConfigHolder, ConfigRequest},
+    config_path::{ConfigField, ConfigPath, FieldNames},
     engine_times::{EngineTimes, RawEngineTimes},
     entries::{AddressQuery, EntryObservation, EntryRoster},
     health::{AttemptOutcome, TargetHealth},
@@ -93,6 +96,7 @@
     },
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
     target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
+    validation::{DEFAULT_OBJECTIVE, LocatedError},
     version_history::{VersionHistory, VersionRecord},
     wait_queue::{WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
 };
--- a/crates/serving/src/regions.rs
+++ b/crates/serving/src/regions.rs
@@ -1,7 +1,7 @@
 //! Regions of availability zones, and the regions that may handle a request.
 
 use egretseam_proto::{NameError, RegionName, ZoneName};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 /// The regions in which a request may be served and stored; possibly none.
@@ -42,14 +42,14 @@
     /// # Errors
     /// Fails if a name is invalid.
     pub fn check(raw: Vec<String>) -> Result<Option<Self>, NameError> {
-        let mut regions = Vec::with_capacity(raw.len());
-        for name in raw {
-            let region = RegionName::try_from(name)?;
-            if !regions.contains(&region) {
-                regions.push(region);
-            }
-        }
-        Ok((!regions.is_empty()).then_some(Self(regions)))
+        let regions: Result<Vec<_>, _> = raw.into_iter().map(RegionName::try_from).collect();
+        Ok(Self::from_regions(regions?))
+    }
+
+    /// Allows these regions; `None`, which restricts nothing, if there are none.
+    pub fn from_regions(regions: impl IntoIterator<Item = RegionName>) -> Option<Self> {
+        let distinct: IndexSet<RegionName> = regions.into_iter().collect();
+        (!distinct.is_empty()).then(|| Self(distinct.into_iter().collect()))
     }
 }
 
