--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -47,6 +47,12 @@
 }
 
 impl RetryPolicy {
+    /// Retries that one of `entries` entries can save up; 0 if the budget allows none.
+    pub fn most_saved(&self, entries: usize) -> u32 {
+        let allows_any = self.ratio > 0.0 || self.minimum > 0;
+        if allows_any { self.capacity(entries) as u32 } else { 0 }
+    }
+
     /// Tokens that the bucket of one of `entries` entries holds.
     fn capacity(&self, entries: usize) -> f64 {
         (self.minimum_share(entries) * SAVED_FRACTION).max(MIN_CAPACITY)
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,6 +1,7 @@
 //! The subcommands and what they share: exit codes and the operators' client.
 
 mod check_config;
+mod config;
 mod fleet;
 mod init;
 mod local;
@@ -27,8 +28,8 @@
     pub const FAILED: u8 = 1;
     /// The command line could not be parsed (set by the argument parser).
     pub const USAGE: u8 = 2;
-    /// Rejected, and a retry does not help: a rule is violated, the item does not exist, or the
-    /// token is wrong.
+    /// Rejected, and a retry does not help: a rule is violated, the item does not exist, the token
+    /// is wrong, or a checked configuration has errors.
     pub const REJECTED: u8 = 3;
     /// The item was changed meanwhile.
     pub const CONFLICT: u8 = 4;
@@ -54,6 +55,7 @@
     Serve(serve::ServeCommand),
     Fleet(fleet::FleetCommand),
     CheckConfig(check_config::CheckConfigCommand),
+    Config(config::ConfigCommand),
     Init(init::InitCommand),
     Local(local::LocalCommand),
     Profile(profile::ProfileCommand),
@@ -72,6 +74,7 @@
             Verb::Serve(command) => command.execute(),
             Verb::Fleet(command) => command.execute(),
             Verb::CheckConfig(command) => command.execute(),
+            Verb::Config(command) => command.execute(),
             Verb::Init(command) => command.execute(),
             Verb::Local(command) => command.execute(),
             Verb::Profile(command) => command.execute(),
@@ -96,6 +99,9 @@
     if error.downcast_ref::<local::DrillFailure>().is_some() {
         return exit::DRILL_FAILED;
     }
+    if error.downcast_ref::<config::ConfigRejected>().is_some() {
+        return exit::REJECTED;
+    }
     match error.downcast_ref::<OperatorError>() {
         Some(OperatorError::Conflict { .. }) => exit::CONFLICT,
         Some(OperatorError::Rejected(_) | OperatorError::Unauthorized) => exit::REJECTED,
