--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,7 +3,7 @@
 //! Free of I/O; the current time is passed in as an argument. The main types:
 //!
 //! - [`ServingConfig`]: the configuration, which operators replace as a whole and which
-//!   [`ServingConfig::try_from`] validates once; [`RouteTable`] looks up the route and the
+//!   [`ServingConfig::try_from`] validates once ([`ServingConfig::validate`] returns every error); [`RouteTable`] looks up the route and the
 //!   organisation of a request.
 //! - [`ConfigHolder`]: the configuration in force at an entry, and what the entry requests from
 //!   control.
@@ -37,6 +37,7 @@
 mod config;
 mod config_codec;
 mod config_holder;
+mod config_path;
 mod engine_times;
 mod entries;
 mod health;
@@ -57,6 +58,7 @@
 mod switch_schedule;
 mod target_pace;
 mod target_table;
+mod validation;
 mod version_history;
 mod wait_queue;
 
@@ -72,6 +74,7 @@
     },
     config_codec::{decode_config, encode_config},
     config_holder::{ConfigApplyError, ConfigHolder, ConfigRequest},
+    config_path::{ConfigField, ConfigPath, FieldNames},
     engine_times::{EngineTimes, RawEngineTimes},
     entries::{AddressQuery, EntryObservation, EntryRoster},
     health::{AttemptOutcome, TargetHealth},
@@ -98,6 +101,7 @@
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
     target_pace::PaceFactor,
     target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
+    validation::{DEFAULT_OBJECTIVE, LocatedError},
     version_history::{VersionHistory, VersionRecord},
     wait_queue::{RequestPriority, WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
 };
