--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,6 +22,8 @@
 //!   [`PacedRoom`] tells what is left where all targets name limits.
 //! - [`RequestedRest`]: the time for which a target wants no request of this entry; [`TargetTable`]
 //!   heeds it, and tells why a request is withheld.
+//! - [`PermitAllocator`]: in an agent or control member, grants permits for requests to cold
+//!   targets; [`PermitRequests`] is what an entry holds and asks for.
 //! - [`RosterBatcher`]: when a changed list of entries is sent.
 //! - [`EntryRoster`]: which entries callers may be sent to.
 //! - [`SwitchSchedule`]: when an instance may load new weights, so that not all do so at once.
@@ -40,6 +42,8 @@
 mod health;
 mod origin_turn;
 mod peer_list;
+mod permit_allocator;
+mod permit_requests;
 mod placement;
 mod raw;
 mod regions;
@@ -73,7 +77,11 @@
     health::{AttemptOutcome, TargetHealth},
     origin_turn::{OriginBacklog, OriginTurn, OriginTurnPolicy},
     peer_list::{PeerList, PeerMap, PeerUpdate, SwarmPeer, apply_peer_updates},
-    placement::{PlacementOutcome, PlacementPolicy, PlacementQuery},
+    permit_allocator::{
+        HeardRates, NETWORK_MARGIN, PERMIT_LIFETIME, PermitAllocator, PermitGrant, PermitTerms,
+    },
+    permit_requests::{PermitAnswer, PermitRequest, PermitRequests},
+    placement::{PlacementChoice, PlacementOutcome, PlacementPolicy, PlacementQuery},
     raw::{
         ConfigError, RawDestination, RawEngine, RawLimits, RawOrganisation, RawOrigin, RawRoute,
         RawService, RawServing,
@@ -92,7 +100,7 @@
         TargetRecord, TargetState, TargetStatus,
     },
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
-    target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
+    target_table::{ColdTarget, LimitChange, LoadSample, TargetLifetime, TargetTable},
     version_history::{VersionHistory, VersionRecord},
     wait_queue::{WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
 };
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -11,6 +11,7 @@
 use self::service_view::{FAST_FIRST_BYTE, ServiceView, median_first_byte, slowness};
 use crate::{
     backpressure::SendRoom,
+    permit_requests::PermitRequests,
     regions::AllowedRegions,
     status::{TargetId, TargetState},
     target_table::{TargetRow, TargetTable},
@@ -144,10 +145,33 @@
     NoTarget,
 }
 
+/// Result of a placement, and the permit that another result needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementChoice {
+    /// Where the request goes.
+    pub outcome: PlacementOutcome,
+    /// The cold target that the request would have gone to with a permit, if one may be asked for
+    /// now.
+    pub permit_wanted: Option<TargetId>,
+}
+
+impl From<PlacementOutcome> for PlacementChoice {
+    fn from(outcome: PlacementOutcome) -> Self {
+        Self { outcome, permit_wanted: None }
+    }
+}
+
 impl TargetTable {
     /// Chooses a target for a request at once, by what is known now.
     pub fn choose(&self, query: &PlacementQuery<'_>, now: Instant) -> PlacementOutcome {
-        let Some(ids) = self.services.get(query.service) else { return PlacementOutcome::NoTarget };
+        self.choose_with_permits(query, now).outcome
+    }
+
+    /// As [`Self::choose`], and names the cold target for which a permit should be asked for.
+    pub fn choose_with_permits(&self, query: &PlacementQuery<'_>, now: Instant) -> PlacementChoice {
+        let Some(ids) = self.services.get(query.service) else {
+            return PlacementOutcome::NoTarget.into();
+        };
         let sampled: Vec<(&TargetId, &TargetRow)> =
             self.sample(ids).filter_map(|id| Some((id, self.rows.get(id)?))).collect();
         let median = median_first_byte(&sampled, now);
@@ -158,20 +182,25 @@
             })
             .collect();
         if eligible.is_empty() {
-            return PlacementOutcome::NoTarget;
+            return PlacementOutcome::NoTarget.into();
         }
         let (resting, eligible): (Vec<_>, Vec<_>) =
             eligible.into_iter().partition(|(id, _)| self.backpressure.withheld(id, now).is_some());
         if eligible.is_empty() {
             let ends = resting.iter().filter_map(|(id, _)| self.backpressure.rest_end(id));
-            return ends.min().map_or(PlacementOutcome::NoTarget, PlacementOutcome::Resting);
+            let outcome = ends.min().map_or(PlacementOutcome::NoTarget, PlacementOutcome::Resting);
+            return outcome.into();
         }
         if query.late && self.at_late_prefill_limit(&eligible) {
-            return PlacementOutcome::Full;
+            return PlacementOutcome::Full.into();
         }
         let view = ServiceView::of(&eligible, resting.len(), query, now);
-        let drawn = self.candidates(&eligible, query, &view, now).draw();
-        drawn.map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()))
+        let candidates = self.candidates(&eligible, query, &view, now);
+        let permit_wanted = candidates.draw_without_permit().cloned();
+        let drawn = candidates.draw();
+        let outcome =
+            drawn.map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()));
+        PlacementChoice { outcome, permit_wanted }
     }
 
     /// The targets with room for the request that it was not sent to before.
@@ -192,7 +221,15 @@
             let Some(cost) = self.cost(row, query, view, now) else { continue };
             let free = (1.0 - cost).max(MIN_FREE_SHARE);
             let weight = free.powi(self.policy.free_share_exponent);
-            match self.backpressure.room(id, now) {
+            let room = self.backpressure.room(id, now);
+            if self.is_cold(row, now) {
+                let is_last_resort = room == SendRoom::LastResort && all_leave;
+                if is_last_resort || matches!(room, SendRoom::Open | SendRoom::Trial) {
+                    candidates.push_cold(self.permits(), weight, id, now);
+                }
+                continue;
+            }
+            match room {
                 SendRoom::Open => candidates.usual.push((weight, id)),
                 // A request that was rejected once must not be rejected for a trial.
                 SendRoom::Trial if !query.tried.is_empty() => candidates.trials.push((weight, id)),
@@ -353,11 +390,40 @@
     trials: Vec<(f64, &'a TargetId)>,
     /// Targets that leave, where all do.
     last_resorts: Vec<(f64, &'a TargetId)>,
+    /// Cold targets for which this entry holds a permit. They come first: an earlier draw has chosen
+    /// them, and a permit that is not used soon is lost.
+    permitted: Vec<(f64, &'a TargetId)>,
+    /// Cold targets for which this entry may ask for a permit.
+    without_permit: Vec<(f64, &'a TargetId)>,
 }
 
 impl<'a> PlacementCandidates<'a> {
+    fn push_cold(&mut self, permits: &PermitRequests, weight: f64, id: &'a TargetId, now: Instant) {
+        if permits.holds(id, now) {
+            self.permitted.push((weight, id));
+        }
+        if permits.may_ask(id, now) {
+            self.without_permit.push((weight, id));
+        }
+    }
+
+    /// The cold target for which a permit should be asked for: the one that a draw among all targets
+    /// chooses, if it needs a permit.
+    fn draw_without_permit(&self) -> Option<&'a TargetId> {
+        if self.without_permit.is_empty() {
+            return None;
+        }
+        let total = |weighted: &[(f64, &TargetId)]| -> f64 {
+            weighted.iter().map(|(weight, _)| weight).sum()
+        };
+        let (cold, usual) = (total(&self.without_permit), total(&self.usual));
+        let is_cold = rand::rng().random::<f64>() * (cold + usual) < cold;
+        is_cold.then(|| draw_weighted(&self.without_permit)).flatten()
+    }
+
     fn draw(&self) -> Option<&'a TargetId> {
-        draw_weighted(&self.usual)
+        draw_weighted(&self.permitted)
+            .or_else(|| draw_weighted(&self.usual))
             .or_else(|| draw_weighted(&self.trials))
             .or_else(|| draw_weighted(&self.last_resorts))
     }
--- a/crates/serving/src/request_pacer.rs
+++ b/crates/serving/src/request_pacer.rs
@@ -1,4 +1,5 @@
-//! Paces one entry's requests to a target that takes a limited rate from all entries together.
+//! Paces one entry's requests to a target that takes a limited rate from all entries together, and
+//! the permits that one process grants for a cold target ([`PacingShare::bucket`]).
 //!
 //! Load pattern: a target that can take two requests a second is known to a hundred entries. One
 //! request from each at the same moment is fifty times what it takes in a second, so equal shares
@@ -103,6 +104,11 @@
         let initial = -((rank - senders) as f64) / others;
         Self { rate, capacity: 1.0, initial, is_sender: false }
     }
+
+    /// A whole rate that no other process shares, in a bucket that is empty at the start.
+    pub(crate) fn bucket(rate: f64, capacity: f64) -> Self {
+        Self { rate, capacity, initial: 0.0, is_sender: true }
+    }
 }
 
 /// Admits one entry's requests to one target at its part of the rate.
@@ -150,7 +156,12 @@
 
     /// Counts a request that is sent.
     pub(crate) fn record_sent(&mut self, now: Instant) {
-        self.available = self.available(now) - 1.0;
+        self.record_granted(1, now);
+    }
+
+    /// Counts requests that others were allowed to send.
+    pub(crate) fn record_granted(&mut self, count: u32, now: Instant) {
+        self.available = self.available(now) - f64::from(count);
         self.updated_at = now;
     }
 
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -2,14 +2,18 @@
 //! what the entry's own requests show.
 
 mod backpressure;
+mod cold;
 mod limits;
 mod row;
 
-pub use self::{limits::LimitChange, row::LoadSample};
+pub use self::{cold::ColdTarget, limits::LimitChange, row::LoadSample};
 
 pub(crate) use self::row::{EntryShare, TargetRow};
 
-use self::row::{Liveness, instant_at_age};
+use self::{
+    cold::ColdTargets,
+    row::{Liveness, instant_at_age},
+};
 use crate::{
     backpressure::BackpressureTable,
     health::AttemptOutcome,
@@ -31,9 +35,6 @@
 /// for ten seconds longer, so that what they pass on afterwards is accepted here at once.
 const SILENT_RETENTION: Duration = Duration::from_secs(50);
 
-/// Longest time after an announcement for which a target counts as cold, whatever it announces.
-const MAX_COLD_START: Duration = Duration::from_secs(600);
-
 /// Least time to the first byte that is assumed in the prediction of when a request starts.
 const MIN_ASSUMED_FIRST_BYTE: Duration = Duration::from_millis(300);
 /// How many times the mean time to the first byte a request may take to start: waits in a full
@@ -83,6 +84,7 @@
     /// The entries among which the limits of targets are shared.
     entry_group: EntryGroup,
     pub(crate) backpressure: BackpressureTable,
+    cold: ColdTargets,
 }
 
 impl TargetTable {
@@ -104,6 +106,7 @@
             entry_count: 1,
             entry_group: EntryGroup::default(),
             backpressure: BackpressureTable::default(),
+            cold: ColdTargets::default(),
         }
     }
 
@@ -149,8 +152,7 @@
             row.models = status.record.models.clone();
             row.models_reported_at = reported_at;
         }
-        let cold = Duration::from_millis(status.record.cold_millis).min(MAX_COLD_START);
-        row.cold_until = reported_at + cold;
+        row.cold_until = row.cold.apply_announced(status.record.cold_millis, reported_at);
         row.record = status.record.clone();
     }
 
@@ -186,7 +188,7 @@
         if let Some(former) = self.current_incarnations.get(&id.name).copied() {
             self.remove_row(&TargetId::new(&id.name, former));
         }
-        let row = TargetRow::new(status, now);
+        let row = TargetRow::new(status, self.started_at, now);
         self.services.entry(row.record.service.clone()).or_default().push(id.clone());
         self.by_address.entry(row.record.address).or_default().push(id.clone());
         self.rows.insert(id.clone(), row);
@@ -274,6 +276,7 @@
     /// request of this entry.
     pub fn expire(&mut self, now: Instant) {
         self.backpressure.expire(|id| self.rows.contains_key(id), now);
+        self.permits_mut().expire(now);
         let expired: Vec<TargetId> = self
             .rows
             .iter()
@@ -373,8 +376,9 @@
         }
     }
 
-    /// Counts a request that is placed at a target.
-    pub fn start_attempt(&mut self, id: &TargetId, now: Instant) {
+    /// Counts a request that is placed at a target. If the target is cold, uses a permit and returns
+    /// when the request must have been sent.
+    pub fn start_attempt(&mut self, id: &TargetId, now: Instant) -> Option<Instant> {
         self.backpressure.record_placed(id, now);
         if let Some(row) = self.rows.get_mut(id) {
             row.own_in_flight += 1;
@@ -383,6 +387,7 @@
                 limit.pacer.record_sent(now);
             }
         }
+        self.consume_permit(id, now)
     }
 
     /// Records the end of a request at a target. Returns whether the target was ejected or
@@ -438,9 +443,11 @@
         }
     }
 
-    /// Records that the process of a target has ended, so that it gets no request for a while.
+    /// Records that the process of a target has ended, so that it gets no request for a while. What
+    /// answers at its address next is cold.
     pub fn record_ended(&mut self, id: &TargetId, now: Instant) {
         if let Some(row) = self.rows.get_mut(id) {
+            row.cold.record_returned(now);
             row.health.record(AttemptOutcome::Unreachable, now);
         }
     }
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -1,6 +1,6 @@
 //! One target as an entry sees it.
 
-use super::limits::TargetLimit;
+use super::{cold::ColdTimes, limits::TargetLimit};
 use crate::{
     health::TargetHealth,
     status::{EngineStatus, HeldModel, Incarnation, TargetRecord, TargetState, TargetStatus},
@@ -94,6 +94,8 @@
     pub(crate) link_delay: Duration,
     /// End of the time after its start in which the target is slow.
     pub(crate) cold_until: Instant,
+    /// When requests need a permit, if the service limits its cold targets.
+    pub(super) cold: ColdTimes,
     pub(crate) own_in_flight: u32,
     /// This entry's requests there over the last second, for load samples that arrive late.
     pub(super) own_history: VecDeque<(Instant, u32)>,
@@ -114,7 +116,7 @@
 }
 
 impl TargetRow {
-    pub(super) fn new(status: &TargetStatus, now: Instant) -> Self {
+    pub(super) fn new(status: &TargetStatus, entry_started_at: Instant, now: Instant) -> Self {
         let reported_at = instant_at_age(status.age_millis, now);
         Self {
             record: status.record.clone(),
@@ -126,6 +128,7 @@
             stalled: false,
             link_delay: Duration::ZERO,
             cold_until: reported_at,
+            cold: ColdTimes::new(status, entry_started_at, now),
             own_in_flight: 0,
             own_history: VecDeque::new(),
             load: None,
--- /dev/null
+++ b/tests/all/cold_targets.rs
@@ -0,0 +1,253 @@
+//! A model of entries that send to one cold target with permits, over a network that delays and
+//! loses datagrams, while entries and granting processes restart. Entries do not know of each other.
+
+use egretseam_serving::{
+    ColdLimit, ColdTolerance, HeardRates, NETWORK_MARGIN, PermitAllocator, PermitAnswer,
+    PermitRequests, PermitTerms, TargetId,
+};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+const TICK: Duration = Duration::from_millis(4);
+const SCENARIO: Duration = Duration::from_secs(6);
+/// Time from which on use is measured: the buckets are empty at the start.
+const USE_FROM: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Debug)]
+struct Scenario {
+    seed: u64,
+    entries: usize,
+    granters: usize,
+    limit: ColdLimit,
+    tolerance: ColdTolerance,
+    /// Longest usual delay of a datagram.
+    delay: Duration,
+    /// Share of the datagrams that are lost, and of those that are up to a second late.
+    faults: f64,
+    /// Chance of a restart, by process and second.
+    restarts: f64,
+    /// Requests that each entry gets a second; those that wait longer than a second leave.
+    load: f64,
+}
+
+fn scenarios(with_faults: bool) -> impl Strategy<Value = Scenario> {
+    let granters = prop_oneof![Just(1_usize), Just(3), Just(5)];
+    let limit = (2.0..60.0_f64, 1.0..2.0_f64, 0.0..10.0_f64);
+    let faults = (0.0..0.4_f64, 0.0..1.0_f64, 0.0..60.0_f64);
+    (any::<u64>(), 1_usize..=100, granters, limit, 1_u64..40, faults).prop_map(
+        move |(seed, entries, granters, (rate, overage, requests), delay, faults)| {
+            // Use is required where the bound leaves room for the rate, and while requests wait.
+            let (overage, requests) =
+                if with_faults { (overage, requests) } else { (1.5, requests.max(5.0)) };
+            let (faults, restarts, load) =
+                if with_faults { faults } else { (0.0, 0.0, 2.0 * rate / entries as f64 + 2.0) };
+            Scenario {
+                seed,
+                entries,
+                granters,
+                limit: ColdLimit { rate, duration: SCENARIO },
+                tolerance: ColdTolerance { overage, requests },
+                delay: Duration::from_millis(delay),
+                faults,
+                restarts,
+                load,
+            }
+        },
+    )
+}
+
+/// A datagram on its way.
+enum Datagram {
+    Call { entry: usize, granter: usize, number: u64, wanted: u32 },
+    Reply { entry: usize, answer: PermitAnswer },
+}
+
+struct ModelEntry {
+    permits: PermitRequests,
+    /// When the requests that wait arrived.
+    waiting: Vec<Instant>,
+}
+
+struct ModelWorld<'a> {
+    scenario: &'a Scenario,
+    random: StdRng,
+    target: TargetId,
+    granters: Vec<(SocketAddr, PermitAllocator)>,
+    entries: Vec<ModelEntry>,
+    datagrams: Vec<(Instant, Datagram)>,
+    arrivals: Vec<Instant>,
+}
+
+impl<'a> ModelWorld<'a> {
+    fn new(scenario: &'a Scenario) -> Self {
+        let granter = |number: usize| {
+            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1_000 + number as u16));
+            (address, PermitAllocator::default())
+        };
+        let mut random = StdRng::seed_from_u64(scenario.seed);
+        let entry =
+            |_| ModelEntry { permits: PermitRequests::new(random.random()), waiting: Vec::new() };
+        Self {
+            entries: (0..scenario.entries).map(entry).collect(),
+            scenario,
+            random,
+            target: TargetId::unstated("cold"),
+            granters: (0..scenario.granters).map(granter).collect(),
+            datagrams: Vec::new(),
+            arrivals: Vec::new(),
+        }
+    }
+
+    /// Runs the scenario; returns when requests arrived at the target, in order.
+    fn play(mut self, start: Instant) -> Vec<Instant> {
+        let mut now = start;
+        while now < start + SCENARIO {
+            self.restart(now);
+            self.deliver(now);
+            for entry in 0..self.entries.len() {
+                self.run_entry(entry, now);
+            }
+            now += TICK;
+        }
+        self.arrivals.sort();
+        self.arrivals
+    }
+
+    fn restart(&mut self, now: Instant) {
+        let chance = self.scenario.restarts * TICK.as_secs_f64();
+        for (_, allocator) in &mut self.granters {
+            if self.random.random_bool(chance) {
+                *allocator = PermitAllocator::default();
+            }
+        }
+        for entry in &mut self.entries {
+            if self.random.random_bool(chance) {
+                entry.permits = PermitRequests::new(self.random.random());
+            }
+            entry.waiting.retain(|since| now < *since + Duration::from_secs(1));
+        }
+    }
+
+    fn send(&mut self, datagram: Datagram, now: Instant) {
+        let Scenario { faults, delay, .. } = *self.scenario;
+        if self.random.random_bool(faults / 2.0) {
+            return;
+        }
+        let is_late = self.random.random_bool(faults / 2.0);
+        let most = if is_late { Duration::from_secs(1) } else { delay };
+        let at = now + most.mul_f64(self.random.random());
+        self.datagrams.push((at, datagram));
+    }
+
+    fn deliver(&mut self, now: Instant) {
+        let (due, left) = std::mem::take(&mut self.datagrams).into_iter().partition(|d| d.0 <= now);
+        self.datagrams = left;
+        let due: Vec<(Instant, Datagram)> = due;
+        for (_, datagram) in due {
+            match datagram {
+                Datagram::Call { entry, granter, number, wanted } => {
+                    let Scenario { limit, tolerance, granters, .. } = self.scenario;
+                    let Some(terms) = PermitTerms::derive(limit, tolerance, *granters) else {
+                        continue;
+                    };
+                    let grant = self.granters[granter].1.grant("cold", &terms, wanted, now);
+                    let (granted, ask_after) = (grant.granted, grant.ask_after);
+                    let answer = PermitAnswer { number, granted, ask_after };
+                    self.send(Datagram::Reply { entry, answer }, now);
+                }
+                Datagram::Reply { entry, answer } => {
+                    self.entries[entry].permits.apply_answer(&self.target, &answer, now);
+                }
+            }
+        }
+    }
+
+    fn run_entry(&mut self, number: usize, now: Instant) {
+        let entry = &mut self.entries[number];
+        if self.random.random_bool((self.scenario.load * TICK.as_secs_f64()).min(1.0)) {
+            entry.waiting.push(now);
+        }
+        let most_delay =
+            if self.scenario.faults > 0.0 { NETWORK_MARGIN } else { self.scenario.delay };
+        while !entry.waiting.is_empty() && entry.permits.holds(&self.target, now) {
+            // A request is sent at any time until its permit expires.
+            let send_by = entry.permits.consume(&self.target, now).expect("a permit is held");
+            let sent_at = if self.scenario.faults > 0.0 {
+                now + (send_by - now).mul_f64(self.random.random())
+            } else {
+                now
+            };
+            self.arrivals.push(sent_at + most_delay.mul_f64(self.random.random()));
+            entry.waiting.remove(0);
+        }
+        let missing = (entry.waiting.len() as u32).saturating_sub(entry.permits.expected(now));
+        if missing == 0 || !entry.permits.may_ask(&self.target, now) {
+            return;
+        }
+        entry.permits.want(&self.target, missing, now);
+        let granters: Vec<SocketAddr> = self.granters.iter().map(|(address, _)| *address).collect();
+        while let Some(call) = self.entries[number].permits.next_call(&self.target, &granters, now)
+        {
+            let granter = granters.iter().position(|address| *address == call.granter);
+            let granter = granter.expect("a known granting process");
+            let (entry, wanted) = (number, call.wanted);
+            self.send(Datagram::Call { entry, granter, number: call.number, wanted }, now);
+        }
+    }
+}
+
+/// Most arrivals in any second, its ends included.
+fn most_in_a_second(arrivals: &[Instant]) -> usize {
+    let in_second = |(first, start): (usize, &Instant)| {
+        arrivals[first..].iter().take_while(|at| **at <= *start + Duration::from_secs(1)).count()
+    };
+    arrivals.iter().enumerate().map(in_second).max().unwrap_or(0)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Guards against a cold target that crashes because entries that do not know of each other,
+    /// datagrams that are late, or processes that restart let more requests reach it in some second
+    /// than it takes.
+    #[test]
+    fn a_cold_target_gets_no_more_than_it_takes_in_any_second(scenario in scenarios(true)) {
+        let arrivals = ModelWorld::new(&scenario).play(Instant::now());
+        let (most, bound) =
+            (most_in_a_second(&arrivals), scenario.tolerance.most_in_a_second(&scenario.limit));
+        prop_assert!(most as f64 <= bound, "{most} in a second, {bound} allowed");
+    }
+
+    /// Guards against a cold target that is left unused while requests wait: permits that go to
+    /// entries without requests, or that nobody asks for in time.
+    #[test]
+    fn a_cold_target_is_used_while_requests_wait(scenario in scenarios(false)) {
+        let start = Instant::now();
+        let arrivals = ModelWorld::new(&scenario).play(start);
+        let counted = arrivals.iter().filter(|at| **at >= start + USE_FROM).count() as f64;
+        let offered = scenario.limit.rate * (SCENARIO - USE_FROM).as_secs_f64();
+        let most = most_in_a_second(&arrivals) as f64;
+        let bound = scenario.tolerance.most_in_a_second(&scenario.limit);
+        prop_assert!(most <= bound, "{most} in a second, {bound} allowed");
+        prop_assert!(counted >= 0.8 * offered - 2.0, "{counted} of {offered} used");
+    }
+}
+
+/// Guards against permits beyond the rate after a configuration lowers it, while some entries still
+/// name the former one, and against a rate that is no number.
+#[test]
+fn the_smallest_rate_heard_lately_counts() {
+    let start = Instant::now();
+    let mut rates = HeardRates::default();
+    assert_eq!(rates.record(f64::NAN, start), None);
+    assert_eq!(rates.record(-1.0, start), None);
+    assert_eq!(rates.record(23.0, start), Some(23.0));
+    assert_eq!(rates.record(10.0, start), Some(10.0));
+    assert_eq!(rates.record(23.0, start), Some(10.0));
+    assert_eq!(rates.record(23.0, start + Duration::from_secs(6)), Some(23.0));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod bad_input;
 mod caller_codec;
 mod catalog_model;
+mod cold_targets;
 mod connection_close;
 mod digest_turns;
 mod entry_lease;
