--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -192,6 +192,29 @@
         regions.map(|(zone, region)| (zone.clone(), region.clone())).collect()
     }
 
+    fn cold_tolerance(&self) -> ColdTolerance {
+        ColdTolerance {
+            overage: self.settings.cold_overage,
+            requests: self.settings.cold_tolerance as f64,
+        }
+    }
+
+    /// The socket at which the agent grants permits: the port at which entries receive datagrams, on
+    /// the target's host. In a process that is also an entry, the entry's socket has the port, and
+    /// the agent grants nothing; its target then gets no requests of entries while it is cold.
+    fn permits(&self) -> Option<std::net::UdpSocket> {
+        if self.settings.entry.is_some() {
+            tracing::warn!("an agent in the process of an entry grants no permits");
+            return None;
+        }
+        let bound = self.bind_datagrams(LOAD_PORT_OFFSET);
+        bound
+            .inspect_err(|error| {
+                tracing::error!(%error, "the agent grants no permits; its target gets none while cold");
+            })
+            .ok()
+    }
+
     fn bind_datagrams(&self, offset: u16) -> anyhow::Result<std::net::UdpSocket> {
         let address = self.peer_address(offset);
         std::net::UdpSocket::bind(address)
@@ -216,10 +239,7 @@
             zone: settings.zone.clone(),
             regions: self.regions(),
             evacuation_limit: settings.evacuation_limit,
-            cold_tolerance: ColdTolerance {
-                overage: settings.cold_overage,
-                requests: settings.cold_tolerance as f64,
-            },
+            cold_tolerance: self.cold_tolerance(),
             caller_address: entry.caller_address,
             secret: PeerSecret::derive(PEER_TOKEN),
             seeds: self.seeds.feeds.clone(),
@@ -283,6 +303,8 @@
             load_port: self.settings.first_peer_port + LOAD_PORT_OFFSET,
             regions: self.regions(),
             announce_interval: settings.announce_interval,
+            cold_tolerance: self.cold_tolerance(),
+            permit_granters: settings.tolerated_failures as usize * 2 + 1,
         };
         let runtime = RegistrarRuntime::start(options, dialect, listeners, self.metrics);
         runtime.context("start the control member")
@@ -296,7 +318,7 @@
         let address = self.peer_address(CHUNK_PORT_OFFSET);
         let policy = &self.settings.policy;
         let upload_share = policy.upload_share.unwrap_or(UPLOAD_SHARE);
-        let listeners = StagerListeners { chunks: self.bind(address)? };
+        let listeners = StagerListeners { chunks: self.bind(address)?, permits: self.permits() };
         let options = StagerOptions {
             zone: self.settings.zone.clone(),
             target: agent.target_address,
@@ -318,6 +340,7 @@
                 staleness_bound: self.settings.staleness_bound,
                 reserve: SWITCH_RESERVE,
             },
+            cold_tolerance: self.cold_tolerance(),
         };
         let runtime = StagerRuntime::start(options, dialect, listeners, self.metrics);
         runtime.context("start the agent")
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
     backpressure,
     dialect::TargetRequest,
     dispatch::SlotGuard,
-    limits,
+    limits, permits,
     pool::{self, CONNECT_TIMEOUT, STREAM_RETRY_CONNECT_TIMEOUT},
     quarantine::RunPermit,
     request::RequestState,
@@ -122,6 +122,7 @@
         retry.record_sent();
     }
     limits::record_sent(shared, &placed.slot, &request.terms.id);
+    permits::record_sent(&target, placed.slot.send_by, &request.terms.id);
     let now = Instant::now();
     let message = encode_request(shared, request, &placed.slot);
     let (silent_at, cancel_at) = response_limits(shared, request, &target, options.may_follow);
@@ -148,7 +149,7 @@
     let acquired = acquire_connection(shared, slot, new_connection).await?;
     // Between the placement and this moment lie a handshake and the wait for a turn.
     let Some(reason) = backpressure::withheld(shared, request, slot) else { return Ok(acquired) };
-    if reason == WithholdReason::Resting {
+    if reason != WithholdReason::Leaving {
         let now = Instant::now();
         shared.pool.borrow_mut().put(&slot.target, acquired.connection, None, now);
     }
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -44,7 +44,14 @@
     request: &RequestState,
     slot: &SlotGuard,
 ) -> Option<WithholdReason> {
-    let reason = shared.dispatch.borrow().targets.withheld(&slot.target, Instant::now())?;
+    let now = Instant::now();
+    let reason = {
+        let targets = &shared.dispatch.borrow().targets;
+        let is_permitted = slot.send_by.is_some_and(|send_by| now < send_by);
+        let is_cold = !is_permitted && targets.needs_permit(&slot.target, now);
+        let cold = is_cold.then_some(WithholdReason::Cold);
+        targets.withheld(&slot.target, now).or(cold)?
+    };
     shared.metrics.requests_withheld.with_label_values(&[reason.slug()]).inc();
     tracing::info!(
         request_id = %request.terms.id,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -42,6 +42,18 @@
     pub body: &'a Bytes,
 }
 
+/// What a response says of the time for which its target is cold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StatedCold {
+    /// Nothing.
+    #[default]
+    Absent,
+    /// The target is cold for so long from the response on.
+    For(Duration),
+    /// The statement cannot be read, so it says nothing.
+    Invalid,
+}
+
 /// Headers of a target's response other than those for status and framing.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMetadata {
@@ -63,6 +75,8 @@
     pub rest: RequestedRest,
     /// Whether the target states that it leaves.
     pub leaving: bool,
+    /// How long the target states that it is still cold.
+    pub cold: StatedCold,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! Dispatch of requests to targets: the targets, the requests that wait for a slot, and the slots
 //! that requests occupy.
 
-use crate::shared::GatewayShared;
+use crate::{permits, shared::GatewayShared};
 use egretseam_proto::{ModelName, ServiceName};
 use egretseam_serving::{
     AllowedRegions, AttemptOutcome, PlacementOutcome, PlacementQuery, TargetId, TargetTable,
@@ -54,6 +54,8 @@
     service: ServiceName,
     pub(crate) target: TargetId,
     pub(crate) address: SocketAddr,
+    /// When the request must have been sent, if the target is cold.
+    pub(crate) send_by: Option<Instant>,
     released: bool,
 }
 
@@ -168,7 +170,7 @@
         first_byte_deadline: request.first_byte_deadline,
         regions: request.regions,
     };
-    let choice = dispatch.targets.choose(&query, now);
+    let choice = permits::choose(shared, &mut dispatch.targets, &query, now);
     let queue_is_empty = dispatch.queue(request.service).is_empty();
     match &choice {
         PlacementOutcome::NoTarget if !dispatch.targets.expects_capacity(&query, now) => {
@@ -271,9 +273,9 @@
     target: TargetId,
 ) -> Option<SlotGuard> {
     let address = dispatch.targets.address(&target)?;
-    dispatch.targets.start_attempt(&target, Instant::now());
+    let send_by = dispatch.targets.start_attempt(&target, Instant::now());
     let (shared, service) = (shared.clone(), service.clone());
-    Some(SlotGuard { shared, service, target, address, released: false })
+    Some(SlotGuard { shared, service, target, address, send_by, released: false })
 }
 
 /// Dispatches the waiting requests of a service to free slots, most urgent first.
@@ -282,7 +284,7 @@
     {
         let now = Instant::now();
         let mut dispatch = shared.dispatch.borrow_mut();
-        while let Some((ticket, target)) = next_dispatch(&mut dispatch, service, now) {
+        while let Some((ticket, target)) = next_dispatch(shared, &mut dispatch, service, now) {
             let Some(request) = dispatch.queue(service).remove(ticket) else { break };
             record_placed(dispatch.queue(service), ticket.is_late(), now);
             if let Some(guard) = occupy_slot(shared, &mut dispatch, service, target) {
@@ -309,11 +311,14 @@
 }
 
 fn next_dispatch(
+    shared: &GatewayShared,
     dispatch: &mut DispatchState,
     service: &ServiceName,
     now: Instant,
 ) -> Option<(WaitTicket, TargetId)> {
-    let queue = dispatch.queues.get(service)?;
+    let DispatchState { targets, queues, .. } = dispatch;
+    let queue = queues.get(service)?;
+    let waiting = queue.len();
     for (ticket, request) in queue.iter() {
         let query = PlacementQuery {
             service,
@@ -323,7 +328,7 @@
             first_byte_deadline: request.first_byte_deadline,
             regions: request.regions.as_ref(),
         };
-        match dispatch.targets.choose(&query, now) {
+        match permits::choose_waiting(shared, targets, &query, waiting, now) {
             PlacementOutcome::Target(target) => return Some((ticket, target)),
             // This request excludes targets that others may still find a slot at.
             _ if !request.tried.is_empty() || request.regions.is_some() => {}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 //! member is lost, the others still report the targets. If all members are lost, the entry keeps
 //! its state and continues to serve with it.
 
-use crate::{dispatch, evidence, shared::GatewayShared};
+use crate::{dispatch, evidence, permits, shared::GatewayShared};
 use egretseam_delta::PackedDocument;
 use egretseam_rpc::{FeedCall, FeedLink, FeedReader, FeedReply, FeedRoster, LinkOptions};
 use egretseam_serving::RouteTable;
@@ -258,6 +258,7 @@
         for member in &roster.members {
             self.followed.record_listed(member);
         }
+        shared.control_members.borrow_mut().clone_from(&roster.members);
         {
             let mut dispatch = shared.dispatch.borrow_mut();
             for published in &roster.versions {
@@ -308,5 +309,6 @@
     );
     shared.metrics.config_version.set(config.version as i64);
     shared.retry_detector.borrow_mut().retain(|name| config.routes.iter().any(|r| r.name == name));
+    permits::apply_limits(shared, &config);
     shared.set_routes(RouteTable::new(config));
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! read, and `body_end` decides whether a response is whole; `accepted` records how each request
 //! ends. `dispatch` holds the tables of
 //! [`egretseam_serving`] and the requests that wait for a slot; `follow` updates the tables from
-//! the feeds of all control members; `loads` updates them from load datagrams; `quarantine` keeps
+//! the feeds of all control members; `loads` updates them from load datagrams;
+//! `permits` asks for permits for requests to cold targets; `quarantine` keeps
 //! requests from running that end their targets, and `evidence` exchanges what entries know of
 //! them; `directory` replies to callers' lookups of entry addresses.
 //! [`CallerDialect`] defines header names and message formats.
@@ -34,6 +35,7 @@
 mod loads;
 mod metrics;
 mod options;
+mod permits;
 mod pool;
 mod quarantine;
 mod rejection;
@@ -45,7 +47,9 @@
 mod shared;
 
 pub use crate::{
-    dialect::{CallerDialect, LookupQuery, RequestMetadata, ResponseMetadata, TargetRequest},
+    dialect::{
+        CallerDialect, LookupQuery, RequestMetadata, ResponseMetadata, StatedCold, TargetRequest,
+    },
     events::{EventBuffer, last_event_id},
     options::{GatewayListeners, GatewayOptions},
     runtime::{GatewayRuntime, StartError},
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -1,8 +1,8 @@
 //! Receives load datagrams from control and forwards them to the other entries of the availability
 //! zone.
 
-use crate::{dispatch, limits, shared::GatewayShared};
-use egretseam_rpc::{LimitDatagram, LoadDatagram, MAX_DATAGRAM_BYTES};
+use crate::{dispatch, limits, permits, shared::GatewayShared};
+use egretseam_rpc::{LimitDatagram, LoadDatagram, MAX_DATAGRAM_BYTES, PermitReply};
 use std::{
     rc::{Rc, Weak},
     time::Duration,
@@ -31,9 +31,13 @@
         };
         let bytes = &buffer[..length];
         let Some(datagram) = LoadDatagram::decode(&shared.options.secret, bytes) else {
-            match LimitDatagram::decode(&shared.options.secret, bytes) {
-                Some(datagram) => limits::receive(&shared, &socket, &datagram).await,
-                None => tracing::debug!("datagram dropped: malformed or from an unknown sender"),
+            let secret = &shared.options.secret;
+            if let Some(datagram) = LimitDatagram::decode(secret, bytes) {
+                limits::receive(&shared, &socket, &datagram).await;
+            } else if let Some(reply) = PermitReply::decode(secret, bytes) {
+                permits::receive(&shared, &reply);
+            } else {
+                tracing::debug!("datagram dropped: malformed or from an unknown sender");
             }
             continue;
         };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,13 @@
     pub(crate) rests_rejected: IntCounter,
     pub(crate) requests_withheld: IntCounterVec,
     pub(crate) targets_leaving: IntCounter,
+    pub(crate) targets_cold: IntGauge,
+    pub(crate) cold_invalid: IntCounter,
+    pub(crate) permits_asked: IntCounter,
+    pub(crate) permits_granted: IntCounter,
+    pub(crate) permits_refused: IntCounter,
+    pub(crate) permits_expired: IntCounter,
+    pub(crate) permitted_requests: IntCounter,
     pub(crate) limited_requests: IntCounter,
     pub(crate) limits_rejected: IntCounter,
     pub(crate) requests_restricted: IntCounter,
@@ -141,6 +148,34 @@
                 "egretseam_gateway_targets_leaving_total",
                 "Targets that have said in a response that they leave.",
             ),
+            targets_cold: metrics.gauge(
+                "egretseam_gateway_targets_cold",
+                "Targets to which requests need a permit because they are cold.",
+            ),
+            cold_invalid: metrics.counter(
+                "egretseam_gateway_cold_invalid_total",
+                "Responses with a time of being cold that cannot be read.",
+            ),
+            permits_asked: metrics.counter(
+                "egretseam_gateway_permits_asked_total",
+                "Permits for requests to cold targets that were asked for.",
+            ),
+            permits_granted: metrics.counter(
+                "egretseam_gateway_permits_granted_total",
+                "Permits for requests to cold targets that arrived in time.",
+            ),
+            permits_refused: metrics.counter(
+                "egretseam_gateway_permits_refused_total",
+                "Replies to calls for permits that granted none or came too late.",
+            ),
+            permits_expired: metrics.counter(
+                "egretseam_gateway_permits_expired_total",
+                "Permits that expired unused.",
+            ),
+            permitted_requests: metrics.counter(
+                "egretseam_gateway_permitted_requests_total",
+                "Requests placed at cold targets with a permit.",
+            ),
             limited_requests: metrics.counter(
                 "egretseam_gateway_limited_requests_total",
                 "Requests sent to targets that name a limit.",
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -7,7 +7,7 @@
     body_end::{self, BodyContent, BodyEnd, BreakReason, EndMeaning, framing_slug},
     dialect::ResponseMetadata,
     events::EventBuffer,
-    limits, quarantine, rejection,
+    limits, permits, quarantine, rejection,
     request::RequestState,
 };
 use bytes::{Bytes, BytesMut};
@@ -126,6 +126,7 @@
         let Some(slot) = &self.slot else { return };
         limits::record_named(&self.shared, slot, metadata, self.record.sent_at);
         backpressure::record(&self.shared, slot, metadata);
+        permits::record_stated(&self.shared, &slot.target, metadata);
         if let Some(busy) = metadata.load {
             let now = Instant::now();
             self.shared.dispatch.borrow_mut().targets.record_load(&slot.target, busy, now);
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -6,7 +6,7 @@
     dialect::CallerDialect,
     directory, dispatch, follow, limits, loads,
     options::{GatewayListeners, GatewayOptions},
-    quarantine,
+    permits, quarantine,
     shared::{GatewayShared, StopPhase},
 };
 use egretseam_h1::spawn_accept_until;
@@ -78,6 +78,7 @@
         let datagrams = Rc::new(tokio::net::UdpSocket::from_std(listeners.loads)?);
         shared.datagram_port.set(datagrams.local_addr()?.port());
         actix_rt::spawn(loads::receive(Rc::downgrade(&shared), datagrams.clone()));
+        actix_rt::spawn(permits::ask(Rc::downgrade(&shared), datagrams.clone()));
         actix_rt::spawn(limits::announce(Rc::downgrade(&shared), datagrams));
         actix_rt::spawn(expire(Rc::downgrade(&shared)));
         actix_rt::spawn(dispatch_periodically(Rc::downgrade(&shared)));
@@ -189,6 +190,7 @@
         quarantine::log_changes(&shared);
         shared.quarantine.expire(now);
         shared.dispatch.borrow_mut().targets.expire(now);
+        permits::record_metrics(&shared);
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -57,6 +57,10 @@
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) quarantine: QuarantineState,
     pub(crate) limit_outbox: LimitOutbox,
+    /// Wakes the task that asks for permits for cold targets.
+    pub(crate) permits_wanted: Notify,
+    /// `host:port` of the feeds of the control members, as one of them listed them last.
+    pub(crate) control_members: RefCell<Vec<String>>,
     /// Port at which every entry receives datagrams.
     pub(crate) datagram_port: Cell<u16>,
     pub(crate) retry_detector: RefCell<RetryDetector>,
@@ -95,6 +99,8 @@
             pool: RefCell::default(),
             quarantine: QuarantineState::new(),
             limit_outbox: LimitOutbox::default(),
+            permits_wanted: Notify::new(),
+            control_members: RefCell::default(),
             datagram_port: Cell::new(0),
             retry_detector: RefCell::new(RetryDetector::new(options.waiting.min_retry_after)),
             retry_budgets: RetryBudgets::new(options.retries, metrics),
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -14,6 +14,7 @@
 mod loads;
 mod mirror;
 mod options;
+mod permits;
 mod plans;
 mod publish;
 mod runtime;
--- a/crates/registrar/src/loads.rs
+++ b/crates/registrar/src/loads.rs
@@ -3,8 +3,9 @@
 //! forwards it to the other entries there. So agents do not send to each entry, entries do not call
 //! each agent, and the bytes that a member sends grow with the number of zones, not of entries.
 
-use crate::shared::RegistrarShared;
-use egretseam_rpc::{LoadDatagram, MAX_DATAGRAM_BYTES, MAX_SAMPLES, TargetLoad};
+use crate::{permits, shared::RegistrarShared};
+use egretseam_rpc::{LoadDatagram, MAX_DATAGRAM_BYTES, MAX_SAMPLES, PermitCall, TargetLoad};
+use egretseam_serving::PermitAllocator;
 use indexmap::IndexMap;
 use std::{
     net::SocketAddr,
@@ -25,12 +26,21 @@
     let mut next_send_at = Instant::now() + BATCH_INTERVAL;
     // A random start lets members send to different entries of a zone.
     let mut round: usize = rand::random_range(0..INITIAL_ROUNDS);
+    let mut allocator = PermitAllocator::default();
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     loop {
         let received = tokio::time::timeout_at(next_send_at, socket.recv_from(&mut buffer)).await;
         let Some(shared) = shared.upgrade() else { return };
         match received {
-            Ok(Ok((length, _))) => collect_samples(&shared, &buffer[..length], &mut collected),
+            Ok(Ok((length, sender))) => {
+                let bytes = &buffer[..length];
+                match PermitCall::decode(&shared.options.control.secret, bytes) {
+                    Some(call) => {
+                        permits::answer(&shared, &socket, &mut allocator, &call, sender).await;
+                    }
+                    None => collect_samples(&shared, bytes, &mut collected),
+                }
+            }
             Ok(Err(error)) => {
                 tracing::debug!(%error, "failed to receive a load datagram");
                 tokio::time::sleep(BATCH_INTERVAL).await;
--- a/crates/registrar/src/options.rs
+++ b/crates/registrar/src/options.rs
@@ -1,7 +1,7 @@
 //! Settings of a registrar.
 
 use egretseam_control::ControlOptions;
-use egretseam_serving::ZoneRegions;
+use egretseam_serving::{ColdTolerance, ZoneRegions};
 use std::{
     cell::RefCell,
     net::{TcpListener, UdpSocket},
@@ -39,4 +39,8 @@
     pub regions: ZoneRegions,
     /// Interval between two announcements of a target.
     pub announce_interval: Duration,
+    /// How far the requests to a cold target may exceed its rate.
+    pub cold_tolerance: ColdTolerance,
+    /// Number of members that grant permits for cold targets without an agent, each its fraction.
+    pub permit_granters: usize,
 }
--- a/crates/registrar/src/shared.rs
+++ b/crates/registrar/src/shared.rs
@@ -52,6 +52,8 @@
     pub(crate) config_version: IntGauge,
     pub(crate) evidence_records: IntCounter,
     pub(crate) evidence_dropped: IntCounter,
+    pub(crate) permits_granted: IntCounter,
+    pub(crate) permits_refused: IntCounter,
 }
 
 impl RegistrarMetrics {
@@ -99,6 +101,14 @@
                 "evidence_dropped",
                 "Such records that were known, or too many at a time.",
             ),
+            permits_granted: counter(
+                "permits_granted",
+                "Permits granted for requests to cold targets without an agent.",
+            ),
+            permits_refused: counter(
+                "permits_refused",
+                "Such permits that entries asked for and did not get.",
+            ),
         }
     }
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,13 +11,15 @@
 //! agents that report to it. A fleet without gates has two more services: [`FeedService`], by which
 //! control publishes changes of targets, and [`ChunkService`], by which agents exchange weights.
 //! The loads of targets go from agents to control and from there to entries in datagrams
-//! ([`LoadDatagram`]); entries tell each other the limits of targets in others ([`LimitDatagram`]).
+//! ([`LoadDatagram`]); entries tell each other the limits of targets in others ([`LimitDatagram`]), and
+//! ask for permits for requests to cold targets ([`PermitCall`]).
 
 mod control_client;
 mod feed;
 mod limits;
 mod link;
 mod loads;
+mod permits;
 mod preface;
 mod server;
 mod wire;
@@ -33,6 +35,7 @@
     limits::{LimitDatagram, LimitNews, MAX_LIMITS},
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
     loads::{LoadDatagram, MAX_DATAGRAM_BYTES, MAX_SAMPLES, TargetLoad},
+    permits::{PermitCall, PermitReply},
     preface::PeerSecret,
     server::{RpcOptions, RpcServer, serve_chunks, serve_control, serve_entry, serve_feed},
     wire::{
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -26,6 +26,7 @@
 mod order_tracker;
 mod origin_share;
 mod peer_sources;
+mod permits;
 mod previous_orders;
 mod probe;
 mod ranks;
--- a/crates/stager/src/options.rs
+++ b/crates/stager/src/options.rs
@@ -2,11 +2,11 @@
 
 use egretseam_proto::{ServiceName, ZoneName};
 use egretseam_rpc::PeerSecret;
-use egretseam_serving::SwitchTiming;
+use egretseam_serving::{ColdTolerance, SwitchTiming};
 use egretseam_swarm::PlannerPolicy;
 use std::{
     cell::RefCell,
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, UdpSocket},
     rc::Rc,
 };
 
@@ -15,6 +15,9 @@
 pub struct StagerListeners {
     /// Serves chunks to other agents.
     pub chunks: TcpListener,
+    /// Receives calls for permits for requests to the target while it is cold; `None` if the agent
+    /// grants none.
+    pub permits: Option<UdpSocket>,
 }
 
 /// Settings of an agent.
@@ -43,4 +46,6 @@
     pub finishes_older: bool,
     /// When the engine may switch to new weights.
     pub switch_timing: SwitchTiming,
+    /// How far the requests to the target may exceed its rate while it is cold.
+    pub cold_tolerance: ColdTolerance,
 }
--- a/crates/stager/src/runtime.rs
+++ b/crates/stager/src/runtime.rs
@@ -5,7 +5,7 @@
     dialect::EngineDialect,
     engine, follow, loads, older,
     options::{StagerListeners, StagerOptions},
-    probe, reconcile,
+    permits, probe, reconcile,
     shared::StagerShared,
     switch,
 };
@@ -46,6 +46,9 @@
         actix_rt::spawn(engine::watch(Rc::downgrade(&shared)));
         actix_rt::spawn(follow::follow(Rc::downgrade(&shared)));
         actix_rt::spawn(loads::send(Rc::downgrade(&shared)));
+        if let Some(socket) = listeners.permits {
+            actix_rt::spawn(permits::serve(Rc::downgrade(&shared), socket));
+        }
         actix_rt::spawn(probe::run(Rc::downgrade(&shared)));
         actix_rt::spawn(older::watch(Rc::downgrade(&shared)));
         actix_rt::spawn(switch::resend_outstanding_orders(Rc::downgrade(&shared)));
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -47,6 +47,8 @@
     pub(crate) orders_refused: IntCounter,
     pub(crate) orders_unknown: IntCounter,
     pub(crate) versions_back: IntCounter,
+    pub(crate) permits_granted: IntCounter,
+    pub(crate) permits_refused: IntCounter,
 }
 
 impl StagerMetrics {
@@ -72,6 +74,14 @@
                 "versions_back",
                 "Times that the engine went back to an older version in one run.",
             ),
+            permits_granted: counter(
+                "permits_granted",
+                "Permits granted for requests to the target while it was cold.",
+            ),
+            permits_refused: counter(
+                "permits_refused",
+                "Permits that entries asked for and did not get.",
+            ),
         }
     }
 }
--- a/tests/all/fleet/link_queue/plan.rs
+++ b/tests/all/fleet/link_queue/plan.rs
@@ -15,7 +15,7 @@
 use egretseam_platform::PlatformEngine;
 use egretseam_proto::ZoneName;
 use egretseam_rpc::{ChunkLink, LinkOptions, PeerSecret, RpcOptions, serve_chunks};
-use egretseam_serving::{EntryRecord, SwarmPeer, SwitchTiming};
+use egretseam_serving::{ColdTolerance, EntryRecord, SwarmPeer, SwitchTiming};
 use egretseam_stager::{ChunkCacheRuntime, StagerListeners, StagerOptions, StagerRuntime};
 use egretseam_swarm::PlannerPolicy;
 use std::{
@@ -181,12 +181,13 @@
                 staleness_bound: Duration::ZERO,
                 reserve: Duration::ZERO,
             },
+            cold_tolerance: ColdTolerance::default(),
         };
         let metrics = DaemonMetrics::new();
         let runtime = StagerRuntime::start(
             options,
             Rc::new(PlatformEngine),
-            StagerListeners { chunks },
+            StagerListeners { chunks, permits: None },
             &metrics,
         );
         let running = (runtime.expect("the agent starts"), server, engine);
--- a/tests/all/fleet/narrow_link.rs
+++ b/tests/all/fleet/narrow_link.rs
@@ -11,7 +11,7 @@
     PeerChunkCall, PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, WeightsPlan,
     serve_chunks, serve_feed,
 };
-use egretseam_serving::{EntryRecord, PeerUpdate, SwarmPeer, SwitchTiming};
+use egretseam_serving::{ColdTolerance, EntryRecord, PeerUpdate, SwarmPeer, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
 use egretseam_swarm::PlannerPolicy;
 use std::{
@@ -215,8 +215,9 @@
         fetches_early: true,
         finishes_older: true,
         switch_timing: SwitchTiming { staleness_bound: Duration::ZERO, reserve: Duration::ZERO },
+        cold_tolerance: ColdTolerance::default(),
     };
-    let listeners = StagerListeners { chunks };
+    let listeners = StagerListeners { chunks, permits: None };
     let metrics = DaemonMetrics::new();
     let agent = StagerRuntime::start(options, Rc::new(PlatformEngine), listeners, &metrics);
     (engine, agent.expect("the agent starts"))
--- a/tests/all/plan_following.rs
+++ b/tests/all/plan_following.rs
@@ -8,7 +8,7 @@
     AgentCall, AgentReply, EvidenceCall, EvidenceReply, FeedCall, FeedReply, FeedService,
     PeerSecret, RpcOptions, RpcServer, WeightsKey, serve_feed,
 };
-use egretseam_serving::{EntryRecord, SwitchTiming};
+use egretseam_serving::{ColdTolerance, EntryRecord, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
 use egretseam_swarm::PlannerPolicy;
 use std::{
@@ -140,9 +140,10 @@
         fetches_early: true,
         finishes_older: true,
         switch_timing: SwitchTiming { staleness_bound: Duration::ZERO, reserve: Duration::ZERO },
+        cold_tolerance: ColdTolerance::default(),
     };
     let metrics = DaemonMetrics::new();
-    let listeners = StagerListeners { chunks };
+    let listeners = StagerListeners { chunks, permits: None };
     StagerRuntime::start(options, Rc::new(PlatformEngine), listeners, &metrics)
         .expect("the agent starts")
 }
