--- a/tests/all/cold_targets.rs
+++ b/tests/all/cold_targets.rs
@@ -1,10 +1,14 @@
 //! A model of entries that send to one cold target with permits, over a network that delays and
 //! loses datagrams, while entries and granting processes restart. Entries do not know of each other.
 
+use crate::serving_tables::{record, service, status};
+use egretseam_proto::ZoneName;
 use egretseam_serving::{
     ColdLimit, ColdTolerance, HeardRates, NETWORK_MARGIN, PermitAllocator, PermitAnswer,
-    PermitRequests, PermitTerms, TargetId,
+    PermitRequests, PermitTerms, PlacementOutcome, PlacementPolicy, PlacementQuery, TargetId,
+    TargetRecord, TargetState, TargetTable,
 };
+use indexmap::IndexMap;
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
@@ -251,3 +255,99 @@
     assert_eq!(rates.record(23.0, start), Some(10.0));
     assert_eq!(rates.record(23.0, start + Duration::from_secs(6)), Some(23.0));
 }
+
+const COLD: Duration = Duration::from_secs(8);
+
+fn table(limited: bool) -> TargetTable {
+    let zone = ZoneName::try_from("z1").expect("a valid name");
+    let mut table = TargetTable::new(PlacementPolicy::default(), zone);
+    let limit = ColdLimit { rate: 10.0, duration: COLD };
+    let limits = limited.then(|| (service(), limit));
+    table.set_cold_limits(limits.into_iter().collect::<IndexMap<_, _>>());
+    table
+}
+
+fn announce(table: &mut TargetTable, sequence: u64, cold: Duration, now: Instant) -> TargetId {
+    let record = TargetRecord {
+        sequence,
+        cold_millis: cold.as_millis() as u64,
+        ..record(1, sequence, TargetState::Ready)
+    };
+    table.apply_target(0, &status(record.clone()), now);
+    record.id
+}
+
+fn query(service: &egretseam_proto::ServiceName) -> PlacementQuery<'_> {
+    PlacementQuery {
+        service,
+        model: None,
+        tried: &[],
+        late: false,
+        first_byte_deadline: None,
+        regions: None,
+    }
+}
+
+/// Guards against requests to a cold target without a permit, against a permit that is used twice,
+/// and against services without a limit that are placed differently.
+#[test]
+fn a_cold_target_is_chosen_only_with_a_permit() {
+    let service = service();
+    let start = Instant::now();
+    let mut unlimited = table(false);
+    let id = announce(&mut unlimited, 1, COLD, start);
+    let choice = unlimited.choose_with_permits(&query(&service), start);
+    assert_eq!(choice.outcome, PlacementOutcome::Target(id));
+    assert_eq!(choice.permit_wanted, None);
+
+    let mut table = table(true);
+    let id = announce(&mut table, 1, COLD, start);
+    let choice = table.choose_with_permits(&query(&service), start);
+    assert_eq!(choice.outcome, PlacementOutcome::Full);
+    assert_eq!(choice.permit_wanted.as_ref(), Some(&id));
+    table.permits_mut().want(&id, 1, start);
+    let granter = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let call = table.permits_mut().next_call(&id, &[granter], start).expect("a call");
+    let choice = table.choose_with_permits(&query(&service), start);
+    assert_eq!(choice.permit_wanted, None, "a call is outstanding");
+    let ask_after = Duration::from_millis(100);
+    let answer = PermitAnswer { number: call.number, granted: 5, ask_after };
+    assert_eq!(table.permits_mut().apply_answer(&id, &answer, start), 1, "one was asked for");
+    assert_eq!(table.permits_mut().apply_answer(&id, &answer, start), 0, "the same reply again");
+    assert_eq!(table.choose(&query(&service), start), PlacementOutcome::Target(id.clone()));
+    assert!(table.start_attempt(&id, start).is_some());
+    assert_eq!(table.choose(&query(&service), start), PlacementOutcome::Full);
+    assert_eq!(table.start_attempt(&id, start), None);
+}
+
+/// Guards against targets that count as warm too early, and against ones that never do.
+#[test]
+fn a_target_is_cold_until_all_that_is_known_says_that_it_is_warm() {
+    let second = Duration::from_secs(1);
+    let start = Instant::now();
+    let mut table = table(true);
+    let id = announce(&mut table, 1, Duration::ZERO, start);
+    assert!(!table.needs_permit(&id, start), "the entry has just started");
+    announce(&mut table, 2, second, start + 2 * second);
+    assert!(table.needs_permit(&id, start + 2 * second), "cold again");
+    assert!(!table.needs_permit(&id, start + 4 * second));
+    table.record_cold(&id, 2 * second, start + 4 * second);
+    assert!(table.needs_permit(&id, start + 5 * second), "stated in a response");
+    assert!(!table.needs_permit(&id, start + 6 * second));
+
+    let zone = record(1, 1, TargetState::Ready).zone;
+    table.mark_zone_cold(&zone, start + 10 * second);
+    assert!(table.needs_permit(&id, start + 17 * second), "the zone has returned");
+    assert!(!table.needs_permit(&id, start + 18 * second));
+    table.mark_zone_cold(&zone, start + 20 * second);
+    announce(&mut table, 3, Duration::ZERO, start + 20 * second);
+    assert!(table.needs_permit(&id, start + 21 * second), "possibly announced before");
+    announce(&mut table, 4, Duration::ZERO, start + 21 * second);
+    assert!(!table.needs_permit(&id, start + 21 * second));
+
+    let late = start + 30 * second;
+    let record = TargetRecord { cold_millis: 0, ..record(2, 1, TargetState::Ready) };
+    table.apply_target(0, &status(record.clone()), late);
+    assert!(table.needs_permit(&record.id, late + 7 * second), "first seen by a running entry");
+    assert!(!table.needs_permit(&record.id, late + COLD));
+}
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -7,6 +7,7 @@
 mod changes;
 mod changes_midway;
 mod closing;
+mod cold_targets;
 mod crashing;
 mod engines;
 mod late_orders;
