--- a/tests/all/caller_codec.rs
+++ b/tests/all/caller_codec.rs
@@ -1,7 +1,7 @@
 //! The HTTP/1.1 codec of the entries, against hostile and faulty peers over TCP sockets.
 
 use bytes::Bytes;
-use egretseam_gateway::{CallerDialect, EventBuffer, ResponseMetadata, last_event_id};
+use egretseam_gateway::{CallerDialect, EventBuffer, ResponseMetadata, StatedCold, last_event_id};
 use egretseam_h1::{BodyReader, ConnectionOptions, HeadError, HttpConnection, ReadError};
 use egretseam_platform::PlatformCallers;
 use egretseam_serving::{NamedLimit, RequestRate, RequestedRest};
@@ -217,6 +217,22 @@
     assert_eq!(read_limit("Server-Limit: 2\r\nserver-limit: 3\r\n").await, NamedLimit::Invalid);
 }
 
+/// Guards against a header of a target that ends a request, or that makes a warm target cold.
+#[actix_rt::test]
+async fn cold_times_of_targets_are_read_and_invalid_ones_are_told_apart() {
+    let read = async |fields: &str| read_metadata(200, fields).await.cold;
+    assert_eq!(read("").await, StatedCold::Absent);
+    for (text, millis) in [("2400", 2_400), ("0", 0), ("0.0", 0), ("1500.0", 1_500)] {
+        let expected = StatedCold::For(Duration::from_millis(millis));
+        assert_eq!(read(&format!("x-cold-ms: {text}\r\n")).await, expected);
+    }
+    for text in ["-1", "inf", "NaN", "", "soon", "2,4", "1e300"] {
+        let cold = read(&format!("X-Cold-Ms: {text}\r\n")).await;
+        assert_eq!(cold, StatedCold::Invalid, "{text:?}");
+    }
+    assert_eq!(read("X-Cold-Ms: 2\r\nX-Cold-Ms: 3\r\n").await, StatedCold::Invalid);
+}
+
 async fn read_rest(status: u16, fields: &str) -> RequestedRest {
     read_metadata(status, fields).await.rest
 }
--- a/tests/all/cold_targets.rs
+++ b/tests/all/cold_targets.rs
@@ -3,6 +3,7 @@
 
 use crate::serving_tables::{record, service, status};
 use egretseam_proto::ZoneName;
+use egretseam_rpc::{LimitDatagram, LoadDatagram, PeerSecret, PermitCall, PermitReply};
 use egretseam_serving::{
     ColdLimit, ColdTolerance, HeardRates, NETWORK_MARGIN, PermitAllocator, PermitAnswer,
     PermitRequests, PermitTerms, PlacementOutcome, PlacementPolicy, PlacementQuery, TargetId,
@@ -37,19 +38,29 @@
     restarts: f64,
     /// Requests that each entry gets a second; those that wait longer than a second leave.
     load: f64,
+    /// Whether requests and permits are delayed so that as many as possible arrive in one second, as
+    /// far as their times allow.
+    bunched: bool,
 }
 
+/// Period of [`Scenario::bunched`]: an idle time that fills the bucket, the time in which requests are
+/// held back as long as permits and the network allow, and the second in which all arrive.
+const BUNCH_MILLIS: [u128; 3] = [500, 500, 1_000];
+
 fn scenarios(with_faults: bool) -> impl Strategy<Value = Scenario> {
     let granters = prop_oneof![Just(1_usize), Just(3), Just(5)];
     let limit = (2.0..60.0_f64, 1.0..2.0_f64, 0.0..10.0_f64);
-    let faults = (0.0..0.4_f64, 0.0..1.0_f64, 0.0..60.0_f64);
+    let faults = (0.0..0.4_f64, 0.0..1.0_f64, 0.0..60.0_f64, any::<bool>());
     (any::<u64>(), 1_usize..=100, granters, limit, 1_u64..40, faults).prop_map(
         move |(seed, entries, granters, (rate, overage, requests), delay, faults)| {
             // Use is required where the bound leaves room for the rate, and while requests wait.
             let (overage, requests) =
                 if with_faults { (overage, requests) } else { (1.5, requests.max(5.0)) };
-            let (faults, restarts, load) =
-                if with_faults { faults } else { (0.0, 0.0, 2.0 * rate / entries as f64 + 2.0) };
+            let (faults, restarts, load, bunched) = faults;
+            let (faults, restarts, bunched) =
+                if with_faults { (faults, restarts, bunched) } else { (0.0, 0.0, false) };
+            let is_overload = bunched || !with_faults;
+            let load = if is_overload { 2.0 * rate / entries as f64 + 2.0 } else { load };
             Scenario {
                 seed,
                 entries,
@@ -60,6 +71,7 @@
                 faults,
                 restarts,
                 load,
+                bunched,
             }
         },
     )
@@ -80,6 +92,7 @@
 struct ModelWorld<'a> {
     scenario: &'a Scenario,
     random: StdRng,
+    start: Instant,
     target: TargetId,
     granters: Vec<(SocketAddr, PermitAllocator)>,
     entries: Vec<ModelEntry>,
@@ -100,6 +113,7 @@
             entries: (0..scenario.entries).map(entry).collect(),
             scenario,
             random,
+            start: Instant::now(),
             target: TargetId::unstated("cold"),
             granters: (0..scenario.granters).map(granter).collect(),
             datagrams: Vec::new(),
@@ -109,6 +123,7 @@
 
     /// Runs the scenario; returns when requests arrived at the target, in order.
     fn play(mut self, start: Instant) -> Vec<Instant> {
+        self.start = start;
         let mut now = start;
         while now < start + SCENARIO {
             self.restart(now);
@@ -176,19 +191,13 @@
         if self.random.random_bool((self.scenario.load * TICK.as_secs_f64()).min(1.0)) {
             entry.waiting.push(now);
         }
-        let most_delay =
-            if self.scenario.faults > 0.0 { NETWORK_MARGIN } else { self.scenario.delay };
-        while !entry.waiting.is_empty() && entry.permits.holds(&self.target, now) {
-            // A request is sent at any time until its permit expires.
-            let send_by = entry.permits.consume(&self.target, now).expect("a permit is held");
-            let sent_at = if self.scenario.faults > 0.0 {
-                now + (send_by - now).mul_f64(self.random.random())
-            } else {
-                now
-            };
-            self.arrivals.push(sent_at + most_delay.mul_f64(self.random.random()));
-            entry.waiting.remove(0);
+        if self.scenario.bunched && self.bunch_phase(now).0 == 0 {
+            return;
+        }
+        while let Some(arrival) = self.send_request(number, now) {
+            self.arrivals.push(arrival);
         }
+        let entry = &mut self.entries[number];
         let missing = (entry.waiting.len() as u32).saturating_sub(entry.permits.expected(now));
         if missing == 0 || !entry.permits.may_ask(&self.target, now) {
             return;
@@ -205,6 +214,42 @@
     }
 }
 
+impl ModelWorld<'_> {
+    /// The part of the period of bunched scenarios at a moment, and the time until it ends.
+    fn bunch_phase(&self, now: Instant) -> (usize, Duration) {
+        let period: u128 = BUNCH_MILLIS.iter().sum();
+        let mut millis = (now - self.start).as_millis() % period;
+        for (phase, length) in BUNCH_MILLIS.into_iter().enumerate() {
+            if millis < length {
+                return (phase, Duration::from_millis((length - millis) as u64));
+            }
+            millis -= length;
+        }
+        unreachable!("less than a period")
+    }
+
+    /// Sends a request that waits if a permit is held; returns when it arrives.
+    fn send_request(&mut self, number: usize, now: Instant) -> Option<Instant> {
+        let entry = &mut self.entries[number];
+        if entry.waiting.is_empty() || !entry.permits.holds(&self.target, now) {
+            return None;
+        }
+        let send_by = entry.permits.consume(&self.target, now).expect("a permit is held");
+        entry.waiting.remove(0);
+        if self.scenario.bunched {
+            let (phase, left) = self.bunch_phase(now);
+            let held_back = if phase == 1 { left } else { Duration::ZERO };
+            return Some((now + held_back).min(send_by + NETWORK_MARGIN));
+        }
+        if self.scenario.faults == 0.0 {
+            return Some(now + self.scenario.delay.mul_f64(self.random.random()));
+        }
+        // A request is sent at any time until its permit expires.
+        let sent_at = now + (send_by - now).mul_f64(self.random.random());
+        Some(sent_at + NETWORK_MARGIN.mul_f64(self.random.random()))
+    }
+}
+
 /// Most arrivals in any second, its ends included.
 fn most_in_a_second(arrivals: &[Instant]) -> usize {
     let in_second = |(first, start): (usize, &Instant)| {
@@ -351,3 +396,25 @@
     assert!(table.needs_permit(&record.id, late + 7 * second), "first seen by a running entry");
     assert!(!table.needs_permit(&record.id, late + COLD));
 }
+
+/// Guards against datagrams of one kind that are read as another at the same port, and against those
+/// of strangers.
+#[test]
+fn calls_and_replies_are_told_apart_from_other_datagrams() {
+    let secret = PeerSecret::derive("ours");
+    let id = TargetId::unstated("cold");
+    let call = PermitCall::encode(&secret, 7, &id, &service(), 3, 23.0);
+    let read = PermitCall::decode(&secret, &call).expect("a call");
+    assert_eq!((read.number, &read.target, read.wanted, read.rate), (7, &id, 3, 23.0));
+    let reply = read.encode_reply(&secret, 2, 40);
+    let answer = PermitReply::decode(&secret, &reply).expect("a reply");
+    assert_eq!((answer.number, answer.granted, answer.ask_after_millis), (7, 2, 40));
+    for datagram in [&call, &reply] {
+        assert_eq!(LoadDatagram::decode(&secret, datagram), None);
+        assert_eq!(LimitDatagram::decode(&secret, datagram), None);
+    }
+    assert_eq!(PermitCall::decode(&secret, &reply), None);
+    assert_eq!(PermitReply::decode(&secret, &call), None);
+    assert_eq!(PermitCall::decode(&PeerSecret::derive("theirs"), &call), None);
+    assert_eq!(PermitCall::decode(&secret, &call[..call.len() - 1]), None);
+}
