--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -398,6 +398,8 @@
         row.record_own_in_flight(now);
         if outcome == AttemptOutcome::Unreachable {
             row.record_slow_first_byte(UNREACHABLE_FIRST_BYTE, now);
+            // The process may have ended; its successor is cold before it announces itself.
+            row.cold.record_returned(now);
         }
         row.health.record(outcome, now)
     }
--- a/tests/all/cold_targets.rs
+++ b/tests/all/cold_targets.rs
@@ -5,9 +5,9 @@
 use egretseam_proto::ZoneName;
 use egretseam_rpc::{LimitDatagram, LoadDatagram, PeerSecret, PermitCall, PermitReply};
 use egretseam_serving::{
-    ColdLimit, ColdTolerance, HeardRates, NETWORK_MARGIN, PermitAllocator, PermitAnswer,
-    PermitRequests, PermitTerms, PlacementOutcome, PlacementPolicy, PlacementQuery, TargetId,
-    TargetRecord, TargetState, TargetTable,
+    AttemptOutcome, ColdLimit, ColdTolerance, HeardRates, NETWORK_MARGIN, PermitAllocator,
+    PermitAnswer, PermitRequests, PermitTerms, PlacementOutcome, PlacementPolicy, PlacementQuery,
+    TargetId, TargetRecord, TargetState, TargetTable,
 };
 use indexmap::IndexMap;
 use proptest::prelude::*;
@@ -390,6 +390,11 @@
     announce(&mut table, 4, Duration::ZERO, start + 21 * second);
     assert!(!table.needs_permit(&id, start + 21 * second));
 
+    table.start_attempt(&id, start + 22 * second);
+    table.finish_attempt(&id, AttemptOutcome::Unreachable, start + 22 * second);
+    assert!(table.needs_permit(&id, start + 23 * second), "a successor may have its address");
+    assert!(!table.needs_permit(&id, start + 30 * second));
+
     let late = start + 30 * second;
     let record = TargetRecord { cold_millis: 0, ..record(2, 1, TargetState::Ready) };
     table.apply_target(0, &status(record.clone()), late);
