--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -6,12 +6,15 @@
 //! that what all entries send until the next load sample spreads as the free slots do. Between
 //! samples the estimate of the other entries' load at a target decays to the mean of the service.
 
+mod candidates;
 mod service_view;
 
-use self::service_view::{FAST_FIRST_BYTE, ServiceView, median_first_byte, slowness};
+use self::{
+    candidates::PlacementCandidates,
+    service_view::{FAST_FIRST_BYTE, ServiceView, median_first_byte, slowness},
+};
 use crate::{
     backpressure::SendRoom,
-    permit_requests::PermitRequests,
     regions::AllowedRegions,
     status::{TargetId, TargetState},
     target_table::{TargetRow, TargetTable},
@@ -381,61 +384,3 @@
         own + others * (1.0 - decayed) + mean_other_load * decayed
     }
 }
-
-/// Targets that a request may be sent to, with their weights.
-#[derive(Default)]
-struct PlacementCandidates<'a> {
-    usual: Vec<(f64, &'a TargetId)>,
-    /// Targets that have just returned from a rest, for a request that was sent before.
-    trials: Vec<(f64, &'a TargetId)>,
-    /// Targets that leave, where all do.
-    last_resorts: Vec<(f64, &'a TargetId)>,
-    /// Cold targets for which this entry holds a permit. They come first: an earlier draw has chosen
-    /// them, and a permit that is not used soon is lost.
-    permitted: Vec<(f64, &'a TargetId)>,
-    /// Cold targets for which this entry may ask for a permit.
-    without_permit: Vec<(f64, &'a TargetId)>,
-}
-
-impl<'a> PlacementCandidates<'a> {
-    fn push_cold(&mut self, permits: &PermitRequests, weight: f64, id: &'a TargetId, now: Instant) {
-        if permits.holds(id, now) {
-            self.permitted.push((weight, id));
-        }
-        if permits.may_ask(id, now) {
-            self.without_permit.push((weight, id));
-        }
-    }
-
-    /// The cold target for which a permit should be asked for: the one that a draw among all targets
-    /// chooses, if it needs a permit.
-    fn draw_without_permit(&self) -> Option<&'a TargetId> {
-        if self.without_permit.is_empty() {
-            return None;
-        }
-        let total = |weighted: &[(f64, &TargetId)]| -> f64 {
-            weighted.iter().map(|(weight, _)| weight).sum()
-        };
-        let (cold, usual) = (total(&self.without_permit), total(&self.usual));
-        let is_cold = rand::rng().random::<f64>() * (cold + usual) < cold;
-        is_cold.then(|| draw_weighted(&self.without_permit)).flatten()
-    }
-
-    fn draw(&self) -> Option<&'a TargetId> {
-        draw_weighted(&self.permitted)
-            .or_else(|| draw_weighted(&self.usual))
-            .or_else(|| draw_weighted(&self.trials))
-            .or_else(|| draw_weighted(&self.last_resorts))
-    }
-}
-
-/// Draws a target at random by the weights.
-fn draw_weighted<'a>(weighted: &[(f64, &'a TargetId)]) -> Option<&'a TargetId> {
-    let total: f64 = weighted.iter().map(|(weight, _)| weight).sum();
-    let mut remaining = rand::rng().random::<f64>() * total;
-    let drawn = weighted.iter().find(|(weight, _)| {
-        remaining -= weight;
-        remaining <= 0.0
-    });
-    drawn.or(weighted.last()).map(|(_, id)| *id)
-}
--- a/tests/all/fleet/cold_targets.rs
+++ b/tests/all/fleet/cold_targets.rs
@@ -72,16 +72,8 @@
         Self { arrivals, calls }
     }
 
-    fn most_in_a_second(&self) -> usize {
-        let in_second = |start: &Instant| {
-            let end = *start + Duration::from_secs(1);
-            self.arrivals.iter().filter(|at| **at >= *start && **at <= end).count()
-        };
-        self.arrivals.iter().map(in_second).max().unwrap_or(0)
-    }
-
     fn check(&self, granter: Granter) {
-        let (most, bound) = (self.most_in_a_second(), RATE * OVERAGE + TOLERANCE as f64);
+        let (most, bound) = (most_in_a_second(&self.arrivals), RATE * OVERAGE + TOLERANCE as f64);
         let offered = RATE * LOAD_TIME.as_secs_f64();
         let used = self.arrivals.len() as f64 / offered;
         let (sent, served) = (self.calls.sent.borrow().len(), self.calls.served.get());
@@ -96,6 +88,14 @@
     }
 }
 
+fn most_in_a_second(arrivals: &[Instant]) -> usize {
+    let in_second = |start: &Instant| {
+        let end = *start + Duration::from_secs(1);
+        arrivals.iter().filter(|at| **at >= *start && **at <= end).count()
+    };
+    arrivals.iter().map(in_second).max().unwrap_or(0)
+}
+
 /// Starts the agent of a target. The engine that it supplies is down, so that it sends nothing to
 /// the target itself.
 fn start_agent(bed: &FleetBed, target: &Rc<ScriptedTarget>) -> FleetRuntime {
@@ -127,3 +127,42 @@
 async fn a_cold_target_whose_agent_is_down_gets_nothing() {
     ColdRun::of(Granter::Nobody).await.check(Granter::Nobody);
 }
+
+/// Guards against cold targets that are left unused while requests wait because all targets are
+/// cold, as after the evacuation of a zone.
+#[actix_rt::test]
+async fn cold_targets_are_used_while_requests_wait() {
+    const TARGETS: usize = 3;
+    const CALLERS: usize = 6;
+    let mut bed = FleetBed::start_with(|settings| {
+        settings.cold_overage = OVERAGE;
+        settings.cold_tolerance = TOLERANCE;
+    })
+    .await;
+    let mut config = default_config(2);
+    config["services"][0]["coldPerS"] = json!(RATE);
+    config["services"][0]["coldStartS"] = json!(COLD_TIME.as_secs_f64());
+    bed.replace_config(2, &config).await;
+    bed.wait_for_version(2).await;
+    for _ in 0..2 {
+        bed.add_entry().await;
+    }
+    tokio::time::sleep(DISCOVERY).await;
+    let mut targets = Vec::new();
+    for number in 0..TARGETS {
+        targets.push(bed.start_target(&format!("i-{number}")).await);
+    }
+    let (calls, until) = (Calls::default(), Instant::now() + LOAD_TIME);
+    let addresses = bed.caller_addresses();
+    let callers = addresses.into_iter().enumerate().flat_map(|entry| [entry; CALLERS]);
+    join_all(callers.map(|entry| call(&bed, PATH, entry, until, &calls))).await;
+    let offered = RATE * LOAD_TIME.as_secs_f64();
+    let bound = RATE * OVERAGE + TOLERANCE as f64;
+    for target in &targets {
+        let arrivals: Vec<Instant> = target.arrivals.borrow().iter().map(|a| a.at).collect();
+        let (most, used) = (most_in_a_second(&arrivals), arrivals.len() as f64 / offered);
+        println!("{}: {most} in a second, {used:.2} used", target.id);
+        assert!(most as f64 <= bound, "{most} in a second, {bound} allowed");
+        assert!(used >= 0.8, "{used} of the rate is used");
+    }
+}
