--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -1,8 +1,8 @@
 //! Receives load datagrams from control and forwards them to the other entries of the availability
 //! zone.
 
-use crate::{dispatch, limits, paces, shared::GatewayShared};
-use egretseam_rpc::{LimitDatagram, LoadDatagram, MAX_DATAGRAM_BYTES, PaceDatagram};
+use crate::{dispatch, limits, paces, permits, shared::GatewayShared};
+use egretseam_rpc::{LimitDatagram, LoadDatagram, MAX_DATAGRAM_BYTES, PaceDatagram, PermitReply};
 use egretseam_serving::PaceFactor;
 use std::{
     rc::{Rc, Weak},
@@ -70,6 +70,8 @@
         limits::receive(shared, socket, &datagram).await;
     } else if let Some(datagram) = PaceDatagram::decode(secret, bytes) {
         paces::receive(shared, socket, &datagram).await;
+    } else if let Some(reply) = PermitReply::decode(secret, bytes) {
+        permits::receive(shared, &reply);
     } else {
         tracing::debug!("datagram dropped: malformed or from an unknown sender");
     }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,8 +11,9 @@
 //! agents that report to it. A fleet without gates has two more services: [`FeedService`], by which
 //! control publishes changes of targets, and [`ChunkService`], by which agents exchange weights.
 //! The loads of targets go from agents to control and from there to entries in datagrams
-//! ([`LoadDatagram`]); entries tell each other the limits of targets ([`LimitDatagram`]) and their paces
-//! ([`PaceDatagram`]) in others.
+//! ([`LoadDatagram`]); entries tell each other the limits of targets ([`LimitDatagram`]) and their
+//! paces ([`PaceDatagram`]) in others, and ask for permits for requests to cold targets
+//! ([`PermitCall`]).
 
 mod control_client;
 mod feed;
@@ -20,6 +21,7 @@
 mod link;
 mod loads;
 mod paces;
+mod permits;
 mod preface;
 mod server;
 mod wire;
@@ -36,6 +38,7 @@
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
     loads::{LoadDatagram, MAX_DATAGRAM_BYTES, MAX_SAMPLES, TargetLoad},
     paces::{MAX_PACES, PaceDatagram, PaceNews},
+    permits::{PermitCall, PermitReply},
     preface::PeerSecret,
     server::{RpcOptions, RpcServer, serve_chunks, serve_control, serve_entry, serve_feed},
     wire::{
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -23,6 +23,8 @@
 //!   [`PacedRoom`] tells what is left where all targets name limits.
 //! - [`RequestedRest`]: the time for which a target wants no request of this entry; [`TargetTable`]
 //!   heeds it, and tells why a request is withheld.
+//! - [`PermitAllocator`]: in an agent or control member, grants permits for requests to cold
+//!   targets; [`PermitRequests`] is what an entry holds and asks for.
 //! - [`RosterBatcher`]: when a changed list of entries is sent.
 //! - [`EntryRoster`]: which entries callers may be sent to.
 //! - [`SwitchSchedule`]: when an instance may load new weights, so that not all do so at once.
@@ -43,6 +45,8 @@
 mod health;
 mod origin_turn;
 mod peer_list;
+mod permit_allocator;
+mod permit_requests;
 mod placement;
 mod raw;
 mod regions;
@@ -80,7 +84,11 @@
     health::{AttemptOutcome, TargetHealth},
     origin_turn::{OriginBacklog, OriginTurn, OriginTurnPolicy},
     peer_list::{PeerList, PeerMap, PeerUpdate, SwarmPeer, apply_peer_updates},
-    placement::{PlacementOutcome, PlacementPolicy, PlacementQuery},
+    permit_allocator::{
+        HeardRates, NETWORK_MARGIN, PERMIT_LIFETIME, PermitAllocator, PermitGrant, PermitTerms,
+    },
+    permit_requests::{PermitAnswer, PermitRequest, PermitRequests},
+    placement::{PlacementChoice, PlacementOutcome, PlacementPolicy, PlacementQuery},
     raw::{
         ConfigError, RawDestination, RawEngine, RawLimits, RawOrganisation, RawOrigin, RawRoute,
         RawService, RawServing,
@@ -100,7 +108,7 @@
     },
     switch_schedule::{OlderVersionPolicy, OlderVersionState, SwitchSchedule, SwitchTiming},
     target_pace::PaceFactor,
-    target_table::{LimitChange, LoadSample, TargetLifetime, TargetTable},
+    target_table::{ColdTarget, LimitChange, LoadSample, TargetLifetime, TargetTable},
     validation::{DEFAULT_OBJECTIVE, LocatedError},
     version_history::{VersionHistory, VersionRecord},
     wait_queue::{RequestPriority, WaitPolicy, WaitQueue, WaitTicket, WaitUrgency},
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -6,9 +6,13 @@
 //! that what all entries send until the next load sample spreads as the free slots do. Between
 //! samples the estimate of the other entries' load at a target decays to the mean of the service.
 
+mod candidates;
 mod service_view;
 
-use self::service_view::{FAST_FIRST_BYTE, ServiceView, median_first_byte, slowness};
+use self::{
+    candidates::PlacementCandidates,
+    service_view::{FAST_FIRST_BYTE, ServiceView, median_first_byte, slowness},
+};
 use crate::{
     backpressure::SendRoom,
     regions::AllowedRegions,
@@ -151,10 +155,33 @@
     NoTarget,
 }
 
+/// Result of a placement, and the permit that another result needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementChoice {
+    /// Where the request goes.
+    pub outcome: PlacementOutcome,
+    /// The cold target that the request would have gone to with a permit, if one may be asked for
+    /// now.
+    pub permit_wanted: Option<TargetId>,
+}
+
+impl From<PlacementOutcome> for PlacementChoice {
+    fn from(outcome: PlacementOutcome) -> Self {
+        Self { outcome, permit_wanted: None }
+    }
+}
+
 impl TargetTable {
     /// Chooses a target for a request at once, by what is known now.
     pub fn choose(&self, query: &PlacementQuery<'_>, now: Instant) -> PlacementOutcome {
-        let Some(ids) = self.services.get(query.service) else { return PlacementOutcome::NoTarget };
+        self.choose_with_permits(query, now).outcome
+    }
+
+    /// As [`Self::choose`], and names the cold target for which a permit should be asked for.
+    pub fn choose_with_permits(&self, query: &PlacementQuery<'_>, now: Instant) -> PlacementChoice {
+        let Some(ids) = self.services.get(query.service) else {
+            return PlacementOutcome::NoTarget.into();
+        };
         let sampled: Vec<(&TargetId, &TargetRow)> =
             self.sample(ids).filter_map(|id| Some((id, self.rows.get(id)?))).collect();
         let median = median_first_byte(&sampled, now);
@@ -165,20 +192,25 @@
             })
             .collect();
         if eligible.is_empty() {
-            return PlacementOutcome::NoTarget;
+            return PlacementOutcome::NoTarget.into();
         }
         let (resting, eligible): (Vec<_>, Vec<_>) =
             eligible.into_iter().partition(|(id, _)| self.backpressure.withheld(id, now).is_some());
         if eligible.is_empty() {
             let ends = resting.iter().filter_map(|(id, _)| self.backpressure.rest_end(id));
-            return ends.min().map_or(PlacementOutcome::NoTarget, PlacementOutcome::Resting);
+            let outcome = ends.min().map_or(PlacementOutcome::NoTarget, PlacementOutcome::Resting);
+            return outcome.into();
         }
         if query.late && self.at_late_prefill_limit(&eligible) {
-            return PlacementOutcome::Full;
+            return PlacementOutcome::Full.into();
         }
         let view = ServiceView::of(&eligible, resting.len(), query, now);
-        let drawn = self.candidates(&eligible, query, &view, now).draw();
-        drawn.map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()))
+        let candidates = self.candidates(&eligible, query, &view, now);
+        let permit_wanted = candidates.draw_without_permit().cloned();
+        let drawn = candidates.draw();
+        let outcome =
+            drawn.map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()));
+        PlacementChoice { outcome, permit_wanted }
     }
 
     /// The targets with room for the request that it was not sent to before.
@@ -199,7 +231,15 @@
             let Some(cost) = self.cost(row, query, view, now) else { continue };
             let free = (1.0 - cost).max(MIN_FREE_SHARE);
             let weight = free.powi(self.policy.free_share_exponent);
-            match self.backpressure.room(id, now) {
+            let room = self.backpressure.room(id, now);
+            if self.is_cold(row, now) {
+                let is_last_resort = room == SendRoom::LastResort && all_leave;
+                if is_last_resort || matches!(room, SendRoom::Open | SendRoom::Trial) {
+                    candidates.push_cold(self.permits(), weight, id, now);
+                }
+                continue;
+            }
+            match room {
                 SendRoom::Open => candidates.usual.push((weight, id)),
                 // A request that was rejected once must not be rejected for a trial.
                 SendRoom::Trial if !query.tried.is_empty() => candidates.trials.push((weight, id)),
@@ -356,32 +396,3 @@
         own + others * (1.0 - decayed) + mean_other_load * decayed
     }
 }
-
-/// Targets that a request may be sent to, with their weights.
-#[derive(Default)]
-struct PlacementCandidates<'a> {
-    usual: Vec<(f64, &'a TargetId)>,
-    /// Targets that have just returned from a rest, for a request that was sent before.
-    trials: Vec<(f64, &'a TargetId)>,
-    /// Targets that leave, where all do.
-    last_resorts: Vec<(f64, &'a TargetId)>,
-}
-
-impl<'a> PlacementCandidates<'a> {
-    fn draw(&self) -> Option<&'a TargetId> {
-        draw_weighted(&self.usual)
-            .or_else(|| draw_weighted(&self.trials))
-            .or_else(|| draw_weighted(&self.last_resorts))
-    }
-}
-
-/// Draws a target at random by the weights.
-fn draw_weighted<'a>(weighted: &[(f64, &'a TargetId)]) -> Option<&'a TargetId> {
-    let total: f64 = weighted.iter().map(|(weight, _)| weight).sum();
-    let mut remaining = rand::rng().random::<f64>() * total;
-    let drawn = weighted.iter().find(|(weight, _)| {
-        remaining -= weight;
-        remaining <= 0.0
-    });
-    drawn.or(weighted.last()).map(|(_, id)| *id)
-}
