--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -10,7 +10,7 @@
 };
 use egretseam_proto::{
     ContentDigest, FencingNumber, Incarnation, InstanceName, ModelName, OperationId,
-    OrganisationName, ProfileName, Revision, ServiceName,
+    OrganisationName, ProfileName, Revision, ServiceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -130,6 +130,17 @@
         /// Digest over all chunks of the version.
         digest: ContentDigest,
     },
+    /// Begins or finishes the evacuation of an availability zone. Earlier releases cannot decode
+    /// it.
+    SetEvacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether the zone is evacuated from now on.
+        evacuated: bool,
+        /// Revision of the zone that the member applied that received the call; 0 before the
+        /// first call for the zone.
+        base: Revision,
+    },
 }
 
 /// A command with the time of its proposal.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -1,6 +1,6 @@
 //! The state machine on the replicated log: profiles, service bindings, organisations, entries,
-//! switch grants, claims of idempotency keys, the serving configuration, and published versions of
-//! weights.
+//! switch grants, claims of idempotency keys, the serving configuration, published versions of
+//! weights, and evacuations of availability zones.
 //!
 //! [`CatalogState::apply`] is deterministic: equal commands in equal order give equal states and
 //! replies on every member. Time reaches it only as [`TimestampedCommand::at`], a clock that
@@ -13,6 +13,7 @@
 mod command;
 mod config_view;
 mod contents;
+mod evacuations;
 mod serving;
 mod spec;
 mod state;
@@ -26,6 +27,7 @@
         CatalogCommand, CatalogReply, ConfigEdit, EditRejection, EditRequest, TimestampedCommand,
     },
     config_view::{ConfigChange, ConfigUpdate, ConfigView, EntryRecord, ServiceBinding},
+    evacuations::{EvacuationRecord, EvacuationTable},
     serving::{ServingChange, ServingDocument},
     spec::{
         OrganisationRecord, OrganisationSpec, ProfileRecord, ProfileSpec, SpecError, WeightsSpec,
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -12,6 +12,7 @@
     command::{CatalogCommand, CatalogReply, TimestampedCommand},
     config_view::{ConfigChange, ConfigUpdate, ConfigView, EntryRecord},
     contents::ContentTable,
+    evacuations::EvacuationTable,
     serving::{ServingChange, ServingDocument},
     spec::ProfileSpec,
     switch::SwitchGrant,
@@ -77,6 +78,10 @@
     #[serde(rename = "named_versions")]
     published_versions: IndexMap<ModelName, u64>,
     contents: ContentTable,
+    /// Appended to snapshots by [`CatalogState::encode`] unless it is empty, so that snapshots stay
+    /// readable for earlier releases until the first evacuation.
+    #[serde(skip)]
+    evacuations: EvacuationTable,
     /// Recent changes, to update views that are slightly behind. Not in snapshots: a member that
     /// restored one has none and sends the complete view instead.
     #[serde(skip)]
@@ -96,7 +101,7 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
         match postcard::take_from_bytes(bytes) {
             Ok((state, [])) => Ok(state),
-            Ok((_, rest)) => Err(DecodeError(format!("{} bytes too many", rest.len()))),
+            Ok((state, rest)) => Ok(Self { evacuations: decode_evacuations(rest)?, ..state }),
             Err(postcard::Error::DeserializeUnexpectedEnd) => Self::decode_without_contents(bytes),
             Err(error) => Err(DecodeError(error.to_string())),
         }
@@ -112,7 +117,12 @@
 
     /// Encodes a snapshot of the state.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("in-memory encoding does not fail")
+        let mut bytes = postcard::to_stdvec(self).expect("in-memory encoding does not fail");
+        if !self.evacuations.is_empty() {
+            let table = postcard::to_stdvec(&self.evacuations);
+            bytes.extend(table.expect("in-memory encoding does not fail"));
+        }
+        bytes
     }
 
     /// Current time on the log's clock.
@@ -174,6 +184,9 @@
                 self.contents.record(model, *version, *digest);
                 CatalogReply::Done
             }
+            CatalogCommand::SetEvacuation { zone, evacuated, base } => {
+                self.evacuations.set(zone, *evacuated, *base)
+            }
         }
     }
 
@@ -187,6 +200,11 @@
         &self.published_versions
     }
 
+    /// Which availability zones are evacuated.
+    pub fn evacuations(&self) -> &EvacuationTable {
+        &self.evacuations
+    }
+
     /// The version of a model recorded with this content digest, if any.
     pub fn version_of(&self, model: &ModelName, digest: &ContentDigest) -> Option<u64> {
         self.contents.version_of(model, digest)
@@ -251,3 +269,12 @@
         revision
     }
 }
+
+/// Decodes the evacuation table at the end of a snapshot.
+fn decode_evacuations(bytes: &[u8]) -> Result<EvacuationTable, DecodeError> {
+    match postcard::take_from_bytes(bytes) {
+        Ok((table, [])) => Ok(table),
+        Ok((_, rest)) => Err(DecodeError(format!("{} bytes too many", rest.len()))),
+        Err(error) => Err(DecodeError(format!("evacuations: {error}"))),
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -23,6 +23,8 @@
 //! - [`RequestedRest`]: the time for which a target wants no request of this entry; [`TargetTable`]
 //!   heeds it, and tells why a request is withheld.
 //! - [`RosterBatcher`]: when a changed list of entries is sent.
+//! - [`EvacuationView`]: the evacuated availability zones; [`TargetTable::set_evacuated`] merges the
+//!   tables of all control members.
 //! - [`EntryRoster`]: which entries callers may be sent to.
 //! - [`SwitchSchedule`]: when an instance may load new weights, so that not all do so at once.
 //! - [`OlderVersionPolicy`]: when an instance loads a superseded version.
@@ -37,6 +39,7 @@
 mod config_holder;
 mod engine_times;
 mod entries;
+mod evacuations;
 mod health;
 mod origin_turn;
 mod peer_list;
@@ -70,6 +73,7 @@
     config_holder::{ConfigApplyError, ConfigHolder, ConfigRequest},
     engine_times::{EngineTimes, RawEngineTimes},
     entries::{AddressQuery, EntryObservation, EntryRoster},
+    evacuations::{EvacuationChange, EvacuationView, ZoneEvacuation},
     health::{AttemptOutcome, TargetHealth},
     origin_turn::{OriginBacklog, OriginTurn, OriginTurnPolicy},
     peer_list::{PeerList, PeerMap, PeerUpdate, SwarmPeer, apply_peer_updates},
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -238,7 +238,8 @@
         if query.regions.is_some_and(AllowedRegions::is_empty) {
             return false;
         }
-        if now.saturating_duration_since(self.started_at) < DISCOVERY_PERIOD {
+        let has_just_started = now.saturating_duration_since(self.started_at) < DISCOVERY_PERIOD;
+        if has_just_started || self.awaits_evacuations() {
             return true;
         }
         let ids = self.services.get(query.service).into_iter().flatten();
@@ -283,9 +284,10 @@
         query.model.is_none_or(allowed)
     }
 
-    /// Whether a target is in a region that may handle the request.
+    /// Whether a target is in a region that may handle the request, and its zone is not evacuated.
     pub(crate) fn is_in_allowed_region(&self, row: &TargetRow, query: &PlacementQuery<'_>) -> bool {
-        self.regions.allows(&row.record.zone, query.regions)
+        let zone = &row.record.zone;
+        !self.is_closed_zone(zone) && self.regions.allows(zone, query.regions)
     }
 
     /// The taken share of a target's slots plus its penalties; `None` if it is full for this
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -12,6 +12,7 @@
 use self::row::{Liveness, instant_at_age};
 use crate::{
     backpressure::BackpressureTable,
+    evacuations::EvacuationHolder,
     health::AttemptOutcome,
     placement::{PlacementPolicy, PlacementQuery},
     regions::ZoneRegions,
@@ -83,6 +84,7 @@
     /// The entries among which the limits of targets are shared.
     entry_group: EntryGroup,
     pub(crate) backpressure: BackpressureTable,
+    pub(crate) evacuations: EvacuationHolder,
 }
 
 impl TargetTable {
@@ -104,6 +106,7 @@
             entry_count: 1,
             entry_group: EntryGroup::default(),
             backpressure: BackpressureTable::default(),
+            evacuations: EvacuationHolder::default(),
         }
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod digest_turns;
 mod entry_lease;
 mod entry_lists;
+mod evacuations;
 mod event_buffer;
 mod fleet;
 mod fleet_settings;
