--- a/crates/registrar/src/dialect.rs
+++ b/crates/registrar/src/dialect.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use egretseam_h1::RequestHead;
-use egretseam_proto::ModelName;
+use egretseam_proto::{ModelName, ZoneName};
 use egretseam_serving::{Incarnation, RawServing, TargetRecord};
 use thiserror::Error;
 
@@ -30,6 +30,10 @@
         /// The version.
         version: u64,
     },
+    /// An operator begins the evacuation of an availability zone.
+    BeginEvacuation(ZoneName),
+    /// An operator finishes the evacuation of an availability zone.
+    FinishEvacuation(ZoneName),
 }
 
 /// Why a request cannot be parsed.
@@ -56,6 +60,8 @@
     Invalid(String),
     /// No request has this path and method.
     Unknown,
+    /// There is no such availability zone.
+    UnknownZone(ZoneName),
     /// The body exceeds the limit.
     TooLarge,
     /// Not done, or the outcome is unknown; may be retried, preferably at another member.
--- a/crates/registrar/src/feed.rs
+++ b/crates/registrar/src/feed.rs
@@ -1,11 +1,11 @@
 //! Serves this member's feed to entries, agents and other members.
 
-use crate::{contents, shared::RegistrarShared};
+use crate::{contents, evacuations, shared::RegistrarShared};
 use egretseam_delta::PackedDocument;
 use egretseam_proto::{ContentDigest, ModelName, ServiceName, ZoneName};
 use egretseam_rpc::{
-    AgentCall, AgentReply, EvidenceCall, EvidenceReply, FeedCall, FeedReader, FeedReply,
-    FeedRoster, FeedService, WeightsKey, WeightsPlan,
+    AgentCall, AgentReply, EvacuationCall, EvacuationReply, EvidenceCall, EvidenceReply, FeedCall,
+    FeedReader, FeedReply, FeedRoster, FeedService, WeightsKey, WeightsPlan,
 };
 use egretseam_serving::{ConfigRequest, EntryRecord};
 use std::{rc::Rc, time::Duration};
@@ -127,6 +127,10 @@
         let (records, seen) = shared.evidence.borrow().records_since(seen, Instant::now());
         EvidenceReply { run: shared.incarnation, seen, records }
     }
+
+    async fn evacuations(self, _: Context, call: EvacuationCall) -> EvacuationReply {
+        evacuations::reply(&self.shared, call).await
+    }
 }
 
 fn agent_reply(
--- a/crates/registrar/src/front.rs
+++ b/crates/registrar/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     dialect::{ControlRequest, ControlResponse, RequestError},
+    evacuations,
     shared::RegistrarShared,
 };
 use bytes::Bytes;
@@ -100,6 +101,8 @@
             tracing::info!(%model, version, "publishing a version");
             submit(shared, CatalogCommand::NameVersion { model, version }).await
         }
+        ControlRequest::BeginEvacuation(zone) => evacuations::set(shared, zone, true).await,
+        ControlRequest::FinishEvacuation(zone) => evacuations::set(shared, zone, false).await,
     }
 }
 
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod contents;
 mod dialect;
+mod evacuations;
 mod feed;
 mod front;
 mod loads;
--- a/crates/registrar/src/publish.rs
+++ b/crates/registrar/src/publish.rs
@@ -1,6 +1,6 @@
 //! Publishes to feed readers what the replicated log has applied, and which soft state has expired.
 
-use crate::{plans, shared::RegistrarShared};
+use crate::{evacuations, plans, shared::RegistrarShared};
 use bytes::Bytes;
 use egretseam_serving::{ServingConfig, encode_config};
 use std::{
@@ -27,6 +27,7 @@
             let Some(shared) = shared.upgrade() else { return };
             apply_config(&shared);
             apply_versions(&shared);
+            evacuations::apply(&shared);
         }
         if applied.changed().await.is_err() {
             return;
--- a/crates/registrar/src/shared.rs
+++ b/crates/registrar/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     dialect::ControlDialect,
+    evacuations::EvacuationState,
     mirror::MirrorTable,
     options::RegistrarOptions,
     plans::{self, PlanTable},
@@ -134,6 +135,7 @@
     pub(crate) evidence: RefCell<EvidenceLog>,
     /// Number of the latest record in [`Self::evidence`].
     pub(crate) evidence_number: watch::Sender<u64>,
+    pub(crate) evacuations: EvacuationState,
     /// Incremented by every change that a reader may wait for.
     pub(crate) change_signal: watch::Sender<u64>,
     client: RefCell<Option<(Vec<String>, Rc<ControlClient>)>>,
@@ -167,6 +169,7 @@
             roster_batcher: RefCell::default(),
             evidence: RefCell::new(EvidenceLog::new(Instant::now())),
             evidence_number: watch::Sender::new(0),
+            evacuations: EvacuationState::new(metrics),
             change_signal: watch::Sender::new(0),
             client: RefCell::new(None),
             options,
--- a/crates/rpc/src/feed.rs
+++ b/crates/rpc/src/feed.rs
@@ -5,7 +5,8 @@
 use egretseam_proto::{ContentDigest, ModelName, ServiceName, ZoneName};
 use egretseam_quarantine::EvidenceRecord;
 use egretseam_serving::{
-    ConfigRequest, EngineStatus, EntryRecord, PeerUpdate, PublishedVersion, TargetId, TargetStatus,
+    ConfigRequest, EngineStatus, EntryRecord, EvacuationView, PeerUpdate, PublishedVersion,
+    TargetId, TargetStatus,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -152,6 +153,27 @@
     pub records: Vec<EvidenceRecord>,
 }
 
+/// Asks for the evacuations of availability zones: a long poll.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationCall {
+    /// Revision of the table that the entry holds.
+    pub held: u64,
+    /// Whether the entry has no confirmed table yet. The member then compares its state with the
+    /// leader's before it replies, and replies without waiting for a change.
+    pub needs_confirmed: bool,
+    /// Milliseconds that the reply may wait for a change.
+    pub wait_millis: u64,
+}
+
+/// Answers an [`EvacuationCall`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationReply {
+    /// The evacuations that the member has applied.
+    pub view: EvacuationView,
+    /// Whether the member has compared its state with the leader's for this reply.
+    pub is_confirmed: bool,
+}
+
 /// Calls of entries, agents and other members to a control member.
 #[tarpc::service]
 pub trait FeedService {
@@ -170,6 +192,9 @@
     /// Takes in an entry's records and returns those of others; waits for one if there is none.
     /// Earlier releases close the connection on this call, so it has one of its own.
     async fn evidence(call: EvidenceCall) -> EvidenceReply;
+    /// The evacuations of availability zones; waits for a change if the reader holds the latest.
+    /// Earlier releases close the connection on this call, so it has one of its own.
+    async fn evacuations(call: EvacuationCall) -> EvacuationReply;
 }
 
 /// Identifies weights that agents exchange.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -25,10 +25,10 @@
 pub use crate::{
     control_client::{ControlClient, SubmitError},
     feed::{
-        AgentCall, AgentReply, CachedChunkReply, ChunkService, ChunkServiceClient, EvidenceCall,
-        EvidenceReply, FeedCall, FeedReader, FeedReply, FeedRoster, FeedService, FeedServiceClient,
-        HeldReply, OriginChunkCall, PartCall, PartReceipt, PartReply, PeerChunkCall,
-        VersionDigests, WeightsKey, WeightsPlan,
+        AgentCall, AgentReply, CachedChunkReply, ChunkService, ChunkServiceClient, EvacuationCall,
+        EvacuationReply, EvidenceCall, EvidenceReply, FeedCall, FeedReader, FeedReply, FeedRoster,
+        FeedService, FeedServiceClient, HeldReply, OriginChunkCall, PartCall, PartReceipt,
+        PartReply, PeerChunkCall, VersionDigests, WeightsKey, WeightsPlan,
     },
     limits::{LimitDatagram, LimitNews, MAX_LIMITS},
     link::{CallError, ChunkLink, ControlLink, EntryLink, FeedLink, LinkOptions},
--- a/crates/rpc/src/link.rs
+++ b/crates/rpc/src/link.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     feed::{
-        AgentCall, AgentReply, CachedChunkReply, ChunkServiceClient, EvidenceCall, EvidenceReply,
-        FeedCall, FeedReply, FeedServiceClient, HeldReply, OriginChunkCall, PartCall, PartReceipt,
-        PartReply, PeerChunkCall, VersionDigests, WeightsKey,
+        AgentCall, AgentReply, CachedChunkReply, ChunkServiceClient, EvacuationCall,
+        EvacuationReply, EvidenceCall, EvidenceReply, FeedCall, FeedReply, FeedServiceClient,
+        HeldReply, OriginChunkCall, PartCall, PartReceipt, PartReply, PeerChunkCall,
+        VersionDigests, WeightsKey,
     },
     preface::PeerSecret,
     server::codec,
@@ -258,6 +259,17 @@
         let reply = client.evidence(self.context(wait), call).await;
         self.drop_on_error(reply)
     }
+
+    /// See [`crate::FeedService::evacuations`].
+    ///
+    /// # Errors
+    /// See [`CallError`].
+    pub async fn evacuations(&self, call: EvacuationCall) -> Result<EvacuationReply, CallError> {
+        let client = self.client().await?;
+        let wait = Duration::from_millis(call.wait_millis);
+        let reply = client.evacuations(self.context(wait), call).await;
+        self.drop_on_error(reply)
+    }
 }
 
 impl ChunkLink {
--- a/tests/all/fleet/narrow_link.rs
+++ b/tests/all/fleet/narrow_link.rs
@@ -6,10 +6,10 @@
 use egretseam_platform::PlatformEngine;
 use egretseam_proto::{ContentDigest, ModelName, ZoneName};
 use egretseam_rpc::{
-    AgentCall, AgentReply, CachedChunkReply, ChunkService, EvidenceCall, EvidenceReply, FeedCall,
-    FeedReply, FeedService, HeldReply, OriginChunkCall, PartCall, PartReceipt, PartReply,
-    PeerChunkCall, PeerSecret, RpcOptions, RpcServer, VersionDigests, WeightsKey, WeightsPlan,
-    serve_chunks, serve_feed,
+    AgentCall, AgentReply, CachedChunkReply, ChunkService, EvacuationCall, EvacuationReply,
+    EvidenceCall, EvidenceReply, FeedCall, FeedReply, FeedService, HeldReply, OriginChunkCall,
+    PartCall, PartReceipt, PartReply, PeerChunkCall, PeerSecret, RpcOptions, RpcServer,
+    VersionDigests, WeightsKey, WeightsPlan, serve_chunks, serve_feed,
 };
 use egretseam_serving::{EntryRecord, PeerUpdate, SwarmPeer, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
@@ -156,6 +156,10 @@
         None
     }
 
+    async fn evacuations(self, _: Context, _: EvacuationCall) -> EvacuationReply {
+        unreachable!("there is no entry")
+    }
+
     async fn evidence(self, _: Context, _: EvidenceCall) -> EvidenceReply {
         unreachable!("the test has no entry")
     }
--- a/tests/all/plan_following.rs
+++ b/tests/all/plan_following.rs
@@ -5,8 +5,8 @@
 use egretseam_platform::PlatformEngine;
 use egretseam_proto::{ContentDigest, ModelName, ZoneName};
 use egretseam_rpc::{
-    AgentCall, AgentReply, EvidenceCall, EvidenceReply, FeedCall, FeedReply, FeedService,
-    PeerSecret, RpcOptions, RpcServer, WeightsKey, serve_feed,
+    AgentCall, AgentReply, EvacuationCall, EvacuationReply, EvidenceCall, EvidenceReply, FeedCall,
+    FeedReply, FeedService, PeerSecret, RpcOptions, RpcServer, WeightsKey, serve_feed,
 };
 use egretseam_serving::{EntryRecord, SwitchTiming};
 use egretseam_stager::{StagerListeners, StagerOptions, StagerRuntime};
@@ -89,6 +89,10 @@
         unreachable!("nothing is staged")
     }
 
+    async fn evacuations(self, _: Context, _: EvacuationCall) -> EvacuationReply {
+        unreachable!("there is no entry")
+    }
+
     async fn evidence(self, _: Context, _: EvidenceCall) -> EvidenceReply {
         unreachable!("there is no entry")
     }
