--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 //! member is lost, the others still report the targets. If all members are lost, the entry keeps
 //! its state and continues to serve with it.
 
-use crate::{dispatch, evidence, shared::GatewayShared};
+use crate::{dispatch, evacuations, evidence, shared::GatewayShared};
 use egretseam_delta::PackedDocument;
 use egretseam_rpc::{FeedCall, FeedLink, FeedReader, FeedReply, FeedRoster, LinkOptions};
 use egretseam_serving::RouteTable;
@@ -71,9 +71,16 @@
                     failures: 0,
                 };
                 let link = feed_link(&shared, &address);
+                let evacuation_link = feed_link(&shared, &address);
+                let follows_evacuations = shared.options.evacuation_limit.is_some();
                 let (shared, leaving) = (Rc::downgrade(&shared), leaving.clone());
                 let members = followed.clone();
                 let is_followed = move || members.is_followed(&address, source);
+                if follows_evacuations {
+                    let is_followed = is_followed.clone();
+                    let follow = evacuations::follow(shared.clone(), evacuation_link, is_followed);
+                    actix_rt::spawn(follow);
+                }
                 actix_rt::spawn(evidence::exchange(shared.clone(), link, is_followed));
                 actix_rt::spawn(follower.run(shared, leaving));
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! [`egretseam_serving`] and the requests that wait for a slot; `follow` updates the tables from
 //! the feeds of all control members; `loads` updates them from load datagrams; `quarantine` keeps
 //! requests from running that end their targets, and `evidence` exchanges what entries know of
-//! them; `directory` replies to callers' lookups of entry addresses.
+//! them; `evacuations` follows which availability zones are evacuated; `directory` replies to callers' lookups of entry addresses.
 //! [`CallerDialect`] defines header names and message formats.
 
 mod accepted;
@@ -26,6 +26,7 @@
 mod directory;
 mod dispatch;
 mod error_response;
+mod evacuations;
 mod events;
 mod evidence;
 mod follow;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,9 @@
     pub(crate) limits_rejected: IntCounter,
     pub(crate) requests_restricted: IntCounter,
     pub(crate) regions_rejected: IntCounter,
+    pub(crate) evacuated_zones: IntGauge,
+    pub(crate) evacuation_changes: IntCounter,
+    pub(crate) evacuation_unconfirmed_starts: IntCounter,
     pub(crate) end_checks: IntCounter,
     pub(crate) suspects_found: IntCounter,
     pub(crate) suspects_rejected: IntCounter,
@@ -157,6 +160,18 @@
                 "egretseam_gateway_regions_rejected_total",
                 "Such requests for which no target in these regions had room in time.",
             ),
+            evacuated_zones: metrics.gauge(
+                "egretseam_gateway_evacuated_zones",
+                "Availability zones whose targets get no requests.",
+            ),
+            evacuation_changes: metrics.counter(
+                "egretseam_gateway_evacuation_changes_total",
+                "Availability zones that were evacuated or returned, as seen here.",
+            ),
+            evacuation_unconfirmed_starts: metrics.counter(
+                "egretseam_gateway_evacuation_unconfirmed_starts_total",
+                "Starts after which no control member confirmed the evacuations in time.",
+            ),
             end_checks: metrics.counter(
                 "egretseam_gateway_end_checks_total",
                 "Connections opened to find out whether a target's process has ended.",
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -4,7 +4,7 @@
     caller,
     connections::{self, CountGuard, QUIET_TIME},
     dialect::CallerDialect,
-    directory, dispatch, follow, limits, loads,
+    directory, dispatch, evacuations, follow, limits, loads,
     options::{GatewayListeners, GatewayOptions},
     quarantine,
     shared::{GatewayShared, StopPhase},
@@ -73,6 +73,9 @@
             accept(&shared, listeners.health, directory::serve_health)?,
             accept(&shared, listeners.directory, directory::serve_lookups)?,
         ];
+        if let Some(limit) = shared.options.evacuation_limit {
+            actix_rt::spawn(evacuations::limit_wait(Rc::downgrade(&shared), limit));
+        }
         actix_rt::spawn(follow::follow_members(Rc::downgrade(&shared), leaving_receiver));
         listeners.loads.set_nonblocking(true)?;
         let datagrams = Rc::new(tokio::net::UdpSocket::from_std(listeners.loads)?);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -81,8 +81,11 @@
         dialect: Rc<dyn CallerDialect>,
         metrics: &DaemonMetrics,
     ) -> Self {
-        let targets = TargetTable::new(options.placement, options.zone.clone())
+        let mut targets = TargetTable::new(options.placement, options.zone.clone())
             .with_regions(options.regions.clone());
+        if options.evacuation_limit.is_some() {
+            targets.await_evacuations();
+        }
         let dispatch = DispatchState::new(targets, options.waiting);
         Self {
             dialect,
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -9,6 +9,7 @@
 mod closing;
 mod crashing;
 mod engines;
+mod evacuations;
 mod late_orders;
 mod leaving;
 mod link_queue;
