--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -9,6 +9,7 @@
 
 mod callers;
 mod checks;
+mod evacuations;
 mod fleet;
 mod losses;
 mod relay;
@@ -19,6 +20,7 @@
 use callers::CallerTask;
 use checks::SoakLedger;
 use clap::Args;
+use evacuations::{EVACUATED_TARGET, EvacuationTask};
 use fleet::SoakFleet;
 use losses::{FaultKind, FaultSubject};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -113,6 +115,7 @@
     let operator = OperatorTask::start(fleet.control_calls(), ledger.clone());
     operator.wait_first().await?;
     fleet.end_founding()?;
+    let evacuations = EvacuationTask::start(fleet.control_calls());
     for number in 0..command.callers {
         CallerTask::start(number, fleet.entry_addresses(), ledger.clone(), random.random());
     }
@@ -141,7 +144,7 @@
     for target in &targets {
         target.silence().end();
     }
-    finish(&fleet, &targets, &operator, &ledger, began).await
+    finish(&fleet, &targets, &operator, &evacuations, &ledger, began).await
 }
 
 /// How a fault ends.
@@ -263,11 +266,14 @@
     fleet: &SoakFleet,
     targets: &[Rc<SoakTarget>],
     operator: &OperatorTask,
+    evacuations: &EvacuationTask,
     ledger: &SoakLedger,
     began: Instant,
 ) -> anyhow::Result<()> {
     say(began, "no more faults");
-    tokio::time::sleep(RECOVERY - LIMIT_LEAD).await;
+    let recovered_at = Instant::now() + RECOVERY - LIMIT_LEAD;
+    evacuations.end(ledger).await;
+    tokio::time::sleep_until(recovered_at).await;
     let [limited, rested, leaving, ..] = targets else { bail!("too few targets") };
     limited.set_limit(Some(LIMIT_AFTER));
     rested.set_rest(Some(REST_SECONDS));
@@ -284,6 +290,7 @@
     }
     check_rest(rested, fleet.entry_addresses().len(), counted_from, ledger, began);
     check_leaving(leaving, fleet.entry_addresses().len(), counted_from, ledger, began);
+    evacuations.check(&targets[EVACUATED_TARGET], ledger, began);
     let (asked, served) = ledger.afterwards();
     if (served as f64) < asked as f64 * SERVED_AFTER {
         ledger.violation("", format!("{served} of {asked} requests were served after recovery"));
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -46,6 +46,17 @@
         self.faults.borrow_mut().iter_mut().for_each(|fault| fault.end(subject, kind, now));
     }
 
+    /// What faults struck between two moments, or shortly before the first.
+    pub(super) fn faults_between(
+        &self,
+        from: Instant,
+        until: Instant,
+    ) -> Vec<(FaultSubject, FaultKind)> {
+        let faults = self.faults.borrow();
+        let struck = faults.iter().filter(|fault| fault.overlaps(from, until));
+        struck.map(|fault| (fault.subject, fault.kind)).collect()
+    }
+
     /// Notes that an entry is told to stop.
     pub(super) fn note_stop(&self, entry: usize) {
         self.stops.borrow_mut().entry(entry).or_insert_with(Instant::now);
--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -1,6 +1,9 @@
 //! The processes: settings, starts, signals, logs.
 
-use super::losses::{FaultSubject, STOP_LIMIT};
+use super::{
+    evacuations::EVACUATION_LIMIT,
+    losses::{FaultSubject, STOP_LIMIT},
+};
 use anyhow::Context;
 use rand::{RngExt, rngs::SmallRng};
 use rustix::process::{Pid, Signal, kill_process};
@@ -94,6 +97,7 @@
             "first_peer_port": PEER_PORT, "control_seeds": seeds, "link_mbps": 1000.0,
             "founding": founding, "announce_interval_seconds": 0.5, "tolerated_losses": 1,
             "stop_limit_seconds": STOP_LIMIT.as_secs_f64(), "version_limit_seconds": 8.0, "retry_ratio": 0.2,
+            "evacuation_limit_seconds": EVACUATION_LIMIT.as_secs_f64(),
             "retry_window_seconds": 10.0, "retry_minimum": 100
         });
         if number < CONTROL_MEMBERS {
--- a/crates/bench/src/soak/losses.rs
+++ b/crates/bench/src/soak/losses.rs
@@ -59,8 +59,13 @@
     }
 
     fn touches(&self, lost: &LostRequest<'_>) -> bool {
+        self.overlaps(lost.sent, lost.ended)
+    }
+
+    /// Whether it lasted, or had just ended, at some moment between these two.
+    pub(super) fn overlaps(&self, from: Instant, until: Instant) -> bool {
         let over = self.until.map(|at| at + AFTERMATH);
-        self.from <= lost.ended && over.is_none_or(|at| at >= lost.sent)
+        self.from <= until && over.is_none_or(|at| at >= from)
     }
 }
 
--- a/crates/bench/src/soak/stand_ins.rs
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -2,6 +2,7 @@
 
 use super::{
     checks::SoakLedger,
+    evacuations::zone_of,
     losses::REQUEST_TIMEOUT,
     relay::{self, RelayFault},
     silences::TargetSilence,
@@ -43,7 +44,12 @@
 const READ_BOUND: Duration = Duration::from_secs(2);
 
 /// Calls some control member; the answer's status, or `None` without one.
-async fn call(address: SocketAddr, method: &str, target: &str, body: &str) -> Option<(u16, Bytes)> {
+pub(super) async fn call(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    body: &str,
+) -> Option<(u16, Bytes)> {
     let content_type = "application/json";
     let body = body.as_bytes();
     let call =
@@ -155,6 +161,12 @@
         self.arrivals.borrow().iter().filter(|at| **at >= from).count()
     }
 
+    /// When requests arrived between two moments.
+    pub(super) fn arrivals_between(&self, from: Instant, until: Instant) -> Vec<Instant> {
+        let arrivals = self.arrivals.borrow();
+        arrivals.iter().filter(|at| (from..until).contains(*at)).copied().collect()
+    }
+
     /// Most requests that arrived within `window` from any moment on that is not before `from`.
     pub(super) fn most_arrivals(&self, from: Instant, window: Duration) -> usize {
         let arrivals = self.arrivals.borrow();
@@ -171,8 +183,14 @@
                 tokio::time::sleep(ANNOUNCE).await;
                 continue;
             }
-            let (path, beat) =
-                stand_in::announcement(&self.id, "soak", address, "z0", SLOTS, sequence);
+            let (path, beat) = stand_in::announcement(
+                &self.id,
+                "soak",
+                address,
+                zone_of(self.number),
+                SLOTS,
+                sequence,
+            );
             for at in 0..control.len() {
                 let member = control[(sequence as usize + at) % control.len()];
                 let reply = call(member, "POST", &path, &beat).await;
--- a/tests/all/evacuations.rs
+++ b/tests/all/evacuations.rs
@@ -90,7 +90,7 @@
         CatalogCommand::NoteContent { model, version: 7, digest },
     ];
     let mut state = CatalogState::new();
-    for (command, former) in commands.into_iter().zip([&LOGGED_NAME[..], &LOGGED_CONTENT[..]]) {
+    for (command, former) in commands.into_iter().zip([LOGGED_NAME, LOGGED_CONTENT]) {
         let command = TimestampedCommand { at: LogTime(5), command };
         assert_eq!(postcard::to_stdvec(&command).expect("encoded"), former);
         state.apply(&command);
