--- a/crates/registrar/src/evacuations.rs
+++ b/crates/registrar/src/evacuations.rs
@@ -37,6 +37,7 @@
     unavailable: IntCounter,
     conflicts: IntCounter,
     unconfirmed: IntCounter,
+    revision: IntGauge,
     evacuated_zones: IntGauge,
 }
 
@@ -56,6 +57,10 @@
                 "unconfirmed",
                 "Tables sent to starting entries without a comparison with the leader.",
             ),
+            revision: metrics.gauge(
+                "egretseam_registrar_evacuation_revision",
+                "Revision of the evacuation table applied here.",
+            ),
             evacuated_zones: metrics.gauge(
                 "egretseam_registrar_evacuated_zones",
                 "Availability zones that are evacuated, as applied here.",
@@ -143,6 +148,7 @@
     let evacuated = view.zones.iter().filter(|held| held.evacuated);
     let evacuated: Vec<&str> = evacuated.map(|held| held.zone.as_str()).collect();
     tracing::info!(revision = view.revision, ?evacuated, "evacuation table applied");
+    shared.evacuations.metrics.revision.set(view.revision as i64);
     shared.evacuations.metrics.evacuated_zones.set(evacuated.len() as i64);
     shared.evacuations.applied.send_replace(view.revision);
 }
--- a/tests/all/fleet/evacuations.rs
+++ b/tests/all/fleet/evacuations.rs
@@ -1,11 +1,13 @@
 //! Evacuations of availability zones, with real entries and control.
 
+mod unconfirmed;
+
 use super::bed::{FleetBed, Script, ScriptedTarget, call_all, request};
 use egretseam_config::FleetSettings;
 use egretseam_h1::{CallRequest, exchange};
 use egretseam_proto::{RegionName, ZoneName};
 use serde_json::json;
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// Time from the acknowledgement of an evacuation until no request may reach a target in the zone.
@@ -59,6 +61,12 @@
     status
 }
 
+/// The value of a gauge in a process's metrics.
+fn gauge(text: &str, name: &str) -> Option<u64> {
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value?.parse().ok()
+}
+
 /// Requests that reached a target at `from` or later.
 fn reached_since(target: &ScriptedTarget, from: Instant) -> usize {
     target.arrivals.borrow().iter().filter(|arrival| arrival.at >= from).count()
@@ -181,12 +189,14 @@
 #[actix_rt::test]
 async fn concurrent_calls_end_in_the_state_of_the_last_one() {
     let (bed, targets) = start(3).await;
+    let acknowledged = Cell::new(0);
     let toggle = async |begin: Duration, finish: Duration| {
         for _ in 0..5 {
             tokio::time::sleep(begin).await;
             assert_eq!(evacuate(&bed, "z2", "begin").await, 200);
             tokio::time::sleep(finish).await;
             assert_eq!(evacuate(&bed, "z2", "finish").await, 200);
+            acknowledged.set(acknowledged.get() + 2);
         }
     };
     let change = async {
@@ -197,6 +207,11 @@
     let (short, long) = (Duration::ZERO, Duration::from_millis(7));
     tokio::join!(toggle(short, short), toggle(long, short), toggle(short, long), change);
     assert_eq!(evacuate(&bed, "z2", "begin").await, 200);
+    // Each call has a revision of its own: none was acknowledged without being applied.
+    let applied = |text: &str| gauge(text, "egretseam_registrar_evacuation_revision");
+    let expected = acknowledged.get() + 1;
+    let host = bed.control_address().ip();
+    bed.wait_for_metrics(host, |text| applied(text) >= Some(expected)).await;
     let from = Instant::now() + SPREAD_TIME;
     let calls = call_all(&bed, "/safe/1", from + Duration::from_secs(1)).await;
     assert_eq!(reached_since(&targets[1], from), 0);
