--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -40,6 +40,8 @@
     Resting,
     /// It has said that it leaves, and its drain time is over.
     Leaving,
+    /// Its availability zone is evacuated.
+    Evacuated,
 }
 
 impl WithholdReason {
@@ -48,6 +50,7 @@
         match self {
             Self::Resting => "resting",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/serving/src/target_table/backpressure.rs
+++ b/crates/serving/src/target_table/backpressure.rs
@@ -29,6 +29,10 @@
 
     /// Why a target gets no request of this entry now, if it gets none.
     pub fn withheld(&self, id: &TargetId, now: Instant) -> Option<WithholdReason> {
+        let zone = self.rows.get(id).map(|row| &row.record.zone);
+        if zone.is_some_and(|zone| self.is_closed_zone(zone)) {
+            return Some(WithholdReason::Evacuated);
+        }
         self.backpressure.withheld(id, now)
     }
 }
--- a/tests/all/evacuations/placing.rs
+++ b/tests/all/evacuations/placing.rs
@@ -4,7 +4,7 @@
 use crate::serving_tables::{id, model, query, record, service, status};
 use egretseam_serving::{
     EvacuationView, PlacementOutcome, PlacementPolicy, RequestRate, TargetId, TargetState,
-    TargetTable, ZoneEvacuation,
+    TargetTable, WithholdReason, ZoneEvacuation,
 };
 use std::time::Duration;
 use tokio::time::Instant;
@@ -67,6 +67,18 @@
     assert_eq!(reachable(&table, &[], later), [id(1), id(2), id(3)]);
 }
 
+/// Guards against a request that was placed just before the evacuation and is sent afterwards, because
+/// a handshake lay in between.
+#[actix_rt::test]
+async fn a_request_that_was_placed_before_is_withheld() {
+    let now = Instant::now();
+    let mut table = table(now);
+    assert_eq!(table.withheld(&id(2), now), None);
+    table.set_evacuated(view(1, &[("z2", true, 1)]), false, now);
+    assert_eq!(table.withheld(&id(2), now), Some(WithholdReason::Evacuated));
+    assert_eq!(table.withheld(&id(1), now), None);
+}
+
 /// Guards against a control member that lags behind and reverts a zone at an entry.
 #[actix_rt::test]
 async fn a_table_of_a_lower_revision_changes_nothing() {
