--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 //! the feeds of all control members; `loads` updates them from load datagrams;
 //! `permits` asks for permits for requests to cold targets; `quarantine` keeps
 //! requests from running that end their targets, and `evidence` exchanges what entries know of
-//! them; `directory` replies to callers' lookups of entry addresses.
+//! them; `evacuations` follows which availability zones are evacuated; `directory` replies to callers' lookups of entry addresses.
 //! [`CallerDialect`] defines header names and message formats.
 
 mod accepted;
@@ -27,6 +27,7 @@
 mod directory;
 mod dispatch;
 mod error_response;
+mod evacuations;
 mod events;
 mod evidence;
 mod follow;
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -42,6 +42,8 @@
     Leaving,
     /// It is cold, and the request has no permit or did not use it in time.
     Cold,
+    /// Its availability zone is evacuated.
+    Evacuated,
 }
 
 impl WithholdReason {
@@ -51,6 +53,7 @@
             Self::Resting => "resting",
             Self::Leaving => "leaving",
             Self::Cold => "cold",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -26,6 +26,8 @@
 //! - [`PermitAllocator`]: in an agent or control member, grants permits for requests to cold
 //!   targets; [`PermitRequests`] is what an entry holds and asks for.
 //! - [`RosterBatcher`]: when a changed list of entries is sent.
+//! - [`EvacuationView`]: the evacuated availability zones; [`TargetTable::set_evacuated`] merges the
+//!   tables of all control members.
 //! - [`EntryRoster`]: which entries callers may be sent to.
 //! - [`SwitchSchedule`]: when an instance may load new weights, so that not all do so at once.
 //! - [`OlderVersionPolicy`]: when an instance loads a superseded version.
@@ -42,6 +44,7 @@
 mod config_path;
 mod engine_times;
 mod entries;
+mod evacuations;
 mod health;
 mod origin_turn;
 mod peer_list;
@@ -81,6 +84,7 @@
     config_path::{ConfigField, ConfigPath, FieldNames},
     engine_times::{EngineTimes, RawEngineTimes},
     entries::{AddressQuery, EntryObservation, EntryRoster},
+    evacuations::{EvacuationChange, EvacuationView, ZoneEvacuation},
     health::{AttemptOutcome, TargetHealth},
     origin_turn::{OriginBacklog, OriginTurn, OriginTurnPolicy},
     peer_list::{PeerList, PeerMap, PeerUpdate, SwarmPeer, apply_peer_updates},
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -16,6 +16,7 @@
 };
 use crate::{
     backpressure::BackpressureTable,
+    evacuations::EvacuationHolder,
     health::AttemptOutcome,
     placement::{PlacementPolicy, PlacementQuery},
     regions::ZoneRegions,
@@ -86,6 +87,7 @@
     entry_group: EntryGroup,
     pub(crate) backpressure: BackpressureTable,
     cold: ColdTargets,
+    pub(crate) evacuations: EvacuationHolder,
 }
 
 impl TargetTable {
@@ -108,6 +110,7 @@
             entry_group: EntryGroup::default(),
             backpressure: BackpressureTable::default(),
             cold: ColdTargets::default(),
+            evacuations: EvacuationHolder::default(),
         }
     }
 
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -10,6 +10,7 @@
 mod cold_targets;
 mod crashing;
 mod engines;
+mod evacuations;
 mod late_orders;
 mod leaving;
 mod link_queue;
