--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -7,7 +7,7 @@
     request::RequestState,
     shared::GatewayShared,
 };
-use egretseam_serving::{TargetId, WaitUrgency};
+use egretseam_serving::{PredictedCost, TargetId, WaitUrgency};
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -84,6 +84,7 @@
         model: request.terms.model.as_ref(),
         tried: excluded,
         urgency,
+        cost: cost(shared, request),
         first_byte_deadline: first_byte_deadline(shared, request, need),
         regions: request.regions.as_ref(),
         wait_deadline: wait_deadline(shared, request, need),
@@ -115,6 +116,19 @@
     request.urgency().at_position(admission)
 }
 
+/// What the request is likely to cost; that of a usual request at services without engines.
+fn cost(shared: &GatewayShared, request: &RequestState) -> PredictedCost {
+    let Some(routes) = shared.routes().filter(|_| request.terms.model.is_some()) else {
+        return PredictedCost::default();
+    };
+    let service = routes.config().services.get(&request.service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let Some(engine) = engine else { return PredictedCost::default() };
+    let mut dispatch = shared.dispatch.borrow_mut();
+    let model = dispatch.cost_model(&request.service);
+    model.predict(&request.route.name, &request.terms.size, engine.slots, engine.times.as_ref())
+}
+
 fn record_placed(shared: &GatewayShared, request: &RequestState, need: &SlotNeed<'_>) {
     if need.tried.is_empty() && !need.is_beside {
         let mut dispatch = shared.dispatch.borrow_mut();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use egretseam_h1::{RequestHead, ResponseHead};
 use egretseam_proto::{ModelName, OrganisationName, PartId};
-use egretseam_serving::{NamedLimit, PaceFactor, RequestedRest, TargetId};
+use egretseam_serving::{NamedLimit, PaceFactor, RequestSize, RequestedRest, TargetId};
 use std::{net::SocketAddr, time::Duration};
 
 /// Headers of a caller's request other than those for routing and framing.
@@ -17,6 +17,8 @@
     pub api_key: Option<String>,
     /// Model that must serve the request.
     pub model: Option<ModelName>,
+    /// What the request states of its size.
+    pub size: RequestSize,
     /// Whether the caller resumes a stream after an event that it has.
     pub resumes: bool,
     /// Parts of the prompt that other requests may share, each once.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,8 +4,9 @@
 use crate::{permits, shared::GatewayShared};
 use egretseam_proto::{ModelName, ServiceName};
 use egretseam_serving::{
-    AdmissionPosition, AdmissionShares, AllowedRegions, AttemptOutcome, PlacementOutcome,
-    PlacementQuery, TargetId, TargetTable, WaitPolicy, WaitQueue, WaitTicket, WaitUrgency,
+    AdmissionPosition, AdmissionShares, AllowedRegions, AttemptOutcome, CostModel,
+    PlacementOutcome, PlacementQuery, PredictedCost, TargetId, TargetTable, WaitPolicy, WaitQueue,
+    WaitTicket, WaitUrgency,
 };
 use indexmap::IndexMap;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -22,6 +23,7 @@
     urgency: WaitUrgency,
     first_byte_deadline: Option<Instant>,
     regions: Option<AllowedRegions>,
+    cost: PredictedCost,
     sender: oneshot::Sender<SlotGuard>,
 }
 
@@ -31,12 +33,20 @@
     queues: IndexMap<ServiceName, WaitQueue<WaitingRequest>>,
     /// Recent requests of services with engines, by priority.
     admissions: IndexMap<ServiceName, AdmissionShares>,
+    /// What requests of services with engines cost.
+    costs: IndexMap<ServiceName, CostModel>,
     waiting: WaitPolicy,
 }
 
 impl DispatchState {
     pub(crate) fn new(targets: TargetTable, waiting: WaitPolicy) -> Self {
-        Self { targets, queues: IndexMap::new(), admissions: IndexMap::new(), waiting }
+        Self {
+            targets,
+            queues: IndexMap::new(),
+            admissions: IndexMap::new(),
+            costs: IndexMap::new(),
+            waiting,
+        }
     }
 
     fn queue(&mut self, service: &ServiceName) -> &mut WaitQueue<WaitingRequest> {
@@ -44,6 +54,14 @@
         self.queues.entry(service.clone()).or_insert_with(|| WaitQueue::new(waiting))
     }
 
+    /// What requests of a service cost.
+    pub(crate) fn cost_model(&mut self, service: &ServiceName) -> &mut CostModel {
+        if !self.costs.contains_key(service) {
+            self.costs.insert(service.clone(), CostModel::default());
+        }
+        &mut self.costs[service]
+    }
+
     /// Counts a caller's request for a service with engines.
     pub(crate) fn record_arrived(&mut self, service: &ServiceName, priority: u8, now: Instant) {
         if let Some(shares) = self.admissions.get_mut(service) {
@@ -89,6 +107,8 @@
     pub(crate) address: SocketAddr,
     /// When the request must have been sent, if the target is cold.
     pub(crate) send_by: Option<Instant>,
+    cost: PredictedCost,
+    occupied_at: Instant,
     released: bool,
 }
 
@@ -103,8 +123,14 @@
             return;
         }
         let now = Instant::now();
-        let is_unavailable =
-            self.shared.dispatch.borrow_mut().targets.finish_attempt(&self.target, outcome, now);
+        let is_unavailable = {
+            let mut dispatch = self.shared.dispatch.borrow_mut();
+            dispatch.targets.add_excess_work(&self.target, 1.0 - self.cost.relative);
+            dispatch.targets.finish_attempt(&self.target, outcome, now)
+        };
+        if outcome == AttemptOutcome::Answered {
+            self.record_cost(now);
+        }
         if is_unavailable {
             tracing::info!(target_id = %self.target, ?outcome, "target ejected or unreachable");
         }
@@ -112,6 +138,19 @@
     }
 }
 
+impl SlotGuard {
+    /// Learns from an answered request what requests like it cost.
+    fn record_cost(&self, now: Instant) {
+        let occupancy = now.saturating_duration_since(self.occupied_at);
+        if !self.cost.occupancy.is_zero() {
+            let error = occupancy.abs_diff(self.cost.occupancy);
+            self.shared.metrics.cost_error_seconds.observe(error.as_secs_f64());
+        }
+        let mut dispatch = self.shared.dispatch.borrow_mut();
+        dispatch.cost_model(&self.service).record(&self.cost, occupancy);
+    }
+}
+
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         self.release(AttemptOutcome::Abandoned);
@@ -129,6 +168,8 @@
     pub(crate) first_byte_deadline: Option<Instant>,
     /// Regions whose targets may get the request; `None` for all.
     pub(crate) regions: Option<&'a AllowedRegions>,
+    /// What the request is likely to cost.
+    pub(crate) cost: PredictedCost,
     /// When waiting ends at the latest.
     pub(crate) wait_deadline: Instant,
     /// Whether an attempt of the request runs. Its search counts for no prediction, and waits only
@@ -215,8 +256,9 @@
         }
         PlacementOutcome::Target(target) if goes_first => {
             dispatch.queue(request.service).record_placed(&request.urgency, now);
-            if let Some(guard) = occupy_slot(shared, &mut dispatch, request.service, target.clone())
-            {
+            let slot =
+                occupy_slot(shared, &mut dispatch, request.service, target.clone(), request.cost);
+            if let Some(guard) = slot {
                 return Ok(SlotReply::Acquired(guard));
             }
         }
@@ -273,6 +315,7 @@
         urgency,
         first_byte_deadline: request.first_byte_deadline,
         regions: request.regions.cloned(),
+        cost: request.cost,
         sender,
     };
     let queued = if in_outage {
@@ -303,11 +346,23 @@
     dispatch: &mut DispatchState,
     service: &ServiceName,
     target: TargetId,
+    cost: PredictedCost,
 ) -> Option<SlotGuard> {
     let address = dispatch.targets.address(&target)?;
-    let send_by = dispatch.targets.start_attempt(&target, Instant::now());
+    let occupied_at = Instant::now();
+    let send_by = dispatch.targets.start_attempt(&target, occupied_at);
+    dispatch.targets.add_excess_work(&target, cost.relative - 1.0);
     let (shared, service) = (shared.clone(), service.clone());
-    Some(SlotGuard { shared, service, target, address, send_by, released: false })
+    Some(SlotGuard {
+        shared,
+        service,
+        target,
+        address,
+        send_by,
+        cost,
+        occupied_at,
+        released: false,
+    })
 }
 
 /// Dispatches the waiting requests of a service to free slots, most urgent first.
@@ -319,7 +374,7 @@
         while let Some((ticket, target)) = next_dispatch(shared, &mut dispatch, service, now) {
             let Some(request) = dispatch.queue(service).remove(ticket) else { break };
             dispatch.queue(service).record_placed(&request.urgency, now);
-            if let Some(guard) = occupy_slot(shared, &mut dispatch, service, target) {
+            if let Some(guard) = occupy_slot(shared, &mut dispatch, service, target, request.cost) {
                 dispatched.push((request.sender, guard));
             }
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,7 @@
     pub(crate) claims_released: IntCounter,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) wait_seconds: Histogram,
+    pub(crate) cost_error_seconds: Histogram,
 }
 
 /// Reasons for retrying a request, each with its own counter.
@@ -248,6 +249,10 @@
             ),
             first_byte_seconds: metrics
                 .seconds("egretseam_gateway_first_byte_seconds", "Time to an answer's first byte."),
+            cost_error_seconds: metrics.seconds(
+                "egretseam_gateway_cost_error_seconds",
+                "Difference between the predicted and the actual time in a slot.",
+            ),
             wait_seconds: metrics.seconds(
                 "egretseam_gateway_wait_seconds",
                 "Time that requests waited for a place.",
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -54,6 +54,7 @@
 mod raw;
 mod regions;
 mod registry;
+mod request_cost;
 mod request_pacer;
 mod request_rate;
 mod requested_rest;
@@ -99,6 +100,7 @@
     },
     regions::{AllowedRegions, RegionFilter, ZoneRegions},
     registry::{AnnounceOutcome, LeaveOutcome, TargetRegistry},
+    request_cost::{CostModel, PredictedCost, RequestSize},
     request_pacer::PacedRoom,
     request_rate::{HeardLimit, NamedLimit, RateError, RequestRate},
     requested_rest::RequestedRest,
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -62,6 +62,9 @@
     /// 1 they fill evenly; a larger one favours the emptier targets but lets entries with the same
     /// view flood them.
     pub free_share_exponent: i32,
+    /// Targets drawn by their weights for one request, of which the one with the largest weight gets
+    /// it. With 1 the draw decides; more favour the emptier targets.
+    pub choices: u32,
     /// Time in which a sample of the other entries' load decays to the mean.
     pub load_decay: Duration,
     /// How long after a load sample an entry keeps to its share of an engine's slots.
@@ -95,6 +98,7 @@
             late_prefills: 4.0,
             cross_zone_penalty: 0.25,
             free_share_exponent: 2,
+            choices: 1,
             load_decay: Duration::from_millis(1_500),
             entry_share_max_age: Duration::from_millis(1_100),
             old_version_penalty: 0.1,
@@ -207,7 +211,7 @@
         let view = ServiceView::of(&eligible, resting.len(), query, now);
         let candidates = self.candidates(&eligible, query, &view, now);
         let permit_wanted = candidates.draw_without_permit().cloned();
-        let drawn = candidates.draw();
+        let drawn = candidates.draw(self.policy.choices);
         let outcome =
             drawn.map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()));
         PlacementChoice { outcome, permit_wanted }
@@ -348,6 +352,7 @@
     ) -> Option<f64> {
         let slots = f64::from(row.record.slots.max(1));
         let load = self.estimated_load(row, view.mean_other_load, now);
+        let work = (load + row.own_excess_work).max(0.0);
         let fill = match query.reserved_share {
             Some(reserved) => self.policy.max_fill - reserved,
             None if query.late => self.policy.late_max_fill,
@@ -356,7 +361,7 @@
         if load >= slots * fill || self.at_entry_share(row, query, now) {
             return None;
         }
-        let mut cost = load / slots;
+        let mut cost = work / slots;
         if row.record.zone != self.zone {
             cost += self.policy.cross_zone_penalty;
         }
--- a/crates/serving/src/placement/candidates.rs
+++ b/crates/serving/src/placement/candidates.rs
@@ -50,10 +50,10 @@
         is_cold.then(|| draw_weighted(&self.without_permit)).flatten()
     }
 
-    /// Draws the target that gets the request.
-    pub(super) fn draw(&self) -> Option<&'a TargetId> {
+    /// Draws the target that gets the request; see [`super::PlacementPolicy::choices`].
+    pub(super) fn draw(&self, choices: u32) -> Option<&'a TargetId> {
         draw_weighted(&self.permitted)
-            .or_else(|| draw_weighted(&self.usual))
+            .or_else(|| draw_best(&self.usual, choices))
             .or_else(|| draw_weighted(&self.trials))
             .or_else(|| draw_weighted(&self.last_resorts))
     }
@@ -61,11 +61,21 @@
 
 /// Draws a target at random by the weights.
 fn draw_weighted<'a>(weighted: &[(f64, &'a TargetId)]) -> Option<&'a TargetId> {
+    draw_row(weighted).map(|(_, id)| id)
+}
+
+/// Draws some targets at random by the weights, and takes the one with the largest weight.
+fn draw_best<'a>(weighted: &[(f64, &'a TargetId)], choices: u32) -> Option<&'a TargetId> {
+    let drawn = (0..choices.max(1)).filter_map(|_| draw_row(weighted));
+    drawn.max_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, id)| id)
+}
+
+fn draw_row<'a>(weighted: &[(f64, &'a TargetId)]) -> Option<(f64, &'a TargetId)> {
     let total: f64 = weighted.iter().map(|(weight, _)| weight).sum();
     let mut remaining = rand::rng().random::<f64>() * total;
     let drawn = weighted.iter().find(|(weight, _)| {
         remaining -= weight;
         remaining <= 0.0
     });
-    drawn.or(weighted.last()).map(|(_, id)| *id)
+    drawn.or(weighted.last()).copied()
 }
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -413,6 +413,13 @@
         self.consume_permit(id, now)
     }
 
+    /// Changes the work of this entry's requests at a target by `excess`, in usual requests.
+    pub fn add_excess_work(&mut self, id: &TargetId, excess: f64) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.own_excess_work += excess;
+        }
+    }
+
     /// Records the end of a request at a target. Returns whether the target was ejected or
     /// unreachable.
     pub fn finish_attempt(&mut self, id: &TargetId, outcome: AttemptOutcome, now: Instant) -> bool {
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -98,6 +98,8 @@
     /// When requests need a permit, if the service limits its cold targets.
     pub(super) cold: ColdTimes,
     pub(crate) own_in_flight: u32,
+    /// By how much the work of this entry's requests there exceeds that of as many usual ones.
+    pub(crate) own_excess_work: f64,
     /// This entry's requests there over the last second, for load samples that arrive late.
     pub(super) own_history: VecDeque<(Instant, u32)>,
     pub(crate) load: Option<LoadSample>,
@@ -133,6 +135,7 @@
             cold_until: reported_at,
             cold: ColdTimes::new(status, entry_started_at, now),
             own_in_flight: 0,
+            own_excess_work: 0.0,
             own_history: VecDeque::new(),
             load: None,
             pace: TargetPace::default(),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one module per subject.
 
+mod admission;
 mod attempt_limits;
 mod attempt_race;
 mod backpressure;
@@ -35,6 +36,7 @@
 mod processes;
 mod quarantine;
 mod regions;
+mod request_cost;
 mod retry_budget;
 mod scenarios;
 mod seeders;
@@ -46,6 +48,7 @@
 mod store;
 mod streams;
 mod support;
+mod target_pace;
 mod transfer_window;
 mod versions;
 mod waiting;
