--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -80,6 +80,10 @@
     Malformed,
     /// The body, or an event in it, is larger than any may be.
     TooLarge,
+    /// The head, or the interim responses before it, are larger than any may be.
+    HeadTooLarge,
+    /// Responses to other requests are larger, or more, than any may be.
+    StrayTooLarge,
     /// The body ended inside an event.
     InsideEvent,
     /// The connection of a body that ends with it was closed before the first event.
@@ -96,6 +100,8 @@
             Self::Reset => "reset",
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
+            Self::HeadTooLarge => "head-too-large",
+            Self::StrayTooLarge => "stray-too-large",
             Self::InsideEvent => "inside-event",
             Self::NoEvent => "no-event",
             Self::ProcessEnded => "process-ended",
@@ -108,7 +114,8 @@
         match error {
             ReadError::Closed => Self::ClosedEarly,
             ReadError::Io(_) => Self::Reset,
-            ReadError::Head(_) | ReadError::HeadTooLarge => Self::Malformed,
+            ReadError::Head(_) => Self::Malformed,
+            ReadError::HeadTooLarge => Self::HeadTooLarge,
             ReadError::BodyTooLarge => Self::TooLarge,
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) streams_resumed: IntCounter,
     pub(crate) responses_broken: IntCounterVec,
     pub(crate) responses_closed: IntCounter,
+    pub(crate) unrequested_bytes: IntCounterVec,
     pub(crate) callers_disconnected: IntCounter,
     pub(crate) requests_unanswered: IntCounterVec,
     pub(crate) connections_discarding: IntCounter,
@@ -77,6 +78,11 @@
                 "egretseam_gateway_responses_closed_total",
                 "Responses of targets that ended with their connection, without a length or chunks.",
             ),
+            unrequested_bytes: metrics.counter_by(
+                "egretseam_gateway_unrequested_bytes_total",
+                "Connections to targets that were reset because bytes arrived that belong to no response.",
+                "place",
+            ),
             callers_disconnected: metrics
                 .counter("egretseam_gateway_callers_left_total", "Callers that left unanswered."),
             requests_unanswered: metrics.counter_by(
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,6 @@
 //! Idle connections to targets, kept for reuse.
 
-use egretseam_h1::{ConnectionOptions, HttpConnection};
+use egretseam_h1::{ConnectionOptions, HttpConnection, MAX_PEEKED_BYTES};
 use egretseam_serving::TargetId;
 use indexmap::IndexMap;
 use std::{io, net::SocketAddr, time::Duration};
@@ -27,10 +27,24 @@
     expires_at: Instant,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.expires_at && self.connection.is_idle()
+    }
+
+    /// Whether more bytes have arrived than those of a second response to the last request.
+    fn is_flooded(&self) -> bool {
+        self.connection.unread_bytes(MAX_PEEKED_BYTES) >= MAX_PEEKED_BYTES
+    }
+}
+
 /// Idle connections by target.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
     idle: IndexMap<TargetId, Vec<IdleConnection>>,
+    /// Targets of connections that were dropped because they are flooded, until the next
+    /// [`Self::expire`].
+    flooded: Vec<TargetId>,
 }
 
 impl ConnectionPool {
@@ -41,9 +55,12 @@
             // A target may send a second response, or close, while a connection is idle. Reusing
             // the connection would return another request's response or lose the request, so one
             // with anything to read is dropped.
-            if now < idle.expires_at && idle.connection.is_idle() {
+            if idle.is_usable(now) {
                 return Some(idle.connection);
             }
+            if idle.is_flooded() {
+                self.flooded.push(target.clone());
+            }
         }
         None
     }
@@ -67,12 +84,17 @@
         }
     }
 
-    /// Drops connections that have been idle for too long.
-    pub(crate) fn expire(&mut self, now: Instant) {
-        for connections in self.idle.values_mut() {
-            connections.retain(|idle| now < idle.expires_at);
+    /// Drops connections that have been idle for too long or cannot carry a request. Returns the
+    /// targets on whose idle connections more bytes arrived than a second response has, once for
+    /// each connection.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<TargetId> {
+        let mut flooded = std::mem::take(&mut self.flooded);
+        for (target, connections) in &mut self.idle {
+            let dropped = connections.extract_if(.., |idle| !idle.is_usable(now));
+            flooded.extend(dropped.filter(|idle| idle.is_flooded()).map(|_| target.clone()));
         }
         self.idle.retain(|_, connections| !connections.is_empty());
+        flooded
     }
 
     /// Drops all connections to a target.
--- a/crates/gateway/src/rejection.rs
+++ b/crates/gateway/src/rejection.rs
@@ -1,7 +1,7 @@
 //! Reads the rest of a rejection, so that its connection can carry another request.
 
 use crate::shared::GatewayShared;
-use egretseam_h1::{BodyReader, HttpConnection};
+use egretseam_h1::{BodyReader, HttpConnection, ReadError};
 use egretseam_serving::TargetId;
 use std::{rc::Rc, time::Duration};
 
@@ -12,7 +12,8 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reads the rest of a response that states that a request did not run, beside the request's next
-/// attempt, and returns its connection to the pool.
+/// attempt, and returns its connection to the pool. A rest that is too large or comes too late resets
+/// the connection, and one that is too large or malformed counts as a failure of the target.
 pub(crate) fn drain(
     shared: &Rc<GatewayShared>,
     target: &TargetId,
@@ -23,9 +24,13 @@
     let (shared, target) = (shared.clone(), target.clone());
     actix_rt::spawn(async move {
         let body = connection.read_body(reader, MAX_REJECTION_BODY_BYTES);
-        let is_read = matches!(tokio::time::timeout(DRAIN_TIMEOUT, body).await, Ok(Ok(_)));
-        if is_read {
-            shared.keep_connection(&target, connection, idle_timeout);
+        match tokio::time::timeout(DRAIN_TIMEOUT, body).await {
+            Ok(Ok(_)) => return shared.keep_connection(&target, connection, idle_timeout),
+            Ok(Err(ReadError::BodyTooLarge | ReadError::Head(_))) => {
+                shared.record_unrequested(&target, "rejection");
+            }
+            Ok(Err(_)) | Err(_) => {}
         }
+        connection.abort();
     });
 }
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -11,7 +11,7 @@
     request::RequestState,
 };
 use bytes::{Bytes, BytesMut};
-use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ResponseHead};
+use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ReadError, ResponseHead};
 use egretseam_serving::RequestedRest;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,6 +19,9 @@
 /// Largest body of a response that is not a stream. It is read completely before any of it is
 /// forwarded, so that the request can be retried or an error sent if the response breaks off.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Largest body of a response without the target's signature: an error, or bytes that are no
+/// response of the target and may never end.
+const MAX_UNSIGNED_RESPONSE_BYTES: usize = 64 * 1024;
 /// Largest body of a response to another request that is read and discarded.
 const MAX_STRAY_BODY_BYTES: usize = 16 * 1024;
 /// Most responses to other requests that are discarded before the connection is closed.
@@ -40,10 +43,10 @@
             match &mut self.phase {
                 ReadPhase::Head { strays } => {
                     let strays = *strays;
-                    let head = self.read_head().await?;
+                    let head = self.read_head(request).await?;
                     self.begin_response(request, head, strays)?;
                 }
-                ReadPhase::Stray { .. } => self.discard_stray().await?,
+                ReadPhase::Stray { .. } => self.discard_stray(request).await?,
                 ReadPhase::Stream { .. } => return self.read_stream(request).await,
                 ReadPhase::Buffered { .. } => return self.read_buffered(request).await,
                 ReadPhase::EndCheck { ended, whole } => {
@@ -60,9 +63,12 @@
         self.connection.as_mut().ok_or(AttemptFailure::Broken)
     }
 
-    async fn read_head(&mut self) -> Result<ResponseHead, AttemptFailure> {
+    async fn read_head(&mut self, request: &RequestState) -> Result<ResponseHead, AttemptFailure> {
         let read = self.connection()?.read_response().await;
-        read.map_err(|_| AttemptFailure::Broken)
+        read.map_err(|error| match error {
+            ReadError::HeadTooLarge => self.broken(request, BreakReason::HeadTooLarge),
+            _ => AttemptFailure::Broken,
+        })
     }
 
     /// Begins with the body of a response whose head has been read.
@@ -101,6 +107,12 @@
             targets.record_accepted(&self.target, self.record.sent_at);
         }
         let is_stream = request.route.kind.is_stream() && is_success && !start.metadata.plain;
+        let max_bytes = max_body_bytes(&start) as u64;
+        let is_too_large = matches!(framing, BodyFraming::Length(length) if length > max_bytes);
+        if is_too_large && !is_stream {
+            self.response = Some(start);
+            return Err(self.broken(request, BreakReason::TooLarge));
+        }
         self.response = Some(start);
         self.phase = body_phase(request, reader, is_stream)?;
         Ok(())
@@ -115,7 +127,7 @@
     ) -> Result<(), AttemptFailure> {
         tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
         if strays >= MAX_STRAY_RESPONSES {
-            return Err(AttemptFailure::Broken);
+            return Err(self.broken(request, BreakReason::StrayTooLarge));
         }
         self.phase = ReadPhase::Stray { strays: strays + 1, reader, bytes: 0 };
         Ok(())
@@ -137,8 +149,9 @@
         if start.metadata.wrong_target {
             return AttemptFailure::OtherTarget;
         }
-        if let Some(connection) = self.connection.take()
-            && start.is_reusable()
+        // Otherwise the connection remains, and is reset with the attempt.
+        if start.is_reusable()
+            && let Some(connection) = self.connection.take()
         {
             let keep_alive = start.metadata.keep_alive;
             rejection::drain(&self.shared, &self.target, connection, reader, keep_alive);
@@ -146,7 +159,7 @@
         AttemptFailure::Full
     }
 
-    async fn discard_stray(&mut self) -> Result<(), AttemptFailure> {
+    async fn discard_stray(&mut self, request: &RequestState) -> Result<(), AttemptFailure> {
         let Some(connection) = self.connection.as_mut() else {
             return Err(AttemptFailure::Broken);
         };
@@ -154,7 +167,10 @@
         match reader.next(connection).await {
             Ok(Some(data)) => {
                 *bytes += data.len();
-                if *bytes > MAX_STRAY_BODY_BYTES { Err(AttemptFailure::Broken) } else { Ok(()) }
+                if *bytes > MAX_STRAY_BODY_BYTES {
+                    return Err(self.broken(request, BreakReason::StrayTooLarge));
+                }
+                Ok(())
             }
             Ok(None) => {
                 self.phase = ReadPhase::Head { strays: *strays };
@@ -219,14 +235,31 @@
         request: &RequestState,
     ) -> Result<AttemptOutput, AttemptFailure> {
         let chunk = self.next_chunk(request).await?;
-        let ReadPhase::Buffered { reader, body } = &mut self.phase else {
+        let (ReadPhase::Buffered { reader, body }, Some(connection)) =
+            (&mut self.phase, &mut self.connection)
+        else {
             return Err(AttemptFailure::Broken);
         };
         body.extend_from_slice(chunk.as_deref().unwrap_or_default());
-        if body.len() > MAX_BUFFERED_RESPONSE_BYTES {
+        // Without this, each chunk of a few bytes costs a turn of all attempts of the request.
+        let read = loop {
+            match reader.next_buffered(connection) {
+                Ok(Some(data)) => body.extend_from_slice(&data),
+                Ok(None) => break Ok(()),
+                Err(error) => break Err(BreakReason::from(&error)),
+            }
+        };
+        let max_bytes = self.response.as_ref().map_or(0, max_body_bytes);
+        let is_too_large = body.len() > max_bytes;
+        let is_done = chunk.is_none() || reader.is_done();
+        read.map_err(|reason| self.broken(request, reason))?;
+        if is_too_large {
             return Err(self.broken(request, BreakReason::TooLarge));
         }
-        if chunk.is_none() || reader.is_done() {
+        if is_done {
+            let ReadPhase::Buffered { body, .. } = &mut self.phase else {
+                return Err(AttemptFailure::Broken);
+            };
             let whole = AttemptOutput::Whole(std::mem::take(body).freeze());
             return self.end_body(request, BodyContent::Plain, whole);
         }
@@ -294,6 +327,11 @@
     }
 }
 
+/// Largest body of a response that is not a stream.
+fn max_body_bytes(start: &ResponseStart) -> usize {
+    if start.metadata.signed { MAX_BUFFERED_RESPONSE_BYTES } else { MAX_UNSIGNED_RESPONSE_BYTES }
+}
+
 /// How the body of the response is read.
 fn body_phase(
     request: &RequestState,
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -185,7 +185,10 @@
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         let Some(shared) = shared.upgrade() else { return };
         let now = Instant::now();
-        shared.pool.borrow_mut().expire(now);
+        let flooded = shared.pool.borrow_mut().expire(now);
+        for target in flooded {
+            shared.record_unrequested(&target, "idle");
+        }
         quarantine::log_changes(&shared);
         shared.quarantine.expire(now);
         shared.dispatch.borrow_mut().targets.expire(now);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -143,6 +143,17 @@
         }
     }
 
+    /// Records bytes of a target that belong to no response and do not end, as a failure of the
+    /// target. `place` is where they arrived, for the log.
+    pub(crate) fn record_unrequested(&self, target: &TargetId, place: &'static str) {
+        self.metrics.unrequested_bytes.with_label_values(&[place]).inc();
+        tracing::warn!(target_id = %target, place, "target sends bytes that belong to no response");
+        let targets = &mut self.dispatch.borrow_mut().targets;
+        if targets.record_failure(target, Instant::now()) {
+            tracing::info!(target_id = %target, place, "target ejected");
+        }
+    }
+
     /// Version of the configuration in force; 0 for none.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.borrow().version()
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -11,6 +11,11 @@
 /// Upper limit of the trailer section.
 const MAX_TRAILER_BYTES: usize = 4_096;
 
+/// How many more bytes chunk lines may have than the data. Streams of events, whose chunks hold at
+/// least an event each, stay far below; chunks of one byte each would make a body cost six times as
+/// many bytes and reads as its limit says.
+const MAX_CHUNK_OVERHEAD_BYTES: u64 = 1024 * 1024;
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -40,6 +45,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct BodyReader {
     state: ReadState,
+    /// Bytes of the chunk lines so far less those of the data.
+    chunk_overhead: u64,
 }
 
 impl BodyReader {
@@ -51,7 +58,7 @@
             BodyFraming::Chunked => ReadState::ChunkLine,
             BodyFraming::UntilClose => ReadState::UntilClose,
         };
-        Self { state }
+        Self { state, chunk_overhead: 0 }
     }
 
     /// Whether the body has been read to its end.
@@ -70,7 +77,7 @@
         connection: &mut HttpConnection,
     ) -> Result<Option<Bytes>, ReadError> {
         loop {
-            if let Some(data) = self.take_buffered(connection)? {
+            if let Some(data) = self.next_buffered(connection)? {
                 return Ok(Some(data));
             }
             if self.is_done() {
@@ -87,8 +94,12 @@
         }
     }
 
-    /// Returns body bytes that are already buffered, without reading from the socket.
-    fn take_buffered(
+    /// Returns body bytes that are already buffered, without reading from the socket; `None` if there
+    /// are none.
+    ///
+    /// # Errors
+    /// Fails on malformed chunks.
+    pub fn next_buffered(
         &mut self,
         connection: &mut HttpConnection,
     ) -> Result<Option<Bytes>, ReadError> {
@@ -128,7 +139,13 @@
                     self.state = ReadState::ChunkLine;
                 }
                 ReadState::ChunkLine => {
+                    let buffered = buffer.len();
                     let Some(size) = take_chunk_size(buffer)? else { return Ok(None) };
+                    let line = (buffered - buffer.len()) as u64;
+                    self.chunk_overhead = (self.chunk_overhead + line).saturating_sub(size);
+                    if self.chunk_overhead > MAX_CHUNK_OVERHEAD_BYTES {
+                        return Err(HeadError::Malformed.into());
+                    }
                     self.state =
                         if size == 0 { ReadState::Trailers(0) } else { ReadState::ChunkData(size) };
                 }
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -22,10 +22,16 @@
 const READ_RESERVE_BYTES: usize = 4_096;
 /// Upper limit of a response head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
+/// Upper limit of all interim responses before a response together. A target that sends more never
+/// comes to the response: without a limit, an entry read 30 MB of them until the deadline.
+const MAX_INTERIM_BYTES: usize = 32 * 1024;
 /// Length of the accept queue. When it is full, the platform's kernels drop the SYN of a new
 /// connection, which is retransmitted only after a second.
 const LISTEN_BACKLOG: i32 = 1_024;
 
+/// Most bytes that [`HttpConnection::unread_bytes`] counts.
+pub const MAX_PEEKED_BYTES: usize = 32 * 1024;
+
 /// Why a message could not be read.
 #[derive(Debug, Error)]
 pub enum ReadError {
@@ -38,7 +44,7 @@
     /// The message is not valid HTTP/1.1.
     #[error(transparent)]
     Head(#[from] HeadError),
-    /// The head exceeds the size limit.
+    /// The head, or the interim responses before it, exceed the size limit.
     #[error("message head exceeds the size limit")]
     HeadTooLarge,
     /// The body exceeds the size limit.
@@ -67,6 +73,8 @@
     buffer: BytesMut,
     /// Length of the buffer's prefix that was already searched for the end of a head.
     searched_bytes: usize,
+    /// Length of the interim responses since the last response.
+    interim_bytes: usize,
 }
 
 impl HttpConnection {
@@ -81,7 +89,7 @@
         let probes = TcpKeepalive::new().with_time(interval).with_interval(interval);
         socket.set_tcp_keepalive(&probes.with_retries(2))?;
         socket.set_tcp_user_timeout(Some(options.peer_timeout))?;
-        Ok(Self { stream, buffer: BytesMut::new(), searched_bytes: 0 })
+        Ok(Self { stream, buffer: BytesMut::new(), searched_bytes: 0, interim_bytes: 0 })
     }
 
     /// Connects to `address`.
@@ -165,8 +173,13 @@
             let head = ResponseHead::parse(&bytes)?;
             let interim = (100..200).contains(&head.status) && head.status != 101;
             if !interim {
+                self.interim_bytes = 0;
                 return Ok(head);
             }
+            self.interim_bytes += bytes.len();
+            if self.interim_bytes > MAX_INTERIM_BYTES {
+                return Err(ReadError::HeadTooLarge);
+            }
         }
     }
 
@@ -236,6 +249,16 @@
         matches!(peek(&self.stream), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// How many bytes have arrived that were not consumed; at least `limit` if there are as many.
+    /// `limit` is at most [`MAX_PEEKED_BYTES`].
+    pub fn unread_bytes(&self, limit: usize) -> usize {
+        let mut bytes = [MaybeUninit::uninit(); MAX_PEEKED_BYTES];
+        let limit = limit.min(MAX_PEEKED_BYTES);
+        let peeked = SockRef::from(&self.stream).peek(&mut bytes[..limit]);
+        // An error means that nothing has arrived, or that the connection failed.
+        self.buffer.len() + peeked.unwrap_or(0)
+    }
+
     /// Closes with a reset, so that the peer does not take a truncated message for a complete one.
     pub fn abort(self) {
         let socket = SockRef::from(&self.stream);
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -22,7 +22,10 @@
 pub use crate::{
     accept::{spawn_accept, spawn_accept_until, waiting_connections},
     body::{BodyFraming, BodyReader},
-    connection::{ConnectionOptions, HttpConnection, ReadError, bind_listener, has_unread_bytes},
+    connection::{
+        ConnectionOptions, HttpConnection, MAX_PEEKED_BYTES, ReadError, bind_listener,
+        has_unread_bytes,
+    },
     exchange::{CallRequest, CallResponse, ExchangeError, PersistentClient, exchange},
     head::{HeadError, HeaderField, HeaderList, RequestHead, ResponseHead},
     writer::{HeadWriter, chunk_frame, last_chunk},
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -445,6 +445,13 @@
         }
     }
 
+    /// Records a failure of a target that belongs to no request. Returns whether it ejected the
+    /// target.
+    pub fn record_failure(&mut self, id: &TargetId, now: Instant) -> bool {
+        let row = self.rows.get_mut(id);
+        row.is_some_and(|row| row.health.record(AttemptOutcome::Failed, now))
+    }
+
     /// Whether a service has a target for the request that it was not sent to before.
     pub fn has_other(&self, query: &PlacementQuery<'_>) -> bool {
         let untried = self.ids(query.service).filter(|id| !query.tried.contains(id));
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -8,6 +8,7 @@
 mod changes_midway;
 mod closing;
 mod crashing;
+mod endless;
 mod engines;
 mod late_orders;
 mod leaving;
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod control;
+mod flood;
 mod hanging;
 mod load;
 mod outcomes;
@@ -11,6 +12,7 @@
 pub(super) use self::{
     caller::{Caller, SeenAnswer, request},
     control::call_control,
+    flood::{FloodingTarget, ScriptedFlood},
     hanging::HangingListener,
     load::{Calls, call, call_all, entry_of},
     outcomes::{
