--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -16,6 +16,8 @@
 
 /// Upper bound of settings in seconds.
 const MAX_SECONDS: f64 = 86_400.0;
+/// Upper limit of the memory of a process, in MB.
+const MAX_MEMORY_MB: f64 = 1_000_000.0;
 /// Upper bound of [`FleetSettings::cold_overage`].
 const MAX_COLD_OVERAGE: f64 = 1_000.0;
 
@@ -86,6 +88,8 @@
     pub cold_overage: f64,
     /// Requests that a cold target may get in any one second beyond that.
     pub cold_tolerance: u64,
+    /// Memory that the process may use, in MB; `None` if the platform states none.
+    pub memory_mb: Option<f64>,
     /// Retries allowed per request, over all entries.
     pub retry_ratio: f64,
     /// Length of the window in which retries are counted.
@@ -154,6 +158,10 @@
         reader.add_error("cold_overage", message);
     }
     let cold_tolerance = reader.number("cold_tolerance", 0, 0, 1_000_000);
+    let memory_mb = reader.optional::<f64>("memory_mb");
+    if memory_mb.is_some_and(|memory| !(1.0..=MAX_MEMORY_MB).contains(&memory)) {
+        reader.add_error("memory_mb", format!("is not between 1 and {MAX_MEMORY_MB}"));
+    }
     let retry_ratio = reader.required("retry_ratio");
     let retry_window = seconds(reader, "retry_window_seconds");
     let retry_minimum = reader.number("retry_minimum", 0, 0, 1_000_000);
@@ -198,6 +206,7 @@
         evacuation_limit,
         cold_overage,
         cold_tolerance,
+        memory_mb,
         retry_ratio: retry_ratio?,
         retry_window: retry_window?,
         retry_minimum,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -35,6 +35,8 @@
     OtherTarget,
     /// The connection failed or the response is invalid; the request may have run.
     Broken,
+    /// The entry holds too many bytes to read the rest of the response. Says nothing of the target.
+    NoMemory,
     /// The response is whole but cannot continue the stream that the caller has begun to receive.
     NoContinuation,
     /// No response before the deadline; the request may have run.
@@ -50,6 +52,7 @@
             Self::Full => "target-full",
             Self::OtherTarget => "other-target",
             Self::Broken => "broken-answer",
+            Self::NoMemory => "no-memory",
             Self::NoContinuation => "no-continuation",
             Self::TimedOut => "no-answer",
         }
@@ -57,7 +60,7 @@
 
     /// Whether the request may have run at the target.
     pub(crate) fn may_have_run(self) -> bool {
-        matches!(self, Self::Broken | Self::NoContinuation | Self::TimedOut)
+        matches!(self, Self::Broken | Self::NoMemory | Self::NoContinuation | Self::TimedOut)
     }
 
     /// The outcome to record in the target's health.
@@ -68,7 +71,7 @@
             Self::OtherTarget | Self::Broken | Self::NoContinuation | Self::TimedOut => {
                 AttemptOutcome::Failed
             }
-            Self::Withheld => AttemptOutcome::Abandoned,
+            Self::Withheld | Self::NoMemory => AttemptOutcome::Abandoned,
         }
     }
 }
--- a/crates/gateway/src/attempts/delivery.rs
+++ b/crates/gateway/src/attempts/delivery.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use egretseam_h1::HttpConnection;
 use egretseam_serving::{AttemptId, AttemptOutcome};
+use tokio::time::Instant;
 
 impl RequestAttempts<'_> {
     pub(super) async fn handle_output(
@@ -31,8 +32,12 @@
             }
             AttemptOutput::Events(events) => {
                 self.deliver(id);
+                let began = Instant::now();
                 match self.forward_events(caller, id, &events).await {
-                    Ok(()) => None,
+                    Ok(()) => {
+                        self.record_forwarded(id, began);
+                        None
+                    }
                     Err(CallerGone) => Some(Ok(self.abandon())),
                 }
             }
@@ -60,8 +65,12 @@
             return None;
         }
         self.deliver(id);
-        let start = self.running.get(&id).and_then(RunningAttempt::response)?;
-        let forwarded = relay::forward_whole(self.shared, caller, self.request, start, &body).await;
+        let attempt = self.running.get_mut(&id)?;
+        attempt.release(answer_outcome(is_error));
+        let attempt = self.running.get(&id)?;
+        let (start, held) = (attempt.response()?, &attempt.held);
+        let forwarded =
+            relay::forward_whole(self.shared, caller, self.request, start, &body, held).await;
         Some(Ok(match forwarded {
             Ok(action) => self.complete(id, action),
             Err(CallerGone) => self.abandon(),
@@ -79,6 +88,15 @@
         }
     }
 
+    /// Records that events were forwarded. The time that the caller took to read them is no silence
+    /// of the target.
+    fn record_forwarded(&mut self, id: AttemptId, began: Instant) {
+        if let Some(attempt) = self.running.get_mut(&id) {
+            attempt.record_forwarding(began, Instant::now());
+            self.race.record_progress(id, attempt.silent_at());
+        }
+    }
+
     /// Cancels everything but the attempt that delivers.
     fn deliver(&mut self, id: AttemptId) {
         if self.search.take().is_some() || self.running.len() > 1 {
@@ -117,10 +135,10 @@
         id: AttemptId,
         events: &Bytes,
     ) -> Result<(), CallerGone> {
-        let Some(start) = self.running.get(&id).and_then(RunningAttempt::response) else {
-            return Ok(());
-        };
-        relay::forward_events(self.shared, caller, self.request, start, events).await
+        let Some(attempt) = self.running.get(&id) else { return Ok(()) };
+        let Some(start) = attempt.response() else { return Ok(()) };
+        let held = &attempt.held;
+        relay::forward_events(self.shared, caller, self.request, start, events, held).await
     }
 
     async fn finish_stream(
@@ -132,8 +150,9 @@
         if !comments.is_empty() {
             self.forward_events(caller, id, comments).await?;
         }
-        let start = self.running.get(&id).and_then(RunningAttempt::response).ok_or(CallerGone)?;
-        relay::finish_stream(self.shared, caller, self.request, start).await
+        let attempt = self.running.get(&id).ok_or(CallerGone)?;
+        let start = attempt.response().ok_or(CallerGone)?;
+        relay::finish_stream(self.shared, caller, self.request, start, &attempt.held).await
     }
 
     /// Ends the request with the complete answer of an attempt.
@@ -142,11 +161,7 @@
         if let Some(attempt) = self.running.shift_remove(&id) {
             log::answered(self.shared, self.request, &attempt.target, self.tried.len(), action);
             quarantine::record_served(self.shared, self.request, attempt.evidence());
-            attempt.complete(if is_error {
-                AttemptOutcome::Failed
-            } else {
-                AttemptOutcome::Answered
-            });
+            attempt.complete(answer_outcome(is_error));
         }
         if !is_error {
             self.shared.metrics.responses_forwarded.inc();
@@ -154,3 +169,8 @@
         RequestEnd::Answered(action)
     }
 }
+
+/// What a complete answer says of its target.
+fn answer_outcome(is_error: bool) -> AttemptOutcome {
+    if is_error { AttemptOutcome::Failed } else { AttemptOutcome::Answered }
+}
--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -84,6 +84,8 @@
     HeadTooLarge,
     /// Responses to other requests are larger, or more, than any may be.
     StrayTooLarge,
+    /// The entry holds as many bytes for callers as it may.
+    NoMemory,
     /// The body ended inside an event.
     InsideEvent,
     /// The connection of a body that ends with it was closed before the first event.
@@ -102,6 +104,7 @@
             Self::TooLarge => "too-large",
             Self::HeadTooLarge => "head-too-large",
             Self::StrayTooLarge => "stray-too-large",
+            Self::NoMemory => "no-memory",
             Self::InsideEvent => "inside-event",
             Self::NoEvent => "no-event",
             Self::ProcessEnded => "process-ended",
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -4,9 +4,10 @@
     connections::{self, CountGuard},
     error_response::{ErrorKind, ErrorResponse},
     forward::{self, ConnectionAction},
+    held_bytes::{BudgetExceeded, HeldBytes},
     shared::GatewayShared,
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use egretseam_h1::{
     BodyFraming, BodyReader, ConnectionOptions, HeadError, HttpConnection, ReadError, RequestHead,
 };
@@ -18,12 +19,18 @@
 /// arrive with their head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Delay after which callers may retry whose requests found no memory: unread responses are cut off
+/// after a second.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_secs(1);
+
 /// A request that has been read whole.
 struct ReceivedRequest {
     head: RequestHead,
     body: Bytes,
     received_at: Instant,
     _progress: CountGuard,
+    /// The body and the message to a target that holds a copy of it.
+    _held: HeldBytes,
 }
 
 /// Why no request was read from a connection.
@@ -85,12 +92,17 @@
         Err(_) => return Err(ReceiveError::Rejected(ErrorKind::SlowCaller)),
     };
     let progress = CountGuard::new(&shared.in_progress);
-    let body = match read_body(caller, &head, &limits).await {
+    let held = shared.budget.request_guard();
+    let body = match read_body(caller, &head, &limits, &held).await {
         Ok(body) => body,
+        Err(BodyError::NoMemory) => {
+            shared.metrics.held_cut_off.with_label_values(&["request"]).inc();
+            return Err(ReceiveError::Rejected(ErrorKind::NoMemory));
+        }
         Err(BodyError::Read(error)) => return Err(receive_error(&error)),
         Err(BodyError::TimedOut) => return Err(ReceiveError::Rejected(ErrorKind::SlowCaller)),
     };
-    Ok(ReceivedRequest { head, body, received_at, _progress: progress })
+    Ok(ReceivedRequest { head, body, received_at, _progress: progress, _held: held })
 }
 
 async fn serve_request(
@@ -98,7 +110,7 @@
     caller: &mut HttpConnection,
     request: ReceivedRequest,
 ) -> ConnectionAction {
-    let ReceivedRequest { head, body, received_at, _progress } = request;
+    let ReceivedRequest { head, body, received_at, _progress, _held } = request;
     forward::serve(shared, caller, head, body, received_at).await
 }
 
@@ -113,7 +125,10 @@
 
 /// Sends an error response to what is no proper request, and closes the connection.
 async fn reject(shared: &GatewayShared, mut caller: HttpConnection, kind: ErrorKind) {
-    let error = ErrorResponse::new(kind);
+    let error = match kind {
+        ErrorKind::NoMemory => ErrorResponse::with_retry_after(kind, RETRY_AFTER_NO_MEMORY),
+        _ => ErrorResponse::new(kind),
+    };
     match forward::send_error(shared, &mut caller, &error, false, "").await {
         ConnectionAction::Reset => caller.abort(),
         ConnectionAction::Keep | ConnectionAction::Close => {
@@ -125,12 +140,15 @@
 enum BodyError {
     Read(ReadError),
     TimedOut,
+    /// The limit of held bytes is reached.
+    NoMemory,
 }
 
 async fn read_body(
     caller: &mut HttpConnection,
     head: &RequestHead,
     limits: &CallerLimits,
+    held: &HeldBytes,
 ) -> Result<Bytes, BodyError> {
     let length = match head.framing {
         BodyFraming::Empty | BodyFraming::Length(0) => return Ok(Bytes::new()),
@@ -140,17 +158,41 @@
     if length > limits.max_body_bytes as u64 {
         return Err(BodyError::Read(ReadError::BodyTooLarge));
     }
+    hold_copies(held, length as usize)?;
     if head.headers.has_token("expect", "100-continue") {
         let interim = caller.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         interim.map_err(|error| BodyError::Read(error.into()))?;
     }
     let limit = BODY_TIMEOUT + Duration::from_secs(length >> 20);
-    let read = caller.read_body(BodyReader::new(head.framing), limits.max_body_bytes);
-    match tokio::time::timeout(limit, read).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(error)) => Err(BodyError::Read(error)),
-        Err(_) => Err(BodyError::TimedOut),
+    let read = read_held(caller, head.framing, limits.max_body_bytes, held);
+    tokio::time::timeout(limit, read).await.unwrap_or(Err(BodyError::TimedOut))
+}
+
+/// Reads a body, and holds what has been read if its length is not known.
+async fn read_held(
+    caller: &mut HttpConnection,
+    framing: BodyFraming,
+    max_bytes: usize,
+    held: &HeldBytes,
+) -> Result<Bytes, BodyError> {
+    let mut reader = BodyReader::new(framing);
+    if matches!(framing, BodyFraming::Length(_)) {
+        return caller.read_body(reader, max_bytes).await.map_err(BodyError::Read);
+    }
+    let mut body = BytesMut::new();
+    while let Some(data) = reader.next(caller).await.map_err(BodyError::Read)? {
+        if body.len() + data.len() > max_bytes {
+            return Err(BodyError::Read(ReadError::BodyTooLarge));
+        }
+        body.extend_from_slice(&data);
+        hold_copies(held, body.len())?;
     }
+    Ok(body.freeze())
+}
+
+/// Holds a body and the copy of it in the message to a target.
+fn hold_copies(held: &HeldBytes, length: usize) -> Result<(), BodyError> {
+    held.resize(2 * length, Instant::now()).map_err(|BudgetExceeded| BodyError::NoMemory)
 }
 
 fn receive_error(error: &ReadError) -> ReceiveError {
--- a/crates/gateway/src/error_response.rs
+++ b/crates/gateway/src/error_response.rs
@@ -24,6 +24,8 @@
     BodyTooLarge,
     /// The caller did not send its complete request in time.
     SlowCaller,
+    /// The entry holds as many bytes for callers as it may.
+    NoMemory,
     /// All slots are occupied, and the wait would be or was too long.
     Full,
     /// No target of the service can run the request.
@@ -44,7 +46,7 @@
 
 impl ErrorKind {
     /// All kinds, for metrics.
-    pub(crate) const ALL: [Self; 16] = [
+    pub(crate) const ALL: [Self; 17] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::MissingKey,
@@ -53,6 +55,7 @@
         Self::HeadTooLarge,
         Self::BodyTooLarge,
         Self::SlowCaller,
+        Self::NoMemory,
         Self::Full,
         Self::NoTarget,
         Self::TargetsRefused,
@@ -74,6 +77,7 @@
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
             Self::SlowCaller => "slow-caller",
+            Self::NoMemory => "no-memory",
             Self::Full => "full",
             Self::NoTarget => "no-target",
             Self::TargetsRefused => "targets-refused",
@@ -98,6 +102,7 @@
             Self::BodyTooLarge => (413, "Content Too Large"),
             Self::SlowCaller => (408, "Request Timeout"),
             Self::NoConfig
+            | Self::NoMemory
             | Self::Full
             | Self::NoTarget
             | Self::TargetsRefused
@@ -118,6 +123,7 @@
                 | Self::HeadTooLarge
                 | Self::BodyTooLarge
                 | Self::SlowCaller
+                | Self::NoMemory
                 | Self::Stopping
         )
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! the feeds of all control members; `loads` updates them from load datagrams; `quarantine` keeps
 //! requests from running that end their targets, and `evidence` exchanges what entries know of
 //! them; `directory` replies to callers' lookups of entry addresses.
+//! `held_bytes` limits what is held for all callers together.
 //! [`CallerDialect`] defines header names and message formats.
 
 mod accepted;
@@ -30,6 +31,7 @@
 mod evidence;
 mod follow;
 mod forward;
+mod held_bytes;
 mod limits;
 mod loads;
 mod metrics;
@@ -47,6 +49,7 @@
 pub use crate::{
     dialect::{CallerDialect, LookupQuery, RequestMetadata, ResponseMetadata, TargetRequest},
     events::{EventBuffer, last_event_id},
+    held_bytes::{BudgetExceeded, BufferBudget, HeldBytes},
     options::{GatewayListeners, GatewayOptions},
     runtime::{GatewayRuntime, StartError},
 };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) responses_broken: IntCounterVec,
     pub(crate) responses_closed: IntCounter,
     pub(crate) unrequested_bytes: IntCounterVec,
+    pub(crate) held_bytes: IntGauge,
+    pub(crate) held_cut_off: IntCounterVec,
     pub(crate) callers_disconnected: IntCounter,
     pub(crate) requests_unanswered: IntCounterVec,
     pub(crate) connections_discarding: IntCounter,
@@ -48,8 +50,15 @@
 }
 
 /// Reasons for retrying a request, each with its own counter.
-const RETRY_REASONS: [&str; 6] =
-    ["unreachable", "target-full", "other-target", "broken-answer", "no-continuation", "no-answer"];
+const RETRY_REASONS: [&str; 7] = [
+    "no-memory",
+    "unreachable",
+    "target-full",
+    "other-target",
+    "broken-answer",
+    "no-continuation",
+    "no-answer",
+];
 
 impl GatewayMetrics {
     pub(crate) fn new(metrics: &DaemonMetrics) -> Self {
@@ -83,6 +92,15 @@
                 "Connections to targets that were reset because bytes arrived that belong to no response.",
                 "place",
             ),
+            held_bytes: metrics.gauge(
+                "egretseam_gateway_held_bytes",
+                "Bytes of requests and responses held for all callers.",
+            ),
+            held_cut_off: metrics.counter_by(
+                "egretseam_gateway_held_cut_off_total",
+                "Requests and responses cut off at the limit of held bytes.",
+                "kind",
+            ),
             callers_disconnected: metrics
                 .counter("egretseam_gateway_callers_left_total", "Callers that left unanswered."),
             requests_unanswered: metrics.counter_by(
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -66,6 +66,8 @@
     pub stream_idle_timeout: Duration,
     /// Whether samples in load datagrams update the known load of targets.
     pub uses_load_datagrams: bool,
+    /// Most bytes of requests and responses held for all callers together; `None` for no limit.
+    pub held_bytes_limit: Option<usize>,
     /// Time from the request to stop until the process must have exited.
     pub stop_limit: Duration,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,12 +3,14 @@
 use crate::{
     events::last_event_id,
     forward::ConnectionAction,
+    held_bytes::HeldBytes,
     request::RequestState,
     running_attempt::ResponseStart,
     shared::{GatewayShared, StopPhase},
 };
 use bytes::Bytes;
 use egretseam_h1::{HeadWriter, HttpConnection, ResponseHead, chunk_frame, last_chunk};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Header fields that belong to one connection or its framing and are not forwarded.
@@ -26,6 +28,11 @@
 /// Status with which a target rejects a request, and may ask for rest.
 const SERVICE_UNAVAILABLE: u16 = 503;
 
+/// Largest body that is copied behind its head, to be sent with it.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+/// How often it is checked whether a caller reads, while something is written to it.
+const READ_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The caller has disconnected, or did not read the response before its deadline.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallerGone;
@@ -63,18 +70,25 @@
     request: &RequestState,
     start: &ResponseStart,
     body: &Bytes,
+    held: &HeldBytes,
 ) -> Result<ConnectionAction, CallerGone> {
     let keep_alive = keeps_connection(shared, request);
     let mut writer = response_writer(&start.head, keep_alive);
+    let is_separate = body.len() > MAX_COPIED_BODY_BYTES;
     let bytes = if &request.head.method[..] == b"HEAD" {
         if let Some(length) = start.head.headers.text("content-length") {
             writer.text("Content-Length", length);
         }
         writer.finish()
+    } else if is_separate {
+        writer.text("Content-Length", &body.len().to_string());
+        let head = writer.finish();
+        write_before(shared, caller, head, request, held).await?;
+        body.clone()
     } else {
         writer.finish_with(body)
     };
-    write_before(caller, &bytes, request.deadline).await?;
+    write_before(shared, caller, bytes, request, held).await?;
     Ok(action_after(keep_alive))
 }
 
@@ -86,6 +100,7 @@
     request: &RequestState,
     start: &ResponseStart,
     events: &Bytes,
+    held: &HeldBytes,
 ) -> Result<(), CallerGone> {
     let frame = chunk_frame(events);
     let bytes = if request.response_started() {
@@ -99,7 +114,7 @@
         first.extend_from_slice(&frame);
         first.into()
     };
-    write_before(caller, &bytes, request.deadline).await?;
+    write_before(shared, caller, bytes, request, held).await?;
     let mut progress = request.progress.borrow_mut();
     progress.record_forwarded(request.received_at, Instant::now(), last_event_id(events));
     Ok(())
@@ -111,25 +126,55 @@
     caller: &mut HttpConnection,
     request: &RequestState,
     start: &ResponseStart,
+    held: &HeldBytes,
 ) -> Result<ConnectionAction, CallerGone> {
     if request.response_started() {
-        write_before(caller, last_chunk(), request.deadline).await?;
+        write_before(shared, caller, Bytes::from_static(last_chunk()), request, held).await?;
         // What the head has announced holds, whatever has begun since.
         return Ok(action_after(request.progress.borrow().keeps_connection));
     }
     let keep_alive = keeps_connection(shared, request);
     let bytes = response_writer(&start.head, keep_alive).finish_with(b"");
-    write_before(caller, &bytes, request.deadline).await?;
+    write_before(shared, caller, bytes, request, held).await?;
     Ok(action_after(keep_alive))
 }
 
+/// Writes all of `bytes` before the request's deadline, unless they are cut off because the caller
+/// reads nothing and others need the memory.
 async fn write_before(
+    shared: &GatewayShared,
     caller: &mut HttpConnection,
-    bytes: &[u8],
-    deadline: Instant,
+    mut bytes: Bytes,
+    request: &RequestState,
+    held: &HeldBytes,
 ) -> Result<(), CallerGone> {
-    match tokio::time::timeout_at(deadline, caller.write(bytes)).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) | Err(_) => Err(CallerGone),
+    held.record_read(Instant::now());
+    while !bytes.is_empty() {
+        let before = bytes.len();
+        let until = request.deadline.min(Instant::now() + READ_CHECK_INTERVAL);
+        match tokio::time::timeout_at(until, caller.write_from(&mut bytes)).await {
+            Ok(Ok(())) => break,
+            Ok(Err(_)) => return Err(CallerGone),
+            Err(_) if Instant::now() >= request.deadline => return Err(CallerGone),
+            Err(_) => {}
+        }
+        if held.is_cut_off() {
+            record_cut_off(shared, request, bytes.len());
+            return Err(CallerGone);
+        }
+        if bytes.len() < before {
+            held.record_read(Instant::now());
+        }
     }
+    held.record_idle();
+    Ok(())
+}
+
+fn record_cut_off(shared: &GatewayShared, request: &RequestState, unsent: usize) {
+    shared.metrics.held_cut_off.with_label_values(&["unread-response"]).inc();
+    tracing::warn!(
+        request_id = %request.terms.id,
+        unsent,
+        "cut off a response that its caller does not read, for memory"
+    );
 }
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -10,6 +10,7 @@
     dialect::ResponseMetadata,
     dispatch::SlotGuard,
     events::EventBuffer,
+    held_bytes::HeldBytes,
     quarantine::{self, AttemptEvidence, BrokenAttempt, RunPermit},
     request::RequestState,
     shared::GatewayShared,
@@ -20,6 +21,12 @@
 use std::{net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
+/// How long a caller reads nothing before its target may break off the response.
+const MIN_UNREAD: Duration = Duration::from_secs(1);
+/// How long after the caller has gone on reading the break may show: what the target had sent before
+/// is read first.
+const UNREAD_EXCUSE: Duration = Duration::from_secs(1);
+
 /// How an attempt was opened and sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptRecord {
@@ -102,6 +109,10 @@
     response: Option<ResponseStart>,
     first_byte_timer: Option<FirstByteTimer>,
     evidence: AttemptEvidence,
+    /// What is held of the response.
+    pub(crate) held: HeldBytes,
+    /// When the caller last went on reading after it had read nothing for a while.
+    unread_until: Option<Instant>,
     record: AttemptRecord,
     silent_at: Instant,
     /// Whether the silence that began then has been recorded.
@@ -142,6 +153,8 @@
             phase: ReadPhase::Head { strays: 0 },
             response: None,
             evidence: AttemptEvidence::default(),
+            held: shared.budget.guard(),
+            unread_until: None,
             record,
             silent_at: record.sent_at,
             is_silent: false,
@@ -214,9 +227,15 @@
         }
     }
 
-    /// Ends the attempt after its complete response: records `outcome` and returns its connection to
-    /// the pool if it can carry another request.
+    /// Ends the attempt after its complete response.
     pub(crate) fn complete(mut self, outcome: AttemptOutcome) {
+        self.release(outcome);
+    }
+
+    /// Records `outcome` after the complete response, and returns the connection to the pool if it can
+    /// carry another request. The response may still be forwarded: a caller that reads it slowly
+    /// occupies no slot.
+    pub(crate) fn release(&mut self, outcome: AttemptOutcome) {
         let connection = self.connection.take();
         if let (Some(connection), Some(start)) = (connection, &self.response)
             && start.is_reusable()
@@ -241,9 +260,13 @@
             self.shared.dispatch.borrow_mut().targets.remove_target(&self.target, now);
             self.shared.pool.borrow_mut().remove_target(&self.target);
         }
-        self.finish(failure_outcome(request, failure));
+        let is_excused = failure == AttemptFailure::Broken && self.is_excused(Instant::now());
+        self.finish(match is_excused {
+            true => AttemptOutcome::Abandoned,
+            false => failure_outcome(request, failure),
+        });
         let permit = std::mem::replace(&mut self.permit, RunPermit::Normal);
-        if failure == AttemptFailure::Broken {
+        if failure == AttemptFailure::Broken && !is_excused {
             let features = request.suspect_features(self.evidence.parts_cleared).to_vec();
             let (started_at, isolated) = (self.record.started_at, self.isolated);
             let attempt = BrokenAttempt { features, started_at, isolated, permit };
@@ -255,6 +278,27 @@
         (!may_have_run).then_some(permit)
     }
 
+    /// Records that forwarding took from `began` until `now`. Meanwhile nothing was read from the
+    /// target, so its silence begins `now`.
+    pub(crate) fn record_forwarding(&mut self, began: Instant, now: Instant) {
+        let took = now.saturating_duration_since(began);
+        self.silent_at += took;
+        if took >= MIN_UNREAD {
+            self.unread_until = Some(now);
+        }
+    }
+
+    /// Whether the target may have broken off because its response remained unread, as the caller did
+    /// not read.
+    fn is_excused(&self, now: Instant) -> bool {
+        let until = self.unread_until.map(|until| until + UNREAD_EXCUSE);
+        let is_excused = until.is_some_and(|until| now <= until);
+        if is_excused {
+            tracing::info!(target_id = %self.target, "response broke off after it remained unread");
+        }
+        is_excused
+    }
+
     /// Cancels the attempt because another one delivers.
     pub(crate) fn supersede(mut self, request: &RequestState) {
         tracing::info!(
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -7,6 +7,7 @@
     body_end::{self, BodyContent, BodyEnd, BreakReason, EndMeaning, framing_slug},
     dialect::ResponseMetadata,
     events::EventBuffer,
+    held_bytes::BudgetExceeded,
     limits, quarantine, rejection,
     request::RequestState,
 };
@@ -38,7 +39,11 @@
         let Some(connection) = self.connection.as_mut() else {
             return Err(AttemptFailure::Broken);
         };
-        connection.write_from(&mut self.unsent).await.map_err(|_| AttemptFailure::Broken)?;
+        if !self.unsent.is_empty() {
+            connection.write_from(&mut self.unsent).await.map_err(|_| AttemptFailure::Broken)?;
+            // Releases the memory of the message.
+            self.unsent = Bytes::new();
+        }
         loop {
             match &mut self.phase {
                 ReadPhase::Head { strays } => {
@@ -209,6 +214,9 @@
         if buffer.exceeds_limit() {
             return Err(self.broken(request, BreakReason::TooLarge));
         }
+        // The events and the frame that holds a copy of them, and what follows them.
+        let held = buffer.remainder().len() + 2 * events.as_ref().map_or(0, Bytes::len);
+        self.hold(request, held)?;
         let now = Instant::now();
         self.record_bytes(now + STREAM_SILENCE);
         if events.is_some() {
@@ -251,11 +259,13 @@
         };
         let max_bytes = self.response.as_ref().map_or(0, max_body_bytes);
         let is_too_large = body.len() > max_bytes;
+        let capacity = body.capacity();
         let is_done = chunk.is_none() || reader.is_done();
         read.map_err(|reason| self.broken(request, reason))?;
         if is_too_large {
             return Err(self.broken(request, BreakReason::TooLarge));
         }
+        self.hold(request, capacity)?;
         if is_done {
             let ReadPhase::Buffered { body, .. } = &mut self.phase else {
                 return Err(AttemptFailure::Broken);
@@ -318,6 +328,15 @@
         AttemptFailure::Broken
     }
 
+    /// Holds so many bytes of the response.
+    fn hold(&self, request: &RequestState, bytes: usize) -> Result<(), AttemptFailure> {
+        self.held.resize(bytes, Instant::now()).map_err(|BudgetExceeded| {
+            self.shared.metrics.held_cut_off.with_label_values(&["response"]).inc();
+            self.broken(request, BreakReason::NoMemory);
+            AttemptFailure::NoMemory
+        })
+    }
+
     /// Records bytes of the response; its silence begins at `silent_at` now.
     fn record_bytes(&mut self, silent_at: Instant) {
         self.silent_at = silent_at;
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -189,6 +189,7 @@
         for target in flooded {
             shared.record_unrequested(&target, "idle");
         }
+        shared.metrics.held_bytes.set(shared.budget.held() as i64);
         quarantine::log_changes(&shared);
         shared.quarantine.expire(now);
         shared.dispatch.borrow_mut().targets.expire(now);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::{
     dialect::{CallerDialect, RequestMetadata},
     dispatch::DispatchState,
+    held_bytes::BufferBudget,
     limits::LimitOutbox,
     metrics::GatewayMetrics,
     options::GatewayOptions,
@@ -55,6 +56,8 @@
     routes_available: Notify,
     pub(crate) dispatch: RefCell<DispatchState>,
     pub(crate) pool: RefCell<ConnectionPool>,
+    /// Bytes held for callers.
+    pub(crate) budget: Rc<BufferBudget>,
     pub(crate) quarantine: QuarantineState,
     pub(crate) limit_outbox: LimitOutbox,
     /// Port at which every entry receives datagrams.
@@ -93,6 +96,7 @@
             routes_available: Notify::new(),
             dispatch: RefCell::new(dispatch),
             pool: RefCell::default(),
+            budget: BufferBudget::new(options.held_bytes_limit),
             quarantine: QuarantineState::new(),
             limit_outbox: LimitOutbox::default(),
             datagram_port: Cell::new(0),
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -24,6 +24,7 @@
 mod rests;
 mod retry_budget;
 mod silence;
+mod slow_readers;
 mod weights;
 mod weights_bed;
 mod zone_cache;
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -121,6 +121,7 @@
             evacuation_limit: None,
             cold_overage: 1.0,
             cold_tolerance: 0,
+            memory_mb: None,
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_minimum: 100,
--- a/tests/all/fleet/bed/flood.rs
+++ b/tests/all/fleet/bed/flood.rs
@@ -24,6 +24,8 @@
     pub(crate) unit: String,
     /// Time between two units.
     pub(crate) interval: Duration,
+    /// How long a unit may remain unread until the target breaks off.
+    pub(crate) unread_limit: Duration,
 }
 
 /// How a connection to a flooding target has ended.
@@ -85,6 +87,9 @@
         let (arrived_at, mut bytes) = (Instant::now(), 0);
         let id = head.headers.text("X-Request-Id").unwrap_or_default().to_owned();
         let error = self.send(&mut connection, &id, &mut bytes).await;
+        if error.kind() == io::ErrorKind::TimedOut {
+            connection.abort();
+        }
         let is_reset = error.kind() == io::ErrorKind::ConnectionReset;
         self.ends.borrow_mut().push(FloodEnd { bytes, after: arrived_at.elapsed(), is_reset });
     }
@@ -97,8 +102,11 @@
         }
         tokio::time::sleep(flood.delay).await;
         loop {
-            if let Err(error) = connection.write(flood.unit.as_bytes()).await {
-                return error;
+            let write = connection.write(flood.unit.as_bytes());
+            match tokio::time::timeout(flood.unread_limit, write).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => return error,
+                Err(_) => return io::ErrorKind::TimedOut.into(),
             }
             *sent += flood.unit.len();
             if !flood.interval.is_zero() {
--- a/tests/all/fleet/endless.rs
+++ b/tests/all/fleet/endless.rs
@@ -50,6 +50,7 @@
         delay: Duration::ZERO,
         unit: unit.repeat(UNIT_BYTES / unit.len()),
         interval: FLOOD_INTERVAL,
+        unread_limit: Duration::MAX,
     }
 }
 
--- a/tests/all/fleet_settings.rs
+++ b/tests/all/fleet_settings.rs
@@ -30,6 +30,20 @@
     assert_eq!(parsed.drain_time, Duration::from_secs(2));
 }
 
+/// Without a memory limit, settings of earlier platforms keep their meaning.
+#[test]
+fn the_memory_limit_is_optional_and_checked() {
+    let mut limited = settings();
+    let parsed = FleetSettings::parse(&limited.to_string()).expect("valid settings");
+    assert_eq!(parsed.memory_mb, None);
+    limited["memory_mb"] = json!(112);
+    let parsed = FleetSettings::parse(&limited.to_string()).expect("valid settings");
+    assert_eq!(parsed.memory_mb, Some(112.0));
+    limited["memory_mb"] = json!(0);
+    let error = FleetSettings::parse(&limited.to_string()).expect_err("an invalid field");
+    assert_eq!(error.field_errors[0].path, "$.memory_mb");
+}
+
 /// Operators override single policy fields; the others keep their defaults.
 #[test]
 fn policy_fields_can_be_overridden() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod group_faults;
 mod group_model;
 mod group_repair;
+mod held_bytes;
 mod http_client;
 mod incarnations;
 mod kept_client;
