--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -4,7 +4,9 @@
 use anyhow::Context;
 use egretseam_config::{FleetAgent, FleetControl, FleetEntry, FleetSettings, PolicyOverrides};
 use egretseam_control::{ControlOptions, GroupFormation, RepairPolicy};
-use egretseam_gateway::{CallerDialect, GatewayListeners, GatewayOptions, GatewayRuntime};
+use egretseam_gateway::{
+    BufferBudget, CallerDialect, GatewayListeners, GatewayOptions, GatewayRuntime,
+};
 use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection, bind_listener, spawn_accept};
 use egretseam_http::DaemonMetrics;
 use egretseam_registrar::{ControlDialect, RegistrarListeners, RegistrarOptions, RegistrarRuntime};
@@ -40,15 +42,6 @@
 /// How long before the end of the staleness bound requests stop going to targets with an older
 /// version, in addition to their wait in an engine: covers the time in flight.
 const STALENESS_MARGIN: Duration = Duration::from_millis(600);
-/// Memory of an entry beside what it holds for callers, in MB: some 10 MB at rest, the tables of a
-/// large fleet, and connections.
-const ENTRY_BASE_MB: f64 = 32.0;
-/// Share of the rest that may be held for callers. The remainder is for fragmentation, and for what
-/// is cut off but not yet freed.
-const HELD_SHARE: f64 = 0.6;
-/// Fewest MB that may be held for callers: one response of the largest size, whose buffer may have
-/// twice its length.
-const MIN_HELD_MB: f64 = 16.0;
 /// Number of log entries after which a snapshot is taken. A configuration has up to 100 KiB, so
 /// this bounds the memory of the log to a few MiB.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 24;
@@ -251,7 +244,7 @@
             max_attempts: policy.max_attempts.map_or(u32::MAX, |most| most as u32),
             stream_idle_timeout: policy.stream_idle_timeout.unwrap_or(DEFAULT_STREAM_IDLE_TIMEOUT),
             uses_load_datagrams: policy.uses_load_datagrams.unwrap_or(true),
-            held_bytes_limit: settings.memory_mb.map(held_bytes_limit),
+            held_bytes_limit: settings.memory_mb.map(BufferBudget::limit_for),
             stop_limit: settings.stop_timeout,
         };
         let runtime = GatewayRuntime::start(options, dialect, listeners, self.metrics);
@@ -409,9 +402,3 @@
         connection.close().await;
     }
 }
-
-/// Most bytes that an entry holds for callers, given the memory of the process in MB.
-fn held_bytes_limit(memory_mb: f64) -> usize {
-    let held_mb = ((memory_mb - ENTRY_BASE_MB) * HELD_SHARE).max(MIN_HELD_MB);
-    (held_mb * 1e6) as usize
-}
--- a/crates/gateway/src/held_bytes.rs
+++ b/crates/gateway/src/held_bytes.rs
@@ -20,6 +20,16 @@
 /// Most bytes of a request that may use the whole limit: a body of 64 KiB and its copy.
 const SMALL_REQUEST_BYTES: usize = 128 * 1024;
 
+/// Memory of an entry beside what it holds for callers, in MB: some 10 MB at rest, the tables of a
+/// large fleet, and connections.
+const ENTRY_BASE_MB: f64 = 32.0;
+/// Share of the rest that may be held for callers. The remainder is for fragmentation, and for what
+/// is cut off but not yet freed.
+const HELD_SHARE: f64 = 0.6;
+/// Fewest MB that may be held for callers: one response of the largest size, whose buffer may have
+/// twice its length.
+const MIN_HELD_MB: f64 = 16.0;
+
 /// The limit is reached, and no response can be cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the limit of held bytes is reached")]
@@ -54,6 +64,12 @@
         })
     }
 
+    /// The limit of an entry whose process may use so much memory.
+    pub fn limit_for(memory_mb: f64) -> usize {
+        let held_mb = ((memory_mb - ENTRY_BASE_MB) * HELD_SHARE).max(MIN_HELD_MB);
+        (held_mb * 1e6) as usize
+    }
+
     /// Bytes held now.
     pub fn held(&self) -> usize {
         self.held.get()
--- a/tests/all/fleet/slow_readers.rs
+++ b/tests/all/fleet/slow_readers.rs
@@ -13,6 +13,10 @@
 const LARGE_BODY_BYTES: usize = 6 << 20;
 /// Callers that read nothing.
 const CALLERS: usize = 16;
+/// Body of a large request, of which two copies are held, and how many of these fit into three
+/// quarters of [`HELD_BYTES`].
+const LARGE_REQUEST_BYTES: usize = 1_000_000;
+const LARGE_REQUESTS: usize = 6;
 /// Callers of streams that read late, of which two targets get some half each.
 const SLOW_READERS: usize = 12;
 /// How long these read, once they do: enough for the entry to see how the target ended.
@@ -77,6 +81,37 @@
     bed.wait_for_metrics(host, |metrics| held_bytes(metrics) == Some(0)).await;
 }
 
+/// Guards against large requests that take all the memory: they are rejected before they run, and
+/// small ones are still served.
+#[actix_rt::test]
+async fn large_requests_are_rejected_at_the_limit() {
+    let mut bed = FleetBed::start_with(|settings| settings.memory_mb = Some(MEMORY_MB)).await;
+    let targets = [bed.start_target("i-1").await, bed.start_target("i-2").await];
+    for target in &targets {
+        (0..LARGE_REQUESTS).for_each(|_| target.then(Script::HoldAfter(0)));
+    }
+    let body = "a".repeat(LARGE_REQUEST_BYTES);
+    let bed = &bed;
+    let send = |id: String, body: String| async move {
+        let text = request("/once/1", &id, "", &body);
+        bed.send_request(&text).await.expect("a response")
+    };
+    let large = (0..LARGE_REQUESTS).map(|number| send(format!("r{number}"), body.clone()));
+    let holding = || targets.iter().map(|target| target.holding.get()).sum::<usize>();
+    let others = async {
+        bed.wait_until(|| holding() == LARGE_REQUESTS).await;
+        targets.iter().for_each(|target| target.clear_script());
+        let rejected = send("further".to_owned(), body.clone()).await;
+        assert_eq!((rejected.status, rejected.body.as_str()), (503, "no-memory"));
+        assert_eq!(rejected.retry_after, Some(1.0));
+        assert_eq!(send("small".to_owned(), "a".to_owned()).await.status, 200);
+        targets.iter().for_each(|target| target.release());
+    };
+    let (answers, ()) = futures::future::join(join_all(large), others).await;
+    assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+    assert_eq!(send("later".to_owned(), body.clone()).await.status, 200);
+}
+
 /// Reads nothing of a stream for a while, then some of it.
 async fn read_late(bed: &FleetBed, number: usize, pause: Duration) {
     let text = request("/stream/1", &format!("r{number}"), "", "");
