--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -4,7 +4,9 @@
 use anyhow::Context;
 use egretseam_config::{FleetAgent, FleetControl, FleetEntry, FleetSettings, PolicyOverrides};
 use egretseam_control::{ControlOptions, GroupFormation, RepairPolicy};
-use egretseam_gateway::{CallerDialect, GatewayListeners, GatewayOptions, GatewayRuntime};
+use egretseam_gateway::{
+    BufferBudget, CallerDialect, GatewayListeners, GatewayOptions, GatewayRuntime,
+};
 use egretseam_h1::{ConnectionOptions, HeadWriter, HttpConnection, bind_listener, spawn_accept};
 use egretseam_http::DaemonMetrics;
 use egretseam_registrar::{ControlDialect, RegistrarListeners, RegistrarOptions, RegistrarRuntime};
@@ -262,6 +264,7 @@
             max_attempts: policy.max_attempts.map_or(u32::MAX, |most| most as u32),
             stream_idle_timeout: policy.stream_idle_timeout.unwrap_or(DEFAULT_STREAM_IDLE_TIMEOUT),
             uses_load_datagrams: policy.uses_load_datagrams.unwrap_or(true),
+            held_bytes_limit: settings.memory_mb.map(BufferBudget::limit_for),
             stop_limit: settings.stop_timeout,
         };
         let runtime = GatewayRuntime::start(options, dialect, listeners, self.metrics);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,9 @@
 //! the feeds of all control members; `loads` updates them from load datagrams;
 //! `permits` asks for permits for requests to cold targets; `quarantine` keeps
 //! requests from running that end their targets, and `evidence` exchanges what entries know of
-//! them; `evacuations` follows which availability zones are evacuated; `directory` replies to callers' lookups of entry addresses.
+//! them; `evacuations` follows which availability zones are evacuated; `directory` replies to callers'
+//! lookups of entry addresses; `held_bytes` limits what is held for all callers together; `paces`
+//! exchanges how fast targets work.
 //! [`CallerDialect`] defines header names and message formats.
 
 mod accepted;
@@ -32,6 +34,7 @@
 mod evidence;
 mod follow;
 mod forward;
+mod held_bytes;
 mod limits;
 mod loads;
 mod metrics;
@@ -53,6 +56,7 @@
         CallerDialect, LookupQuery, RequestMetadata, ResponseMetadata, StatedCold, TargetRequest,
     },
     events::{EventBuffer, last_event_id},
+    held_bytes::{BudgetExceeded, BufferBudget, HeldBytes},
     options::{GatewayListeners, GatewayOptions},
     runtime::{GatewayRuntime, StartError},
 };
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -7,11 +7,12 @@
     body_end::{self, BodyContent, BodyEnd, BreakReason, EndMeaning, framing_slug},
     dialect::ResponseMetadata,
     events::EventBuffer,
+    held_bytes::BudgetExceeded,
     limits, paces, permits, quarantine, rejection,
     request::RequestState,
 };
 use bytes::{Bytes, BytesMut};
-use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ResponseHead};
+use egretseam_h1::{BodyFraming, BodyReader, HttpConnection, ReadError, ResponseHead};
 use egretseam_serving::RequestedRest;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,6 +20,9 @@
 /// Largest body of a response that is not a stream. It is read completely before any of it is
 /// forwarded, so that the request can be retried or an error sent if the response breaks off.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Largest body of a response without the target's signature: an error, or bytes that are no
+/// response of the target and may never end.
+const MAX_UNSIGNED_RESPONSE_BYTES: usize = 64 * 1024;
 /// Largest body of a response to another request that is read and discarded.
 const MAX_STRAY_BODY_BYTES: usize = 16 * 1024;
 /// Most responses to other requests that are discarded before the connection is closed.
@@ -35,15 +39,19 @@
         let Some(connection) = self.connection.as_mut() else {
             return Err(AttemptFailure::Broken);
         };
-        connection.write_from(&mut self.unsent).await.map_err(|_| AttemptFailure::Broken)?;
+        if !self.unsent.is_empty() {
+            connection.write_from(&mut self.unsent).await.map_err(|_| AttemptFailure::Broken)?;
+            // Releases the memory of the message.
+            self.unsent = Bytes::new();
+        }
         loop {
             match &mut self.phase {
                 ReadPhase::Head { strays } => {
                     let strays = *strays;
-                    let head = self.read_head().await?;
+                    let head = self.read_head(request).await?;
                     self.begin_response(request, head, strays)?;
                 }
-                ReadPhase::Stray { .. } => self.discard_stray().await?,
+                ReadPhase::Stray { .. } => self.discard_stray(request).await?,
                 ReadPhase::Stream { .. } => return self.read_stream(request).await,
                 ReadPhase::Buffered { .. } => return self.read_buffered(request).await,
                 ReadPhase::EndCheck { ended, whole } => {
@@ -60,9 +68,12 @@
         self.connection.as_mut().ok_or(AttemptFailure::Broken)
     }
 
-    async fn read_head(&mut self) -> Result<ResponseHead, AttemptFailure> {
+    async fn read_head(&mut self, request: &RequestState) -> Result<ResponseHead, AttemptFailure> {
         let read = self.connection()?.read_response().await;
-        read.map_err(|_| AttemptFailure::Broken)
+        read.map_err(|error| match error {
+            ReadError::HeadTooLarge => self.broken(request, BreakReason::HeadTooLarge),
+            _ => AttemptFailure::Broken,
+        })
     }
 
     /// Begins with the body of a response whose head has been read.
@@ -101,6 +112,12 @@
             targets.record_accepted(&self.target, self.record.sent_at);
         }
         let is_stream = request.route.kind.is_stream() && is_success && !start.metadata.plain;
+        let max_bytes = max_body_bytes(&start) as u64;
+        let is_too_large = matches!(framing, BodyFraming::Length(length) if length > max_bytes);
+        if is_too_large && !is_stream {
+            self.response = Some(start);
+            return Err(self.broken(request, BreakReason::TooLarge));
+        }
         self.response = Some(start);
         self.phase = body_phase(request, reader, is_stream)?;
         Ok(())
@@ -115,7 +132,7 @@
     ) -> Result<(), AttemptFailure> {
         tracing::warn!(request_id = %request.terms.id, "discarding a response to another request");
         if strays >= MAX_STRAY_RESPONSES {
-            return Err(AttemptFailure::Broken);
+            return Err(self.broken(request, BreakReason::StrayTooLarge));
         }
         self.phase = ReadPhase::Stray { strays: strays + 1, reader, bytes: 0 };
         Ok(())
@@ -141,8 +158,9 @@
         if start.metadata.wrong_target {
             return AttemptFailure::OtherTarget;
         }
-        if let Some(connection) = self.connection.take()
-            && start.is_reusable()
+        // Otherwise the connection remains, and is reset with the attempt.
+        if start.is_reusable()
+            && let Some(connection) = self.connection.take()
         {
             let keep_alive = start.metadata.keep_alive;
             rejection::drain(&self.shared, &self.target, connection, reader, keep_alive);
@@ -150,7 +168,7 @@
         AttemptFailure::Full
     }
 
-    async fn discard_stray(&mut self) -> Result<(), AttemptFailure> {
+    async fn discard_stray(&mut self, request: &RequestState) -> Result<(), AttemptFailure> {
         let Some(connection) = self.connection.as_mut() else {
             return Err(AttemptFailure::Broken);
         };
@@ -158,7 +176,10 @@
         match reader.next(connection).await {
             Ok(Some(data)) => {
                 *bytes += data.len();
-                if *bytes > MAX_STRAY_BODY_BYTES { Err(AttemptFailure::Broken) } else { Ok(()) }
+                if *bytes > MAX_STRAY_BODY_BYTES {
+                    return Err(self.broken(request, BreakReason::StrayTooLarge));
+                }
+                Ok(())
             }
             Ok(None) => {
                 self.phase = ReadPhase::Head { strays: *strays };
@@ -197,6 +218,9 @@
         if buffer.exceeds_limit() {
             return Err(self.broken(request, BreakReason::TooLarge));
         }
+        // The events and the frame that holds a copy of them, and what follows them.
+        let held = buffer.remainder().len() + 2 * events.as_ref().map_or(0, Bytes::len);
+        self.hold(request, held)?;
         let now = Instant::now();
         self.record_bytes(now + STREAM_SILENCE);
         if events.is_some() {
@@ -223,14 +247,33 @@
         request: &RequestState,
     ) -> Result<AttemptOutput, AttemptFailure> {
         let chunk = self.next_chunk(request).await?;
-        let ReadPhase::Buffered { reader, body } = &mut self.phase else {
+        let (ReadPhase::Buffered { reader, body }, Some(connection)) =
+            (&mut self.phase, &mut self.connection)
+        else {
             return Err(AttemptFailure::Broken);
         };
         body.extend_from_slice(chunk.as_deref().unwrap_or_default());
-        if body.len() > MAX_BUFFERED_RESPONSE_BYTES {
+        // Without this, each chunk of a few bytes costs a turn of all attempts of the request.
+        let read = loop {
+            match reader.next_buffered(connection) {
+                Ok(Some(data)) => body.extend_from_slice(&data),
+                Ok(None) => break Ok(()),
+                Err(error) => break Err(BreakReason::from(&error)),
+            }
+        };
+        let max_bytes = self.response.as_ref().map_or(0, max_body_bytes);
+        let is_too_large = body.len() > max_bytes;
+        let capacity = body.capacity();
+        let is_done = chunk.is_none() || reader.is_done();
+        read.map_err(|reason| self.broken(request, reason))?;
+        if is_too_large {
             return Err(self.broken(request, BreakReason::TooLarge));
         }
-        if chunk.is_none() || reader.is_done() {
+        self.hold(request, capacity)?;
+        if is_done {
+            let ReadPhase::Buffered { body, .. } = &mut self.phase else {
+                return Err(AttemptFailure::Broken);
+            };
             let whole = AttemptOutput::Whole(std::mem::take(body).freeze());
             return self.end_body(request, BodyContent::Plain, whole);
         }
@@ -289,6 +332,15 @@
         AttemptFailure::Broken
     }
 
+    /// Holds so many bytes of the response.
+    fn hold(&self, request: &RequestState, bytes: usize) -> Result<(), AttemptFailure> {
+        self.held.resize(bytes, Instant::now()).map_err(|BudgetExceeded| {
+            self.shared.metrics.held_cut_off.with_label_values(&["response"]).inc();
+            self.broken(request, BreakReason::NoMemory);
+            AttemptFailure::NoMemory
+        })
+    }
+
     /// Records bytes of the response; its silence begins at `silent_at` now.
     fn record_bytes(&mut self, silent_at: Instant) {
         self.silent_at = silent_at;
@@ -298,6 +350,11 @@
     }
 }
 
+/// Largest body of a response that is not a stream.
+fn max_body_bytes(start: &ResponseStart) -> usize {
+    if start.metadata.signed { MAX_BUFFERED_RESPONSE_BYTES } else { MAX_UNSIGNED_RESPONSE_BYTES }
+}
+
 /// How the body of the response is read.
 fn body_phase(
     request: &RequestState,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::{
     dialect::{CallerDialect, RequestMetadata},
     dispatch::DispatchState,
+    held_bytes::BufferBudget,
     limits::LimitOutbox,
     metrics::GatewayMetrics,
     options::GatewayOptions,
@@ -56,6 +57,8 @@
     routes_available: Notify,
     pub(crate) dispatch: RefCell<DispatchState>,
     pub(crate) pool: RefCell<ConnectionPool>,
+    /// Bytes held for callers.
+    pub(crate) budget: Rc<BufferBudget>,
     pub(crate) quarantine: QuarantineState,
     pub(crate) limit_outbox: LimitOutbox,
     pub(crate) pace_outbox: PaceOutbox,
@@ -102,6 +105,7 @@
             routes_available: Notify::new(),
             dispatch: RefCell::new(dispatch),
             pool: RefCell::default(),
+            budget: BufferBudget::new(options.held_bytes_limit),
             quarantine: QuarantineState::new(),
             limit_outbox: LimitOutbox::default(),
             pace_outbox: PaceOutbox::default(),
@@ -155,6 +159,17 @@
         }
     }
 
+    /// Records bytes of a target that belong to no response and do not end, as a failure of the
+    /// target. `place` is where they arrived, for the log.
+    pub(crate) fn record_unrequested(&self, target: &TargetId, place: &'static str) {
+        self.metrics.unrequested_bytes.with_label_values(&[place]).inc();
+        tracing::warn!(target_id = %target, place, "target sends bytes that belong to no response");
+        let targets = &mut self.dispatch.borrow_mut().targets;
+        if targets.record_failure(target, Instant::now()) {
+            tracing::info!(target_id = %target, place, "target ejected");
+        }
+    }
+
     /// Version of the configuration in force; 0 for none.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.borrow().version()
--- a/tests/all/fleet/bed.rs
+++ b/tests/all/fleet/bed.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod control;
+mod flood;
 mod hanging;
 mod load;
 mod outcomes;
@@ -11,6 +12,7 @@
 pub(super) use self::{
     caller::{Caller, SeenAnswer, request},
     control::call_control,
+    flood::{FloodingTarget, ScriptedFlood},
     hanging::HangingListener,
     load::{Calls, call, call_all, entry_of},
     outcomes::{
@@ -119,6 +121,7 @@
             evacuation_limit: None,
             cold_overage: 1.0,
             cold_tolerance: 0,
+            memory_mb: None,
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_minimum: 100,
