--- a/crates/config/src/policy.rs
+++ b/crates/config/src/policy.rs
@@ -26,6 +26,16 @@
     pub old_version_penalty: Option<f64>,
     /// Penalty of a slow target; 0 for none.
     pub slowness_penalty: Option<f64>,
+    /// Load added for a target that says that it works slowly.
+    pub pace_penalty: Option<f64>,
+    /// Targets drawn for one request, of which the emptiest gets it.
+    pub choices: Option<u64>,
+    /// Whether placement weighs what requests are likely to cost.
+    pub weighs_cost: Option<bool>,
+    /// Entries that use a target first; 0 for all alike.
+    pub first_entries: Option<u64>,
+    /// Factor on the weight of a target that other entries use first.
+    pub other_entries_factor: Option<f64>,
     /// Penalty of a target that started recently; 0 for none.
     pub cold_start_penalty: Option<f64>,
     /// Whether each entry keeps to its share of an engine's slots.
@@ -70,6 +80,11 @@
         free_share_exponent: count(reader, "favour", 8),
         old_version_penalty: factor(reader, "old_version_charge"),
         slowness_penalty: factor(reader, "slow_charge"),
+        pace_penalty: factor(reader, "pace_penalty"),
+        choices: count(reader, "choices", 8),
+        weighs_cost: reader.optional("weighs_cost"),
+        first_entries: count(reader, "first_entries", 1_000),
+        other_entries_factor: factor(reader, "other_entries_factor"),
         cold_start_penalty: factor(reader, "cold_charge"),
         limits_entry_share: reader.optional("shared_places"),
         skips_hung: reader.optional("skips_hanging"),
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -385,6 +385,15 @@
             .map_or(defaults.free_share_exponent, |exponent| exponent as i32),
         old_version_penalty: overrides.old_version_penalty.unwrap_or(defaults.old_version_penalty),
         slowness_penalty: overrides.slowness_penalty.unwrap_or(defaults.slowness_penalty),
+        pace_penalty: overrides.pace_penalty.unwrap_or(defaults.pace_penalty),
+        choices: overrides.choices.map_or(defaults.choices, |choices| choices as u32),
+        weighs_cost: overrides.weighs_cost.unwrap_or(defaults.weighs_cost),
+        first_entries: overrides
+            .first_entries
+            .map_or(defaults.first_entries, |entries| entries as usize),
+        other_entries_factor: overrides
+            .other_entries_factor
+            .unwrap_or(defaults.other_entries_factor),
         cold_start_penalty: overrides.cold_start_penalty.unwrap_or(defaults.cold_start_penalty),
         limits_entry_share: overrides.limits_entry_share.unwrap_or(defaults.limits_entry_share),
         skips_hung: overrides.skips_hung.unwrap_or(defaults.skips_hung),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -109,6 +109,8 @@
     pub(crate) send_by: Option<Instant>,
     cost: PredictedCost,
     occupied_at: Instant,
+    /// Whether the prompt counts as pending at the target.
+    awaits_prompt: bool,
     released: bool,
 }
 
@@ -122,6 +124,7 @@
         if std::mem::replace(&mut self.released, true) {
             return;
         }
+        self.finish_prompt();
         let now = Instant::now();
         let is_unavailable = {
             let mut dispatch = self.shared.dispatch.borrow_mut();
@@ -139,6 +142,14 @@
 }
 
 impl SlotGuard {
+    /// Records that the target has read the prompt, or does not read it any more.
+    pub(crate) fn finish_prompt(&mut self) {
+        if std::mem::replace(&mut self.awaits_prompt, false) {
+            let targets = &mut self.shared.dispatch.borrow_mut().targets;
+            targets.remove_prompt(&self.target, self.cost.prompt);
+        }
+    }
+
     /// Learns from an answered request what requests like it cost.
     fn record_cost(&self, now: Instant) {
         let occupancy = now.saturating_duration_since(self.occupied_at);
@@ -352,6 +363,7 @@
     let occupied_at = Instant::now();
     let send_by = dispatch.targets.start_attempt(&target, occupied_at);
     dispatch.targets.add_excess_work(&target, cost.relative - 1.0);
+    dispatch.targets.add_prompt(&target, cost.prompt);
     let (shared, service) = (shared.clone(), service.clone());
     Some(SlotGuard {
         shared,
@@ -361,6 +373,7 @@
         send_by,
         cost,
         occupied_at,
+        awaits_prompt: true,
         released: false,
     })
 }
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -96,6 +96,9 @@
         if let Some(timer) = self.first_byte_timer.take() {
             timer.stop();
         }
+        if let Some(slot) = &mut self.slot {
+            slot.finish_prompt();
+        }
         let start = ResponseStart { head, metadata, read_at: Instant::now(), framing };
         self.record_metadata(&start.metadata);
         if start.metadata.not_executed {
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -62,8 +62,19 @@
     /// 1 they fill evenly; a larger one favours the emptier targets but lets entries with the same
     /// view flood them.
     pub free_share_exponent: i32,
-    /// Targets drawn by their weights for one request, of which the one with the largest weight gets
-    /// it. With 1 the draw decides; more favour the emptier targets.
+    /// Whether placement at services with models weighs what requests are likely to cost.
+    pub weighs_cost: bool,
+    /// Engine time of pending prompts of this entry at a target that halves the root of its weight. An
+    /// engine reads the prompts that it has admitted between the tokens of other requests, so a few
+    /// long ones at once pause all its streams.
+    pub prompt_window: Duration,
+    /// Entries that use a target first; 0 for all alike. An entry knows only its own prompts, so the
+    /// fewer entries share a target, the more of its prompts each of them knows.
+    pub first_entries: usize,
+    /// Factor on the weight of a target that other entries use first.
+    pub other_entries_factor: f64,
+    /// Targets drawn by their weights for one request where costs are weighed, of which the one with
+    /// the largest weight gets it. With 1 the draw decides; more favour the emptier targets.
     pub choices: u32,
     /// Time in which a sample of the other entries' load decays to the mean.
     pub load_decay: Duration,
@@ -98,7 +109,11 @@
             late_prefills: 4.0,
             cross_zone_penalty: 0.25,
             free_share_exponent: 2,
-            choices: 1,
+            choices: 2,
+            weighs_cost: true,
+            prompt_window: Duration::from_millis(50),
+            first_entries: 3,
+            other_entries_factor: 0.15,
             load_decay: Duration::from_millis(1_500),
             entry_share_max_age: Duration::from_millis(1_100),
             old_version_penalty: 0.1,
@@ -211,7 +226,8 @@
         let view = ServiceView::of(&eligible, resting.len(), query, now);
         let candidates = self.candidates(&eligible, query, &view, now);
         let permit_wanted = candidates.draw_without_permit().cloned();
-        let drawn = candidates.draw(self.policy.choices);
+        let choices = if self.weighs_cost(query) { self.policy.choices } else { 1 };
+        let drawn = candidates.draw(choices);
         let outcome =
             drawn.map_or(PlacementOutcome::Full, |id| PlacementOutcome::Target(id.clone()));
         PlacementChoice { outcome, permit_wanted }
@@ -234,7 +250,7 @@
             }
             let Some(cost) = self.cost(row, query, view, now) else { continue };
             let free = (1.0 - cost).max(MIN_FREE_SHARE);
-            let weight = free.powi(self.policy.free_share_exponent);
+            let weight = free.powi(self.policy.free_share_exponent) * self.favour(id, row, query);
             let room = self.backpressure.room(id, now);
             if self.is_cold(row, now) {
                 let is_last_resort = room == SendRoom::LastResort && all_leave;
@@ -255,6 +271,24 @@
         candidates
     }
 
+    /// Whether it matters where requests of a service go by what they cost. Services without models
+    /// answer within some ten milliseconds, before an entry learns anything of their load.
+    fn weighs_cost(&self, query: &PlacementQuery<'_>) -> bool {
+        self.policy.weighs_cost && query.model.is_some()
+    }
+
+    /// Factor on the weight of a target: by what this entry knows of the prompts that
+    /// are read there, and by whether it is one of the few entries that use the target first.
+    fn favour(&self, id: &TargetId, row: &TargetRow, query: &PlacementQuery<'_>) -> f64 {
+        if !self.weighs_cost(query) {
+            return 1.0;
+        }
+        let prompts = row.own_prompts.as_secs_f64() / self.policy.prompt_window.as_secs_f64();
+        let unread = (1.0 + prompts).powi(2).recip();
+        let used_first = self.policy.first_entries == 0 || self.is_used_first(id, row);
+        if used_first { unread } else { unread * self.policy.other_entries_factor }
+    }
+
     /// Whether a target answers, as far as is known, and its limit leaves room.
     fn may_get(
         &self,
@@ -352,7 +386,8 @@
     ) -> Option<f64> {
         let slots = f64::from(row.record.slots.max(1));
         let load = self.estimated_load(row, view.mean_other_load, now);
-        let work = (load + row.own_excess_work).max(0.0);
+        let excess = if self.weighs_cost(query) { row.own_excess_work } else { 0.0 };
+        let work = (load + excess).max(0.0);
         let fill = match query.reserved_share {
             Some(reserved) => self.policy.max_fill - reserved,
             None if query.late => self.policy.late_max_fill,
--- a/crates/serving/src/request_cost.rs
+++ b/crates/serving/src/request_cost.rs
@@ -46,6 +46,8 @@
     /// Index of the route's averages.
     route: usize,
     output_tokens: Option<f64>,
+    /// Engine time that its prompt takes; zero if that is not known.
+    pub prompt: Duration,
     /// Time for which it occupies a slot.
     pub occupancy: Duration,
     /// Engine time relative to that of a usual request of the service.
@@ -55,7 +57,13 @@
 impl Default for PredictedCost {
     /// The cost of a usual request.
     fn default() -> Self {
-        Self { route: 0, output_tokens: None, occupancy: Duration::ZERO, relative: 1.0 }
+        Self {
+            route: 0,
+            output_tokens: None,
+            prompt: Duration::ZERO,
+            occupancy: Duration::ZERO,
+            relative: 1.0,
+        }
     }
 }
 
@@ -107,24 +115,26 @@
         let route = self.route_index(route);
         let output_tokens = size.output_tokens();
         let averages = self.routes[route];
+        let prompt_seconds = size
+            .prompt_tokens
+            .zip(times)
+            .map_or(0.0, |(tokens, times)| f64::from(tokens) / times.prompt_tokens_per_second);
+        let prompt = Duration::try_from_secs_f64(prompt_seconds).unwrap_or_default();
         let Some(mean_seconds) = averages.occupancy_seconds.0 else {
-            return PredictedCost { route, output_tokens, ..PredictedCost::default() };
+            return PredictedCost { route, output_tokens, prompt, ..PredictedCost::default() };
         };
         // Estimates are off by a factor in either direction, so they count with their square root.
         let ratio = output_tokens.zip(averages.output_tokens.0);
         let correction = ratio.map_or(1.0, |(tokens, mean)| (tokens / mean).sqrt());
         let occupancy_seconds = mean_seconds * correction;
-        let prompt = size
-            .prompt_tokens
-            .zip(times)
-            .map_or(0.0, |(tokens, times)| f64::from(tokens) / times.prompt_tokens_per_second);
-        let engine_seconds = prompt + occupancy_seconds / f64::from(slots.max(1));
+        let engine_seconds = prompt_seconds + occupancy_seconds / f64::from(slots.max(1));
         let mean_engine_seconds = self.engine_seconds.0.unwrap_or(engine_seconds);
         self.engine_seconds.record(engine_seconds);
         let relative = engine_seconds / mean_engine_seconds;
         PredictedCost {
             route,
             output_tokens,
+            prompt,
             occupancy: Duration::try_from_secs_f64(occupancy_seconds).unwrap_or_default(),
             relative: relative.clamp(MIN_RELATIVE_COST, MAX_RELATIVE_COST),
         }
--- a/crates/serving/src/request_pacer.rs
+++ b/crates/serving/src/request_pacer.rs
@@ -38,6 +38,8 @@
 pub(crate) struct EntryGroup {
     own_name: String,
     entries: Vec<(String, ZoneName)>,
+    /// Changes with every list of entries.
+    epoch: u64,
 }
 
 impl EntryGroup {
@@ -51,7 +53,21 @@
         if !entries.iter().any(|(name, _)| name == own_name) {
             entries.push((own_name.to_owned(), own_zone.clone()));
         }
-        Self { own_name: own_name.to_owned(), entries }
+        Self { own_name: own_name.to_owned(), entries, epoch: 0 }
+    }
+
+    /// The group that replaces an earlier one.
+    pub(crate) fn after(self, earlier: &Self) -> Self {
+        Self { epoch: earlier.epoch + 1, ..self }
+    }
+
+    pub(crate) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Whether this entry is one of the `count` that use a target first.
+    pub(crate) fn is_among_first(&self, target: &str, zone: &ZoneName, count: usize) -> bool {
+        self.rank(target, zone).0 < count
     }
 
     /// This entry's rank among all entries for a target, and their number. Entries of the target's
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -413,6 +413,34 @@
         self.consume_permit(id, now)
     }
 
+    /// Records that the prompt of a request that was sent to a target is being read there.
+    pub fn add_prompt(&mut self, id: &TargetId, prompt: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.own_prompts += prompt;
+        }
+    }
+
+    /// Records that a prompt has been read, or that its request has ended.
+    pub fn remove_prompt(&mut self, id: &TargetId, prompt: Duration) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.own_prompts = row.own_prompts.saturating_sub(prompt);
+        }
+    }
+
+    /// Whether this entry is one of the few that use a target first.
+    pub(crate) fn is_used_first(&self, id: &TargetId, row: &TargetRow) -> bool {
+        let epoch = self.entry_group.epoch();
+        if let Some((known, used_first)) = row.used_first.get()
+            && known == epoch
+        {
+            return used_first;
+        }
+        let count = self.policy.first_entries;
+        let used_first = self.entry_group.is_among_first(&id.name, &row.record.zone, count);
+        row.used_first.set(Some((epoch, used_first)));
+        used_first
+    }
+
     /// Changes the work of this entry's requests at a target by `excess`, in usual requests.
     pub fn add_excess_work(&mut self, id: &TargetId, excess: f64) {
         if let Some(row) = self.rows.get_mut(id) {
--- a/crates/serving/src/target_table/limits.rs
+++ b/crates/serving/src/target_table/limits.rs
@@ -125,7 +125,7 @@
     /// Sets which entries send to the same targets: the name of this one, and all that control
     /// lists.
     pub fn set_entries(&mut self, own_name: &str, listed: Vec<(String, ZoneName)>, now: Instant) {
-        self.entry_group = EntryGroup::new(own_name, &self.zone, listed);
+        self.entry_group = EntryGroup::new(own_name, &self.zone, listed).after(&self.entry_group);
         for (id, row) in &mut self.rows {
             let Some(limit) = &mut row.limit else { continue };
             let share = self.entry_group.share(&id.name, &row.record.zone, limit.rate);
--- a/crates/serving/src/target_table/row.rs
+++ b/crates/serving/src/target_table/row.rs
@@ -8,7 +8,7 @@
 };
 use egretseam_proto::ModelName;
 use indexmap::IndexMap;
-use std::{collections::VecDeque, time::Duration};
+use std::{cell::Cell, collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
 /// How long a target counts as alive if it is known only through a control member that restarted or
@@ -100,6 +100,10 @@
     pub(crate) own_in_flight: u32,
     /// By how much the work of this entry's requests there exceeds that of as many usual ones.
     pub(crate) own_excess_work: f64,
+    /// Engine time of the prompts of this entry's requests whose first byte is pending.
+    pub(crate) own_prompts: Duration,
+    /// Whether this entry uses the target first, for the list of entries with this epoch.
+    pub(super) used_first: Cell<Option<(u64, bool)>>,
     /// This entry's requests there over the last second, for load samples that arrive late.
     pub(super) own_history: VecDeque<(Instant, u32)>,
     pub(crate) load: Option<LoadSample>,
@@ -136,6 +140,8 @@
             cold: ColdTimes::new(status, entry_started_at, now),
             own_in_flight: 0,
             own_excess_work: 0.0,
+            own_prompts: Duration::ZERO,
+            used_first: Cell::new(None),
             own_history: VecDeque::new(),
             load: None,
             pace: TargetPace::default(),
