--- a/crates/gateway/src/acquire.rs
+++ b/crates/gateway/src/acquire.rs
@@ -130,7 +130,7 @@
 }
 
 fn record_placed(shared: &GatewayShared, request: &RequestState, need: &SlotNeed<'_>) {
-    if need.tried.is_empty() && !need.is_beside {
+    if request.terms.model.is_some() && need.tried.is_empty() && !need.is_beside {
         let mut dispatch = shared.dispatch.borrow_mut();
         dispatch.record_first_placed(&request.service, request.route.priority, Instant::now());
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,6 +16,9 @@
 /// estimate of a target's load decays with time, so a slot can become free without an event.
 pub(crate) const DISPATCH_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Most different demands of waiting requests that are tried for free slots at a time.
+const MAX_REFUSED_DEMANDS: usize = 8;
+
 /// A request in a wait queue.
 struct WaitingRequest {
     model: Option<ModelName>,
@@ -258,8 +261,11 @@
     };
     let choice = permits::choose(shared, &mut dispatch.targets, &query, now);
     let queue = dispatch.queue(request.service);
-    let goes_first = queue.is_empty()
-        || (request.urgency.reserved_share().is_some() && queue.ahead(&request.urgency) == 0);
+    let goes_first = !queue.iter().any(|(ticket, waiting)| {
+        let competes = waiting.regions.as_ref() == request.regions;
+        competes
+            && (request.urgency.reserved_share().is_none() || ticket.precedes(&request.urgency))
+    });
     match &choice {
         PlacementOutcome::NoTarget if !dispatch.targets.expects_capacity(&query, now) => {
             let after = dispatch.queue(request.service).retry_after(rand::random());
@@ -419,7 +425,12 @@
     let DispatchState { targets, queues, .. } = dispatch;
     let queue = queues.get(service)?;
     let waiting = queue.len();
+    let mut refused: Vec<SlotDemand<'_>> = Vec::new();
     for (ticket, request) in queue.iter() {
+        let demand = SlotDemand::of(request);
+        if refused.iter().any(|refused| demand.exceeds(refused)) {
+            continue;
+        }
         let query = PlacementQuery {
             service,
             model: request.model.as_ref(),
@@ -432,9 +443,39 @@
         match permits::choose_waiting(shared, targets, &query, waiting, now) {
             PlacementOutcome::Target(target) => return Some((ticket, target)),
             // This request excludes targets that others may still find a slot at.
-            _ if !request.tried.is_empty() || request.regions.is_some() => {}
-            _ => return None,
+            _ if !request.tried.is_empty() => {}
+            _ if refused.len() >= MAX_REFUSED_DEMANDS => return None,
+            _ => refused.push(demand),
         }
     }
     None
 }
+
+/// What a waiting request asks of its target.
+///
+/// Failure guarded: a request that can go to few targets, or leaves more slots free than others,
+/// stands first in the queue and finds no target, and those behind it wait although slots are free.
+struct SlotDemand<'a> {
+    model: Option<&'a ModelName>,
+    regions: Option<&'a AllowedRegions>,
+    is_late: bool,
+    reserved_share: Option<f64>,
+}
+
+impl<'a> SlotDemand<'a> {
+    fn of(request: &'a WaitingRequest) -> Self {
+        Self {
+            model: request.model.as_ref(),
+            regions: request.regions.as_ref(),
+            is_late: request.urgency.is_late(),
+            reserved_share: request.urgency.reserved_share(),
+        }
+    }
+
+    /// Whether a slot that suits this demand would also have suited the other one.
+    fn exceeds(&self, other: &Self) -> bool {
+        (self.model, self.regions) == (other.model, other.regions)
+            && (self.is_late || !other.is_late)
+            && self.reserved_share >= other.reserved_share
+    }
+}
--- a/crates/gateway/src/paces.rs
+++ b/crates/gateway/src/paces.rs
@@ -26,6 +26,14 @@
 }
 
 impl PaceOutbox {
+    /// Drops what this entry heard of a target before another one did.
+    fn remove_older(&self, address: &SocketAddr, stated_at: Instant) {
+        let mut pending = self.pending.borrow_mut();
+        if pending.get(address).is_some_and(|(_, at)| *at <= stated_at) {
+            pending.swap_remove(address);
+        }
+    }
+
     fn take(&self) -> Vec<(SocketAddr, PaceFactor, Instant)> {
         let mut pending = self.pending.borrow_mut();
         let count = pending.len().min(MAX_PACES);
@@ -56,7 +64,7 @@
         let stated_at = now.checked_sub(age).unwrap_or(now);
         let targets = &mut shared.dispatch.borrow_mut().targets;
         targets.record_pace_at(news.address, pace, stated_at);
-        shared.pace_outbox.pending.borrow_mut().swap_remove(&news.address);
+        shared.pace_outbox.remove_older(&news.address, stated_at);
     }
     if datagram.for_zone {
         send(shared, socket, false, &datagram.news, &shared.peers_in_zone()).await;
--- a/crates/serving/src/backpressure.rs
+++ b/crates/serving/src/backpressure.rs
@@ -44,6 +44,8 @@
     Cold,
     /// Its availability zone is evacuated.
     Evacuated,
+    /// It has left, or another incarnation has replaced it.
+    Removed,
 }
 
 impl WithholdReason {
@@ -54,6 +56,7 @@
             Self::Leaving => "leaving",
             Self::Cold => "cold",
             Self::Evacuated => "evacuated",
+            Self::Removed => "removed",
         }
     }
 }
--- a/crates/serving/src/engine_times.rs
+++ b/crates/serving/src/engine_times.rs
@@ -3,6 +3,9 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// Lowest speed that is believed; below it no prompt would ever be read.
+const MIN_PROMPT_TOKENS_PER_SECOND: f64 = 1.0;
+
 /// The description of an engine, not validated; absent fields are unknown.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RawEngineTimes {
@@ -43,7 +46,8 @@
         Some(Self {
             step: millis(positive(raw.step_millis)?)?,
             step_per_request: millis(per_request.unwrap_or_default())?,
-            prompt_tokens_per_second: positive(raw.prompt_tokens_per_second)?,
+            prompt_tokens_per_second: positive(raw.prompt_tokens_per_second)
+                .filter(|rate| *rate >= MIN_PROMPT_TOKENS_PER_SECOND)?,
             usual_prompt_tokens: positive(raw.usual_prompt_tokens).unwrap_or_default(),
             usual_output_tokens: positive(raw.usual_output_tokens).unwrap_or_default(),
         })
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -201,8 +201,7 @@
         let Some(ids) = self.services.get(query.service) else {
             return PlacementOutcome::NoTarget.into();
         };
-        let sampled: Vec<(&TargetId, &TargetRow)> =
-            self.sample(ids).filter_map(|id| Some((id, self.rows.get(id)?))).collect();
+        let sampled = self.sample_for(ids, query);
         let median = median_first_byte(&sampled, now);
         let eligible: Vec<(&TargetId, &TargetRow)> = sampled
             .into_iter()
@@ -344,6 +343,29 @@
         median_first_byte(&rows.collect::<Vec<_>>(), now)
     }
 
+    /// At most [`MAX_CANDIDATES`] targets for a request. Where many targets are in regions or zones that
+    /// the request may not go to, they are left out first, or the sample might hold no other.
+    fn sample_for<'a>(
+        &'a self,
+        ids: &'a [TargetId],
+        query: &PlacementQuery<'_>,
+    ) -> Vec<(&'a TargetId, &'a TargetRow)> {
+        let is_partial = query.regions.is_some() || self.evacuations().evacuated_count() > 0;
+        let row = |id: &'a TargetId| Some((id, self.rows.get(id)?));
+        if ids.len() <= MAX_CANDIDATES || !is_partial {
+            return self.sample(ids).filter_map(row).collect();
+        }
+        let rows = ids.iter().filter_map(row);
+        let mut allowed: Vec<_> =
+            rows.filter(|(_, row)| self.is_in_allowed_region(row, query)).collect();
+        if allowed.len() > MAX_CANDIDATES {
+            let start = rand::rng().random_range(0..allowed.len());
+            allowed.rotate_left(start);
+            allowed.truncate(MAX_CANDIDATES);
+        }
+        allowed
+    }
+
     /// At most [`MAX_CANDIDATES`] of a service's targets, from a random one on.
     pub(crate) fn sample<'a>(
         &self,
--- a/crates/serving/src/placement/candidates.rs
+++ b/crates/serving/src/placement/candidates.rs
@@ -64,10 +64,21 @@
     draw_row(weighted).map(|(_, id)| id)
 }
 
-/// Draws some targets at random by the weights, and takes the one with the largest weight.
+/// Factor by which a target's weight must exceed another one's to count as better. Without it,
+/// differences of a thousandth would decide, and all entries would take the same target.
+const BETTER_FACTOR: f64 = 1.1;
+
+/// Draws some targets at random by the weights, and takes the one whose weight is clearly largest.
 fn draw_best<'a>(weighted: &[(f64, &'a TargetId)], choices: u32) -> Option<&'a TargetId> {
-    let drawn = (0..choices.max(1)).filter_map(|_| draw_row(weighted));
-    drawn.max_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, id)| id)
+    let mut drawn = (0..choices.max(1)).filter_map(|_| draw_row(weighted));
+    let first = drawn.next()?;
+    let best = drawn.fold(
+        first,
+        |best, other| {
+            if other.0 > best.0 * BETTER_FACTOR { other } else { best }
+        },
+    );
+    Some(best.1)
 }
 
 fn draw_row<'a>(weighted: &[(f64, &'a TargetId)]) -> Option<(f64, &'a TargetId)> {
--- a/crates/serving/src/request_cost.rs
+++ b/crates/serving/src/request_cost.rs
@@ -14,6 +14,8 @@
 const NEWEST_WEIGHT: f64 = 0.05;
 /// Routes with averages of their own; all further ones share one.
 const MAX_ROUTES: usize = 64;
+/// Longest engine time of a prompt that is believed.
+const MAX_PROMPT_SECONDS: f64 = 60.0;
 /// Bounds of a request's cost relative to a usual one, so that a hint that is far off does not empty
 /// or flood a target.
 const MIN_RELATIVE_COST: f64 = 0.25;
@@ -115,10 +117,9 @@
         let route = self.route_index(route);
         let output_tokens = size.output_tokens();
         let averages = self.routes[route];
-        let prompt_seconds = size
-            .prompt_tokens
-            .zip(times)
-            .map_or(0.0, |(tokens, times)| f64::from(tokens) / times.prompt_tokens_per_second);
+        let prompt_seconds = size.prompt_tokens.zip(times).map_or(0.0, |(tokens, times)| {
+            (f64::from(tokens) / times.prompt_tokens_per_second).min(MAX_PROMPT_SECONDS)
+        });
         let prompt = Duration::try_from_secs_f64(prompt_seconds).unwrap_or_default();
         let Some(mean_seconds) = averages.occupancy_seconds.0 else {
             return PredictedCost { route, output_tokens, prompt, ..PredictedCost::default() };
@@ -129,7 +130,7 @@
         let occupancy_seconds = mean_seconds * correction;
         let engine_seconds = prompt_seconds + occupancy_seconds / f64::from(slots.max(1));
         let mean_engine_seconds = self.engine_seconds.0.unwrap_or(engine_seconds);
-        self.engine_seconds.record(engine_seconds);
+        self.engine_seconds.record(engine_seconds.min(mean_engine_seconds * MAX_RELATIVE_COST));
         let relative = engine_seconds / mean_engine_seconds;
         PredictedCost {
             route,
@@ -145,7 +146,8 @@
         let Some((_, averages)) = self.routes.get_index_mut(predicted.route) else { return };
         averages.occupancy_seconds.record(occupancy.as_secs_f64());
         if let Some(tokens) = predicted.output_tokens {
-            averages.output_tokens.record(tokens);
+            let most = averages.output_tokens.0.map_or(tokens, |mean| mean * MAX_RELATIVE_COST);
+            averages.output_tokens.record(tokens.min(most));
         }
     }
 }
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -416,7 +416,7 @@
     /// Records that the prompt of a request that was sent to a target is being read there.
     pub fn add_prompt(&mut self, id: &TargetId, prompt: Duration) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.own_prompts += prompt;
+            row.own_prompts = row.own_prompts.saturating_add(prompt);
         }
     }
 
--- a/crates/serving/src/target_table/backpressure.rs
+++ b/crates/serving/src/target_table/backpressure.rs
@@ -29,8 +29,8 @@
 
     /// Why a target gets no request of this entry now, if it gets none.
     pub fn withheld(&self, id: &TargetId, now: Instant) -> Option<WithholdReason> {
-        let zone = self.rows.get(id).map(|row| &row.record.zone);
-        if zone.is_some_and(|zone| self.is_closed_zone(zone)) {
+        let Some(row) = self.rows.get(id) else { return Some(WithholdReason::Removed) };
+        if self.is_closed_zone(&row.record.zone) {
             return Some(WithholdReason::Evacuated);
         }
         self.backpressure.withheld(id, now)
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -96,6 +96,11 @@
 }
 
 impl WaitTicket {
+    /// Whether the request is served before a new one of this urgency.
+    pub fn precedes(&self, urgency: &WaitUrgency) -> bool {
+        self.rank <= urgency.rank
+    }
+
     /// Whether the request was queued as a late one.
     pub fn is_late(&self) -> bool {
         self.rank.is_late()
--- a/crates/serving/src/wait_queue/urgency.rs
+++ b/crates/serving/src/wait_queue/urgency.rs
@@ -4,16 +4,16 @@
 use std::time::Duration;
 
 /// Priority of a request: that of its organisation, then that of its route; lower goes first.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestPriority {
-    organisation: u8,
+    organisation: Option<u8>,
     route: u8,
 }
 
 impl RequestPriority {
-    /// The priority of a request; that of an organisation without one is the route's.
+    /// The priority of a request; organisations need not have one.
     pub fn new(organisation: Option<u8>, route: u8) -> Self {
-        Self { organisation: organisation.unwrap_or(route), route }
+        Self { organisation, route }
     }
 
     /// The route's priority.
@@ -22,6 +22,9 @@
     }
 }
 
+/// Priority of organisations without one where routes decide.
+const USUAL_ORGANISATION: u8 = 1;
+
 /// Groups of waiting requests, each served before the next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum WaitGroup {
@@ -50,9 +53,11 @@
         let RequestPriority { organisation, route } = priority;
         let Some(position) = admission else {
             let group = if is_late { WaitGroup::Late } else { WaitGroup::Usual };
+            let organisation = organisation.unwrap_or(route);
             return Self { group, organisation, position: route, is_late };
         };
         let position = if is_late { position.late() } else { position };
+        let organisation = organisation.unwrap_or(USUAL_ORGANISATION);
         Self { group: WaitGroup::Usual, organisation, position: position.number(), is_late }
     }
 
--- a/tests/all/admission.rs
+++ b/tests/all/admission.rs
@@ -49,12 +49,32 @@
 
 /// Guards against urgent callers who are served worse than others because an organisation's priority
 /// replaces that of the route.
-#[test]
-fn the_route_decides_among_organisations_of_equal_priority() {
-    let priority = |organisation, route| RequestPriority::new(organisation, route);
-    assert!(priority(Some(1), 0) < priority(Some(1), 2));
-    assert!(priority(Some(0), 2) < priority(Some(1), 0), "the organisation goes first");
-    assert!(priority(None, 0) < priority(Some(0), 1));
+#[actix_rt::test]
+async fn the_route_decides_among_organisations_of_equal_priority() {
+    let now = Instant::now();
+    for shares in [AdmissionShares::new(now), shares(5, now, [true; 3])] {
+        let requests = [(Some(1), 2, "c"), (Some(1), 0, "b"), (Some(0), 2, "a"), (Some(1), 2, "d")];
+        let requests = requests.map(|(organisation, route, name)| {
+            (RequestPriority::new(organisation, route), Duration::ZERO, name)
+        });
+        assert_eq!(queued(&shares, &requests, now), ["a", "b", "c", "d"]);
+    }
+}
+
+/// Names of requests in the order of a queue at a service with these shares.
+fn queued(
+    shares: &AdmissionShares,
+    requests: &[(RequestPriority, Duration, &'static str)],
+    now: Instant,
+) -> Vec<&'static str> {
+    let mut queue = WaitQueue::new(WaitPolicy::default());
+    for (priority, trying_for, name) in requests {
+        let position = shares.position(priority.route());
+        let urgency = WaitUrgency::new(*priority, OBJECTIVE, *trying_for).at_position(position);
+        let deadline = now + Duration::from_secs(9);
+        queue.push_without_prediction(&urgency, deadline, *name).expect("the queue has room");
+    }
+    queue.iter().map(|(_, name)| *name).collect()
 }
 
 /// Guards against urgent requests that queue behind others, and against callers who came back as they
@@ -63,21 +83,21 @@
 async fn late_requests_wait_behind_those_in_time_of_the_next_priority_only() {
     let now = Instant::now();
     let shares = shares(5, now, [true; 3]);
-    let mut queue = WaitQueue::new(WaitPolicy::default());
     let late = Duration::from_secs(2);
-    for (priority, trying_for, name) in [
-        (2, late, "low late"),
-        (2, Duration::ZERO, "low"),
-        (0, late, "urgent late"),
-        (1, Duration::ZERO, "usual"),
-        (0, Duration::ZERO, "urgent"),
-    ] {
-        let urgency = urgency(&shares, priority, trying_for);
-        let deadline = now + Duration::from_secs(9);
-        queue.push_without_prediction(&urgency, deadline, name).expect("the queue has room");
+    for organisation in [Some(1), None] {
+        let requests = [
+            (2, late, "low late"),
+            (2, Duration::ZERO, "low"),
+            (0, late, "urgent late"),
+            (1, Duration::ZERO, "usual"),
+            (0, Duration::ZERO, "urgent"),
+        ];
+        let requests = requests.map(|(route, trying_for, name)| {
+            (RequestPriority::new(organisation, route), trying_for, name)
+        });
+        let order = queued(&shares, &requests, now);
+        assert_eq!(order, ["urgent", "usual", "urgent late", "low", "low late"]);
     }
-    let order: Vec<&str> = queue.iter().map(|(_, name)| *name).collect();
-    assert_eq!(order, ["urgent", "usual", "urgent late", "low", "low late"]);
 }
 
 /// Guards against less urgent requests that take the last slots of a target from urgent ones of other
