--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,15 +1,20 @@
 //! Dispatch of requests to targets: the targets, the requests that wait for a slot, and the slots
-//! that requests occupy.
+//! that requests occupy ([`SlotGuard`]).
 
+mod slot_guard;
+
+pub(crate) use self::slot_guard::SlotGuard;
+
+use self::slot_guard::occupy_slot;
 use crate::{permits, shared::GatewayShared};
 use egretseam_proto::{ModelName, ServiceName};
 use egretseam_serving::{
-    AdmissionPosition, AdmissionShares, AllowedRegions, AttemptOutcome, CostModel,
+    AdmissionPosition, AdmissionShares, AllowedRegions, CostModel,
     PlacementOutcome, PlacementQuery, PredictedCost, TargetId, TargetTable, WaitPolicy, WaitQueue,
     WaitTicket, WaitUrgency,
 };
 use indexmap::IndexMap;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 use tokio::{sync::oneshot, time::Instant};
 
 /// Interval of dispatching waiting requests, in addition to when a slot is released. An entry's
@@ -27,6 +32,20 @@
     sender: oneshot::Sender<SlotGuard>,
 }
 
+impl WaitingRequest {
+    fn query<'a>(&'a self, service: &'a ServiceName) -> PlacementQuery<'a> {
+        PlacementQuery {
+            service,
+            model: self.model.as_ref(),
+            tried: &self.tried,
+            late: self.urgency.is_late(),
+            reserved_share: self.urgency.reserved_share(),
+            first_byte_deadline: self.first_byte_deadline,
+            regions: self.regions.as_ref(),
+        }
+    }
+}
+
 /// Targets and wait queues of one entry.
 pub(crate) struct DispatchState {
     pub(crate) targets: TargetTable,
@@ -99,75 +118,6 @@
     }
 }
 
-/// An occupied slot at a target, released when dropped.
-pub(crate) struct SlotGuard {
-    shared: Rc<GatewayShared>,
-    service: ServiceName,
-    pub(crate) target: TargetId,
-    pub(crate) address: SocketAddr,
-    /// When the request must have been sent, if the target is cold.
-    pub(crate) send_by: Option<Instant>,
-    cost: PredictedCost,
-    occupied_at: Instant,
-    /// Whether the prompt counts as pending at the target.
-    awaits_prompt: bool,
-    released: bool,
-}
-
-impl SlotGuard {
-    /// Releases the slot and records the outcome of the attempt.
-    pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
-        self.release(outcome);
-    }
-
-    fn release(&mut self, outcome: AttemptOutcome) {
-        if std::mem::replace(&mut self.released, true) {
-            return;
-        }
-        self.finish_prompt();
-        let now = Instant::now();
-        let is_unavailable = {
-            let mut dispatch = self.shared.dispatch.borrow_mut();
-            dispatch.targets.add_excess_work(&self.target, 1.0 - self.cost.relative);
-            dispatch.targets.finish_attempt(&self.target, outcome, now)
-        };
-        if outcome == AttemptOutcome::Answered {
-            self.record_cost(now);
-        }
-        if is_unavailable {
-            tracing::info!(target_id = %self.target, ?outcome, "target ejected or unreachable");
-        }
-        dispatch_waiting(&self.shared, &self.service);
-    }
-}
-
-impl SlotGuard {
-    /// Records that the target has read the prompt, or does not read it any more.
-    pub(crate) fn finish_prompt(&mut self) {
-        if std::mem::replace(&mut self.awaits_prompt, false) {
-            let targets = &mut self.shared.dispatch.borrow_mut().targets;
-            targets.remove_prompt(&self.target, self.cost.prompt);
-        }
-    }
-
-    /// Learns from an answered request what requests like it cost.
-    fn record_cost(&self, now: Instant) {
-        let occupancy = now.saturating_duration_since(self.occupied_at);
-        if !self.cost.occupancy.is_zero() {
-            let error = occupancy.abs_diff(self.cost.occupancy);
-            self.shared.metrics.cost_error_seconds.observe(error.as_secs_f64());
-        }
-        let mut dispatch = self.shared.dispatch.borrow_mut();
-        dispatch.cost_model(&self.service).record(&self.cost, occupancy);
-    }
-}
-
-impl Drop for SlotGuard {
-    fn drop(&mut self) {
-        self.release(AttemptOutcome::Abandoned);
-    }
-}
-
 /// A request for a slot at a target.
 #[derive(Clone, Copy)]
 pub(crate) struct SlotRequest<'a> {
@@ -188,6 +138,20 @@
     pub(crate) is_beside: bool,
 }
 
+impl<'a> SlotRequest<'a> {
+    fn query(&self) -> PlacementQuery<'a> {
+        PlacementQuery {
+            service: self.service,
+            model: self.model,
+            tried: self.tried,
+            late: self.urgency.is_late(),
+            reserved_share: self.urgency.reserved_share(),
+            first_byte_deadline: self.first_byte_deadline,
+            regions: self.regions,
+        }
+    }
+}
+
 /// Result of a [`SlotRequest`].
 pub(crate) enum SlotReply {
     /// A slot, occupied by the request.
@@ -247,15 +211,7 @@
 ) -> Result<SlotReply, PendingSlot> {
     let now = Instant::now();
     let mut dispatch = shared.dispatch.borrow_mut();
-    let query = PlacementQuery {
-        service: request.service,
-        model: request.model,
-        tried: request.tried,
-        late: request.urgency.is_late(),
-        reserved_share: request.urgency.reserved_share(),
-        first_byte_deadline: request.first_byte_deadline,
-        regions: request.regions,
-    };
+    let query = request.query();
     let choice = permits::choose(shared, &mut dispatch.targets, &query, now);
     let queue = dispatch.queue(request.service);
     let goes_first = queue.is_empty()
@@ -352,32 +308,6 @@
     SlotReply::Full(queue.retry_after(rand::random()))
 }
 
-fn occupy_slot(
-    shared: &Rc<GatewayShared>,
-    dispatch: &mut DispatchState,
-    service: &ServiceName,
-    target: TargetId,
-    cost: PredictedCost,
-) -> Option<SlotGuard> {
-    let address = dispatch.targets.address(&target)?;
-    let occupied_at = Instant::now();
-    let send_by = dispatch.targets.start_attempt(&target, occupied_at);
-    dispatch.targets.add_excess_work(&target, cost.relative - 1.0);
-    dispatch.targets.add_prompt(&target, cost.prompt);
-    let (shared, service) = (shared.clone(), service.clone());
-    Some(SlotGuard {
-        shared,
-        service,
-        target,
-        address,
-        send_by,
-        cost,
-        occupied_at,
-        awaits_prompt: true,
-        released: false,
-    })
-}
-
 /// Dispatches the waiting requests of a service to free slots, most urgent first.
 pub(crate) fn dispatch_waiting(shared: &Rc<GatewayShared>, service: &ServiceName) {
     let mut dispatched = Vec::new();
@@ -420,15 +350,7 @@
     let queue = queues.get(service)?;
     let waiting = queue.len();
     for (ticket, request) in queue.iter() {
-        let query = PlacementQuery {
-            service,
-            model: request.model.as_ref(),
-            tried: &request.tried,
-            late: request.urgency.is_late(),
-            reserved_share: request.urgency.reserved_share(),
-            first_byte_deadline: request.first_byte_deadline,
-            regions: request.regions.as_ref(),
-        };
+        let query = request.query(service);
         match permits::choose_waiting(shared, targets, &query, waiting, now) {
             PlacementOutcome::Target(target) => return Some((ticket, target)),
             // This request excludes targets that others may still find a slot at.
