--- a/crates/bench/src/soak/evacuations.rs
+++ b/crates/bench/src/soak/evacuations.rs
@@ -105,7 +105,7 @@
     }
 
     /// Checks what the target got while evacuations were in force. Requests that a fault explains
-    /// are counted only: an entry that stood still, a relay that held a request, or so many lost
+    /// are counted only: an entry that was frozen, a relay that held a request, or so many lost
     /// control members that an entry could reach none that knew of the evacuation.
     pub(super) fn check(&self, target: &SoakTarget, ledger: &SoakLedger, began: Instant) {
         let (mut late, mut excused) = (0, 0);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,9 +9,9 @@
 use crate::{permits, shared::GatewayShared};
 use egretseam_proto::{ModelName, ServiceName};
 use egretseam_serving::{
-    AdmissionPosition, AdmissionShares, AllowedRegions, CostModel,
-    PlacementOutcome, PlacementQuery, PredictedCost, TargetId, TargetTable, WaitPolicy, WaitQueue,
-    WaitTicket, WaitUrgency,
+    AdmissionPosition, AdmissionShares, AllowedRegions, CostModel, PlacementOutcome,
+    PlacementQuery, PredictedCost, TargetId, TargetTable, WaitPolicy, WaitQueue, WaitTicket,
+    WaitUrgency,
 };
 use indexmap::IndexMap;
 use std::{rc::Rc, time::Duration};
@@ -162,8 +162,8 @@
     NoTarget(Duration),
 }
 
-/// Occupies a slot for a request: at once if one is free and the queue of its service is empty,
-/// else after a wait in that queue.
+/// Occupies a slot for a request: at once if one is free and no request in the queue of its service
+/// goes before it, else after a wait in that queue.
 pub(crate) async fn acquire_slot(
     shared: &Rc<GatewayShared>,
     request: &SlotRequest<'_>,
--- a/crates/gateway/src/held_bytes.rs
+++ b/crates/gateway/src/held_bytes.rs
@@ -75,8 +75,13 @@
         self.held.get()
     }
 
-    /// A guard for the body of a request. Large ones leave a part of the limit to requests that run
-    /// already and to small ones.
+    /// The part of the limit that large requests may use. The rest is for requests that run already
+    /// and for small ones.
+    fn large_request_limit(&self) -> usize {
+        self.limit / 4 * 3
+    }
+
+    /// A guard for the body of a request, which is limited further if it is large.
     pub fn request_guard(self: &Rc<Self>) -> HeldBytes {
         let mut held = self.guard();
         held.is_request = true;
@@ -160,8 +165,8 @@
     /// cut off themselves. What was held before is still held then.
     pub fn resize(&self, bytes: usize, now: Instant) -> Result<(), BudgetExceeded> {
         let is_large_request = self.is_request && bytes > SMALL_REQUEST_BYTES;
-        let limit = self.budget.limit;
-        let limit = if is_large_request { limit / 4 * 3 } else { limit };
+        let limit =
+            if is_large_request { self.budget.large_request_limit() } else { self.budget.limit };
         self.budget.resize(self.id, limit, bytes, now)
     }
 
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -6,7 +6,7 @@
 //! says nothing if another was faster.
 
 use crate::{dialect::ResponseMetadata, dispatch::SlotGuard, shared::GatewayShared};
-use egretseam_rpc::{LimitDatagram, LimitNews, MAX_LIMITS};
+use egretseam_rpc::{LimitDatagram, LimitReport, MAX_LIMITS};
 use egretseam_serving::{LimitChange, NamedLimit, TargetId};
 use indexmap::IndexMap;
 use std::{
@@ -119,19 +119,21 @@
     datagram: &LimitDatagram,
 ) {
     let now = Instant::now();
-    for news in &datagram.news {
+    for report in &datagram.reports {
         let targets = &mut shared.dispatch.borrow_mut().targets;
-        if targets.holds_limit(&news.target, &news.heard) {
-            shared.limit_outbox.remove(&news.target);
+        if targets.holds_limit(&report.target, &report.heard) {
+            shared.limit_outbox.remove(&report.target);
         }
-        let Some(change) = targets.apply_limit(&news.target, &news.heard, now) else { continue };
+        let Some(change) = targets.apply_limit(&report.target, &report.heard, now) else {
+            continue;
+        };
         shared.metrics.targets_limited.set(targets.limited_targets() as i64);
-        shared.limit_outbox.remove(&news.target);
-        log_change(&news.target, change, "entry");
+        shared.limit_outbox.remove(&report.target);
+        log_change(&report.target, change, "entry");
     }
     if datagram.for_zone {
         let others = shared.peers_in_zone();
-        send(shared, socket, false, &datagram.news, &others).await;
+        send(shared, socket, false, &datagram.reports, &others).await;
     }
 }
 
@@ -146,17 +148,17 @@
         if due.is_empty() {
             continue;
         }
-        let news: Vec<LimitNews> = {
+        let reports: Vec<LimitReport> = {
             let targets = &shared.dispatch.borrow().targets;
             let heard = |id: TargetId| {
                 let heard = targets.heard_limit(&id, now)?;
-                Some(LimitNews { target: id, heard })
+                Some(LimitReport { target: id, heard })
             };
             due.into_iter().filter_map(heard).collect()
         };
         round += 1;
-        send(&shared, &socket, false, &news, &shared.peers_in_zone()).await;
-        send(&shared, &socket, true, &news, &shared.one_peer_per_other_zone(round)).await;
+        send(&shared, &socket, false, &reports, &shared.peers_in_zone()).await;
+        send(&shared, &socket, true, &reports, &shared.one_peer_per_other_zone(round)).await;
     }
 }
 
@@ -164,10 +166,10 @@
     shared: &GatewayShared,
     socket: &UdpSocket,
     for_zone: bool,
-    news: &[LimitNews],
+    reports: &[LimitReport],
     peers: &[SocketAddr],
 ) {
-    let bytes = LimitDatagram::encode(&shared.options.secret, for_zone, news);
+    let bytes = LimitDatagram::encode(&shared.options.secret, for_zone, reports);
     for peer in peers {
         if let Err(error) = socket.send_to(&bytes, peer).await {
             tracing::debug!(%peer, %error, "sending the limits of targets to an entry failed");
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -25,7 +25,7 @@
 
 /// Most permits for waiting requests in one call, so that several cold targets are asked.
 const MAX_FOR_WAITING: u32 = 4;
-/// Interval of looking whether the entry still runs.
+/// Interval of checking whether the entry still runs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Chooses a target for a request, and asks for a permit if the request would have gone to a cold
@@ -155,7 +155,7 @@
     }
 }
 
-/// Counts and logs a request that is sent to a cold target with a permit.
+/// Logs a request that is sent to a cold target with a permit.
 pub(crate) fn record_sent(id: &TargetId, send_by: Option<Instant>, request_id: &str) {
     if send_by.is_some() {
         tracing::info!(request_id, target_id = %id, "request sent to a cold target with a permit");
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -32,7 +32,8 @@
         now < self.expires_at && self.connection.is_idle()
     }
 
-    /// Whether more bytes have arrived than those of a second response to the last request.
+    /// Whether [`MAX_PEEKED_BYTES`] or more have arrived, which is more than a second response to the
+    /// last request has.
     fn is_flooded(&self) -> bool {
         self.connection.unread_bytes(MAX_PEEKED_BYTES) >= MAX_PEEKED_BYTES
     }
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -21,11 +21,11 @@
 use std::{net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
-/// How long a caller reads nothing before its target may break off the response.
+/// Time without reads of the caller after which its target may break off the response.
 const MIN_UNREAD: Duration = Duration::from_secs(1);
-/// How long after the caller has gone on reading the break may show: what the target had sent before
-/// is read first.
-const UNREAD_EXCUSE: Duration = Duration::from_secs(1);
+/// Time after the caller has resumed reading within which such a break shows: what the target had sent
+/// before it is read first.
+const UNREAD_BREAK_DELAY: Duration = Duration::from_secs(1);
 
 /// How an attempt was opened and sent.
 #[derive(Clone, Copy, Debug)]
@@ -111,7 +111,7 @@
     evidence: AttemptEvidence,
     /// What is held of the response.
     pub(crate) held: HeldBytes,
-    /// When the caller last went on reading after it had read nothing for a while.
+    /// When the caller last resumed reading after [`MIN_UNREAD`] or more without reads.
     unread_until: Option<Instant>,
     record: AttemptRecord,
     silent_at: Instant,
@@ -260,13 +260,15 @@
             self.shared.dispatch.borrow_mut().targets.remove_target(&self.target, now);
             self.shared.pool.borrow_mut().remove_target(&self.target);
         }
-        let is_excused = failure == AttemptFailure::Broken && self.is_excused(Instant::now());
-        self.finish(match is_excused {
-            true => AttemptOutcome::Abandoned,
-            false => failure_outcome(request, failure),
+        let broke_while_unread =
+            failure == AttemptFailure::Broken && self.broke_while_unread(Instant::now());
+        self.finish(if broke_while_unread {
+            AttemptOutcome::Abandoned
+        } else {
+            failure_outcome(request, failure)
         });
         let permit = std::mem::replace(&mut self.permit, RunPermit::Normal);
-        if failure == AttemptFailure::Broken && !is_excused {
+        if failure == AttemptFailure::Broken && !broke_while_unread {
             let features = request.suspect_features(self.evidence.parts_cleared).to_vec();
             let (started_at, isolated) = (self.record.started_at, self.isolated);
             let attempt = BrokenAttempt { features, started_at, isolated, permit };
@@ -290,13 +292,13 @@
 
     /// Whether the target may have broken off because its response remained unread, as the caller did
     /// not read.
-    fn is_excused(&self, now: Instant) -> bool {
-        let until = self.unread_until.map(|until| until + UNREAD_EXCUSE);
-        let is_excused = until.is_some_and(|until| now <= until);
-        if is_excused {
+    fn broke_while_unread(&self, now: Instant) -> bool {
+        let until = self.unread_until.map(|until| until + UNREAD_BREAK_DELAY);
+        let broke_while_unread = until.is_some_and(|until| now <= until);
+        if broke_while_unread {
             tracing::info!(target_id = %self.target, "response broke off after it remained unread");
         }
-        is_excused
+        broke_while_unread
     }
 
     /// Cancels the attempt because another one delivers.
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -256,7 +256,7 @@
             return Err(AttemptFailure::Broken);
         };
         body.extend_from_slice(chunk.as_deref().unwrap_or_default());
-        // Without this, each chunk of a few bytes costs a turn of all attempts of the request.
+        // Takes all chunks that have arrived: one a call would poll all attempts for a few bytes each.
         let read = loop {
             match reader.next_buffered(connection) {
                 Ok(Some(data)) => body.extend_from_slice(&data),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -160,7 +160,7 @@
     }
 
     /// Records bytes of a target that belong to no response and do not end, as a failure of the
-    /// target. `place` is where they arrived, for the log.
+    /// target. `place` is where they arrived, for the metric and the log.
     pub(crate) fn record_unrequested(&self, target: &TargetId, place: &'static str) {
         self.metrics.unrequested_bytes.with_label_values(&[place]).inc();
         tracing::warn!(target_id = %target, place, "target sends bytes that belong to no response");
--- a/crates/rpc/src/limits.rs
+++ b/crates/rpc/src/limits.rs
@@ -9,9 +9,9 @@
 /// Maximum number of limits in a datagram, so that it fits into one packet.
 pub const MAX_LIMITS: usize = 16;
 
-/// What an entry has heard of one target's limit.
+/// The limit that a target stated, as an entry reports it to others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitNews {
+pub struct LimitReport {
     /// The target.
     pub target: TargetId,
     /// What it said last.
@@ -27,14 +27,14 @@
     /// zone.
     pub for_zone: bool,
     /// Limits of the targets.
-    pub news: Vec<LimitNews>,
+    pub reports: Vec<LimitReport>,
 }
 
 impl LimitDatagram {
     /// Encodes a datagram for one entry alone or, with `for_zone`, for all entries of its
     /// availability zone.
-    pub fn encode(secret: &PeerSecret, for_zone: bool, news: &[LimitNews]) -> Vec<u8> {
-        let datagram = Self { tag: tag(secret), for_zone, news: news.to_vec() };
+    pub fn encode(secret: &PeerSecret, for_zone: bool, reports: &[LimitReport]) -> Vec<u8> {
+        let datagram = Self { tag: tag(secret), for_zone, reports: reports.to_vec() };
         postcard::to_stdvec(&datagram).expect("in-memory encoding does not fail")
     }
 
--- a/crates/rpc/src/paces.rs
+++ b/crates/rpc/src/paces.rs
@@ -8,9 +8,9 @@
 /// Maximum number of paces in a datagram, so that it fits into one packet.
 pub const MAX_PACES: usize = 64;
 
-/// What an entry has heard of one target's pace.
+/// The pace that a target stated, as an entry reports it to others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PaceNews {
+pub struct PaceReport {
     /// The target's address.
     pub address: SocketAddr,
     /// How long work takes there, in percent of the usual time.
@@ -28,14 +28,14 @@
     /// zone.
     pub for_zone: bool,
     /// Paces of the targets.
-    pub news: Vec<PaceNews>,
+    pub reports: Vec<PaceReport>,
 }
 
 impl PaceDatagram {
     /// Encodes a datagram for one entry alone or, with `for_zone`, for all entries of its
     /// availability zone.
-    pub fn encode(secret: &PeerSecret, for_zone: bool, news: &[PaceNews]) -> Vec<u8> {
-        let datagram = Self { tag: tag(secret), for_zone, news: news.to_vec() };
+    pub fn encode(secret: &PeerSecret, for_zone: bool, reports: &[PaceReport]) -> Vec<u8> {
+        let datagram = Self { tag: tag(secret), for_zone, reports: reports.to_vec() };
         postcard::to_stdvec(&datagram).expect("in-memory encoding does not fail")
     }
 
--- a/crates/serving/src/admission_shares.rs
+++ b/crates/serving/src/admission_shares.rs
@@ -1,13 +1,13 @@
-//! What becomes of requests of different priorities at one service, and how far the less urgent ones
-//! stand back.
+//! The shares of requests of each priority that one service gets and places, and the slots that less
+//! urgent requests yield to more urgent ones.
 //!
-//! Load pattern: for seconds at a time requests for a service come at twice the rate that its engines
-//! bear, of kinds with different priorities, through dozens of entries. A request that finds a free
-//! slot takes it, so without more the slots go to whoever comes first, and each entry's queue orders
-//! only the few requests that wait there. Less urgent requests therefore leave some slots of each
-//! target to more urgent ones, whichever entry they come through. So that they do not starve while
-//! the urgent ones alone fill the service, a priority that is served much less often than all
-//! requests is treated as the most urgent one until it has caught up.
+//! Load pattern: for seconds at a time requests for a service come at twice the rate that its
+//! engines bear, of kinds with different priorities, through dozens of entries. A request that
+//! finds a free slot takes it, so priorities would order only the few requests that wait in each
+//! entry's queue. Less urgent requests therefore leave some slots of each target to more urgent
+//! ones, whichever entry they come through. So that they do not starve while the urgent ones alone
+//! fill the service, a priority that is served much less often than all requests is treated as the
+//! most urgent one until it has caught up.
 
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 const HALF_LIFE: Duration = Duration::from_secs(5);
 /// Interval at which counts decay.
 const DECAY_INTERVAL: Duration = Duration::from_millis(250);
-/// Share of the requests below which a priority is not in use: others need not stand back for it.
+/// Share of the requests below which a priority is not in use: others yield nothing to it.
 const MIN_ARRIVAL_SHARE: f64 = 0.05;
 /// Fewest requests of a priority by which it is judged whether it starves.
 const MIN_JUDGED_ARRIVALS: f64 = 4.0;
@@ -29,7 +29,7 @@
 const RESERVE_PER_POSITION: f64 = 0.025;
 /// Positions from one priority to the next.
 const POSITIONS_PER_PRIORITY: u8 = 2;
-/// By how many positions a late request stands back: behind those in time of the next priority, and
+/// Positions by which a late request goes later: behind those in time of the next priority, and
 /// before those of the one after that.
 const LATE_POSITIONS: u8 = 3;
 
--- a/crates/serving/src/engine_times.rs
+++ b/crates/serving/src/engine_times.rs
@@ -35,7 +35,7 @@
 
 impl EngineTimes {
     /// Checks a description; `None` if it does not say how long an engine takes, or says something
-    /// impossible. A description serves predictions only, so an odd one is not an error.
+    /// impossible. A description serves predictions only, so an implausible one is not an error.
     pub fn check(raw: &RawEngineTimes) -> Option<Self> {
         let positive = |value: Option<f64>| value.filter(|value| value.is_finite() && *value > 0.0);
         let millis = |value: f64| Duration::try_from_secs_f64(value / 1_000.0).ok();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,15 +3,15 @@
 //! Free of I/O; the current time is passed in as an argument. The main types:
 //!
 //! - [`ServingConfig`]: the configuration, which operators replace as a whole and which
-//!   [`ServingConfig::try_from`] validates once ([`ServingConfig::validate`] returns every error); [`RouteTable`] looks up the route and the
-//!   organisation of a request.
+//!   [`ServingConfig::try_from`] validates once ([`ServingConfig::validate`] returns every error);
+//!   [`RouteTable`] looks up the route and the organisation of a request.
 //! - [`ConfigHolder`]: the configuration in force at an entry, and what the entry requests from
 //!   control.
 //! - [`TargetRegistry`]: at control, the announcements of targets, with numbered changes so that
 //!   readers fetch only what they have not seen.
 //! - [`TargetTable`]: at an entry, the merged updates of all control members and the outcomes of
 //!   the entry's own requests; [`TargetTable::choose`] places a request.
-//! - [`AdmissionShares`]: how far requests of lower priority stand back for others under overload.
+//! - [`AdmissionShares`]: the slots that requests of lower priority yield to others under overload.
 //! - [`WaitQueue`]: requests that wait for a slot, and when they are rejected instead.
 //! - [`PeerList`]: at control, the agents that exchange chunks, with numbered changes.
 //! - [`RetryDetector`]: how long a caller has been trying.
@@ -90,7 +90,7 @@
     origin_turn::{OriginBacklog, OriginTurn, OriginTurnPolicy},
     peer_list::{PeerList, PeerMap, PeerUpdate, SwarmPeer, apply_peer_updates},
     permit_allocator::{
-        HeardRates, NETWORK_MARGIN, PERMIT_LIFETIME, PermitAllocator, PermitGrant, PermitTerms,
+        NETWORK_MARGIN, PERMIT_LIFETIME, PermitAllocator, PermitGrant, PermitTerms, ReportedRates,
     },
     permit_requests::{PermitAnswer, PermitRequest, PermitRequests},
     placement::{PlacementChoice, PlacementOutcome, PlacementPolicy, PlacementQuery},
--- a/crates/serving/src/permit_allocator.rs
+++ b/crates/serving/src/permit_allocator.rs
@@ -22,16 +22,16 @@
 pub const NETWORK_MARGIN: Duration = Duration::from_millis(300);
 /// Time within which the permits of the requests that arrive in one second were granted.
 const GRANT_WINDOW: Duration = Duration::from_millis(1_500);
-/// Capacity for which a bucket gives up some of its rate: with 1, a permit that is fetched a round
-/// trip after it is available delays all later ones by that.
+/// Capacity for which a bucket gives up some of its rate. With 1, a permit that is fetched a round
+/// trip after it becomes available delays all later ones by that time.
 const USUAL_CAPACITY: f64 = 2.0;
 /// Least rate of such a bucket, as a fraction of the rate that it should grant.
 const MIN_USUAL_RATE: f64 = 0.9;
 /// Most targets with a bucket. A control member grants for all targets of services without engines.
 const MAX_BUCKETS: usize = 4_096;
-/// Time for which a rate that was heard counts against higher ones: longer than entries differ in
-/// their configuration while they can reach control.
-const RATE_MEMORY: Duration = Duration::from_secs(5);
+/// Time for which a reported rate counts against higher ones: longer than entries that reach control
+/// take to apply a new configuration.
+const RATE_RETENTION: Duration = Duration::from_secs(5);
 /// Most different rates that are remembered for one target.
 const MAX_RATES: usize = 16;
 /// Longest time after which an entry is told to ask again.
@@ -166,26 +166,26 @@
     }
 }
 
-/// The rates of a cold target that calls name, where a granting process has no better source: the
-/// smallest one heard lately counts.
+/// The rates that calls name for a cold target, where a granting process has no better source: the
+/// smallest recent one counts.
 #[derive(Debug, Default)]
-pub struct HeardRates {
-    heard: Vec<(f64, Instant)>,
+pub struct ReportedRates {
+    reported: Vec<(f64, Instant)>,
 }
 
-impl HeardRates {
+impl ReportedRates {
     /// Records the rate that a call names and returns the one that counts; `None` if none is valid.
     pub fn record(&mut self, rate: f64, now: Instant) -> Option<f64> {
-        self.heard.retain(|(_, at)| now.saturating_duration_since(*at) < RATE_MEMORY);
+        self.reported.retain(|(_, at)| now.saturating_duration_since(*at) < RATE_RETENTION);
         if rate.is_finite() && rate > 0.0 {
-            self.heard.retain(|(known, _)| *known != rate);
-            self.heard.push((rate, now));
+            self.reported.retain(|(known, _)| *known != rate);
+            self.reported.push((rate, now));
         }
-        if self.heard.len() > MAX_RATES {
+        if self.reported.len() > MAX_RATES {
             // The smallest ones are kept, since they count.
-            self.heard.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-            self.heard.truncate(MAX_RATES);
+            self.reported.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+            self.reported.truncate(MAX_RATES);
         }
-        self.heard.iter().map(|(rate, _)| *rate).min_by(f64::total_cmp)
+        self.reported.iter().map(|(rate, _)| *rate).min_by(f64::total_cmp)
     }
 }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -36,7 +36,7 @@
 
 /// Time after its start within which an entry learns of all targets: they announce themselves about
 /// once a second, and to another control member if one does not answer for a second.
-const DISCOVERY_PERIOD: Duration = Duration::from_secs(3);
+pub(crate) const DISCOVERY_PERIOD: Duration = Duration::from_secs(3);
 
 /// Factor on [`PlacementPolicy::old_version_penalty`] for a request that was tried before.
 const RETRY_PENALTY_FACTOR: f64 = 6.0;
@@ -166,7 +166,8 @@
             }
             let Some(cost) = self.cost(row, query, view, now) else { continue };
             let free = (1.0 - cost).max(MIN_FREE_SHARE);
-            let weight = free.powi(self.policy.free_share_exponent) * self.favour(id, row, query);
+            let weight =
+                free.powi(self.policy.free_share_exponent) * self.weight_factor(id, row, query);
             let room = self.backpressure.room(id, now);
             if self.is_cold(row, now) {
                 let is_last_resort = room == SendRoom::LastResort && all_leave;
@@ -187,15 +188,15 @@
         candidates
     }
 
-    /// Whether it matters where requests of a service go by what they cost. Services without models
-    /// answer within some ten milliseconds, before an entry learns anything of their load.
+    /// Whether placement weighs costs for this request. Services without models answer within some
+    /// ten milliseconds, before an entry learns anything of their load.
     fn weighs_cost(&self, query: &PlacementQuery<'_>) -> bool {
         self.policy.weighs_cost && query.model.is_some()
     }
 
     /// Factor on the weight of a target: by what this entry knows of the prompts that
     /// are read there, and by whether it is one of the few entries that use the target first.
-    fn favour(&self, id: &TargetId, row: &TargetRow, query: &PlacementQuery<'_>) -> f64 {
+    fn weight_factor(&self, id: &TargetId, row: &TargetRow, query: &PlacementQuery<'_>) -> f64 {
         if !self.weighs_cost(query) {
             return 1.0;
         }
@@ -246,7 +247,7 @@
         let ids = self.services.get(query.service).into_iter().flatten();
         let staying = ids.filter(|id| !self.is_leaving(id));
         let rows = staying.filter_map(|id| self.rows.get(id));
-        let mut allowed = rows.filter(|row| self.is_in_allowed_region(row, query));
+        let mut allowed = rows.filter(|row| self.is_in_allowed_zone(row, query));
         allowed.any(|row| {
             row.record.state == TargetState::Ready && !row.stalled && !row.is_silent(now)
         })
@@ -278,15 +279,16 @@
         median_first_byte: Duration,
         now: Instant,
     ) -> bool {
-        if !row.takes_requests(now) || !self.is_in_allowed_region(row, query) {
+        if !row.takes_requests(now) || !self.is_in_allowed_zone(row, query) {
             return false;
         }
         let allowed = |model| self.starts_on_allowed_version(row, model, median_first_byte, now);
         query.model.is_none_or(allowed)
     }
 
-    /// Whether a target is in a region that may handle the request, and its zone is not evacuated.
-    pub(crate) fn is_in_allowed_region(&self, row: &TargetRow, query: &PlacementQuery<'_>) -> bool {
+    /// Whether the availability zone of a target is in a region that may handle the request, and is
+    /// not evacuated.
+    pub(crate) fn is_in_allowed_zone(&self, row: &TargetRow, query: &PlacementQuery<'_>) -> bool {
         let zone = &row.record.zone;
         !self.is_closed_zone(zone) && self.regions.allows(zone, query.regions)
     }
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -300,7 +300,7 @@
     pub fn has_other(&self, query: &PlacementQuery<'_>) -> bool {
         let untried = self.ids(query.service).filter(|id| !query.tried.contains(id));
         let mut rows = untried.filter_map(|id| self.rows.get(id));
-        rows.any(|row| self.is_in_allowed_region(row, query))
+        rows.any(|row| self.is_in_allowed_zone(row, query))
     }
 
     /// The targets of a service.
--- a/crates/serving/src/target_table/attempts.rs
+++ b/crates/serving/src/target_table/attempts.rs
@@ -33,7 +33,7 @@
         if outcome == AttemptOutcome::Unreachable {
             row.record_slow_first_byte(UNREACHABLE_FIRST_BYTE, now);
             // The process may have ended; its successor is cold before it announces itself.
-            row.cold.record_returned(now);
+            row.cold.assume_cold(now);
         }
         row.health.record(outcome, now)
     }
@@ -65,7 +65,7 @@
     /// answers at its address next is cold.
     pub fn record_ended(&mut self, id: &TargetId, now: Instant) {
         if let Some(row) = self.rows.get_mut(id) {
-            row.cold.record_returned(now);
+            row.cold.assume_cold(now);
             row.health.record(AttemptOutcome::Unreachable, now);
         }
     }
--- a/crates/serving/src/target_table/cold.rs
+++ b/crates/serving/src/target_table/cold.rs
@@ -7,6 +7,7 @@
 use crate::{
     cold_limit::ColdLimit,
     permit_requests::PermitRequests,
+    placement::DISCOVERY_PERIOD,
     status::{TargetId, TargetStatus},
 };
 use egretseam_proto::{ServiceName, ZoneName};
@@ -16,8 +17,6 @@
 
 /// Longest time after a statement for which a target counts as cold, whatever it states.
 pub(super) const MAX_COLD_START: Duration = Duration::from_secs(600);
-/// Time after its start within which an entry learns of targets that may have run for long.
-const DISCOVERY_PERIOD: Duration = Duration::from_secs(3);
 /// Time that an announcement may take to this entry beyond its stated age. One that seems to be made
 /// this shortly after a zone returned may have been made before.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(500);
@@ -25,16 +24,16 @@
 /// What is known of the times in which a target is cold.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ColdTimes {
-    /// When the target started at the earliest; `None` if it has been seen to be warm by an entry
-    /// that started after it.
+    /// Start of the target, as far as is known; `None` if this entry learned of it soon after its
+    /// own start, as one that was warm already.
     started_at: Option<Instant>,
     /// End of the cold time by the last announcement.
     announced_until: Instant,
     /// End of the cold time by responses.
     responded_until: Option<Instant>,
-    /// When the target's availability zone returned from an evacuation, or its process ended, until
-    /// the target announces that it is warm.
-    returned_at: Option<Instant>,
+    /// When the target's availability zone returned from an evacuation, or its process may have
+    /// ended; `None` once the target has announced that it is warm.
+    assumed_cold_at: Option<Instant>,
 }
 
 impl ColdTimes {
@@ -46,7 +45,7 @@
             started_at: (!(is_known_late && is_warm)).then_some(reported_at),
             announced_until: reported_at,
             responded_until: None,
-            returned_at: None,
+            assumed_cold_at: None,
         }
     }
 
@@ -55,22 +54,22 @@
         let cold = Duration::from_millis(cold_millis).min(MAX_COLD_START);
         self.announced_until = reported_at + cold;
         let is_after = |at: Instant| reported_at > at + MAX_ANNOUNCEMENT_DELAY;
-        if cold_millis == 0 && self.returned_at.is_some_and(is_after) {
-            self.returned_at = None;
+        if cold_millis == 0 && self.assumed_cold_at.is_some_and(is_after) {
+            self.assumed_cold_at = None;
         }
         self.announced_until
     }
 
-    /// Records that the target may have become cold now.
-    pub(super) fn record_returned(&mut self, now: Instant) {
-        self.returned_at = Some(now);
+    /// Records that the target may have become cold now, without a statement of its own.
+    pub(super) fn assume_cold(&mut self, now: Instant) {
+        self.assumed_cold_at = Some(now);
     }
 
-    /// The latest time until which anything known says that the target is cold.
+    /// End of the cold time by whatever source gives the latest one.
     fn until(&self, limit: &ColdLimit) -> Instant {
         let started = self.started_at.map(|at| at + limit.duration);
-        let returned = self.returned_at.map(|at| at + limit.duration);
-        let latest = started.max(returned).max(self.responded_until);
+        let assumed = self.assumed_cold_at.map(|at| at + limit.duration);
+        let latest = started.max(assumed).max(self.responded_until);
         latest.map_or(self.announced_until, |until| until.max(self.announced_until))
     }
 }
@@ -121,7 +120,7 @@
     /// on, unless they announce after `now` that they are warm.
     pub fn mark_zone_cold(&mut self, zone: &ZoneName, now: Instant) {
         for row in self.rows.values_mut().filter(|row| row.record.zone == *zone) {
-            row.cold.record_returned(now);
+            row.cold.assume_cold(now);
         }
     }
 
--- a/crates/serving/src/target_table/limits.rs
+++ b/crates/serving/src/target_table/limits.rs
@@ -160,7 +160,7 @@
             let row = self
                 .rows
                 .get(id)
-                .filter(|row| row.takes_requests(now) && self.is_in_allowed_region(row, query));
+                .filter(|row| row.takes_requests(now) && self.is_in_allowed_zone(row, query));
             let is_open = !query.tried.contains(id) && self.withheld(id, now).is_none();
             let Some(row) = row.filter(|_| is_open) else { continue };
             let pacer = &row.limit.as_ref()?.pacer;
--- a/crates/serving/src/target_table/loads.rs
+++ b/crates/serving/src/target_table/loads.rs
@@ -40,7 +40,7 @@
         }
     }
 
-    /// Records how fast a target says that it works now. Returns whether it is news.
+    /// Records the pace that a target states now. Returns whether other entries have to know it.
     pub fn record_pace(&mut self, id: &TargetId, factor: PaceFactor, now: Instant) -> bool {
         self.rows.get_mut(id).is_some_and(|row| row.pace.record(factor, now))
     }
--- a/crates/serving/src/validation.rs
+++ b/crates/serving/src/validation.rs
@@ -70,8 +70,8 @@
         self.0.push(LocatedError { path, error });
     }
 
-    /// The value; `None`, with the error recorded, if there is none.
-    fn take<T>(&mut self, path: ConfigPath, result: Result<T, NameError>) -> Option<T> {
+    /// The value of `result`; records the error if there is none.
+    fn ok_or_record<T>(&mut self, path: ConfigPath, result: Result<T, NameError>) -> Option<T> {
         match result {
             Ok(value) => Some(value),
             Err(error) => {
@@ -102,7 +102,8 @@
     for (index, service) in raw.into_iter().enumerate() {
         let path = ConfigPath::item(ConfigField::Services, index);
         let name_path = path.field(ConfigField::Name);
-        let name = errors.take(name_path.clone(), ServiceName::try_from(service.name.as_str()));
+        let name =
+            errors.ok_or_record(name_path.clone(), ServiceName::try_from(service.name.as_str()));
         let record = check_service(service, &path, errors);
         let Some(name) = name else { continue };
         if !names.insert(name.clone()) {
@@ -150,7 +151,7 @@
     let mut models = Vec::with_capacity(raw.models.len());
     for (index, model) in raw.models.into_iter().enumerate() {
         let name_path = path.index(index).field(ConfigField::Name);
-        models.extend(errors.take(name_path, ModelName::try_from(model)));
+        models.extend(errors.ok_or_record(name_path, ModelName::try_from(model)));
     }
     let times = EngineTimes::check(&raw.times);
     let (slots, chunks, chunk_bytes) = (raw.slots, raw.chunks, raw.chunk_bytes);
@@ -162,7 +163,8 @@
     service: &ConfigPath,
     errors: &mut ErrorList,
 ) -> Option<OriginRecord> {
-    let zone = errors.take(service.field(ConfigField::Zone), ZoneName::try_from(raw.zone))?;
+    let zone =
+        errors.ok_or_record(service.field(ConfigField::Zone), ZoneName::try_from(raw.zone))?;
     Some(OriginRecord { address: raw.address, zone })
 }
 
@@ -246,7 +248,7 @@
     let path = owner.field(ConfigField::Regions);
     let mut regions = Vec::with_capacity(raw.len());
     for (index, name) in raw.into_iter().enumerate() {
-        regions.extend(errors.take(path.index(index), RegionName::try_from(name)));
+        regions.extend(errors.ok_or_record(path.index(index), RegionName::try_from(name)));
     }
     AllowedRegions::from_regions(regions)
 }
@@ -261,7 +263,8 @@
         let path = ConfigPath::item(ConfigField::Organisations, index);
         let keys = check_keys(&organisation, &path, &mut names_by_key, errors);
         let name_path = path.field(ConfigField::Name);
-        let name = errors.take(name_path.clone(), OrganisationName::try_from(organisation.name));
+        let name =
+            errors.ok_or_record(name_path.clone(), OrganisationName::try_from(organisation.name));
         let regions = check_regions(organisation.regions, &path, errors);
         let Some(name) = name else { continue };
         let record = OrganisationRecord { keys, priority: organisation.priority, regions };
--- a/crates/serving/src/wait_queue.rs
+++ b/crates/serving/src/wait_queue.rs
@@ -122,16 +122,16 @@
 #[derive(Clone, Debug, Default)]
 struct WindowCounts {
     placed: u32,
-    /// Requests among `placed` by rank, of the ranks that stand back for others.
-    placed_back: IndexMap<WaitRank, u32>,
+    /// Requests among `placed` by rank, of the ranks that yield slots to others.
+    placed_yielding: IndexMap<WaitRank, u32>,
     rejected: u32,
 }
 
 impl WindowCounts {
     /// Placed requests that waited for the same slots as those of `rank`.
-    fn placed_beside(&self, rank: WaitRank) -> u32 {
-        let beside = self.placed_back.iter().filter(|(other, _)| other.is_beside(rank));
-        beside.map(|(_, count)| count).sum()
+    fn placed_competing(&self, rank: WaitRank) -> u32 {
+        let competing = self.placed_yielding.iter().filter(|(other, _)| other.competes_with(rank));
+        competing.map(|(_, count)| count).sum()
     }
 }
 
@@ -195,8 +195,8 @@
     pub fn record_placed(&mut self, urgency: &WaitUrgency, now: Instant) {
         self.rotate_windows(now);
         self.current_window.placed += 1;
-        if urgency.rank.stands_back(urgency.admission) {
-            *self.current_window.placed_back.entry(urgency.rank).or_default() += 1;
+        if urgency.rank.yields(urgency.admission) {
+            *self.current_window.placed_yielding.entry(urgency.rank).or_default() += 1;
         }
     }
 
@@ -240,21 +240,22 @@
         let placed = self.previous_window.placed + self.current_window.placed;
         let ahead = self.ahead(urgency);
         let tickets = self.waiters.keys().filter(|ticket| ticket.rank <= urgency.rank);
-        let beside_ahead = tickets.filter(|ticket| ticket.rank.is_beside(urgency.rank)).count();
+        let competing_ahead =
+            tickets.filter(|ticket| ticket.rank.competes_with(urgency.rank)).count();
         // Slots are counted when requests take them, so an idle service looks slow. The rate at
         // which slots come free shows only in a busy service with requests already waiting.
         if placed < MIN_PLACED_FOR_RATE || ahead == 0 {
             return None;
         }
-        if !urgency.rank.stands_back(urgency.admission) {
+        if !urgency.rank.yields(urgency.admission) {
             return Some(span.mul_f64((ahead + 1) as f64 / f64::from(placed)));
         }
         // Counting one more than were placed gives a finite prediction before any was placed.
         let windows = [&self.previous_window, &self.current_window];
-        let placed_beside: u32 =
-            windows.iter().map(|window| window.placed_beside(urgency.rank)).sum();
-        let behind_others = (ahead - beside_ahead) as f64 / f64::from(placed);
-        let among_equals = (beside_ahead + 1) as f64 / f64::from(placed_beside + 1);
+        let placed_competing: u32 =
+            windows.iter().map(|window| window.placed_competing(urgency.rank)).sum();
+        let behind_others = (ahead - competing_ahead) as f64 / f64::from(placed);
+        let among_equals = (competing_ahead + 1) as f64 / f64::from(placed_competing + 1);
         Some(span.mul_f64(behind_others + among_equals))
     }
 
--- a/crates/serving/src/wait_queue/urgency.rs
+++ b/crates/serving/src/wait_queue/urgency.rs
@@ -67,14 +67,14 @@
         self.is_late
     }
 
-    /// Whether requests of this rank stand back for others, so that the rate at which slots come
-    /// free does not tell how long they wait.
-    pub(super) fn stands_back(self, admission: Option<AdmissionPosition>) -> bool {
+    /// Whether requests of this rank yield slots to others, so that the rate at which slots come
+    /// free does not determine how long they wait.
+    pub(super) fn yields(self, admission: Option<AdmissionPosition>) -> bool {
         self.is_late || admission.is_some_and(|position| position.number() > 0)
     }
 
     /// Whether two requests wait for the same slots, apart from the priorities of organisations.
-    pub(super) fn is_beside(self, other: Self) -> bool {
+    pub(super) fn competes_with(self, other: Self) -> bool {
         (self.group, self.position) == (other.group, other.position)
     }
 }
--- a/crates/stager/src/loads.rs
+++ b/crates/stager/src/loads.rs
@@ -7,8 +7,7 @@
 
 /// Interval at which the last report is sampled.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
-/// Differences in percent of the usual time that entries are told of, so that a pace which varies a
-/// little does not cost a datagram each time.
+/// Step in percent to which a pace is rounded up, so that small changes of it send no datagram.
 const PACE_STEP: u16 = 25;
 /// Longest time between datagrams while the load stays the same: as a sample ages, entries weigh
 /// the service's mean more.
--- a/crates/stager/src/permits.rs
+++ b/crates/stager/src/permits.rs
@@ -3,14 +3,14 @@
 //! The agent does not depend on control for this, so that a cold target is served while control is
 //! down. Its own settings say how far the rate may be exceeded. The rate itself is in the
 //! configuration, which agents do not get, and a new field in a message of control would not be read
-//! by earlier releases. So each call names the rate that its entry knows, and the smallest one heard
-//! lately counts: while a configuration spreads, entries name different rates.
+//! by earlier releases. So each call names the rate that its entry knows, and the smallest recent
+//! one counts: while a configuration spreads, entries name different rates.
 //!
 //! Whether the target is cold is for the entries to decide; a permit is no harm to one that is not.
 
 use crate::shared::StagerShared;
 use egretseam_rpc::{MAX_DATAGRAM_BYTES, PermitCall};
-use egretseam_serving::{ColdLimit, HeardRates, PermitAllocator, PermitGrant, PermitTerms};
+use egretseam_serving::{ColdLimit, PermitAllocator, PermitGrant, PermitTerms, ReportedRates};
 use std::{
     net::SocketAddr,
     rc::{Rc, Weak},
@@ -27,7 +27,7 @@
 #[derive(Default)]
 struct TargetGrants {
     allocator: PermitAllocator,
-    rates: HeardRates,
+    rates: ReportedRates,
     /// The terms that were logged last.
     terms: Option<PermitTerms>,
 }
@@ -86,7 +86,7 @@
 }
 
 impl TargetGrants {
-    /// `None` if no valid rate has been heard.
+    /// Answers a call; `None` if no recent call named a valid rate.
     fn grant(
         &mut self,
         shared: &StagerShared,
--- a/tests/all/cold_targets.rs
+++ b/tests/all/cold_targets.rs
@@ -5,8 +5,8 @@
 use egretseam_proto::ZoneName;
 use egretseam_rpc::{LimitDatagram, LoadDatagram, PeerSecret, PermitCall, PermitReply};
 use egretseam_serving::{
-    AttemptOutcome, ColdLimit, ColdTolerance, HeardRates, NETWORK_MARGIN, PermitAllocator,
-    PermitAnswer, PermitRequests, PermitTerms, PlacementOutcome, PlacementPolicy, PlacementQuery,
+    AttemptOutcome, ColdLimit, ColdTolerance, NETWORK_MARGIN, PermitAllocator, PermitAnswer,
+    PermitRequests, PermitTerms, PlacementOutcome, PlacementPolicy, PlacementQuery, ReportedRates,
     TargetId, TargetRecord, TargetState, TargetTable,
 };
 use indexmap::IndexMap;
@@ -292,7 +292,7 @@
 #[test]
 fn the_smallest_rate_heard_lately_counts() {
     let start = Instant::now();
-    let mut rates = HeardRates::default();
+    let mut rates = ReportedRates::default();
     assert_eq!(rates.record(f64::NAN, start), None);
     assert_eq!(rates.record(-1.0, start), None);
     assert_eq!(rates.record(23.0, start), Some(23.0));
--- a/tests/all/target_pace.rs
+++ b/tests/all/target_pace.rs
@@ -1,7 +1,7 @@
 //! Paces that targets state, in placement and between processes.
 
 use crate::serving_tables::{address, choose, id, table};
-use egretseam_rpc::{LoadDatagram, PaceDatagram, PaceNews, PeerSecret, TargetLoad};
+use egretseam_rpc::{LoadDatagram, PaceDatagram, PaceReport, PeerSecret, TargetLoad};
 use egretseam_serving::{PaceFactor, PlacementOutcome};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -82,9 +82,9 @@
 #[test]
 fn paces_and_loads_are_told_apart() {
     let secret = PeerSecret::derive("a secret");
-    let news = [PaceNews { address: address(1), percent: 250, age_millis: 12 }];
-    let bytes = PaceDatagram::encode(&secret, true, &news);
-    assert_eq!(PaceDatagram::decode(&secret, &bytes).expect("its own").news, news);
+    let reports = [PaceReport { address: address(1), percent: 250, age_millis: 12 }];
+    let bytes = PaceDatagram::encode(&secret, true, &reports);
+    assert_eq!(PaceDatagram::decode(&secret, &bytes).expect("its own").reports, reports);
     assert!(LoadDatagram::decode(&secret, &bytes).is_none());
     assert!(PaceDatagram::decode(&PeerSecret::derive("another"), &bytes).is_none());
 }
