--- a/crates/serving/src/placement/policy.rs
+++ b/crates/serving/src/placement/policy.rs
@@ -70,7 +70,7 @@
             late_prefills: 4.0,
             cross_zone_penalty: 0.25,
             free_share_exponent: 2,
-            choices: 2,
+            choices: 1,
             weighs_cost: true,
             prompt_window: Duration::from_millis(50),
             first_entries: 3,
