--- a/review/build.sh
+++ b/review/build.sh
@@ -6,3 +6,4 @@
 rustc --edition 2024 -O -o target/review/world review/stand_ins/world.rs
 rustc --edition 2024 -O -o target/review/leaving review/stand_ins/leaving.rs
 rustc --edition 2024 -O -o target/review/extra_bytes review/stand_ins/extra_bytes.rs
+rustc --edition 2024 -O -o target/review/blank_line review/stand_ins/blank_line.rs
--- a/review/stand_ins/extra_bytes.rs
+++ b/review/stand_ins/extra_bytes.rs
@@ -4,8 +4,13 @@
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
+#[allow(dead_code)]
 #[path = "http.rs"]
 mod http;
+#[path = "platform.rs"]
+#[allow(dead_code)]
+mod platform;
+#[allow(dead_code)]
 #[path = "processes.rs"]
 mod processes;
 #[path = "record.rs"]
@@ -24,7 +29,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Requests that clients send while both servers are up.
@@ -55,20 +60,7 @@
 }
 
 fn main() {
-    let folder = std::env::args().nth(1).unwrap_or_default();
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Arc::new(Record::create(&folder));
-    record.line(&format!("case extra bytes, trouble {has_trouble}"));
-    let status = match play(has_trouble, &record) {
-        Ok(false) => 0,
-        Ok(true) => 1,
-        Err(error) => {
-            record.line(&format!("could not run: {error}"));
-            2
-        }
-    };
-    record.line(&format!("exit status {status}"));
-    std::process::exit(status);
+    platform::run_case("extra bytes", play);
 }
 
 fn play(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
@@ -91,8 +83,8 @@
     fn play(self: &Arc<Self>) -> Result<bool, String> {
         self.start_server("i-faulty", 0)?;
         self.start_server("i-sound", 1)?;
-        self.acknowledged("/config/replace", &manifest())?;
-        self.await_first_answer()?;
+        platform::send_order(&self.deployment, &self.record, "/config/replace", &manifest())?;
+        platform::repeat(|| self.ask().1 == Some(200)).ok_or("no request was answered")?;
         thread::sleep(Duration::from_secs(2));
         let mut refused_but_run = 0;
         for _ in 0..REQUESTS {
@@ -116,7 +108,9 @@
         let platform = self.clone();
         http::serve(listener, move |request, stream| platform.respond(id, request, stream));
         let platform = self.clone();
-        thread::spawn(move || platform.beat(id, &address));
+        thread::spawn(move || {
+            platform::announce(&platform.deployment, id, &address, &platform.is_stopped);
+        });
         Ok(())
     }
 
@@ -148,49 +142,6 @@
         self.runs.lock().expect("no holder panics").get(id).copied().unwrap_or(0)
     }
 
-    fn beat(&self, id: &str, address: &str) {
-        let mut sequence = 0;
-        while !self.is_stopped.load(Ordering::SeqCst) {
-            sequence += 1;
-            let body = format!(
-                "{{\"service\":\"orders\",\"address\":\"{address}\",\"zone\":\"thrace-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"coldLeftMs\":0,\"models\":[],\"seq\":{sequence}}}"
-            );
-            let path = format!("/instances/{id}/heartbeat");
-            let controls = self.deployment.control_addresses();
-            let is_acknowledged = controls.iter().any(|control| {
-                let exchange = Exchange::new(control, "POST", &path, &body);
-                exchange.status(Duration::from_secs(1)) == Some(200)
-            });
-            thread::sleep(Duration::from_millis(if is_acknowledged { 1_200 } else { 200 }));
-        }
-    }
-
-    fn acknowledged(&self, path: &str, body: &str) -> Result<(), String> {
-        let give_up_at = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < give_up_at {
-            for address in self.deployment.control_addresses() {
-                let exchange = Exchange::new(&address, "POST", path, body);
-                if exchange.status(Duration::from_secs(1)) == Some(200) {
-                    self.record.line(&format!("operator: {path} acknowledged"));
-                    return Ok(());
-                }
-            }
-            thread::sleep(Duration::from_millis(200));
-        }
-        Err(format!("{path} was not acknowledged"))
-    }
-
-    fn await_first_answer(&self) -> Result<(), String> {
-        let give_up_at = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < give_up_at {
-            if self.ask().1 == Some(200) {
-                return Ok(());
-            }
-            thread::sleep(Duration::from_millis(200));
-        }
-        Err("no request was answered".to_owned())
-    }
-
     /// Sends one request; returns its id and the status of its answer.
     fn ask(&self) -> (String, Option<u16>) {
         let number = self.next_request.fetch_add(1, Ordering::SeqCst);
--- a/review/stand_ins/leaving.rs
+++ b/review/stand_ins/leaving.rs
@@ -3,8 +3,13 @@
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
+#[allow(dead_code)]
 #[path = "http.rs"]
 mod http;
+#[path = "platform.rs"]
+#[allow(dead_code)]
+mod platform;
+#[allow(dead_code)]
 #[path = "processes.rs"]
 mod processes;
 #[path = "record.rs"]
@@ -47,20 +52,7 @@
     {
         serve(id, address);
     }
-    let folder = arguments.first().cloned().unwrap_or_default();
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Arc::new(Record::create(&folder));
-    record.line(&format!("case leaving, trouble {has_trouble}"));
-    let status = match play(has_trouble, &record) {
-        Ok(false) => 0,
-        Ok(true) => 1,
-        Err(error) => {
-            record.line(&format!("could not run: {error}"));
-            2
-        }
-    };
-    record.line(&format!("exit status {status}"));
-    std::process::exit(status);
+    platform::run_case("leaving", play);
 }
 
 fn play(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
@@ -86,8 +78,9 @@
 impl Platform {
     fn play(self: &Arc<Self>, has_trouble: bool, servers: &mut Vec<Child>) -> Result<bool, String> {
         servers.push(self.start_server("i-leaving", 0)?);
-        self.acknowledged("/config/replace", &manifest())?;
-        self.await_status("/o/quick")?;
+        platform::send_order(&self.deployment, &self.record, "/config/replace", &manifest())?;
+        let is_served = || self.ask("/o/quick").is_some_and(|answer| answer.status == 200);
+        platform::repeat(is_served).ok_or("no request was answered")?;
         let asked: Vec<JoinHandle<Option<ClientAnswer>>> = ["/o/plain", "/s/stream"]
             .into_iter()
             .map(|target| {
@@ -144,15 +137,8 @@
             sequence += 1;
             let is_draining = leaves && self.is_draining.load(Ordering::SeqCst);
             let state = if is_draining { "draining" } else { "ready" };
-            let body = format!(
-                "{{\"service\":\"orders\",\"address\":\"{address}\",\"zone\":\"thrace-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"{state}\",\"coldLeftMs\":0,\"models\":[],\"seq\":{sequence}}}"
-            );
-            let path = format!("/instances/{id}/heartbeat");
-            let controls = self.deployment.control_addresses();
-            let is_acknowledged = controls.iter().any(|control| {
-                let exchange = Exchange::new(control, "POST", &path, &body);
-                exchange.status(Duration::from_secs(1)) == Some(200)
-            });
+            let is_acknowledged =
+                platform::send_heartbeat(&self.deployment, id, address, state, sequence);
             if is_acknowledged && is_draining {
                 self.drain_acks.store(sequence, Ordering::SeqCst);
             }
@@ -167,32 +153,6 @@
         }
     }
 
-    fn acknowledged(&self, path: &str, body: &str) -> Result<(), String> {
-        let give_up_at = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < give_up_at {
-            for address in self.deployment.control_addresses() {
-                let exchange = Exchange::new(&address, "POST", path, body);
-                if exchange.status(Duration::from_secs(1)) == Some(200) {
-                    self.record.line(&format!("operator: {path} acknowledged"));
-                    return Ok(());
-                }
-            }
-            thread::sleep(Duration::from_millis(200));
-        }
-        Err(format!("{path} was not acknowledged"))
-    }
-
-    fn await_status(&self, target: &str) -> Result<(), String> {
-        let give_up_at = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < give_up_at {
-            if self.ask(target).is_some_and(|answer| answer.status == 200) {
-                return Ok(());
-            }
-            thread::sleep(Duration::from_millis(200));
-        }
-        Err("no request was answered".to_owned())
-    }
-
     fn ask(&self, target: &str) -> Option<ClientAnswer> {
         static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
         let id = format!("{:016x}", NEXT_REQUEST.fetch_add(1, Ordering::SeqCst));
