--- a/review/stand_ins/blank_line.rs
+++ b/review/stand_ins/blank_line.rs
@@ -1,5 +1,5 @@
 //! A faulty server that spoils the framing of an answer: an empty line stands where the size of the
-//! next chunk should. `blank_line FOLDER` plays the case and writes `FOLDER/record.txt`.
+//! next chunk should. `blank_line RECORD` plays the case and writes the file RECORD.
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
--- a/review/stand_ins/extra_bytes.rs
+++ b/review/stand_ins/extra_bytes.rs
@@ -1,6 +1,6 @@
 //! A faulty server that sends additional bytes after a complete response, late: where the next
-//! response on the channel is expected. `extra_bytes FOLDER` plays the case and writes
-//! `FOLDER/record.txt`.
+//! response on the channel is expected. `extra_bytes RECORD` plays the case and writes
+//! the file RECORD.
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
--- a/review/stand_ins/leaving.rs
+++ b/review/stand_ins/leaving.rs
@@ -1,5 +1,5 @@
-//! A server that leaves as planned and crashes in the middle of its last answers. `leaving FOLDER` plays the
-//! case and writes `FOLDER/record.txt`; `leaving serve ID ADDRESS` is one server process.
+//! A server that leaves as planned and crashes in the middle of its last answers. `leaving RECORD` plays the
+//! case and writes the file RECORD; `leaving serve ID ADDRESS` is one server process.
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
--- a/review/stand_ins/platform.rs
+++ b/review/stand_ins/platform.rs
@@ -14,12 +14,12 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 const REPEAT_TIME: Duration = Duration::from_secs(20);
 
-/// Plays a case named by the first argument's folder and exits: 0 if the rule held, 1 if it was broken,
+/// Plays a case, with its record at the path of the first argument, and exits: 0 if the rule held, 1 if it was broken,
 /// 2 if the case could not run.
 pub fn run_case(name: &str, play: impl Fn(bool, &Arc<Record>) -> Result<bool, String>) -> ! {
-    let folder = std::env::args().nth(1).unwrap_or_default();
+    let path = std::env::args().nth(1).unwrap_or_default();
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Arc::new(Record::create(&folder));
+    let record = Arc::new(Record::create(&path));
     record.line(&format!("case {name}, trouble {has_trouble}"));
     let status = match play(has_trouble, &record) {
         Ok(false) => 0,
--- a/review/stand_ins/record.rs
+++ b/review/stand_ins/record.rs
@@ -1,6 +1,6 @@
 //! The record of a case: what was sent, answered and run, with the time since the start.
 
-use std::{fs::File, io::Write, path::Path, sync::Mutex, time::Instant};
+use std::{fs::File, io::Write, sync::Mutex, time::Instant};
 
 pub struct Record {
     file: Mutex<File>,
@@ -8,9 +8,9 @@
 }
 
 impl Record {
-    /// Creates `record.txt` in `folder`.
-    pub fn create(folder: &str) -> Self {
-        let file = File::create(Path::new(folder).join("record.txt")).expect("create record.txt");
+    /// Creates the file at `path`.
+    pub fn create(path: &str) -> Self {
+        let file = File::create(path).expect("create the record");
         Self { file: Mutex::new(file), started_at: Instant::now() }
     }
 
--- a/review/stand_ins/world.rs
+++ b/review/stand_ins/world.rs
@@ -1,6 +1,6 @@
 //! Stand-ins of the platform around the project's own processes: servers with model engines, the origin of
-//! weights, an operator and clients, all on loopback addresses. `world CASE FOLDER` plays one case of
-//! the review and writes `FOLDER/record.txt`.
+//! weights, an operator and clients, all on loopback addresses. `world CASE RECORD` plays one case of
+//! the review and writes the file RECORD.
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
@@ -79,11 +79,10 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let (name, folder) =
-        (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
+    let (name, path) = (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
     let case = if name == "order" { Case::Order } else { Case::Version };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Arc::new(Record::create(&folder));
+    let record = Arc::new(Record::create(&path));
     record.line(&format!("case {name}, trouble {has_trouble}"));
     let status = match play(case, has_trouble, &record) {
         Ok(false) => 0,
