Log how old the verification of staged chunks is when an order is sent

It now gives the length of the pass that found all chunks correct, and the age of its start when the order is sent and when it is answered.

--- a/crates/stager/src/staging.rs
+++ b/crates/stager/src/staging.rs
@@ -7,22 +7,33 @@
 use bytes::Bytes;
 use egretseam_h1::ExchangeError;
 use egretseam_rpc::WeightsKey;
+use tokio::time::Instant;
 
 /// Passes over the staged chunks before the order is postponed. Without faults two suffice: one
 /// stages the chunks, one finds them all correct.
 const MAX_STAGING_PASSES: u32 = 5;
 
-/// Stages the weights and verifies them at the engine. Returns whether all staged chunks are
-/// correct.
+/// Stages the weights and verifies them at the engine. Returns when the pass began that found all
+/// staged chunks correct, or `None` if no pass did.
 ///
 /// Failure guarded: staged bytes can be corrupted at any time, also right after they were staged,
 /// and the engine loads them unchecked. Callers would get answers from corrupted weights. Every
 /// chunk is read back and compared right before the order, until one pass over all finds none to
 /// replace.
-pub(crate) async fn stage(shared: &StagerShared, weights: &CompleteWeights) -> bool {
+pub(crate) async fn stage(shared: &StagerShared, weights: &CompleteWeights) -> Option<Instant> {
     for _ in 0..MAX_STAGING_PASSES {
+        let pass_began_at = Instant::now();
         match replace_mismatched(shared, weights).await {
-            Some(0) => return true,
+            Some(0) => {
+                let pass_millis = pass_began_at.elapsed().as_millis() as u64;
+                tracing::info!(
+                    version = weights.key.version,
+                    chunks = weights.chunks.len(),
+                    pass_millis,
+                    "verified all staged chunks"
+                );
+                return Some(pass_began_at);
+            }
             Some(replaced) => tracing::info!(
                 version = weights.key.version,
                 mended = replaced,
@@ -32,7 +43,7 @@
         }
     }
     tokio::time::sleep(ORDER_PAUSE).await;
-    false
+    None
 }
 
 /// Puts every chunk that is not staged or does not match its digest; returns how many, or `None` if
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -130,16 +130,14 @@
     preempt: bool,
     drain_until: Instant,
 ) -> bool {
-    if !stage(shared, weights).await {
-        return false;
-    }
+    let Some(verified_since) = stage(shared, weights).await else { return false };
     // Entries are notified first, so that no request reaches an engine that rejects it.
     let _order_guard = shared.begin_order();
     tokio::join!(tokio::time::sleep(ENTRY_NOTICE), contents::record(shared, &weights.digests));
     if preempt {
         drain(shared, drain_until).await;
     }
-    order(shared, weights, preempt).await
+    order(shared, weights, preempt, verified_since).await
 }
 
 /// Waits until the engine is idle, at most until `until` and for [`DRAIN_TIMEOUT`]. A request that
@@ -161,7 +159,12 @@
     }
 }
 
-async fn order(shared: &StagerShared, weights: &Rc<CompleteWeights>, preempt: bool) -> bool {
+async fn order(
+    shared: &StagerShared,
+    weights: &Rc<CompleteWeights>,
+    preempt: bool,
+    verified_since: Instant,
+) -> bool {
     if !engine::poll(shared).await {
         return false;
     }
@@ -171,12 +174,15 @@
     let fencing_token = shared.fence.borrow_mut().next_token();
     let order =
         LoadOrder { model, version: *version, preempt, expected_orders_begun, fencing_token };
+    let verified_millis_ago = verified_since.elapsed().as_millis() as u64;
     let outcome = send(shared, &order).await;
     shared.orders.borrow_mut().record_outcome(outcome);
     tracing::info!(
         %model,
         version,
         begun_before = expected_orders_begun,
+        verified_millis_ago,
+        verified_millis_before_answer = verified_since.elapsed().as_millis() as u64,
         ?outcome,
         "ordered the engine to load weights"
     );
