--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod caching_entries;
 mod chunk_cache;
+mod chunk_verification;
 mod chunks;
 mod contents;
 mod dialect;
@@ -40,6 +41,9 @@
 
 pub use crate::{
     chunk_cache::ChunkCacheRuntime,
+    chunk_verification::{
+        CORRUPTION_TOLERANCE, ChunkVerification, MAX_VERIFICATION_AGE, StagingStep,
+    },
     dialect::{EngineDialect, EngineReport, EngineRequest, LoadOrder, OrderOutcome},
     digest_search::OriginSchedule,
     digests::WeightDigests,
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -43,6 +43,8 @@
     pub(crate) chunks_from_peers: IntCounter,
     pub(crate) chunks_bad: IntCounter,
     pub(crate) chunks_rotten: IntCounter,
+    pub(crate) verifications_expired: IntCounter,
+    pub(crate) orders_postponed: IntCounter,
     pub(crate) orders: IntCounter,
     pub(crate) orders_refused: IntCounter,
     pub(crate) orders_unknown: IntCounter,
@@ -64,6 +66,14 @@
                 "chunks_rotten",
                 "Staged chunks that were not what they must be and were put again.",
             ),
+            verifications_expired: counter(
+                "verifications_expired",
+                "Times that staged chunks were verified again because the order was held up.",
+            ),
+            orders_postponed: counter(
+                "orders_postponed",
+                "Orders not sent because staged chunks could not be verified in time.",
+            ),
             orders: counter("orders", "Orders to the engine."),
             orders_refused: counter(
                 "orders_refused",
@@ -223,21 +233,6 @@
         }
     }
 
-    /// Calls the engine on the connection for staging and orders.
-    pub(crate) async fn call_engine(
-        &self,
-        call: &EngineRequest,
-    ) -> Result<CallResponse, ExchangeError> {
-        self.lock_engine().await.call(call).await
-    }
-
-    pub(crate) async fn send_order(
-        &self,
-        call: &EngineRequest,
-    ) -> Result<CallResponse, ExchangeError> {
-        self.staging_client.lock().await.call(&request(call, ORDER_TIMEOUT)).await
-    }
-
     /// Reserves the connection for staging and orders until the returned value is dropped.
     pub(crate) async fn lock_engine(&self) -> EngineConnection<'_> {
         EngineConnection { client: self.staging_client.lock().await }
@@ -333,6 +328,14 @@
         self.client.call(&request(call, ENGINE_CALL_TIMEOUT)).await
     }
 
+    /// Sends an order.
+    pub(crate) async fn order(
+        &mut self,
+        call: &EngineRequest,
+    ) -> Result<CallResponse, ExchangeError> {
+        self.client.call(&request(call, ORDER_TIMEOUT)).await
+    }
+
     /// Sends an order on the connection that the last call left open; fails if there is none. The
     /// order can only reach the incarnation of the engine that answered that call.
     pub(crate) async fn order_on_same_connection(
--- a/crates/stager/src/staging.rs
+++ b/crates/stager/src/staging.rs
@@ -1,7 +1,10 @@
 //! Staged chunks at the engine: reading them back, putting them, and replacing those that mismatch.
 
 use crate::{
-    digests::WeightDigests, order_tracker::CompleteWeights, shared::StagerShared,
+    chunk_verification::{ChunkVerification, StagingStep},
+    digests::WeightDigests,
+    order_tracker::CompleteWeights,
+    shared::{EngineConnection, StagerShared},
     switch::ORDER_PAUSE,
 };
 use bytes::Bytes;
@@ -9,61 +12,118 @@
 use egretseam_rpc::WeightsKey;
 use tokio::time::Instant;
 
-/// Passes over the staged chunks before the order is postponed. Without faults two suffice: one
-/// stages the chunks, one finds them all correct.
+/// How often each staged chunk may be read before the order is postponed. Without faults two passes
+/// suffice: one stages the chunks, one finds them all correct.
 const MAX_STAGING_PASSES: u32 = 5;
+/// How often each chunk may be read again right before the order. Entries send the engine nothing
+/// meanwhile.
+const MAX_FINAL_PASSES: u32 = 2;
 
-/// Stages the weights and verifies them at the engine. Returns when the pass began that found all
-/// staged chunks correct, or `None` if no pass did.
+/// Stages the weights and verifies them at the engine. Returns whether all staged chunks are
+/// correct.
+pub(crate) async fn stage(
+    shared: &StagerShared,
+    weights: &CompleteWeights,
+    verification: &mut ChunkVerification,
+) -> bool {
+    verification.begin_attempt(MAX_STAGING_PASSES);
+    let began_at = Instant::now();
+    let mut engine = shared.lock_engine().await;
+    let is_staged = replace_incorrect(shared, &mut engine, weights, verification).await.is_some();
+    drop(engine);
+    if is_staged {
+        tracing::info!(
+            version = weights.key.version,
+            millis = began_at.elapsed().as_millis() as u64,
+            oldest_millis = age_millis(verification),
+            "staged and verified all chunks"
+        );
+    } else {
+        tokio::time::sleep(ORDER_PAUSE).await;
+    }
+    is_staged
+}
+
+/// Verifies staged chunks again whose verification is too old for an order that is sent now.
+/// Returns how many of them had to be replaced, or `None` if the order must not be sent.
 ///
-/// Failure guarded: staged bytes can be corrupted at any time, also right after they were staged,
-/// and the engine loads them unchecked. Callers would get answers from corrupted weights. Every
-/// chunk is read back and compared right before the order, until one pass over all finds none to
-/// replace.
-pub(crate) async fn stage(shared: &StagerShared, weights: &CompleteWeights) -> Option<Instant> {
-    for _ in 0..MAX_STAGING_PASSES {
-        let pass_began_at = Instant::now();
-        match replace_mismatched(shared, weights).await {
-            Some(0) => {
-                let pass_millis = pass_began_at.elapsed().as_millis() as u64;
-                tracing::info!(
-                    version = weights.key.version,
-                    chunks = weights.chunks.len(),
-                    pass_millis,
-                    "verified all staged chunks"
-                );
-                return Some(pass_began_at);
-            }
-            Some(replaced) => tracing::info!(
-                version = weights.key.version,
-                mended = replaced,
-                "staged missing or mismatched chunks"
-            ),
-            None => break,
-        }
+/// Failure guarded: the agent is held up after it verified the chunks, and one is corrupted
+/// meanwhile. The engine loads whatever is staged, so callers would get answers from corrupted
+/// weights until the next version. The age of every verification is compared with the clock after
+/// the last wait before the order, on the connection that the order uses.
+pub(crate) async fn verify_again(
+    shared: &StagerShared,
+    engine: &mut EngineConnection<'_>,
+    weights: &CompleteWeights,
+    verification: &mut ChunkVerification,
+) -> Option<u32> {
+    verification.begin_attempt(MAX_FINAL_PASSES);
+    if verification.next_step(Instant::now()) == StagingStep::Done {
+        return Some(0);
+    }
+    let oldest_millis = age_millis(verification);
+    let replaced = replace_incorrect(shared, engine, weights, verification).await;
+    shared.metrics.verifications_expired.inc();
+    tracing::info!(
+        version = weights.key.version,
+        oldest_millis,
+        replaced,
+        "verified staged chunks again before the order, since their verification was too old"
+    );
+    if replaced.is_none() {
+        shared.metrics.orders_postponed.inc();
     }
-    tokio::time::sleep(ORDER_PAUSE).await;
-    None
+    replaced
 }
 
-/// Puts every chunk that is not staged or does not match its digest; returns how many, or `None` if
-/// one could not be put.
-async fn replace_mismatched(shared: &StagerShared, weights: &CompleteWeights) -> Option<u32> {
+/// Age of the oldest verification, for the log.
+pub(crate) fn age_millis(verification: &ChunkVerification) -> Option<u64> {
+    verification.oldest().map(|at| at.elapsed().as_millis() as u64)
+}
+
+/// Takes the steps of an attempt. Returns how many chunks were put because they were missing or
+/// corrupted, or `None` if some chunk is not verified in the end.
+async fn replace_incorrect(
+    shared: &StagerShared,
+    engine: &mut EngineConnection<'_>,
+    weights: &CompleteWeights,
+    verification: &mut ChunkVerification,
+) -> Option<u32> {
     let mut replaced = 0;
-    for (index, chunk) in (0..).zip(&weights.chunks) {
-        let staged = read_back(shared, &weights.key, index).await;
-        let was_staged = staged.is_some();
-        if staged.is_some_and(|bytes| weights.digests.matches(index, &bytes)) {
+    loop {
+        let index = match verification.next_step(Instant::now()) {
+            StagingStep::Done => break,
+            StagingStep::GiveUp => {
+                tracing::info!(
+                    version = weights.key.version,
+                    replaced,
+                    "staged chunks are corrupted, or verifications expire, as fast as they are read"
+                );
+                return None;
+            }
+            StagingStep::ReadBack(index) => index,
+        };
+        let requested_at = Instant::now();
+        let staged = get_chunk(shared, engine, &weights.key, index).await.ok().flatten();
+        let now = Instant::now();
+        if staged.as_ref().is_some_and(|bytes| weights.digests.matches(index, bytes)) {
+            verification.record_correct(index, requested_at, now);
             continue;
         }
-        if was_staged {
+        verification.record_incorrect(index, requested_at, now);
+        if staged.is_some() {
             shared.metrics.chunks_rotten.inc();
         }
-        if !put_chunk(shared, &weights.key, index, chunk.clone()).await {
+        let chunk = weights.chunks[index as usize].clone();
+        if !put_chunk(shared, engine, &weights.key, index, chunk).await {
             return None;
         }
         replaced += 1;
     }
+    if replaced > 0 {
+        let version = weights.key.version;
+        tracing::info!(version, replaced, "staged missing or corrupted chunks");
+    }
     Some(replaced)
 }
 
@@ -73,7 +133,8 @@
     key: &WeightsKey,
     index: u32,
 ) -> Option<Bytes> {
-    get_chunk(shared, key, index).await.ok().flatten()
+    let mut engine = shared.lock_engine().await;
+    get_chunk(shared, &mut engine, key, index).await.ok().flatten()
 }
 
 /// Reads what is staged at the indexes of a version's chunks, up to the first index without a
@@ -84,8 +145,9 @@
 ) -> Option<Vec<Option<Bytes>>> {
     let key = digests.key();
     let mut staged = Vec::new();
+    let mut engine = shared.lock_engine().await;
     for index in 0..digests.count() {
-        let chunk = get_chunk(shared, &key, index).await.ok()?;
+        let chunk = get_chunk(shared, &mut engine, &key, index).await.ok()?;
         let is_empty = chunk.is_none();
         staged.push(chunk);
         if is_empty {
@@ -97,18 +159,25 @@
 
 async fn get_chunk(
     shared: &StagerShared,
+    engine: &mut EngineConnection<'_>,
     key: &WeightsKey,
     index: u32,
 ) -> Result<Option<Bytes>, ExchangeError> {
     let request = shared.dialect.get_chunk_request(&key.model, index);
-    let reply = shared.call_engine(&request).await?;
+    let reply = engine.call(&request).await?;
     Ok((reply.status == 200).then_some(reply.body))
 }
 
 /// Stages a chunk; returns whether the engine accepted it.
-async fn put_chunk(shared: &StagerShared, key: &WeightsKey, index: u32, bytes: Bytes) -> bool {
+async fn put_chunk(
+    shared: &StagerShared,
+    engine: &mut EngineConnection<'_>,
+    key: &WeightsKey,
+    index: u32,
+    bytes: Bytes,
+) -> bool {
     let request = shared.dialect.put_chunk_request(&key.model, index, bytes);
-    match shared.call_engine(&request).await {
+    match engine.call(&request).await {
         Ok(reply) if reply.status < 300 => true,
         Ok(reply) => {
             tracing::info!(status = reply.status, index, "engine rejected a chunk to stage");
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -1,14 +1,15 @@
 //! Orders the engine to load staged weights.
 
 use crate::{
+    chunk_verification::ChunkVerification,
     chunks::VersionChunks,
     contents,
     dialect::{LoadOrder, OrderOutcome},
     engine, fencing,
     order_tracker::CompleteWeights,
     previous_orders,
-    shared::StagerShared,
-    staging::stage,
+    shared::{EngineConnection, StagerShared},
+    staging::{self, stage},
 };
 use egretseam_rpc::WeightsKey;
 use std::{
@@ -130,14 +131,17 @@
     preempt: bool,
     drain_until: Instant,
 ) -> bool {
-    let Some(verified_since) = stage(shared, weights).await else { return false };
+    let mut verification = ChunkVerification::new(weights.digests.count());
+    if !stage(shared, weights, &mut verification).await {
+        return false;
+    }
     // Entries are notified first, so that no request reaches an engine that rejects it.
     let _order_guard = shared.begin_order();
     tokio::join!(tokio::time::sleep(ENTRY_NOTICE), contents::record(shared, &weights.digests));
     if preempt {
         drain(shared, drain_until).await;
     }
-    order(shared, weights, preempt, verified_since).await
+    order(shared, weights, preempt, &mut verification).await
 }
 
 /// Waits until the engine is idle, at most until `until` and for [`DRAIN_TIMEOUT`]. A request that
@@ -163,9 +167,13 @@
     shared: &StagerShared,
     weights: &Rc<CompleteWeights>,
     preempt: bool,
-    verified_since: Instant,
+    verification: &mut ChunkVerification,
 ) -> bool {
-    if !engine::poll(shared).await {
+    // From the verification to the order nothing waits for the connection.
+    let mut engine = shared.lock_engine().await;
+    if !engine::poll(shared).await
+        || staging::verify_again(shared, &mut engine, weights, verification).await.is_none()
+    {
         return false;
     }
     let orders_begun = shared.report.borrow().as_ref().map_or(0, |report| report.orders_begun);
@@ -174,24 +182,29 @@
     let fencing_token = shared.fence.borrow_mut().next_token();
     let order =
         LoadOrder { model, version: *version, preempt, expected_orders_begun, fencing_token };
-    let verified_millis_ago = verified_since.elapsed().as_millis() as u64;
-    let outcome = send(shared, &order).await;
+    let verified_millis_ago = staging::age_millis(verification);
+    let outcome = send(shared, &mut engine, &order).await;
+    drop(engine);
     shared.orders.borrow_mut().record_outcome(outcome);
     tracing::info!(
         %model,
         version,
         begun_before = expected_orders_begun,
         verified_millis_ago,
-        verified_millis_before_answer = verified_since.elapsed().as_millis() as u64,
+        verified_millis_before_answer = staging::age_millis(verification),
         ?outcome,
         "ordered the engine to load weights"
     );
     await_loaded(shared, &weights.key, outcome).await
 }
 
-async fn send(shared: &StagerShared, order: &LoadOrder<'_>) -> OrderOutcome {
+async fn send(
+    shared: &StagerShared,
+    engine: &mut EngineConnection<'_>,
+    order: &LoadOrder<'_>,
+) -> OrderOutcome {
     shared.metrics.orders.inc();
-    let outcome = match shared.send_order(&shared.dialect.order_request(order)).await {
+    let outcome = match engine.order(&shared.dialect.order_request(order)).await {
         Ok(reply) => {
             if shared.dialect.is_fencing_rejection(reply.status) {
                 shared.fence.borrow_mut().record_fencing_rejection();
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -12,6 +12,7 @@
 mod endless;
 mod engines;
 mod evacuations;
+mod held_up_orders;
 mod late_orders;
 mod leaving;
 mod link_queue;
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -6,11 +6,12 @@
 use sha2::{Digest, Sha256};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
+use tokio::sync::Notify;
 
 /// Number of chunks of a version.
 pub(super) const CHUNKS: u32 = 12;
@@ -138,6 +139,15 @@
     }
 }
 
+/// A request at which an engine waits before it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HeldRequest {
+    /// The read of the staged chunk with this index.
+    ReadBack(u64),
+    /// A report that no request is running.
+    IdleReport,
+}
+
 /// An engine that loads whatever is staged, and records whether that was complete and intact.
 #[derive(Default)]
 pub(super) struct ScriptedEngine {
@@ -166,6 +176,12 @@
     withheld_orders: RefCell<Vec<Bytes>>,
     /// Outcome of each order, one line each, to diagnose failed tests.
     history: RefCell<Vec<String>>,
+    /// Requests at which the engine will wait, one after the other, before it answers.
+    requests_to_hold: RefCell<VecDeque<HeldRequest>>,
+    is_holding: Cell<bool>,
+    released: Notify,
+    /// Time that the engine takes to read a staged chunk.
+    pub(super) read_time: Cell<Duration>,
     /// Whether withheld orders are executed when the middle chunk of a version is staged.
     pub(super) executes_while_staging: Cell<bool>,
 }
@@ -189,10 +205,51 @@
                 serving.withheld_orders.borrow_mut().push(body);
                 return std::future::pending().await;
             }
-            serving.respond(head, body)
+            if head.path() == "/stage-get/chat" {
+                tokio::time::sleep(serving.read_time.get()).await;
+            }
+            let response = serving.respond(head, body);
+            serving.hold(head).await;
+            response
         }));
     }
 
+    /// Has the engine wait at the next such request, after those that it is to wait at already.
+    pub(super) fn hold_at(&self, request: HeldRequest) {
+        self.requests_to_hold.borrow_mut().push_back(request);
+    }
+
+    /// Whether the engine waits at a request, which it has carried out and not answered.
+    pub(super) fn is_holding(&self) -> bool {
+        self.is_holding.get()
+    }
+
+    /// Has the engine answer the request at which it waits.
+    pub(super) fn release(&self) {
+        self.is_holding.set(false);
+        self.released.notify_one();
+    }
+
+    async fn hold(&self, head: &RequestHead) {
+        let next = self.requests_to_hold.borrow().front().copied();
+        if next.is_some_and(|next| self.matches(next, head)) {
+            self.requests_to_hold.borrow_mut().pop_front();
+            self.is_holding.set(true);
+            self.released.notified().await;
+        }
+    }
+
+    /// Whether this is such a request, while the next version is staged complete.
+    fn matches(&self, request: HeldRequest, head: &RequestHead) -> bool {
+        let is_request = match request {
+            HeldRequest::ReadBack(index) => {
+                head.path() == "/stage-get/chat" && number(head, "num") == Some(index)
+            }
+            HeldRequest::IdleReport => head.path() == "/report" && self.running_requests.get() == 0,
+        };
+        is_request && self.has_staged(self.version.get() + 1)
+    }
+
     /// Orders that got no response and have not been executed yet.
     pub(super) fn withheld_order_count(&self) -> usize {
         self.withheld_orders.borrow().len()
--- /dev/null
+++ b/tests/all/fleet/held_up_orders.rs
@@ -0,0 +1,104 @@
+//! Agents that are held up between their verification of staged chunks and the order to load them.
+
+use super::{
+    engines::{HeldRequest, ScriptedEngine},
+    weights_bed::WeightsFixture,
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// Longer than an engine may load chunks that are corrupted.
+const HOLD_UP: Duration = Duration::from_millis(3_300);
+/// Index of a chunk that is corrupted.
+const CORRUPTED: u64 = 3;
+
+/// One engine, which is about to load version 2. If its requests can be resumed, some are running.
+async fn start(resumable: bool) -> (WeightsFixture, Rc<ScriptedEngine>) {
+    let mut fixture = WeightsFixture::start(0, resumable).await;
+    fixture.fleet.settings.staleness_bound = Duration::from_secs(8);
+    fixture.add().await;
+    fixture.wait_until_loaded(1).await;
+    let engine = fixture.engines[0].clone();
+    engine.running_requests.set(if resumable { 2 } else { 0 });
+    (fixture, engine)
+}
+
+/// Freezes the agent while the engine waits at a request, and corrupts a chunk as the freeze
+/// begins.
+async fn freeze_at_held_request(fixture: &WeightsFixture, engine: &ScriptedEngine, chunk: u64) {
+    fixture.fleet.wait_until(|| engine.is_holding()).await;
+    fixture.freeze_agent(0, HOLD_UP).await;
+    engine.corrupt_staged(chunk);
+    engine.release();
+    tokio::time::sleep(HOLD_UP).await;
+}
+
+async fn check_hold_up_at(request: HeldRequest, resumable: bool) {
+    let (fixture, engine) = start(resumable).await;
+    engine.hold_at(request);
+    fixture.publish(2).await;
+    freeze_at_held_request(&fixture, &engine, CORRUPTED).await;
+    fixture.wait_until_loaded(2).await;
+}
+
+/// Guards against answers from corrupted weights: an agent is frozen for seconds after it has
+/// verified the first chunks.
+#[actix_rt::test]
+async fn a_hold_up_at_the_first_chunks_expires_their_verification() {
+    check_hold_up_at(HeldRequest::ReadBack(CORRUPTED), true).await;
+}
+
+/// Guards against the same failure in the middle of the verification.
+#[actix_rt::test]
+async fn a_hold_up_amid_the_verification_expires_that_of_earlier_chunks() {
+    check_hold_up_at(HeldRequest::ReadBack(7), true).await;
+}
+
+/// Guards against the same failure after the last chunk is verified.
+#[actix_rt::test]
+async fn a_hold_up_after_the_last_chunk_expires_the_verification() {
+    check_hold_up_at(HeldRequest::ReadBack(11), true).await;
+}
+
+/// Guards against the same failure between the end of the drain and the order.
+#[actix_rt::test]
+async fn a_hold_up_between_drain_and_order_expires_the_verification() {
+    check_hold_up_at(HeldRequest::IdleReport, true).await;
+}
+
+/// Guards against the same failure at an engine that is not drained.
+#[actix_rt::test]
+async fn a_hold_up_before_an_order_without_preemption_expires_the_verification() {
+    check_hold_up_at(HeldRequest::IdleReport, false).await;
+}
+
+/// Guards against the same failure when the agent is frozen once more while it verifies again.
+#[actix_rt::test]
+async fn a_second_hold_up_expires_the_repeated_verification() {
+    let (fixture, engine) = start(true).await;
+    engine.hold_at(HeldRequest::IdleReport);
+    engine.hold_at(HeldRequest::ReadBack(7));
+    fixture.publish(2).await;
+    freeze_at_held_request(&fixture, &engine, 5).await;
+    freeze_at_held_request(&fixture, &engine, CORRUPTED).await;
+    fixture.wait_until_loaded(2).await;
+}
+
+/// Guards against an engine that never gets new weights: it reads so slowly that no pass over all
+/// chunks is recent. Other engines must not wait for it.
+#[actix_rt::test]
+async fn an_engine_that_reads_slowly_gets_its_weights() {
+    let mut fixture = WeightsFixture::start(0, true).await;
+    fixture.fleet.settings.staleness_bound = Duration::from_secs(8);
+    fixture.add().await;
+    fixture.add().await;
+    fixture.wait_until_loaded(1).await;
+    let [slow, usual] = [0, 1].map(|index| fixture.engines[index].clone());
+    slow.read_time.set(Duration::from_millis(130));
+    let began = Instant::now();
+    fixture.publish(2).await;
+    fixture.fleet.wait_until(|| usual.version.get() == 2).await;
+    assert!(began.elapsed() < Duration::from_secs(8), "usual: {:?}", began.elapsed());
+    fixture.wait_until_loaded(2).await;
+    assert!(began.elapsed() < Duration::from_secs(16), "slow: {:?}", began.elapsed());
+}
--- a/tests/all/fleet/weights_bed.rs
+++ b/tests/all/fleet/weights_bed.rs
@@ -103,6 +103,18 @@
         agent.join().expect("the agent's thread ends");
     }
 
+    /// Holds the agent of the engine at `index` up, as SIGSTOP does, and returns once it stands
+    /// still.
+    pub(super) async fn freeze_agent(&self, index: usize, time: Duration) {
+        let agent = self.agents[index].as_ref().expect("the agent is running");
+        let (frozen, is_frozen) = tokio::sync::oneshot::channel();
+        agent.spawn_fn(move || {
+            frozen.send(()).expect("the test waits");
+            std::thread::sleep(time);
+        });
+        is_frozen.await.expect("the agent's thread runs");
+    }
+
     /// Starts the agent of the engine at `index` after [`Self::stop_agent`].
     pub(super) fn restart_agent(&mut self, index: usize) {
         self.agents[index] = Some(self.start_agent(self.targets[index]));
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod bad_input;
 mod caller_codec;
 mod catalog_model;
+mod chunk_verification;
 mod cold_targets;
 mod config_check;
 mod connection_close;
