An engine that may have loaded corrupted chunks gets no requests until it has loaded others

What callers saw: answers from corrupted weights, if agent and engine are frozen while the order is on its way. The clock is compared before the order leaves (commit before); what happens until the engine accepts it nobody can prevent.

Cause: an answer to the order, or a report that it has begun, was taken for a proof that the chunks verified before it were the ones loaded.

Change: `LoadProof` (apart from I/O) knows when the engine can have begun at the earliest, by when it had, when each chunk was last found correct, and when one was put. If 3 s at most lie between the oldest verification and the moment by which the engine had begun, nothing more is done: always so without a hold-up. Else the staged chunks are read back: a corruption stays until the agent puts the chunk, so one that is correct now and was not put since was correct when it was loaded. Until that is known the agent reports the engine as loading, so entries send it nothing. If a chunk is corrupted, or was put since the order may have begun, the engine gets no requests until it has loaded another version or restarted; log line and `egretseam_stager_loads_unproven_total` say so. An order that the previous agent process may have left is tracked alike, by the read that identified it. Chunks that were replaced right before an order make the agent poll again, so that it knows that no copy began before.

Test (`an_engine_that_may_have_loaded_corrupted_chunks_gets_no_requests`): agent and engine are held up for 3.3 s with the order on its way, a chunk is corrupted.

--- a/crates/stager/src/chunk_verification.rs
+++ b/crates/stager/src/chunk_verification.rs
@@ -53,6 +53,13 @@
         Self { rows, read_times: VecDeque::new(), reads_left: 0 }
     }
 
+    /// All of `count` chunks were found correct by reads that were requested at `requested_at` or
+    /// later.
+    pub fn of_correct(count: u32, requested_at: Instant) -> Self {
+        let row = ChunkRow { verified_at: Some(requested_at), handled_at: Some(requested_at) };
+        Self { rows: vec![row; count as usize], ..Self::new(count) }
+    }
+
     /// Begins an attempt that may read every chunk `passes` times.
     pub fn begin_attempt(&mut self, passes: u32) {
         self.reads_left = self.rows.len() * passes as usize;
--- a/crates/stager/src/engine.rs
+++ b/crates/stager/src/engine.rs
@@ -44,6 +44,13 @@
         Ok(report) => {
             shared.report_at.set(asked_at);
             shared.orders.borrow_mut().apply_orders_begun(report.orders_begun);
+            let holds_weights = report.busy || !report.models.is_empty();
+            shared.load_proof.borrow_mut().apply_report(
+                report.orders_begun,
+                holds_weights,
+                asked_at,
+                Instant::now(),
+            );
             shared.fence.borrow_mut().apply_report(shared.report.borrow().as_ref(), &report);
             detect_rollback(shared, &report);
             shared.report.send_if_modified(|held| {
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -20,6 +20,8 @@
 mod engine;
 mod fencing;
 mod follow;
+mod load_check;
+mod load_proof;
 mod loads;
 mod older;
 mod options;
@@ -47,6 +49,7 @@
     dialect::{EngineDialect, EngineReport, EngineRequest, LoadOrder, OrderOutcome},
     digest_search::OriginSchedule,
     digests::WeightDigests,
+    load_proof::{LoadProof, LoadVerdict},
     options::{StagerListeners, StagerOptions},
     order_fence::OrderFence,
     order_tracker::{CompleteWeights, OrderTracker},
--- /dev/null
+++ b/crates/stager/src/load_check.rs
@@ -0,0 +1,63 @@
+//! Finds out whether the engine has loaded correct chunks when the answer to an order came late, or
+//! not at all.
+
+use crate::{load_proof::LoadVerdict, shared::StagerShared, staging};
+use std::{rc::Weak, time::Duration};
+use tokio::time::Instant;
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Reads staged chunks back whenever that is needed, for as long as the agent lives. The task that
+/// sent the order may have been interrupted by a newer version.
+pub(crate) async fn run(shared: Weak<StagerShared>) {
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let Some(shared) = shared.upgrade() else { return };
+        conclude(&shared);
+        if shared.load_proof.borrow().next_read().is_some() {
+            let _switching = shared.switching.lock().await;
+            finish(&shared).await;
+        }
+    }
+}
+
+/// Reads staged chunks back until it is known whether the engine has loaded correct ones, or until
+/// the engine does not answer. Nothing may be staged meanwhile.
+///
+/// Failure guarded: the agent and its engine are held up while an order is on its way, and a chunk
+/// that was verified before is corrupted meanwhile. The engine accepts the order afterwards, and
+/// callers get answers from corrupted weights. Entries send the engine nothing until its chunks are
+/// found correct; if one is not, the engine gets no requests before it has loaded others.
+pub(crate) async fn finish(shared: &StagerShared) {
+    loop {
+        let Some((digests, index)) = shared.load_proof.borrow().next_read() else { break };
+        let requested_at = Instant::now();
+        let Ok(staged) = staging::get_chunk(shared, &digests.key(), index).await else { break };
+        let is_correct = staged.is_some_and(|bytes| digests.matches(index, &bytes));
+        let now = Instant::now();
+        shared.load_proof.borrow_mut().record_read(index, is_correct, requested_at, now);
+    }
+    conclude(shared);
+}
+
+/// Logs and counts a final verdict.
+fn conclude(shared: &StagerShared) {
+    let withheld_before = shared.load_proof.borrow().withholds_requests();
+    let verdict = shared.load_proof.borrow_mut().take_verdict();
+    match verdict {
+        Some(LoadVerdict::Unproven) => {
+            shared.metrics.loads_unproven.inc();
+            tracing::warn!(
+                "the engine may have loaded corrupted chunks; it gets no requests until it has \
+                 loaded others"
+            );
+        }
+        Some(_) if withheld_before => {
+            tracing::info!("the chunks that the engine has loaded late were correct");
+        }
+        _ => {}
+    }
+    if withheld_before != shared.load_proof.borrow().withholds_requests() {
+        shared.report_due.notify_one();
+    }
+}
--- a/crates/stager/src/previous_orders.rs
+++ b/crates/stager/src/previous_orders.rs
@@ -6,6 +6,7 @@
 //! anything over it.
 
 use crate::{
+    chunk_verification::ChunkVerification,
     contents, digest_search,
     digests::{WeightDigests, chunk_digest},
     engine, fencing,
@@ -44,6 +45,7 @@
     let orders_begun = shared.report.borrow().as_ref().map_or(0, |report| report.orders_begun);
     let Some(wanted) = shared.chunks.borrow().digests(key) else { return false };
     let is_fenced_off = fencing::fence_off_previous_orders(shared, &key.model).await;
+    let read_at = Instant::now();
     let Some(staged) = staging::read_all(shared, &wanted).await else { return false };
     // An order is only sent once all chunks are staged.
     let all_chunks: Option<Vec<Bytes>> = staged.into_iter().collect();
@@ -63,6 +65,9 @@
             version = weights.key.version,
             "an order of the previous agent process may be outstanding"
         );
+        let verification = ChunkVerification::of_correct(weights.digests.count(), read_at);
+        let mut proof = shared.load_proof.borrow_mut();
+        proof.record_sent(&weights.digests, &verification, orders_begun, read_at);
         shared.orders.borrow_mut().record_sent(&Rc::new(weights), orders_begun);
     }
     shared.previous_orders_known.set(true);
--- a/crates/stager/src/runtime.rs
+++ b/crates/stager/src/runtime.rs
@@ -3,7 +3,7 @@
 use crate::{
     chunks::ChunkHandler,
     dialect::EngineDialect,
-    engine, follow, loads, older,
+    engine, follow, load_check, loads, older,
     options::{StagerListeners, StagerOptions},
     permits, probe, reconcile,
     shared::StagerShared,
@@ -51,6 +51,7 @@
         }
         actix_rt::spawn(probe::run(Rc::downgrade(&shared)));
         actix_rt::spawn(older::watch(Rc::downgrade(&shared)));
+        actix_rt::spawn(load_check::run(Rc::downgrade(&shared)));
         actix_rt::spawn(switch::resend_outstanding_orders(Rc::downgrade(&shared)));
         actix_rt::spawn(reconcile::run(Rc::downgrade(&shared)));
         Ok(Self { _shared: shared, _chunks: chunks })
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -5,6 +5,7 @@
     chunks::ChunkStore,
     dialect::{EngineDialect, EngineReport, EngineRequest},
     downloads::PartDownloads,
+    load_proof::LoadProof,
     older::OlderVersion,
     options::StagerOptions,
     order_fence::OrderFence,
@@ -45,6 +46,7 @@
     pub(crate) chunks_rotten: IntCounter,
     pub(crate) verifications_expired: IntCounter,
     pub(crate) orders_postponed: IntCounter,
+    pub(crate) loads_unproven: IntCounter,
     pub(crate) orders: IntCounter,
     pub(crate) orders_refused: IntCounter,
     pub(crate) orders_unknown: IntCounter,
@@ -74,6 +76,10 @@
                 "orders_postponed",
                 "Orders not sent because staged chunks could not be verified in time.",
             ),
+            loads_unproven: counter(
+                "loads_unproven",
+                "Loads after which the chunks were not known to have been correct.",
+            ),
             orders: counter("orders", "Orders to the engine."),
             orders_refused: counter(
                 "orders_refused",
@@ -154,6 +160,8 @@
     /// The outstanding order. It is kept here because a newer version may cancel the task that
     /// sent it.
     pub(crate) orders: RefCell<OrderTracker>,
+    /// Whether the engine has loaded correct chunks by the last order.
+    pub(crate) load_proof: RefCell<LoadProof>,
     /// Fencing tokens of this agent's orders.
     pub(crate) fence: RefCell<OrderFence>,
     /// The last version whose content digest control has recorded on this agent's request.
@@ -212,6 +220,7 @@
             superseded_loaded: RefCell::new(None),
             switching: Mutex::new(()),
             orders: RefCell::default(),
+            load_proof: RefCell::default(),
             fence: RefCell::new(OrderFence::new(since_epoch())),
             recorded_content: RefCell::default(),
             previous_orders_known: Cell::new(false),
@@ -307,7 +316,9 @@
             address: self.options.target,
             incarnation: report.incarnation,
             models: report.models.clone(),
-            loading: report.busy || self.order_in_progress.get(),
+            loading: report.busy
+                || self.order_in_progress.get()
+                || self.load_proof.borrow().withholds_requests(),
             stalled: self.stalled.get(),
             link_delay_millis: self.delay_report.borrow().delay().as_millis() as u64,
             age_millis: self.report_at.get().elapsed().as_millis() as u64,
--- a/crates/stager/src/staging.rs
+++ b/crates/stager/src/staging.rs
@@ -104,7 +104,7 @@
             StagingStep::ReadBack(index) => index,
         };
         let requested_at = Instant::now();
-        let staged = get_chunk(shared, engine, &weights.key, index).await.ok().flatten();
+        let staged = get_chunk_on(shared, engine, &weights.key, index).await.ok().flatten();
         let now = Instant::now();
         if staged.as_ref().is_some_and(|bytes| weights.digests.matches(index, bytes)) {
             verification.record_correct(index, requested_at, now);
@@ -133,8 +133,20 @@
     key: &WeightsKey,
     index: u32,
 ) -> Option<Bytes> {
+    get_chunk(shared, key, index).await.ok().flatten()
+}
+
+/// Reads the chunk that is staged at `index`, if there is one.
+///
+/// # Errors
+/// The engine does not answer.
+pub(crate) async fn get_chunk(
+    shared: &StagerShared,
+    key: &WeightsKey,
+    index: u32,
+) -> Result<Option<Bytes>, ExchangeError> {
     let mut engine = shared.lock_engine().await;
-    get_chunk(shared, &mut engine, key, index).await.ok().flatten()
+    get_chunk_on(shared, &mut engine, key, index).await
 }
 
 /// Reads what is staged at the indexes of a version's chunks, up to the first index without a
@@ -147,7 +159,7 @@
     let mut staged = Vec::new();
     let mut engine = shared.lock_engine().await;
     for index in 0..digests.count() {
-        let chunk = get_chunk(shared, &mut engine, &key, index).await.ok()?;
+        let chunk = get_chunk_on(shared, &mut engine, &key, index).await.ok()?;
         let is_empty = chunk.is_none();
         staged.push(chunk);
         if is_empty {
@@ -157,7 +169,7 @@
     Some(staged)
 }
 
-async fn get_chunk(
+async fn get_chunk_on(
     shared: &StagerShared,
     engine: &mut EngineConnection<'_>,
     key: &WeightsKey,
@@ -177,7 +189,10 @@
     bytes: Bytes,
 ) -> bool {
     let request = shared.dialect.put_chunk_request(&key.model, index, bytes);
-    match engine.call(&request).await {
+    let reply = engine.call(&request).await;
+    // A put without an answer may have been executed.
+    shared.load_proof.borrow_mut().record_put(Instant::now());
+    match reply {
         Ok(reply) if reply.status < 300 => true,
         Ok(reply) => {
             tracing::info!(status = reply.status, index, "engine rejected a chunk to stage");
--- a/crates/stager/src/switch.rs
+++ b/crates/stager/src/switch.rs
@@ -5,7 +5,7 @@
     chunks::VersionChunks,
     contents,
     dialect::{LoadOrder, OrderOutcome},
-    engine, fencing,
+    engine, fencing, load_check,
     order_tracker::CompleteWeights,
     previous_orders,
     shared::{EngineConnection, StagerShared},
@@ -29,6 +29,8 @@
 /// How long an engine may take after it accepts an order: its running requests end within their
 /// deadlines, and loading takes a fraction of a second.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
+/// Polls before an order is postponed because chunks had to be replaced after each of them.
+const MAX_PREPARATIONS: u32 = 3;
 /// Poll interval for an engine that drains or loads, and check interval for an outstanding order.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -57,6 +59,7 @@
     drain_until: Instant,
 ) -> bool {
     let _switching = shared.switching.lock().await;
+    load_check::finish(shared).await;
     if holds(shared, key) {
         return true;
     }
@@ -117,6 +120,7 @@
         if !engine::poll(&shared).await {
             continue;
         }
+        load_check::finish(&shared).await;
         let outstanding = shared.orders.borrow().outstanding();
         if let Some(outstanding) = outstanding {
             let preempt = shared.plan.borrow().as_ref().is_some_and(|held| held.plan.may_preempt);
@@ -171,9 +175,7 @@
 ) -> bool {
     // From the verification to the order nothing waits for the connection.
     let mut engine = shared.lock_engine().await;
-    if !engine::poll(shared).await
-        || staging::verify_again(shared, &mut engine, weights, verification).await.is_none()
-    {
+    if !prepare(shared, &mut engine, weights, verification).await {
         return false;
     }
     let orders_begun = shared.report.borrow().as_ref().map_or(0, |report| report.orders_begun);
@@ -182,10 +184,16 @@
     let fencing_token = shared.fence.borrow_mut().next_token();
     let order =
         LoadOrder { model, version: *version, preempt, expected_orders_begun, fencing_token };
+    shared.load_proof.borrow_mut().record_sent(
+        &weights.digests,
+        verification,
+        expected_orders_begun,
+        Instant::now(),
+    );
     let verified_millis_ago = staging::age_millis(verification);
     let outcome = send(shared, &mut engine, &order).await;
     drop(engine);
-    shared.orders.borrow_mut().record_outcome(outcome);
+    record_outcome(shared, outcome);
     tracing::info!(
         %model,
         version,
@@ -195,7 +203,30 @@
         ?outcome,
         "ordered the engine to load weights"
     );
-    await_loaded(shared, &weights.key, outcome).await
+    let is_loaded = await_loaded(shared, &weights.key, outcome).await;
+    load_check::finish(shared).await;
+    is_loaded
+}
+
+/// Polls the engine and verifies staged chunks again, until a poll shows the engine's state after
+/// the last chunk was put. Returns whether an order may be sent now.
+async fn prepare(
+    shared: &StagerShared,
+    engine: &mut EngineConnection<'_>,
+    weights: &CompleteWeights,
+    verification: &mut ChunkVerification,
+) -> bool {
+    for _ in 0..MAX_PREPARATIONS {
+        if !engine::poll(shared).await {
+            return false;
+        }
+        match staging::verify_again(shared, engine, weights, verification).await {
+            Some(0) => return true,
+            Some(_) => {}
+            None => return false,
+        }
+    }
+    false
 }
 
 async fn send(
@@ -228,6 +259,17 @@
     outcome
 }
 
+fn record_outcome(shared: &StagerShared, outcome: OrderOutcome) {
+    let mut orders = shared.orders.borrow_mut();
+    orders.record_outcome(outcome);
+    let mut proof = shared.load_proof.borrow_mut();
+    if outcome == OrderOutcome::Accepted {
+        proof.record_accepted(Instant::now());
+    } else if orders.outstanding().is_none() {
+        proof.record_rejected();
+    }
+}
+
 async fn await_loaded(shared: &StagerShared, key: &WeightsKey, outcome: OrderOutcome) -> bool {
     let waiting_since = Instant::now();
     loop {
--- a/tests/all/fleet/engines.rs
+++ b/tests/all/fleet/engines.rs
@@ -146,6 +146,8 @@
     ReadBack(u64),
     /// A report that no request is running.
     IdleReport,
+    /// An order, before it is carried out.
+    Order,
 }
 
 /// An engine that loads whatever is staged, and records whether that was complete and intact.
@@ -161,6 +163,8 @@
     /// Running requests. Once the next version is completely staged, each poll of the engine ends
     /// one.
     pub(super) running_requests: Cell<u32>,
+    /// Requests of callers that entries sent.
+    pub(super) requests_received: Cell<u32>,
     /// Requests that were cut off by orders.
     pub(super) cut_off_requests: Cell<u32>,
     /// How many of the next chunks are corrupted once they are staged.
@@ -208,6 +212,10 @@
             if head.path() == "/stage-get/chat" {
                 tokio::time::sleep(serving.read_time.get()).await;
             }
+            if is_order {
+                serving.hold(head).await;
+                return serving.respond(head, body);
+            }
             let response = serving.respond(head, body);
             serving.hold(head).await;
             response
@@ -219,7 +227,7 @@
         self.requests_to_hold.borrow_mut().push_back(request);
     }
 
-    /// Whether the engine waits at a request, which it has carried out and not answered.
+    /// Whether the engine waits at a request, which it has not answered.
     pub(super) fn is_holding(&self) -> bool {
         self.is_holding.get()
     }
@@ -245,6 +253,7 @@
             HeldRequest::ReadBack(index) => {
                 head.path() == "/stage-get/chat" && number(head, "num") == Some(index)
             }
+            HeldRequest::Order => head.path() == "/order",
             HeldRequest::IdleReport => head.path() == "/report" && self.running_requests.get() == 0,
         };
         is_request && self.has_staged(self.version.get() + 1)
@@ -327,6 +336,10 @@
                 None => (404, Bytes::new()),
             },
             (b"POST", "/order") => self.handle_order(&body),
+            (b"POST", "/stream/x") => {
+                self.requests_received.set(self.requests_received.get() + 1);
+                (404, Bytes::new())
+            }
             _ => (404, Bytes::new()),
         }
     }
--- a/tests/all/fleet/held_up_orders.rs
+++ b/tests/all/fleet/held_up_orders.rs
@@ -1,6 +1,7 @@
 //! Agents that are held up between their verification of staged chunks and the order to load them.
 
 use super::{
+    bed::{WAIT_TIMEOUT, request},
     engines::{HeldRequest, ScriptedEngine},
     weights_bed::WeightsFixture,
 };
@@ -84,6 +85,72 @@
     fixture.wait_until_loaded(2).await;
 }
 
+/// Freezes the agent and its engine while the order is on its way, and corrupts a chunk meanwhile.
+/// Returns when the engine has loaded version 2.
+async fn hold_up_order(corrupted: Option<u64>) -> (WeightsFixture, Rc<ScriptedEngine>) {
+    let (fixture, engine) = start(true).await;
+    engine.hold_at(HeldRequest::Order);
+    fixture.publish(2).await;
+    fixture.fleet.wait_until(|| engine.is_holding()).await;
+    fixture.freeze_agent(0, HOLD_UP).await;
+    if let Some(index) = corrupted {
+        engine.corrupt_staged(index);
+    }
+    tokio::time::sleep(HOLD_UP).await;
+    engine.release();
+    fixture.fleet.wait_until(|| engine.version.get() == 2).await;
+    (fixture, engine)
+}
+
+/// Has callers send requests, one after the other, until `done` or for so long. Returns how many
+/// the engine received.
+async fn count_received(
+    fixture: &WeightsFixture,
+    engine: &ScriptedEngine,
+    time: Duration,
+    done: impl Fn() -> bool,
+) -> u32 {
+    let before = engine.requests_received.get();
+    let until = Instant::now() + time;
+    let mut number = 0;
+    while Instant::now() < until && !done() {
+        number += 1;
+        let id = format!("c-{number}");
+        let text = request("/stream/x", &id, "X-Deadline-Ms: 300\r\n", "hi");
+        fixture.fleet.send_request(&text).await.ok();
+    }
+    engine.requests_received.get() - before
+}
+
+/// Guards against answers from corrupted weights: agent and engine are frozen while the order is on
+/// its way, and the engine accepts it when a chunk has been corrupted for seconds. Nothing can keep
+/// the engine from loading it, so entries must send it nothing until it has loaded another version.
+#[actix_rt::test]
+async fn an_engine_that_may_have_loaded_corrupted_chunks_gets_no_requests() {
+    let (fixture, engine) = hold_up_order(Some(CORRUPTED)).await;
+    let received = count_received(&fixture, &engine, Duration::from_secs(2), || false).await;
+    assert_eq!(received, 0, "callers were answered from corrupted weights");
+    let counted = "egretseam_stager_loads_unproven_total 1\n";
+    fixture.fleet.wait_for_metrics(fixture.host(0), |text| text.contains(counted)).await;
+    assert_eq!(engine.invalid_loads.get(), 1, "the order was not on its way");
+    fixture.publish(3).await;
+    let has_received = || engine.requests_received.get() > 0;
+    let received = count_received(&fixture, &engine, WAIT_TIMEOUT, has_received).await;
+    assert!(received > 0, "the engine is withheld though it has loaded version 3");
+    assert_eq!((engine.version.get(), engine.invalid_loads.get()), (3, 1));
+}
+
+/// Guards against an engine without requests although its weights are correct: the order was held
+/// up as before, but no chunk was corrupted.
+#[actix_rt::test]
+async fn an_engine_whose_late_load_is_correct_gets_requests() {
+    let (fixture, engine) = hold_up_order(None).await;
+    let has_received = || engine.requests_received.get() > 0;
+    let received = count_received(&fixture, &engine, WAIT_TIMEOUT, has_received).await;
+    assert!(received > 0, "the engine is withheld");
+    fixture.wait_until_loaded(2).await;
+}
+
 /// Guards against an engine that never gets new weights: it reads so slowly that no pass over all
 /// chunks is recent. Other engines must not wait for it.
 #[actix_rt::test]
--- a/tests/all/fleet/weights_bed.rs
+++ b/tests/all/fleet/weights_bed.rs
@@ -9,7 +9,11 @@
 use egretseam_daemon::FleetRuntime;
 use egretseam_proto::ServiceName;
 use serde_json::{Value, json};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 pub(super) struct WeightsFixture {
     pub(super) fleet: FleetBed,
@@ -96,6 +100,11 @@
         self.targets.push(target);
     }
 
+    /// Host of the engine at `index` and of its agent.
+    pub(super) fn host(&self, index: usize) -> IpAddr {
+        self.targets[index].ip()
+    }
+
     /// Stops the agent of the engine at `index` without a shutdown, as SIGKILL does.
     pub(super) fn stop_agent(&mut self, index: usize) {
         let agent = self.agents[index].take().expect("the agent is running");
--- /dev/null
+++ b/tests/all/load_proof.rs
@@ -0,0 +1,181 @@
+//! What an agent knows of the chunks that an engine has loaded, checked against a model in which
+//! orders arrive late and chunks are corrupted at any time.
+
+use egretseam_proto::ModelName;
+use egretseam_stager::{
+    CORRUPTION_TOLERANCE, ChunkVerification, LoadProof, LoadVerdict, WeightDigests,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+const CHUNKS: u32 = 4;
+
+/// An event in the model.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Time passes.
+    Wait(Duration),
+    /// A staged chunk is corrupted.
+    Corrupt(u32),
+    /// The agent replaces corrupted chunks, polls the engine and sends another copy of the order.
+    Resend,
+    /// A copy of the order reaches the engine.
+    Arrive,
+    /// The agent polls the engine.
+    Poll,
+    /// The agent reads a chunk back if it must.
+    ReadBack,
+    /// The engine restarts.
+    Restart,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let wait = (1_u64..4_000).prop_map(|millis| Step::Wait(Duration::from_millis(millis)));
+    prop_oneof![
+        6 => wait,
+        3 => (0..CHUNKS).prop_map(Step::Corrupt),
+        4 => Just(Step::Resend),
+        3 => Just(Step::Arrive),
+        4 => Just(Step::Poll),
+        6 => Just(Step::ReadBack),
+        1 => Just(Step::Restart),
+    ]
+}
+
+fn digests() -> Rc<WeightDigests> {
+    let model = ModelName::try_from("chat").expect("a valid name");
+    Rc::new(WeightDigests { model, version: 2, chunks: vec![[0; 32]; CHUNKS as usize] })
+}
+
+/// An agent that orders an engine to load one version.
+struct LoadModel {
+    now: Instant,
+    proof: LoadProof,
+    digests: Rc<WeightDigests>,
+    corrupted_at: Vec<Option<Instant>>,
+    orders_begun: u64,
+    is_sent: bool,
+    /// Longest time for which a chunk had been corrupted when the engine loaded it.
+    loaded_corruption: Option<Duration>,
+    verdicts: Vec<LoadVerdict>,
+}
+
+impl LoadModel {
+    fn new() -> Self {
+        Self {
+            now: Instant::now(),
+            proof: LoadProof::default(),
+            digests: digests(),
+            corrupted_at: vec![None; CHUNKS as usize],
+            orders_begun: 0,
+            is_sent: false,
+            loaded_corruption: None,
+            verdicts: Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        self.now += Duration::from_millis(1);
+        match step {
+            Step::Wait(time) => self.now += time,
+            Step::Corrupt(index) => {
+                self.corrupted_at[index as usize].get_or_insert(self.now);
+            }
+            Step::Resend => self.resend(),
+            Step::Arrive if self.is_sent && self.orders_begun == 0 => {
+                self.orders_begun = 1;
+                let ages = self.corrupted_at.iter().flatten().map(|at| self.now - *at);
+                self.loaded_corruption = ages.max();
+            }
+            Step::Poll => self.poll(),
+            Step::ReadBack => self.read_back(),
+            Step::Restart => {
+                (self.orders_begun, self.loaded_corruption, self.is_sent) = (0, None, false);
+                self.poll();
+            }
+            Step::Arrive => {}
+        }
+        self.check_verdict();
+    }
+
+    fn resend(&mut self) {
+        for index in 0..CHUNKS as usize {
+            if self.corrupted_at[index].take().is_some() {
+                self.proof.record_put(self.now);
+            }
+        }
+        let verification = ChunkVerification::of_correct(CHUNKS, self.now);
+        self.now += Duration::from_millis(1);
+        self.poll();
+        if self.orders_begun == 0 {
+            self.proof.record_sent(&self.digests, &verification, 0, self.now);
+            self.is_sent = true;
+        }
+    }
+
+    fn poll(&mut self) {
+        self.now += Duration::from_millis(1);
+        self.proof.apply_report(self.orders_begun, self.orders_begun > 0, self.now, self.now);
+    }
+
+    fn read_back(&mut self) {
+        if let Some((_, index)) = self.proof.next_read() {
+            let is_correct = self.corrupted_at[index as usize].is_none();
+            self.proof.record_read(index, is_correct, self.now, self.now);
+        }
+    }
+
+    fn check_verdict(&mut self) {
+        let Some(verdict) = self.proof.take_verdict() else { return };
+        self.verdicts.push(verdict);
+        let corrupted = self.loaded_corruption.unwrap_or_default();
+        if verdict == LoadVerdict::Proven {
+            assert!(corrupted <= CORRUPTION_TOLERANCE, "corrupted for {corrupted:?}");
+        } else {
+            assert!(self.proof.withholds_requests());
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(0x5eed_0021),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against answers from corrupted weights: an order is taken for one that loaded correct
+    /// chunks because they are correct by the time of the look.
+    #[test]
+    fn no_load_of_corrupted_chunks_is_proven(steps in prop::collection::vec(step(), 1..60)) {
+        let mut model = LoadModel::new();
+        model.resend();
+        for step in steps {
+            model.apply(step);
+        }
+    }
+
+    /// Guards against engines without requests although their weights are correct: without a
+    /// corruption every load is proven, however late the order arrives and the agent looks.
+    #[test]
+    fn loads_without_corruption_are_proven(steps in prop::collection::vec(step(), 1..60)) {
+        let mut model = LoadModel::new();
+        model.resend();
+        let is_harmless = |step: &Step| !matches!(step, Step::Corrupt(_) | Step::Restart);
+        for step in steps.into_iter().filter(is_harmless) {
+            model.apply(step);
+        }
+        model.apply(Step::Arrive);
+        model.apply(Step::Poll);
+        for _ in 0..CHUNKS {
+            model.apply(Step::ReadBack);
+        }
+        prop_assert_eq!(model.verdicts, [LoadVerdict::Proven]);
+        prop_assert!(!model.proof.withholds_requests());
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod incarnations;
 mod kept_client;
 mod keyed_requests;
+mod load_proof;
 mod member_changes;
 mod named_limits;
 mod narrow_links;
