The soak has engines with agents whose instances freeze while staged chunks are corrupted

Three engines with an agent each (`--engines`), an origin, versions every 1.5 to 4 s, a corruption at each engine every 0.02 to 0.4 s, and instances that stand still for 3.2 to 4.5 s after most verifications of all staged chunks. A request that runs on a chunk that was missing, of another version, or corrupted for over 3 s when it was loaded is a violation; 12 s after the last freeze all engines must hold the newest version and get requests. Faults of a seed elsewhere are drawn as before.

Engines that read too slowly for a recent verification have a log line and a counter.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -9,25 +9,28 @@
 
 mod callers;
 mod checks;
+mod engine;
 mod evacuations;
 mod fleet;
 mod losses;
 mod relay;
 mod silences;
 mod stand_ins;
+mod weights;
 
 use anyhow::{Context, bail};
 use callers::CallerTask;
 use checks::SoakLedger;
 use clap::Args;
 use evacuations::{EVACUATED_TARGET, EvacuationTask};
-use fleet::SoakFleet;
+use fleet::{FleetSize, SoakFleet};
 use losses::{FaultKind, FaultSubject};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use relay::RelayFault;
 use stand_ins::{OperatorTask, SoakTarget};
 use std::{path::PathBuf, rc::Rc, time::Duration};
 use tokio::time::Instant;
+use weights::WeightsTask;
 
 /// Shortest and longest time between two faults.
 const FAULT_GAP: std::ops::Range<u64> = 300..1_500;
@@ -80,6 +83,9 @@
     /// Entries, beside three control members.
     #[arg(long, default_value_t = 5)]
     entries: usize,
+    /// Engines, each with an agent.
+    #[arg(long, default_value_t = 3)]
+    engines: usize,
     /// Callers, each with one request at a time.
     #[arg(long, default_value_t = 24)]
     callers: usize,
@@ -103,7 +109,8 @@
 async fn run(command: SoakCommand, seed: u64, program: PathBuf) -> anyhow::Result<()> {
     let mut random = SmallRng::seed_from_u64(seed);
     let ledger = Rc::new(SoakLedger::default());
-    let mut fleet = SoakFleet::start(&program, command.entries, &mut random)
+    let size = FleetSize { entries: command.entries, agents: command.engines };
+    let mut fleet = SoakFleet::start(&program, size, &mut random)
         .with_context(|| format!("start {}", program.display()))?;
     let mut targets = Vec::new();
     for number in 0..4 {
@@ -112,7 +119,8 @@
             SoakTarget::start(number, fleet.control_calls(), ledger.clone(), target_seed).await;
         targets.push(started?);
     }
-    let operator = OperatorTask::start(fleet.control_calls(), ledger.clone());
+    let weights = WeightsTask::start(&fleet, &ledger).await?;
+    let operator = OperatorTask::start(fleet.control_calls(), weights.service(), ledger.clone());
     operator.wait_first().await?;
     fleet.end_founding()?;
     let evacuations = EvacuationTask::start(fleet.control_calls());
@@ -122,6 +130,7 @@
     let began = Instant::now();
     let end = began + Duration::from_secs(command.seconds);
     // Numbers of their own, so that the faults of a seed stay.
+    weights.begin(&fleet, seed.rotate_left(16), began);
     let mut reload_random = SmallRng::seed_from_u64(!seed);
     silences::start(targets.clone(), seed.rotate_left(32), began, end);
     let mut pending: Vec<(Instant, Undo)> = Vec::new();
@@ -144,7 +153,11 @@
     for target in &targets {
         target.silence().end();
     }
-    finish(&fleet, &targets, &operator, &evacuations, &ledger, began).await
+    weights.end_faults();
+    let weights_check = actix_rt::spawn(weights.check(ledger.clone(), began));
+    finish(&fleet, &targets, &operator, &evacuations, &ledger, began).await?;
+    weights_check.await?;
+    report(&fleet, &ledger)
 }
 
 /// How a fault ends.
@@ -297,6 +310,11 @@
     }
     operator.check_last(ledger).await;
     ledger.check_runs();
+    Ok(())
+}
+
+/// Prints what was seen; an error if a promise was broken.
+fn report(fleet: &SoakFleet, ledger: &SoakLedger) -> anyhow::Result<()> {
     let violations = ledger.violations();
     println!("{}", ledger.summary());
     for (id, text) in &violations {
--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -3,6 +3,7 @@
 use super::{
     evacuations::EVACUATION_LIMIT,
     losses::{FaultSubject, STOP_LIMIT},
+    weights::WeightsTask,
 };
 use anyhow::Context;
 use rand::{RngExt, rngs::SmallRng};
@@ -21,6 +22,7 @@
 const PEER_PORT: u16 = 27_700;
 const CALL_PORT: u16 = 28_000;
 const CALLER_PORT: u16 = 28_005;
+const ENGINE_PORT: u16 = 28_010;
 /// Time after its start from which a process handles the signal to reload.
 const RELOADS_AFTER: Duration = Duration::from_secs(2);
 
@@ -29,6 +31,7 @@
 enum ProcessKind {
     Control,
     Entry,
+    Agent,
 }
 
 struct ProcessRow {
@@ -42,29 +45,37 @@
     restart: bool,
 }
 
+/// Number of processes of each kind.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FleetSize {
+    pub(super) entries: usize,
+    pub(super) agents: usize,
+}
+
 /// All processes of one soak; they are killed when this is dropped.
 pub(super) struct SoakFleet {
     program: PathBuf,
     rows: Vec<ProcessRow>,
     hosts: Vec<IpAddr>,
+    size: FleetSize,
     folder: TempDir,
 }
 
 impl SoakFleet {
-    /// Starts three control members and so many entries, each at a loopback host of its own.
+    /// Starts three control members, and entries and agents, each at a loopback host of its own.
     pub(super) fn start(
         program: &Path,
-        entries: usize,
+        size: FleetSize,
         random: &mut SmallRng,
     ) -> anyhow::Result<Self> {
         let (high, low) = host_block(random);
         let host = |number: usize| IpAddr::V4(Ipv4Addr::new(127, high, low, number as u8 + 1));
-        let hosts: Vec<IpAddr> = (0..CONTROL_MEMBERS + entries).map(host).collect();
+        let hosts: Vec<IpAddr> =
+            (0..CONTROL_MEMBERS + size.entries + size.agents).map(host).collect();
         let folder = TempDir::new().context("a folder for the processes")?;
-        let mut fleet = Self { program: program.to_owned(), rows: Vec::new(), hosts, folder };
+        let mut fleet = Self { program: program.to_owned(), rows: Vec::new(), hosts, size, folder };
         for number in 0..fleet.hosts.len() {
-            let is_control = number < CONTROL_MEMBERS;
-            let kind = if is_control { ProcessKind::Control } else { ProcessKind::Entry };
+            let kind = fleet.kind(number);
             let name = format!("{kind:?}-{number}").to_lowercase();
             let settings = fleet.folder.path().join(format!("{name}.json"));
             std::fs::write(&settings, fleet.settings(number, &name, true).to_string())?;
@@ -78,6 +89,14 @@
         Ok(fleet)
     }
 
+    fn kind(&self, number: usize) -> ProcessKind {
+        match number.checked_sub(CONTROL_MEMBERS) {
+            None => ProcessKind::Control,
+            Some(number) if number < self.size.entries => ProcessKind::Entry,
+            Some(_) => ProcessKind::Agent,
+        }
+    }
+
     /// Says in all settings that the system has started before. Only once the group stands: a
     /// process that is slow to read its settings must still find that it founds.
     pub(super) fn end_founding(&self) -> anyhow::Result<()> {
@@ -100,14 +119,22 @@
             "evacuation_limit_seconds": EVACUATION_LIMIT.as_secs_f64(),
             "retry_window_seconds": 10.0, "retry_minimum": 100
         });
-        if number < CONTROL_MEMBERS {
-            let folder = self.folder.path().join(format!("data-{name}"));
-            settings["control"] = json!({"call_address": at(CALL_PORT), "data_folder": folder});
-        } else {
-            settings["entry"] = json!({
-                "caller_address": at(CALLER_PORT), "health_address": at(CALLER_PORT + 1),
-                "directory_address": at(CALLER_PORT + 2)
-            });
+        match self.kind(number) {
+            ProcessKind::Control => {
+                let folder = self.folder.path().join(format!("data-{name}"));
+                settings["control"] = json!({"call_address": at(CALL_PORT), "data_folder": folder});
+            }
+            ProcessKind::Entry => {
+                settings["entry"] = json!({
+                    "caller_address": at(CALLER_PORT), "health_address": at(CALLER_PORT + 1),
+                    "directory_address": at(CALLER_PORT + 2)
+                });
+            }
+            ProcessKind::Agent => {
+                settings["agent"] = json!({
+                    "target_address": at(ENGINE_PORT), "service": WeightsTask::service_name()
+                });
+            }
         }
         settings
     }
@@ -137,23 +164,36 @@
 
     /// Where callers connect.
     pub(super) fn entry_addresses(&self) -> Vec<SocketAddr> {
-        let hosts = self.hosts.iter().skip(CONTROL_MEMBERS);
+        let hosts = self.hosts.iter().skip(CONTROL_MEMBERS).take(self.size.entries);
         hosts.map(|host| SocketAddr::new(*host, CALLER_PORT)).collect()
     }
 
+    /// Where the agents expect their engines.
+    pub(super) fn engine_addresses(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter().skip(CONTROL_MEMBERS + self.size.entries);
+        hosts.map(|host| SocketAddr::new(*host, ENGINE_PORT)).collect()
+    }
+
+    /// Process ids of the agents, which run until the end.
+    pub(super) fn agent_pids(&self) -> Vec<Pid> {
+        let agents = self.rows.iter().filter(|row| row.kind == ProcessKind::Agent);
+        agents.filter_map(|row| row.child.as_ref()).map(Pid::from_child).collect()
+    }
+
+    /// Number of control members and entries.
     pub(super) fn count(&self) -> usize {
-        self.rows.len()
+        CONTROL_MEMBERS + self.size.entries
     }
 
     pub(super) fn name(&self, number: usize) -> &str {
         &self.rows[number].name
     }
 
-    /// What a fault of this process strikes.
+    /// What a fault of this control member or entry strikes.
     pub(super) fn subject(&self, number: usize) -> FaultSubject {
-        match self.rows[number].kind {
-            ProcessKind::Control => FaultSubject::Member(number),
-            ProcessKind::Entry => FaultSubject::Entry(number - CONTROL_MEMBERS),
+        match number.checked_sub(CONTROL_MEMBERS) {
+            None => FaultSubject::Member(number),
+            Some(entry) => FaultSubject::Entry(entry),
         }
     }
 
--- a/crates/bench/src/soak/stand_ins.rs
+++ b/crates/bench/src/soak/stand_ins.rs
@@ -13,7 +13,7 @@
     BodyReader, CallRequest, ConnectionOptions, HeadWriter, HttpConnection, RequestHead,
     chunk_frame, exchange, last_chunk,
 };
-use egretseam_platform::stand_in;
+use egretseam_platform::stand_in::{self, engine::EngineService};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde_json::Value;
 use std::{
@@ -337,13 +337,18 @@
 }
 
 impl OperatorTask {
-    pub(super) fn start(control: Vec<SocketAddr>, ledger: Rc<SoakLedger>) -> Self {
+    pub(super) fn start(
+        control: Vec<SocketAddr>,
+        engines: EngineService,
+        ledger: Rc<SoakLedger>,
+    ) -> Self {
         let acknowledged: Rc<RefCell<Vec<(u64, Instant)>>> = Rc::default();
         let task = Self { acknowledged: acknowledged.clone(), control: control.clone() };
         actix_rt::spawn(async move {
             for version in 1.. {
                 let millis = REQUEST_TIMEOUT.as_millis() as u64;
-                let body = stand_in::configuration(version, HOST, "soak", KEY, millis);
+                let mut body = stand_in::configuration(version, HOST, "soak", KEY, millis);
+                engines.add_to(&mut body, HOST, millis);
                 let body = body.to_string();
                 let mut at = version as usize;
                 // Sent again, to another member, until it is acknowledged.
--- a/crates/stager/src/shared.rs
+++ b/crates/stager/src/shared.rs
@@ -45,6 +45,7 @@
     pub(crate) chunks_bad: IntCounter,
     pub(crate) chunks_rotten: IntCounter,
     pub(crate) verifications_expired: IntCounter,
+    pub(crate) slow_verifications: IntCounter,
     pub(crate) orders_postponed: IntCounter,
     pub(crate) loads_unproven: IntCounter,
     pub(crate) orders: IntCounter,
@@ -72,6 +73,10 @@
                 "verifications_expired",
                 "Times that staged chunks were verified again because the order was held up.",
             ),
+            slow_verifications: counter(
+                "slow_verifications",
+                "Times that the engine read staged chunks too slowly for a recent verification.",
+            ),
             orders_postponed: counter(
                 "orders_postponed",
                 "Orders not sent because staged chunks could not be verified in time.",
--- a/crates/stager/src/staging.rs
+++ b/crates/stager/src/staging.rs
@@ -31,6 +31,14 @@
     let mut engine = shared.lock_engine().await;
     let is_staged = replace_incorrect(shared, &mut engine, weights, verification).await.is_some();
     drop(engine);
+    if verification.is_engine_slow() {
+        shared.metrics.slow_verifications.inc();
+        tracing::warn!(
+            version = weights.key.version,
+            max_age_millis = verification.max_age().as_millis() as u64,
+            "the engine reads staged chunks too slowly for a recent verification of all"
+        );
+    }
     if is_staged {
         tracing::info!(
             version = weights.key.version,
