--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,7 +7,7 @@
 mod waiting;
 
 pub(crate) use self::{
-    ended_targets::{BrokenAttempt, await_check, has_ended, record_broken},
+    ended_targets::{BrokenAttempt, await_check, may_be_truncated, record_broken},
     outbox::EvidenceOutbox,
     permit::{RunPermit, RunTurn, await_permit},
 };
--- a/crates/gateway/src/quarantine/ended_targets.rs
+++ b/crates/gateway/src/quarantine/ended_targets.rs
@@ -134,19 +134,27 @@
     (outcome, lifetime)
 }
 
+/// Whether a target has ended by itself, so that its requests are suspect.
 fn is_end(outcome: CheckOutcome, lifetime: TargetLifetime) -> bool {
     let is_planned = matches!(lifetime, TargetLifetime::Draining | TargetLifetime::Left);
     outcome == CheckOutcome::Refused && !is_planned
 }
 
-/// Whether a target's process has ended, other than by a planned stop.
-pub(crate) async fn has_ended(
+/// Whether a body without a length that ended with its connection may be truncated, because its
+/// target's process has failed. One that leaves as planned finishes its responses before it ends;
+/// it fails if it ends before its drain time is over.
+pub(crate) async fn may_be_truncated(
     shared: &GatewayShared,
     target: &TargetId,
     address: SocketAddr,
 ) -> bool {
     let (outcome, lifetime) = check_connection(shared, target, address).await;
-    is_end(outcome, lifetime)
+    let has_ended = match outcome {
+        CheckOutcome::Refused => true,
+        // The process that listens may be a later incarnation.
+        CheckOutcome::Accepted | CheckOutcome::Unreachable => lifetime == TargetLifetime::Replaced,
+    };
+    has_ended && !shared.dispatch.borrow().targets.is_exit_due(target, Instant::now())
 }
 
 async fn check(shared: Rc<GatewayShared>, target: TargetId, address: SocketAddr) {
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -85,8 +85,8 @@
     Stream { reader: BodyReader, buffer: EventBuffer },
     /// A body that is not a stream.
     Buffered { reader: BodyReader, body: BytesMut },
-    /// Nothing more: it is being checked whether the target's process has ended.
-    EndCheck { ended: Pin<Box<dyn Future<Output = bool>>>, whole: Option<AttemptOutput> },
+    /// Nothing more: it is being checked whether the target's process has failed.
+    EndCheck { truncated: Pin<Box<dyn Future<Output = bool>>>, whole: Option<AttemptOutput> },
 }
 
 /// An attempt that has been sent. Dropped before [`Self::complete`], it resets its connection.
--- a/crates/gateway/src/running_attempt/reading.rs
+++ b/crates/gateway/src/running_attempt/reading.rs
@@ -54,8 +54,8 @@
                 ReadPhase::Stray { .. } => self.discard_stray(request).await?,
                 ReadPhase::Stream { .. } => return self.read_stream(request).await,
                 ReadPhase::Buffered { .. } => return self.read_buffered(request).await,
-                ReadPhase::EndCheck { ended, whole } => {
-                    if ended.as_mut().await {
+                ReadPhase::EndCheck { truncated, whole } => {
+                    if truncated.as_mut().await {
                         return Err(self.broken(request, BreakReason::ProcessEnded));
                     }
                     return whole.take().ok_or(AttemptFailure::Broken);
@@ -334,8 +334,9 @@
 
     fn check_end(&self, whole: AttemptOutput) -> ReadPhase {
         let (shared, target, address) = (self.shared.clone(), self.target.clone(), self.address);
-        let ended = async move { quarantine::has_ended(&shared, &target, address).await };
-        ReadPhase::EndCheck { ended: Box::pin(ended), whole: Some(whole) }
+        let truncated =
+            async move { quarantine::may_be_truncated(&shared, &target, address).await };
+        ReadPhase::EndCheck { truncated: Box::pin(truncated), whole: Some(whole) }
     }
 
     /// Logs and counts a response that broke off.
--- a/crates/serving/src/target_table.rs
+++ b/crates/serving/src/target_table.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod backpressure;
 mod cold;
+mod departures;
 mod limits;
 mod loads;
 mod row;
@@ -64,6 +65,8 @@
     current_incarnations: IndexMap<String, Incarnation>,
     /// The last incarnation under a name that was removed, and when this entry learned of it.
     tombstones: IndexMap<String, (Incarnation, Instant)>,
+    /// When targets that leave first said so.
+    departures: IndexMap<TargetId, Instant>,
     engine_statuses: IndexMap<SocketAddr, (EngineStatus, Instant)>,
     /// Targets by their address, which load samples and reports on engines name, thousands a second
     /// at hundreds of targets.
@@ -92,6 +95,7 @@
             services: IndexMap::new(),
             current_incarnations: IndexMap::new(),
             tombstones: IndexMap::new(),
+            departures: IndexMap::new(),
             engine_statuses: IndexMap::new(),
             by_address: IndexMap::new(),
             published_versions: VersionHistory::default(),
@@ -135,6 +139,9 @@
         }
         row.cold_until = row.cold.apply_announced(status.record.cold_millis, reported_at);
         row.record = status.record.clone();
+        if row.record.state == TargetState::Draining {
+            self.record_departure(id, reported_at, now);
+        }
     }
 
     /// Whether an incarnation was removed, or a later one goes by its name.
@@ -201,6 +208,7 @@
 
     /// Removes an incarnation of a target for good, and every earlier one under its name.
     pub fn remove_target(&mut self, id: &TargetId, now: Instant) {
+        self.record_departure(id, now, now);
         if let Some(current) =
             self.current_incarnations.get(&id.name).filter(|current| **current <= id.incarnation)
         {
--- a/crates/serving/src/target_table/backpressure.rs
+++ b/crates/serving/src/target_table/backpressure.rs
@@ -13,6 +13,7 @@
 
     /// Records that a target says that it leaves; returns whether this is new.
     pub fn record_leaving(&mut self, id: &TargetId, now: Instant) -> bool {
+        self.record_departure(id, now, now);
         self.backpressure.record_leaving(id, self.policy.drain_time, now)
     }
 
--- a/tests/all/fleet/bed/target.rs
+++ b/tests/all/fleet/bed/target.rs
@@ -43,6 +43,8 @@
     Pause(ScriptedPause),
     /// Sends this response and ends its connection.
     Send(ScriptedResponse),
+    /// The same once [`ScriptedTarget::release`] is called.
+    HoldThenSend(ScriptedResponse),
     /// Breaks off after this event; to a request that resumes a stream it does the other.
     CutThen(u64, Box<Script>),
     /// Sends the events up to this number, and the rest of its answer once
@@ -275,6 +277,12 @@
             if let Script::Send(response) = script {
                 return self.send(connection, &arrival, &response).await;
             }
+            if let Script::HoldThenSend(response) = script {
+                if self.hold(&mut connection, false).await {
+                    self.send(connection, &arrival, &response).await;
+                }
+                return;
+            }
             if let Script::Pause(pause) = script {
                 if !self.respond_with_pause(&mut connection, &arrival, pause).await {
                     return;
@@ -352,6 +360,7 @@
             Script::Twice => whole("200 OK", &signed, &body).repeat(2),
             Script::Close
             | Script::Send(_)
+            | Script::HoldThenSend(_)
             | Script::CutThen(..)
             | Script::HoldThenClose(_)
             | Script::Pause(_) => return false,
--- a/tests/all/fleet/broken_off.rs
+++ b/tests/all/fleet/broken_off.rs
@@ -1,11 +1,12 @@
 //! Responses of targets that end before they are whole, in every framing.
 
 use super::bed::{
-    EVENTS, FleetBed, Script, ScriptedEnd, ScriptedFraming, ScriptedResponse, default_config,
-    request,
+    EVENTS, FleetBed, Script, ScriptedEnd, ScriptedFraming, ScriptedResponse, SeenAnswer,
+    default_config, request,
 };
 use egretseam_h1::ReadError;
 use serde_json::json;
+use std::time::Duration;
 
 /// Requests for each case.
 const REQUESTS: usize = 4;
@@ -228,3 +229,69 @@
         }
     }
 }
+
+/// How a target says that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    Announced,
+    Deregistered,
+}
+
+/// A target says that it leaves while it works on a request, and its process ends `after` that,
+/// right after it has sent a body without a length. Returns what the caller got.
+async fn response_of_leaving_target(
+    path: &str,
+    departure: Departure,
+    body: String,
+    after: Duration,
+) -> Option<SeenAnswer> {
+    let mut bed = start_bed().await;
+    let target = bed.start_target("i-1").await;
+    let response = response(ScriptedFraming::UntilClose, ScriptedEnd::ProcessEnded, body);
+    target.then(Script::HoldThenSend(response));
+    let leave = async {
+        bed.wait_until(|| target.holding.get() > 0).await;
+        match departure {
+            Departure::Announced => bed.announce(&target, "draining").await,
+            Departure::Deregistered => {
+                assert_eq!(bed.call("POST", "/instances/i-1/deregister", "").await.0, 200);
+            }
+        }
+        bed.wait_until(|| !bed.entry.is_target_ready("i-1")).await;
+        tokio::time::sleep(after).await;
+        target.release();
+    };
+    let text = request(path, "r1", "", "");
+    let (response, ()) = tokio::join!(bed.send_request(&text), leave);
+    response.ok()
+}
+
+/// Guards against a truncated answer that looks complete: a target that leaves as planned crashes
+/// before its drain time is over, amid a body without a length.
+#[actix_rt::test]
+async fn a_body_that_ends_with_a_crash_of_a_leaving_target_is_not_complete() {
+    for departure in [Departure::Announced, Departure::Deregistered] {
+        for (path, body) in [("/once/1", "half an ans".to_owned()), ("/single/1", events(3, "\n"))]
+        {
+            let after = Duration::from_millis(200);
+            let seen = response_of_leaving_target(path, departure, body, after).await;
+            assert!(
+                seen.as_ref().is_none_or(|answer| answer.status != 200),
+                "{path}, {departure:?}: {seen:?}"
+            );
+        }
+    }
+}
+
+/// Guards against the loss of a whole answer: a target that leaves as planned ends right after it
+/// has sent a body without a length, once its drain time is over.
+#[actix_rt::test]
+async fn a_body_that_ends_with_a_planned_exit_is_complete() {
+    for departure in [Departure::Announced, Departure::Deregistered] {
+        let after = Duration::from_millis(2_050);
+        let body = "a whole answer".to_owned();
+        let seen = response_of_leaving_target("/once/1", departure, body, after).await;
+        let seen = seen.unwrap_or_else(|| panic!("{departure:?}: no answer"));
+        assert_eq!((seen.status, seen.body.as_str()), (200, "a whole answer"), "{departure:?}");
+    }
+}
