--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -1,13 +1,16 @@
 //! Incremental reading of message bodies.
 
 use crate::{
+    chunk_line,
     connection::{HttpConnection, ReadError},
     head::HeadError,
 };
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 
 /// Upper limit of a chunk-size line, including chunk extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Bytes of the CR LF at the end of a line.
+const LINE_END_BYTES: usize = 2;
 /// Upper limit of the trailer section.
 const MAX_TRAILER_BYTES: usize = 4_096;
 
@@ -103,8 +106,16 @@
         &mut self,
         connection: &mut HttpConnection,
     ) -> Result<Option<Bytes>, ReadError> {
+        self.next_in(connection.buffer_mut())
+    }
+
+    /// Takes body bytes from `buffer`, which holds what has arrived; `None` if more must arrive or
+    /// the body is complete.
+    ///
+    /// # Errors
+    /// Fails on malformed chunks.
+    pub fn next_in(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, ReadError> {
         loop {
-            let buffer = connection.buffer_mut();
             match self.state {
                 ReadState::Done => return Ok(None),
                 ReadState::UntilClose => {
@@ -150,35 +161,47 @@
                         if size == 0 { ReadState::Trailers(0) } else { ReadState::ChunkData(size) };
                 }
                 ReadState::Trailers(seen) => {
-                    let Some(end) = memchr::memchr(b'\n', buffer) else {
-                        let too_long = seen + buffer.len() > MAX_TRAILER_BYTES;
-                        return if too_long { Err(HeadError::Malformed.into()) } else { Ok(None) };
-                    };
-                    let line = buffer.split_to(end + 1);
-                    let is_last = &line[..] == b"\r\n";
-                    let seen = seen + line.len();
-                    if seen > MAX_TRAILER_BYTES || !line.ends_with(b"\r\n") {
+                    let max_bytes = MAX_TRAILER_BYTES - seen;
+                    let Some(length) = line_length(buffer, max_bytes)? else { return Ok(None) };
+                    if length > 0 && !chunk_line::is_field_line(&buffer[..length]) {
                         return Err(HeadError::Malformed.into());
                     }
-                    self.state = if is_last { ReadState::Done } else { ReadState::Trailers(seen) };
+                    buffer.advance(length + LINE_END_BYTES);
+                    self.state = if length == 0 {
+                        ReadState::Done
+                    } else {
+                        ReadState::Trailers(seen + length + LINE_END_BYTES)
+                    };
                 }
             }
         }
     }
 }
 
-fn split_up_to(buffer: &mut bytes::BytesMut, max_bytes: u64) -> Option<Bytes> {
+fn split_up_to(buffer: &mut BytesMut, max_bytes: u64) -> Option<Bytes> {
     let length = (buffer.len() as u64).min(max_bytes) as usize;
     (length > 0).then(|| buffer.split_to(length).freeze())
 }
 
-fn take_chunk_size(buffer: &mut bytes::BytesMut) -> Result<Option<u64>, ReadError> {
-    match httparse::parse_chunk_size(buffer) {
-        Ok(httparse::Status::Complete((used, size))) => {
-            buffer.advance(used);
-            Ok(Some(size))
-        }
-        Ok(httparse::Status::Partial) if buffer.len() <= MAX_CHUNK_LINE_BYTES => Ok(None),
-        Ok(httparse::Status::Partial) | Err(_) => Err(HeadError::Malformed.into()),
+/// Length of the first line in the buffer without its CR LF; `None` if its end has not arrived.
+fn line_length(buffer: &[u8], max_bytes: usize) -> Result<Option<usize>, ReadError> {
+    let searched = &buffer[..buffer.len().min(max_bytes)];
+    let Some(end) = memchr::memchr(b'\n', searched) else {
+        let is_too_long = buffer.len() >= max_bytes;
+        return if is_too_long { Err(HeadError::Malformed.into()) } else { Ok(None) };
+    };
+    match searched[..end].strip_suffix(b"\r") {
+        Some(line) => Ok(Some(line.len())),
+        None => Err(HeadError::Malformed.into()),
     }
 }
+
+/// Takes a chunk line from the buffer and returns the chunk's size.
+fn take_chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, ReadError> {
+    let Some(length) = line_length(buffer, MAX_CHUNK_LINE_BYTES)? else { return Ok(None) };
+    let Some(size) = chunk_line::parse_size(&buffer[..length]) else {
+        return Err(HeadError::Malformed.into());
+    };
+    buffer.advance(length + LINE_END_BYTES);
+    Ok(Some(size))
+}
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod accept;
 mod body;
+mod chunk_line;
 mod connection;
 mod exchange;
 mod head;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod caller_codec;
 mod catalog_model;
 mod chunk_verification;
+mod chunked_bodies;
 mod cold_targets;
 mod config_check;
 mod connection_close;
