--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -178,29 +178,36 @@
 
 /// When silence of the target starts the search for another one, and when the attempt has to end if
 /// no head has been read, for weights that are superseded.
-///
-/// Without the second, a request could wait in a full engine until after the staleness bound and then
-/// start on superseded weights. It is cancelled while there is still time to reset its connection.
 fn response_limits(
     shared: &GatewayShared,
     request: &RequestState,
     target: &TargetId,
     may_follow: bool,
 ) -> (Instant, Option<Instant>) {
+    let cancel_at = cancel_at(shared, request, target);
     if !may_follow || !request.route.kind.may_retry() {
-        return (request.deadline, None);
+        return (request.deadline, cancel_at);
     }
     let limits = request.limits(shared.options.stream_idle_timeout);
     let silent_at = limits.attempt_deadline(Instant::now());
-    let model = request.terms.model.as_ref();
-    let dispatch = shared.dispatch.borrow();
-    let start_deadline = model.and_then(|model| dispatch.targets.start_deadline(target, model));
-    match start_deadline {
-        Some(start_deadline) => {
-            (silent_at.min(start_deadline), Some(start_deadline + START_DEADLINE_GRACE))
-        }
-        None => (silent_at, None),
-    }
+    let search_at = cancel_at.map(|cancel_at| cancel_at - START_DEADLINE_GRACE);
+    (search_at.map_or(silent_at, |search_at| silent_at.min(search_at)), cancel_at)
+}
+
+/// When an attempt whose head has not been read has to end, because its target must not begin with it
+/// on superseded weights after that; `None` if the target's weights are the newest.
+///
+/// Failure guarded: a request waits at a target that is full or frozen until after the staleness
+/// bound, and then begins on superseded weights. It is cancelled while there is still time to reset
+/// its connection, whether another target may get it or not.
+pub(crate) fn cancel_at(
+    shared: &GatewayShared,
+    request: &RequestState,
+    target: &TargetId,
+) -> Option<Instant> {
+    let model = request.terms.model.as_ref()?;
+    let start_deadline = shared.dispatch.borrow().targets.start_deadline(target, model)?;
+    Some(start_deadline + START_DEADLINE_GRACE)
 }
 
 /// Whether another target may get the request once `reached` have.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,7 +11,7 @@
 use self::search::SearchOutcome;
 use crate::{
     accepted::RequestEnd,
-    attempt::AttemptFailure,
+    attempt::{self, AttemptFailure},
     error_response::ErrorResponse,
     quarantine::RunPermit,
     request::RequestState,
@@ -166,7 +166,21 @@
         let overdue = self.running.iter().filter(|(_, attempt)| is_overdue(attempt));
         let overdue: Vec<AttemptId> = overdue.map(|(id, _)| *id).collect();
         for id in overdue {
-            self.fail(id, AttemptFailure::TimedOut);
+            let Some(attempt) = self.running.get_mut(&id) else { continue };
+            // The target may have loaded newer weights since.
+            let cancel_at = attempt::cancel_at(self.shared, self.request, &attempt.target);
+            if cancel_at.is_some_and(|at| at <= now) {
+                self.shared.metrics.attempts_superseded.inc();
+                tracing::info!(
+                    request_id = %self.request.terms.id,
+                    target_id = %attempt.target,
+                    targets_tried = self.tried.len(),
+                    "cancelled an attempt: the target's weights are superseded"
+                );
+                self.fail(id, AttemptFailure::TimedOut);
+            } else {
+                attempt.set_cancel_at(cancel_at);
+            }
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) streams_resumed: IntCounter,
     pub(crate) responses_broken: IntCounterVec,
     pub(crate) strays: IntCounterVec,
+    pub(crate) attempts_superseded: IntCounter,
     pub(crate) responses_closed: IntCounter,
     pub(crate) unrequested_bytes: IntCounterVec,
     pub(crate) held_bytes: IntGauge,
@@ -96,6 +97,10 @@
                 "Responses of targets that broke off.",
                 "reason",
             ),
+            attempts_superseded: metrics.counter(
+                "egretseam_gateway_attempts_superseded_total",
+                "Attempts cancelled because their target's weights were superseded.",
+            ),
             strays: metrics.counter_by(
                 "egretseam_gateway_stray_responses_total",
                 "Responses of targets that were discarded, by the request that they name.",
--- a/crates/gateway/src/running_attempt.rs
+++ b/crates/gateway/src/running_attempt.rs
@@ -202,6 +202,11 @@
         self.cancel_at.filter(|_| self.response.is_none())
     }
 
+    /// Sets when it has to end unless a head has been read.
+    pub(crate) fn set_cancel_at(&mut self, cancel_at: Option<Instant>) {
+        self.cancel_at = cancel_at;
+    }
+
     /// The response, once its head has been read.
     pub(crate) fn response(&self) -> Option<&ResponseStart> {
         self.response.as_ref()
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -29,6 +29,7 @@
 mod retry_budget;
 mod silence;
 mod slow_readers;
+mod start_deadlines;
 mod weights;
 mod weights_bed;
 mod zone_cache;
