An engine whose late load is proven is offered by a status with a poll of its own; plain chunk lines are read faster

Entries order reports by the time of the poll, known to some milliseconds, and dropped the second as the older one, so the engine got no requests until its next change. Shown by the log: loading=false reaches control, and the entry rejects for 30 s.

--- a/crates/bench/src/soak/weights.rs
+++ b/crates/bench/src/soak/weights.rs
@@ -38,6 +38,7 @@
 const ANNOUNCE: Duration = Duration::from_millis(500);
 /// Time between two requests of the callers.
 const REQUEST_GAP: Duration = Duration::from_millis(20);
+
 /// The engines of one soak, their origin, callers and operator.
 pub(super) struct WeightsTask {
     engines: Vec<Rc<SoakEngine>>,
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -198,6 +198,10 @@
 
 /// Takes a chunk line from the buffer and returns the chunk's size.
 fn take_chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, ReadError> {
+    if let Some((size, length)) = chunk_line::parse_plain(buffer) {
+        buffer.advance(length + LINE_END_BYTES);
+        return Ok(Some(size));
+    }
     let Some(length) = line_length(buffer, MAX_CHUNK_LINE_BYTES)? else { return Ok(None) };
     let Some(size) = chunk_line::parse_size(&buffer[..length]) else {
         return Err(HeadError::Malformed.into());
--- a/crates/h1/src/chunk_line.rs
+++ b/crates/h1/src/chunk_line.rs
@@ -1,5 +1,27 @@
 //! Lines of the chunked transfer coding (RFC 9112, section 7.1), without their CR LF.
 
+/// Most digits of a size that [`parse_plain`] reads: they fit in 64 bits.
+const MAX_PLAIN_DIGITS: usize = 16;
+
+/// Size and length of a chunk line that is a size alone, with its CR LF; `None` if it is anything
+/// else. Most lines are; bodies may have many short chunks.
+pub(crate) fn parse_plain(bytes: &[u8]) -> Option<(u64, usize)> {
+    let mut size = 0;
+    for (length, byte) in bytes.iter().take(MAX_PLAIN_DIGITS + 1).enumerate() {
+        let digit = match byte {
+            b'0'..=b'9' => byte - b'0',
+            b'a'..=b'f' => byte - b'a' + 10,
+            b'A'..=b'F' => byte - b'A' + 10,
+            b'\r' if length > 0 && bytes.get(length + 1) == Some(&b'\n') => {
+                return Some((size, length));
+            }
+            _ => return None,
+        };
+        size = size << 4 | u64::from(digit);
+    }
+    None
+}
+
 /// Size in a chunk line; `None` if the line is not valid.
 ///
 /// Failure guarded: a line without a digit, or with anything else that is no size, is taken for the
--- a/crates/stager/src/load_check.rs
+++ b/crates/stager/src/load_check.rs
@@ -1,7 +1,7 @@
 //! Finds out whether the engine has loaded correct chunks when the answer to an order came late, or
 //! not at all.
 
-use crate::{load_proof::LoadVerdict, shared::StagerShared, staging};
+use crate::{engine, load_proof::LoadVerdict, shared::StagerShared, staging};
 use std::{rc::Weak, time::Duration};
 use tokio::time::Instant;
 
@@ -13,8 +13,7 @@
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let Some(shared) = shared.upgrade() else { return };
-        conclude(&shared);
-        if shared.load_proof.borrow().next_read().is_some() {
+        if shared.load_proof.borrow().is_begun() {
             let _switching = shared.switching.lock().await;
             finish(&shared).await;
         }
@@ -29,6 +28,10 @@
 /// callers get answers from corrupted weights. Entries send the engine nothing until its chunks are
 /// found correct; if one is not, the engine gets no requests before it has loaded others.
 pub(crate) async fn finish(shared: &StagerShared) {
+    if shared.load_proof.borrow().next_read().is_none() {
+        conclude(shared);
+        return;
+    }
     loop {
         let Some((digests, index)) = shared.load_proof.borrow().next_read() else { break };
         let requested_at = Instant::now();
@@ -37,6 +40,10 @@
         let now = Instant::now();
         shared.load_proof.borrow_mut().record_read(index, is_correct, requested_at, now);
     }
+    // Entries order the engine's statuses by the polls behind them, whose times they know to some
+    // milliseconds. The next status must not seem to be older than the one before.
+    tokio::time::sleep(CHECK_INTERVAL).await;
+    engine::poll(shared).await;
     conclude(shared);
 }
 
--- a/crates/stager/src/load_proof.rs
+++ b/crates/stager/src/load_proof.rs
@@ -137,6 +137,11 @@
         ordered.not_begun_at = ordered.not_begun_at.max(requested_at);
     }
 
+    /// Whether the engine has begun to execute the order, and its verdict is not taken yet.
+    pub fn is_begun(&self) -> bool {
+        self.ordered.as_ref().is_some_and(|ordered| ordered.begun_by.is_some())
+    }
+
     /// The staged chunk to read back next, and its version's digests, while only that can show what
     /// the engine has loaded.
     pub fn next_read(&self) -> Option<(Rc<WeightDigests>, u32)> {
--- a/tests/all/fleet/held_up_orders.rs
+++ b/tests/all/fleet/held_up_orders.rs
@@ -77,10 +77,12 @@
 #[actix_rt::test]
 async fn a_second_hold_up_expires_the_repeated_verification() {
     let (fixture, engine) = start(true).await;
+    let replaced = 5;
     engine.hold_at(HeldRequest::IdleReport);
-    engine.hold_at(HeldRequest::ReadBack(7));
+    // All chunks are correct again when it is read after it was put.
+    engine.hold_at(HeldRequest::ReadBack(replaced));
     fixture.publish(2).await;
-    freeze_at_held_request(&fixture, &engine, 5).await;
+    freeze_at_held_request(&fixture, &engine, replaced).await;
     freeze_at_held_request(&fixture, &engine, CORRUPTED).await;
     fixture.wait_until_loaded(2).await;
 }
