--- a/review/stand_ins_2/leaving.rs
+++ b/review/stand_ins_2/leaving.rs
@@ -1,139 +1,21 @@
 //! A runner is taken away two seconds after its notice, with answers under way that have no length
 //! and end with their channel.
 
-use crate::{
-    http::{BodyEnd, Channel, Response, request},
-    record::Record,
-    runner::{self, PIECES},
-    world::{FRONT_PORT, RUNNER_PORT, World},
-};
+use crate::{parts, record::Record, world::World};
 use std::{
-    io::{BufRead, BufReader, Write},
-    net::SocketAddr,
-    process::{Child, Command, Stdio},
-    sync::mpsc,
     thread,
     time::{Duration, Instant},
 };
 
 /// How long after the notice the runner is gone.
 const GONE_AFTER: Duration = Duration::from_secs(2);
-const HOST: &str = "jepu9.example";
-/// Runners of the service: one of eight is an eighth of them.
-const RUNNERS: u8 = 8;
-/// Requests under way, in turn to a stream that may be resumed, one that may not, and an answer that
-/// is no stream.
-const REQUESTS: usize = 48;
-const PATHS: [&str; 3] = ["/resumed/a", "/single/a", "/plain/a"];
-const ZONES: [&str; 3] = ["bog-hall-a", "med-hall-a", "baq-hall-a"];
-
-const MANIFEST: &str = r#"{"version":3,"routes":[
-{"name":"r-resumed","host":"jepu9.example","pathPrefix":"/resumed/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"huvo11a","maxAttempts":2,"public":true,"stickySessions":true,"streamResume":true,"targetGapMs":300},
-{"name":"r-single","host":"jepu9.example","pathPrefix":"/single/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"huvo11a","maxAttempts":1,"public":true,"stickySessions":true,"streamResume":false,"targetGapMs":300},
-{"name":"r-plain","host":"jepu9.example","pathPrefix":"/plain/","kind":"non_idempotent","timeoutMs":6000,"targetLatencyMs":400,"priority":1,"service":"huvo11a","maxAttempts":1,"public":true}],
-"services":[{"name":"huvo11a","healthPath":"/healthz","maxConnections":274,"protocol":"h1","tls":false}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
-
-struct RunnerProcess {
-    child: Child,
-    lines: mpsc::Receiver<String>,
-}
-
-impl RunnerProcess {
-    fn start(world: &World, index: u8, zone: &str) -> Self {
-        let address = world.runner(index).at(RUNNER_PORT);
-        let controls: Vec<String> = world.controls().iter().map(SocketAddr::to_string).collect();
-        let id = format!("i-runner-{index}");
-        let mut child = Command::new(runner::program())
-            .args(["runner", &id, "huvo11a", zone, &address.to_string(), &controls.join(",")])
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap_or_else(|error| world.stop_unable(&format!("a runner: {error}")));
-        world.record.line(format!("{id} starts, process {}", child.id()));
-        let output = child.stdout.take().expect("the output is piped");
-        let (sender, lines) = mpsc::channel();
-        let record = world.record.clone();
-        thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                record.line(format!("{id}: {line}"));
-                sender.send(line).ok();
-            }
-        });
-        Self { child, lines }
-    }
-
-    fn tell(&mut self, word: &str) {
-        let input = self.child.stdin.as_mut().expect("the input is piped");
-        writeln!(input, "{word}").ok();
-        input.flush().ok();
-    }
-
-    /// Waits for a line that holds `part`; whether it came in time.
-    fn await_line(&self, part: &str, limit: Duration) -> bool {
-        let until = Instant::now() + limit;
-        while let Some(left) = until.checked_duration_since(Instant::now()) {
-            match self.lines.recv_timeout(left) {
-                Ok(line) if line.contains(part) => return true,
-                Ok(_) => {}
-                Err(_) => return false,
-            }
-        }
-        false
-    }
-}
-
-impl Drop for RunnerProcess {
-    fn drop(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
-    }
-}
-
-fn ask(address: SocketAddr, path: &str, id: &str) -> Option<Response> {
-    let fields = [("Host", HOST), ("X-Request-Id", id), ("X-Deadline-Ms", "6000")];
-    let mut channel = Channel::open(address, Duration::from_secs(1)).ok()?;
-    channel.stream.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
-    channel.send(&request("POST", path, &fields, b"{}")).ok()?;
-    let head = channel.read_head().ok()??;
-    let (body, end) = channel.read_body(&head, false);
-    Some(Response { head, body, end })
-}
+const ENTRIES: u8 = 2;
 
 /// Runs the case; returns whether a rule was broken.
 pub fn run(record: Record, trouble: bool) -> bool {
     let mut world = World::new(record);
-    for index in 0..3 {
-        let process = world.add_control(index, true);
-        world.start(process);
-    }
-    for index in 0..2 {
-        let process = world.add_entry(index);
-        world.start(process);
-    }
-    world.send_manifest(MANIFEST);
-    world.await_ready(0);
-    world.await_ready(1);
-    let mut runners: Vec<RunnerProcess> = (0..RUNNERS)
-        .map(|index| RunnerProcess::start(&world, index, ZONES[usize::from(index) % 3]))
-        .collect();
-    if !runners.iter().all(|one| one.await_line("ready, number 1: 200", Duration::from_secs(10))) {
-        world.stop_unable("a runner was not acknowledged");
-    }
-    for index in 0..2 {
-        await_served(&world, world.entry(index).at(FRONT_PORT));
-    }
-    // The entries learn of all runners.
-    thread::sleep(Duration::from_secs(1));
-    let asks: Vec<_> = (0..REQUESTS)
-        .map(|number| {
-            let path = PATHS[number % 3];
-            let address = world.entry((number / 3 % 2) as u8).at(FRONT_PORT);
-            let id = format!("{number:016x}");
-            world.record.line(format!("client sends request {id}, {path}, to {address}"));
-            thread::spawn(move || (path, id.clone(), ask(address, path, &id)))
-        })
-        .collect();
+    let mut runners = parts::start(&mut world, ENTRIES);
+    let asks = parts::ask_all(&world, ENTRIES);
     thread::sleep(Duration::from_millis(500));
     let leaving = &mut runners[0];
     leaving.tell("drain");
@@ -143,52 +25,10 @@
     }
     thread::sleep((noticed_at + GONE_AFTER).saturating_duration_since(Instant::now()));
     if trouble {
-        leaving.child.kill().ok();
-        leaving.child.wait().ok();
-        world.record.line("i-runner-0 is taken away");
+        leaving.kill();
+        world.record.line("i-runner-0-1 is taken away");
     } else {
         leaving.tell("exit");
     }
-    let mut broken = 0;
-    for ask in asks {
-        let (path, id, response) = ask.join().expect("no client panics");
-        broken += usize::from(judge(&world.record, path, &id, response.as_ref()));
-    }
-    world.record.line(format!("{broken} answers look complete and are not whole"));
-    let broken = broken > 0;
-    world.record.line(if broken { "the rule was broken" } else { "the rule held" });
-    broken
-}
-
-/// Waits until requests are served, so that the entry knows the runner.
-fn await_served(world: &World, address: SocketAddr) {
-    for number in 0..100 {
-        let id = format!("{:016x}", 0xa000 + number);
-        if ask(address, "/resumed/short", &id).is_some_and(|reply| reply.head.status() == 200) {
-            return;
-        }
-        thread::sleep(Duration::from_millis(100));
-    }
-    world.stop_unable("no request was served");
-}
-
-/// Records an answer; returns whether it looks complete and is not the runner's whole answer.
-fn judge(record: &Record, path: &str, id: &str, response: Option<&Response>) -> bool {
-    let Some(response) = response else {
-        record.line(format!("request {id}, {path}: the channel ended without a head"));
-        return false;
-    };
-    let whole: String = (1..=PIECES).map(runner::piece).collect();
-    let is_whole = response.body == whole.as_bytes();
-    let status = response.head.status();
-    let looks_complete = (200..300).contains(&status) && response.end == BodyEnd::Complete;
-    let pieces = String::from_utf8_lossy(&response.body).matches("data:").count();
-    let signature = response.head.get("x-response-signature").unwrap_or("none");
-    record.line(format!(
-        "request {id}, {path}: status {status}, signature {signature}, {pieces} of {PIECES} pieces, \
-         the body ends {:?}, {}",
-        response.end,
-        if is_whole { "whole" } else { "not whole" }
-    ));
-    looks_complete && !is_whole
+    parts::judge_all(&world, asks)
 }
--- a/review/stand_ins_2/world.rs
+++ b/review/stand_ins_2/world.rs
@@ -151,16 +151,11 @@
         process.child = Some(child);
     }
 
+    /// Id of the process with this number, if it runs.
     pub fn pid(&self, index: usize) -> Option<u32> {
         self.processes[index].child.as_ref().map(Child::id)
     }
 
-    /// The lines of a process's log that hold `part`.
-    pub fn log_lines(&self, index: usize, part: &str) -> Vec<String> {
-        let text = fs::read_to_string(&self.processes[index].log).unwrap_or_default();
-        text.lines().filter(|line| line.contains(part)).map(str::to_owned).collect()
-    }
-
     /// Kills a process and waits for its end.
     pub fn kill(&mut self, index: usize) {
         let process = &mut self.processes[index];
@@ -261,7 +256,7 @@
 fn is_free((second, third): (u8, u8)) -> bool {
     let ports = PEER_PORTS.map(|offset| PEER_PORT + offset);
     let fixed: [u16; 5] = [CONTROL_PORT, DIRECTORY_PORT, READY_PORT, FRONT_PORT, RUNNER_PORT];
-    let machines = [10, 11, 12, 13, 20, 21].into_iter().chain(40..50);
+    let machines = (10..14).chain(20..30).chain(40..50);
     machines.into_iter().all(|last| {
         let ip = Ipv4Addr::new(127, second, third, last);
         ports.iter().chain(&fixed).all(|port| {
