--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# A runner is taken away after its notice, with answers under way that have no length.
-# TROUBLE=0: it finishes its answers before it exits.
+# A control process stands still as the order to finish an evacuation reaches it; the order is sent
+# again to another one, and 3 s later the zone is evacuated anew. TROUBLE=0: none stands still.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/egretseam ] && [ -x target/review-2/world ] || exit 2
-exec timeout -k 5 110 target/review-2/world leaving review/7/record.txt
+exec timeout -k 5 110 target/review-2/world evacuating review/7/record.txt
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -2,6 +2,7 @@
 //! themselves: `world CASE RECORD`. With TROUBLE=0 a case runs without its disruption.
 
 mod crashing;
+mod evacuating;
 mod frozen;
 mod heads;
 mod http;
@@ -24,6 +25,7 @@
         Some("crashing") => crashing::run(record(), is_troubled),
         Some("heads") => heads::run(record(), is_troubled),
         Some("frozen") => frozen::run(record(), is_troubled, trouble != "crash"),
+        Some("evacuating") => evacuating::run(record(), is_troubled),
         _ => {
             eprintln!("usage: world CASE RECORD");
             exit(2)
--- a/review/stand_ins_2/world.rs
+++ b/review/stand_ins_2/world.rs
@@ -44,6 +44,8 @@
     pub record: Record,
     folder: PathBuf,
     subnet: (u8, u8),
+    /// What the settings of all processes hold besides, with a comma before each field.
+    pub more_settings: &'static str,
     pub processes: Vec<SystemProcess>,
 }
 
@@ -57,7 +59,7 @@
             .map(|offset| ((20 + (pid + offset) % 200) as u8, (pid / 200 % 250) as u8))
             .find(|subnet| is_free(*subnet))
             .unwrap_or_else(|| cannot_run("no free ports"));
-        Self { record, folder, subnet, processes: Vec::new() }
+        Self { record, folder, subnet, more_settings: "", processes: Vec::new() }
     }
 
     /// The machine with this number.
@@ -85,13 +87,14 @@
         let ip = machine.0;
         let seeds: Vec<String> = self.controls().iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = seeds.join(",");
+        let more = self.more_settings;
         format!(
             r#"{{"instance":"{name}","zone":"{zone}","host":"{ip}","first_peer_port":{PEER_PORT},
 "control_seeds":[{seeds}],"link_mbps":1000.0,"founding":{founding},
 "announce_interval_seconds":1200e-3,"tolerated_losses":1,"stop_limit_seconds":8,
 "version_limit_seconds":8000e-3,"drain_limit_seconds":2000e-3,
 "regions":{{"bog-hall-a":"bogota","med-hall-a":"medellin","baq-hall-a":"barranquilla"}},
-"retry_ratio":0.2,"retry_window_seconds":10,"retry_minimum":106,"memory_mb":260,{role}}}"#
+"retry_ratio":0.2,"retry_window_seconds":10,"retry_minimum":106,"memory_mb":260{more},{role}}}"#
         )
     }
 
