--- a/review/stand_ins_2/runner.rs
+++ b/review/stand_ins_2/runner.rs
@@ -129,8 +129,7 @@
     let mut channel = Channel::new(stream);
     while let Ok(Some(head)) = channel.read_head() {
         let (_, _) = channel.read_body(&head, true);
-        let is_wrong =
-            head.get("x-target-instance").is_some_and(|named| named != runner.id);
+        let is_wrong = head.get("x-target-instance").is_some_and(|named| named != runner.id);
         if is_wrong {
             let text = format!(
                 "HTTP/1.1 421 Misdirected\r\nX-Request-Id: {}\r\nX-Not-Executed: 1\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
--- a/review/stand_ins_2/world.rs
+++ b/review/stand_ins_2/world.rs
@@ -83,7 +83,14 @@
         (0..3).map(|index| self.control(index).at(CONTROL_PORT)).collect()
     }
 
-    fn settings(&self, name: &str, machine: Machine, zone: &str, founding: bool, role: &str) -> String {
+    fn settings(
+        &self,
+        name: &str,
+        machine: Machine,
+        zone: &str,
+        founding: bool,
+        role: &str,
+    ) -> String {
         let ip = machine.0;
         let seeds: Vec<String> = self.controls().iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = seeds.join(",");
@@ -190,8 +197,7 @@
         let until = Instant::now() + Duration::from_secs(20);
         loop {
             for control in self.controls() {
-                let fields =
-                    [("Host", "control"), ("Content-Type", "application/json")];
+                let fields = [("Host", "control"), ("Content-Type", "application/json")];
                 let reply = http::call(
                     control,
                     "POST",
@@ -226,8 +232,7 @@
         let address = self.entry(index).at(READY_PORT);
         loop {
             let fields = [("Host", "entry")];
-            let reply =
-                http::call(address, "GET", "/readyz", &fields, b"", Duration::from_secs(1));
+            let reply = http::call(address, "GET", "/readyz", &fields, b"", Duration::from_secs(1));
             if reply.is_ok_and(|reply| reply.head.status() == 200) {
                 self.record.line(format!("edge-{index} is ready"));
                 return;
